Thin whole path as separate processes

Cause: nothing existed; the users ask for the whole path first. Ruled out: a role set aside for control, and a store write for each repeatable online request. Change: daemon with membership, configuration, upstreams, online, batch and entry children; stand-ins for platform, engines and a plain service.

--- /dev/null
+++ b/gentiantrestle/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: its folders are the children of the root supervisor."""
--- /dev/null
+++ b/gentiantrestle/daemon/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of many items, each done exactly once."""
--- /dev/null
+++ b/gentiantrestle/daemon/batch/slots.py
@@ -0,0 +1,44 @@
+"""How many batch items an upstream may have; decisions only, no I/O."""
+
+from gentiantrestle.daemon.upstreams.service import Pressure
+
+RESERVE_SHARE = 0.125
+CALM_BEFORE_GROWTH = 0.2  # seconds
+GROWTH = 0.25
+BUSY_SHARE = 0.5
+
+
+class Allowance:
+    """The cap on one upstream's batch items, kept by their one owner.
+
+    The cap falls at once and grows back in steps after some calm, so that
+    short gaps between online requests don't make it flap.
+    """
+
+    def __init__(self, slots: int) -> None:
+        """Start at nothing and grow from there."""
+        self._slots = slots
+        self.cap = 0
+        self._calm_since: float | None = None
+
+    def update(self, pressure: Pressure, now: float) -> int:
+        """Return the cap that holds from now on."""
+        target = target_cap(self._slots, pressure)
+        if target <= self.cap:
+            self.cap = target
+            self._calm_since = now
+            return self.cap
+        if self._calm_since is None:
+            self._calm_since = now - CALM_BEFORE_GROWTH
+        if now - self._calm_since >= CALM_BEFORE_GROWTH:
+            step = max(1, int(self._slots * GROWTH))
+            self.cap = min(target, self.cap + step)
+            self._calm_since = now - CALM_BEFORE_GROWTH / 2
+        return self.cap
+
+
+def target_cap(slots: int, pressure: Pressure) -> int:
+    """Return what online leaves, less a reserve; silence reads as busy."""
+    reserve = max(1, int(slots * RESERVE_SHARE)) if pressure.online else 0
+    feared = int(slots * BUSY_SHARE) * pressure.silent
+    return max(0, slots - pressure.online - reserve - feared)
--- /dev/null
+++ b/gentiantrestle/daemon/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet's configuration and the copy of the store it comes in."""
--- /dev/null
+++ b/gentiantrestle/daemon/configuration/mirror.py
@@ -0,0 +1,71 @@
+"""A copy of store objects that never goes back; decisions only."""
+
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any, NamedTuple
+
+Document = dict[str, Any]
+
+
+class Copied(NamedTuple):
+    """One copied object; no document means that it was deleted."""
+
+    name: str
+    version: int
+    document: Document | None
+
+
+class Mirror:
+    """Objects by name; only a higher version replaces one."""
+
+    def __init__(self) -> None:
+        """Start empty, at revision 0."""
+        self.revision = 0
+        self._objects: dict[str, Copied] = {}
+        self._listeners: list[tuple[str, Callable[[Copied], None]]] = []
+
+    def listen(self, prefix: str, heed: Callable[[Copied], None]) -> None:
+        """Call ``heed`` for each change below a prefix."""
+        self._listeners.append((prefix, heed))
+
+    def apply(self, changes: Iterable[Copied], revision: int) -> None:
+        """Take in changes that bring the copy up to ``revision``."""
+        for copied in changes:
+            self.take(copied)
+        self.revision = max(self.revision, revision)
+
+    def take(self, copied: Copied) -> bool:
+        """Take in one object, unless as new a one is known."""
+        known = self._objects.get(copied.name)
+        if known is not None and known.version >= copied.version:
+            return False
+        self._objects[copied.name] = copied
+        for prefix, heed in self._listeners:
+            if copied.name.startswith(prefix):
+                heed(copied)
+        return True
+
+    def get(self, name: str) -> Copied | None:
+        """Look one object up; a deleted one is not found."""
+        copied = self._objects.get(name)
+        if copied is None or copied.document is None:
+            return None
+        return copied
+
+    def below(self, prefix: str) -> Iterator[Copied]:
+        """Yield the objects below a prefix."""
+        for name, copied in tuple(self._objects.items()):
+            if name.startswith(prefix) and copied.document is not None:
+                yield copied
+
+    def since(self, after: int) -> Iterator[Copied]:
+        """Yield what has changed after a revision, deletions too."""
+        for copied in self._objects.values():
+            if copied.version > after:
+                yield copied
+
+    def forget(self, prefix: str, before: int) -> None:
+        """Drop marks of deletions below a prefix that are old enough."""
+        for name, copied in tuple(self._objects.items()):
+            gone = copied.document is None and copied.version < before
+            if gone and name.startswith(prefix):
+                self._objects.pop(name)
--- /dev/null
+++ b/gentiantrestle/daemon/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP side: callers, operators and probes."""
--- /dev/null
+++ b/gentiantrestle/daemon/entry/bodies.py
@@ -0,0 +1,129 @@
+"""Check callers' bodies and turn them into work for an upstream."""
+
+from typing import Any
+
+import msgspec
+
+from gentiantrestle.daemon.online.relay import Work
+from gentiantrestle.daemon.upstreams.adapter import (
+    CHAT,
+    expected_tokens,
+    prompt_of,
+)
+from gentiantrestle.errors import (
+    BAD_REQUEST,
+    NO_UPSTREAM,
+    PROMPT_TOO_LONG,
+    UNKNOWN_MODEL,
+    refuse,
+)
+from gentiantrestle.http.messages import Request, decode_object
+from gentiantrestle.models import DeploymentDoc, EndpointDoc, FleetDoc
+
+MAX_TOKENS = 32768
+RETRY_AFTER = 1  # seconds
+SAFE_METHODS = frozenset(('GET', 'HEAD'))
+
+
+def completion_work(
+    client: str,
+    req: Request,
+    raw: bytes,
+    fleet: FleetDoc,
+) -> Work:
+    """Check a completion or chat request."""
+    body = decode_object(raw)
+    endpoint = find_endpoint(fleet, body.get('model'))
+    deployment = find_deployment(fleet, endpoint)
+    prompt = _check_prompt(req.path, body, endpoint['max_prompt'])
+    _check_numbers(body)
+    streamed = bool(body.get('stream', False))
+    body['model'] = deployment['model']
+    return Work(
+        client=client,
+        deployment=deployment,
+        target=req.path,
+        body=msgspec.json.encode(body),
+        prompt=prompt,
+        streamed=streamed,
+        repeatable=endpoint.get('repeatable', True),
+        tokens=expected_tokens(body),
+    )
+
+
+def service_work(
+    client: str,
+    req: Request,
+    raw: bytes,
+    fleet: FleetDoc,
+    fields: dict[str, str],
+) -> Work:
+    """Check a call of a plain service."""
+    endpoint = find_endpoint(fleet, fields['endpoint'])
+    safe = req.method in SAFE_METHODS
+    return Work(
+        client=client,
+        deployment=find_deployment(fleet, endpoint),
+        target='/' + fields['rest'],
+        body=raw,
+        method=req.method,
+        content_type=req.headers.get('content-type', ''),
+        repeatable=safe or endpoint.get('repeatable', False),
+    )
+
+
+def find_endpoint(fleet: FleetDoc, name: Any) -> EndpointDoc:
+    """Look an endpoint up, or refuse."""
+    if not isinstance(name, str) or not name:
+        raise refuse(BAD_REQUEST, 'The field "model" is missing or no text')
+    endpoint = fleet['endpoints'].get(name)
+    if endpoint is None:
+        raise refuse(UNKNOWN_MODEL, f'There is no endpoint {name!r}')
+    return endpoint
+
+
+def find_deployment(fleet: FleetDoc, endpoint: EndpointDoc) -> DeploymentDoc:
+    """Look an endpoint's deployment up; one without upstreams refuses."""
+    deployment = fleet['deployments'][endpoint['deployment']]
+    if not deployment['upstreams']:
+        raise refuse(NO_UPSTREAM, 'The deployment has no upstream', RETRY_AFTER)
+    return deployment
+
+
+def _check_prompt(path: str, body: dict[str, Any], limit: int) -> str:
+    if path == CHAT:
+        _check_messages(body.get('messages'))
+    elif not isinstance(body.get('prompt'), str):
+        raise refuse(BAD_REQUEST, 'The field "prompt" is missing or no text')
+    prompt = prompt_of(body)
+    if not prompt:
+        raise refuse(BAD_REQUEST, 'The prompt is empty')
+    if len(prompt) > limit:
+        raise refuse(
+            PROMPT_TOO_LONG,
+            f'The prompt has {len(prompt)} characters, the limit is {limit}',
+        )
+    return prompt
+
+
+def _check_messages(messages: Any) -> None:
+    good = isinstance(messages, list) and messages and all(
+        isinstance(message, dict) and isinstance(message.get('content'), str)
+        for message in messages
+    )
+    if not good:
+        raise refuse(
+            BAD_REQUEST,
+            'The field "messages" is no list of objects with "content"',
+        )
+
+
+def _check_numbers(body: dict[str, Any]) -> None:
+    wanted = body.get('max_tokens', 1)
+    if isinstance(wanted, bool) or not isinstance(wanted, int):
+        raise refuse(BAD_REQUEST, 'The field "max_tokens" is no whole number')
+    if not 0 < wanted <= MAX_TOKENS:
+        raise refuse(
+            BAD_REQUEST,
+            f'The field "max_tokens" is not from 1 to {MAX_TOKENS}',
+        )
--- /dev/null
+++ b/gentiantrestle/daemon/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances are alive, told by heartbeats between them."""
--- /dev/null
+++ b/gentiantrestle/daemon/online/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that a caller waits for."""
--- /dev/null
+++ b/gentiantrestle/daemon/online/relay.py
@@ -0,0 +1,330 @@
+"""Send a request to an upstream and pass its answer on, whole or marked."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import aclosing
+from typing import NamedTuple
+from uuid import uuid4
+
+import msgspec
+
+from gentiantrestle import events
+from gentiantrestle.context import Context
+from gentiantrestle.daemon.online.admission import Admission, Wanted
+from gentiantrestle.daemon.online.retries import (
+    Failure,
+    RetryBudget,
+    Stage,
+    Verdict,
+    judge,
+)
+from gentiantrestle.daemon.upstreams.adapter import (
+    WholeStream,
+    build_call,
+    leaving_mark,
+)
+from gentiantrestle.daemon.upstreams.service import Fleet, Upstream
+from gentiantrestle.errors import (
+    CUT_SHORT,
+    NO_UPSTREAM,
+    UPSTREAM_FAILED,
+    UPSTREAM_UNSURE,
+    ErrorKind,
+    Refusal,
+    RefusedError,
+    refuse,
+)
+from gentiantrestle.http.client import Answer, LostError, NotSentError
+from gentiantrestle.http.messages import (
+    EVENT_STREAM,
+    JSON,
+    Response,
+    error_document,
+)
+from gentiantrestle.models import DeploymentDoc
+
+MAX_ANSWER = 64 * 1024 * 1024  # bytes
+SERVER_ERROR = 500
+RETRY_AFTER = 1  # seconds
+PACE_EVENTS = 8
+
+
+class Work(NamedTuple):
+    """One online request that may go to an upstream."""
+
+    client: str
+    deployment: DeploymentDoc
+    target: str
+    body: bytes
+    method: str = 'POST'
+    content_type: str = JSON
+    prompt: str = ''
+    streamed: bool = False
+    repeatable: bool = False
+    tokens: int = 1
+
+
+class AttemptError(Exception):
+    """One attempt failed, and at this stage."""
+
+    def __init__(self, stage: Stage, refusal: Refusal) -> None:
+        """Keep the stage and what to tell when no other attempt follows."""
+        super().__init__(refusal.reason)
+        self.stage = stage
+        self.refusal = refusal
+
+
+class Attempt:
+    """One try of a request on one upstream, with an id of its own."""
+
+    def __init__(
+        self,
+        ctx: Context,
+        work: Work,
+        upstream: Upstream,
+    ) -> None:
+        """Give the attempt an id; nothing is sent yet."""
+        self._ctx = ctx
+        self._work = work
+        self.upstream = upstream
+        self.attempt_id = uuid4().hex
+        self.started_at = ctx.now()
+
+    async def send(self) -> Answer:
+        """Send the request; raise ``AttemptError`` when it fails."""
+        call = build_call(
+            self._work.target,
+            self._work.body,
+            self.attempt_id,
+            method=self._work.method,
+            content_type=self._work.content_type,
+        )
+        try:
+            async with asyncio.timeout(self._ctx.cfg.answer_timeout):
+                answer = await self.upstream.pool.call(call)
+        except NotSentError as exc:
+            raise self._fail(Stage.NOT_SENT, NO_UPSTREAM, exc) from exc
+        except (LostError, TimeoutError) as exc:
+            raise self._fail(Stage.SENT, UPSTREAM_UNSURE, exc) from exc
+        if answer.status >= SERVER_ERROR:
+            raise await self._refused(answer)
+        return answer
+
+    async def read(self, answer: Answer) -> bytes:
+        """Collect a whole answer."""
+        try:
+            async with asyncio.timeout(self._ctx.cfg.answer_timeout):
+                body = await answer.read()
+        except (LostError, TimeoutError) as exc:
+            raise self._fail(Stage.SENT, UPSTREAM_UNSURE, exc) from exc
+        finally:
+            self.upstream.pool.release(answer)
+        now = self._ctx.now()
+        self.upstream.health.measure(
+            (now - self.started_at) / self._work.tokens,
+            now,
+        )
+        self.upstream.health.succeed()
+        return body
+
+    async def stream(self, answer: Answer) -> AsyncIterator[bytes]:
+        """Pass a stream on; end it with an explicit error if it is cut."""
+        whole = WholeStream()
+        error = 'the stream ended early'
+        try:
+            async for part in self._paced(answer, whole):
+                yield part
+        except (LostError, TimeoutError) as exc:
+            error = repr(exc)
+        finally:
+            self._ctx.metrics.tokens.add({}, whole.events)
+        if whole.is_whole:
+            self.upstream.health.succeed()
+            return
+        failure = self._fail(Stage.ANSWERING, CUT_SHORT, error)
+        events.emit(events.ANSWER_CUT, attempt=self.attempt_id, error=error)
+        yield _error_event(failure.refusal)
+
+    async def _paced(
+        self,
+        answer: Answer,
+        whole: WholeStream,
+    ) -> AsyncIterator[bytes]:
+        stall = self._ctx.cfg.stall_timeout
+        measured_at, measured_events = self._ctx.now(), 0
+        async with aclosing(answer.conn.chunks()) as parts:
+            while True:
+                async with asyncio.timeout(stall):
+                    part = await anext(parts, None)
+                if part is None:
+                    return
+                whole.feed(part)
+                passed = whole.events - measured_events
+                if passed >= PACE_EVENTS:
+                    now = self._ctx.now()
+                    self.upstream.health.measure(
+                        (now - measured_at) / passed,
+                        now,
+                    )
+                    measured_at, measured_events = now, whole.events
+                yield part
+
+    async def _refused(self, answer: Answer) -> AttemptError:
+        leaving = leaving_mark(answer)
+        body = b''
+        try:
+            body = await answer.read()
+        except LostError:
+            leaving = None
+        finally:
+            self.upstream.pool.release(answer)
+        if leaving is not None:
+            return LeavingError(leaving)
+        text = body[:200].decode(errors='replace')
+        return self._fail(
+            Stage.SENT,
+            UPSTREAM_FAILED,
+            f'status {answer.status}: {text}',
+        )
+
+    def _fail(self, stage: Stage, kind: ErrorKind, error: object) -> AttemptError:
+        now = self._ctx.now()
+        name = self.upstream.name
+        self.upstream.health.fail(now, self._ctx.random.random())
+        events.emit(events.UPSTREAM_FAILED, upstream=name, error=str(error))
+        self._ctx.metrics.attempts.inc({'outcome': stage.value})
+        reason = f'Upstream {name} failed: {error}'
+        retry_after = RETRY_AFTER if stage is Stage.NOT_SENT else None
+        return AttemptError(stage, Refusal(kind, reason, retry_after))
+
+
+class LeavingError(AttemptError):
+    """The upstream said that it is leaving and did not run the request."""
+
+    def __init__(self, incarnation: int) -> None:
+        """Keep the incarnation that leaves."""
+        super().__init__(
+            Stage.NOT_SENT,
+            Refusal(NO_UPSTREAM, 'The upstream is leaving', RETRY_AFTER),
+        )
+        self.incarnation = incarnation
+
+
+class AnswerStream:
+    """An upstream's stream; closing it gives slot and connection back.
+
+    A plain generator would keep both if it were closed before its start.
+    """
+
+    def __init__(
+        self,
+        attempt: Attempt,
+        answer: Answer,
+        leave: Callable[[Attempt], None],
+    ) -> None:
+        """Hold the slot until closed."""
+        self._attempt = attempt
+        self._answer = answer
+        self._leave: Callable[[Attempt], None] | None = leave
+        self._parts = attempt.stream(answer)
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Iterate over the parts of the answer."""
+        return self._parts
+
+    async def aclose(self) -> None:
+        """Stop reading; closing twice is the same as once."""
+        await self._parts.aclose()
+        leave, self._leave = self._leave, None
+        if leave is not None:
+            self._attempt.upstream.pool.release(self._answer)
+            leave(self._attempt)
+
+
+class Relay:
+    """Finds an upstream for each request and tries again where allowed."""
+
+    def __init__(
+        self,
+        ctx: Context,
+        fleet: Fleet,
+        admission: Admission,
+    ) -> None:
+        """Start with a full retry budget."""
+        self._ctx = ctx
+        self._fleet = fleet
+        self._admission = admission
+        self._budgets: dict[str, RetryBudget] = {}
+
+    async def answer(self, work: Work) -> Response:
+        """Answer a request, or raise a refusal that says if it was run."""
+        budget = self._budgets.setdefault(work.client, RetryBudget())
+        budget.note_request(self._ctx.now())
+        excluded: set[str] = set()
+        attempts = 0
+        while True:
+            attempts += 1
+            wanted = Wanted(
+                work.client,
+                work.deployment,
+                work.prompt,
+                frozenset(excluded),
+            )
+            upstream = await self._admission.enter(wanted)
+            try:
+                return await self._try(work, upstream)
+            except AttemptError as exc:
+                self._note_leaving(upstream, exc)
+                failure = Failure(exc.stage, work.repeatable, attempts)
+                excluded.add(upstream.name)
+                self._follow(failure, exc, budget, len(excluded), work)
+
+    def _follow(
+        self,
+        failure: Failure,
+        exc: AttemptError,
+        budget: RetryBudget,
+        tried: int,
+        work: Work,
+    ) -> None:
+        """Return if another attempt may follow; else raise the refusal."""
+        others_left = tried < len(work.deployment['upstreams'])
+        within = others_left and budget.take(self._ctx.now())
+        if judge(failure, within_budget=within) is not Verdict.RETRY:
+            raise RefusedError(exc.refusal) from exc
+        self._ctx.metrics.attempts.inc({'outcome': 'retry'})
+
+    def _note_leaving(self, upstream: Upstream, exc: AttemptError) -> None:
+        if isinstance(exc, LeavingError):
+            self._fleet.mark_leaving(upstream.name, exc.incarnation)
+
+    async def _try(self, work: Work, upstream: Upstream) -> Response:
+        attempt = Attempt(self._ctx, work, upstream)
+        streaming = False
+        try:
+            answer = await attempt.send()
+            kind = answer.header('Content-Type') or JSON
+            if kind.startswith(EVENT_STREAM):
+                streaming = True
+                stream = AnswerStream(attempt, answer, self._leave)
+                return Response(answer.status, stream, kind)
+            body = await attempt.read(answer)
+            return Response(answer.status, body, kind)
+        finally:
+            if not streaming:
+                self._leave(attempt)
+
+    def _leave(self, attempt: Attempt) -> None:
+        seconds = self._ctx.now() - attempt.started_at
+        self._admission.leave(attempt.upstream, seconds)
+
+
+def _error_event(refusal: Refusal) -> bytes:
+    document = msgspec.json.encode(error_document(refusal))
+    return b'event: error\ndata: %b\n\n' % document
+
+
+def require_upstreams(deployment: DeploymentDoc) -> None:
+    """Refuse work of a deployment that stands on no upstream."""
+    if not deployment['upstreams']:
+        raise refuse(NO_UPSTREAM, 'The deployment has no upstream', RETRY_AFTER)
--- /dev/null
+++ b/gentiantrestle/daemon/online/service.py
@@ -0,0 +1,50 @@
+"""The child that answers callers who wait."""
+
+import asyncio
+
+from gentiantrestle.context import Context
+from gentiantrestle.daemon.membership.service import Membership
+from gentiantrestle.daemon.online.admission import Admission
+from gentiantrestle.daemon.online.claims import Caller, body_digest
+from gentiantrestle.daemon.online.once import Once
+from gentiantrestle.daemon.online.relay import Relay, Work
+from gentiantrestle.daemon.upstreams.service import Fleet
+from gentiantrestle.http.messages import Response
+from gentiantrestle.store.client import StoreClient
+
+PUMP_PERIOD = 0.05  # seconds
+
+
+class Online:
+    """Answers requests: directly, or at most once by their key."""
+
+    def __init__(
+        self,
+        ctx: Context,
+        store: StoreClient,
+        membership: Membership,
+        fleet: Fleet,
+    ) -> None:
+        """Share one queue and one memory of answers."""
+        self._ctx = ctx
+        self.admission = Admission(ctx, fleet)
+        self._relay = Relay(ctx, fleet, self.admission)
+        self.once = Once(ctx, store, membership)
+
+    async def run(self) -> None:
+        """Let waiting requests go as slots come free elsewhere."""
+        while True:
+            now = self._ctx.now()
+            self.admission.pump(now)
+            self.once.expire(now)
+            await asyncio.sleep(PUMP_PERIOD)
+
+    async def answer(self, work: Work, key: str | None) -> Response:
+        """Answer one request; a key makes a resend find the first answer."""
+        if work.repeatable or key is None:
+            return await self._relay.answer(work)
+        return await self.once.run(
+            Caller(work.client, key),
+            body_digest(work.target, work.body),
+            lambda: self._relay.answer(work),
+        )
--- /dev/null
+++ b/gentiantrestle/daemon/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""The servers behind the system: their state, load and protocol."""
--- /dev/null
+++ b/gentiantrestle/errors.py
@@ -0,0 +1,181 @@
+"""Typed kinds of errors; each names what a caller can do about it."""
+
+from enum import Enum
+from typing import NamedTuple
+
+
+class Run(Enum):
+    """Whether the refused work was run."""
+
+    NOT_RUN = 'not run'
+    UNKNOWN = 'unknown'
+
+
+class ErrorKind(NamedTuple):
+    """One kind of error as callers see it."""
+
+    name: str
+    status: int
+    remedy: str
+    run: Run = Run.NOT_RUN
+
+
+class Refusal(NamedTuple):
+    """A falsy sentinel: why something was not done, and what helps."""
+
+    kind: ErrorKind
+    reason: str
+    retry_after: int | None = None
+
+    def __bool__(self) -> bool:
+        """Read as false, so that ``if not answer`` finds a refusal."""
+        return False
+
+    @property
+    def message(self) -> str:
+        """Join reason and remedy into one sentence for a person."""
+        return f'{self.reason}. {self.kind.remedy}'
+
+
+class RefusedError(Exception):
+    """Carries a refusal up to the edge that answers the caller."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        """Keep the refusal; its message is the exception's text."""
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+def refuse(
+    kind: ErrorKind,
+    reason: str,
+    retry_after: int | None = None,
+) -> RefusedError:
+    """Build the exception that carries a refusal."""
+    return RefusedError(Refusal(kind, reason, retry_after))
+
+
+BAD_REQUEST = ErrorKind(
+    'bad_request',
+    400,
+    'Correct the request as said and send it again.',
+)
+BAD_SETTINGS = ErrorKind(
+    'bad_settings',
+    400,
+    'Correct every listed field and apply the configuration again.',
+)
+UNAUTHORIZED = ErrorKind(
+    'unauthorized',
+    401,
+    'Send a valid key as "Authorization: Bearer KEY".',
+)
+FORBIDDEN = ErrorKind(
+    'forbidden',
+    403,
+    'Use a key of an account that may do this.',
+)
+NOT_FOUND = ErrorKind(
+    'not_found',
+    404,
+    'Check the name; the list call shows what exists.',
+)
+UNKNOWN_MODEL = ErrorKind(
+    'unknown_model',
+    404,
+    'Use the name of an endpoint; GET /v1/models lists them.',
+)
+WRONG_METHOD = ErrorKind(
+    'wrong_method',
+    405,
+    'Use a method that the Allow header names.',
+)
+TIMED_OUT = ErrorKind(
+    'request_timeout',
+    408,
+    'Send the whole request without long pauses.',
+)
+CONFLICT = ErrorKind(
+    'conflict',
+    409,
+    'Read what is in force, decide anew, and send again.',
+)
+KEY_REUSED = ErrorKind(
+    'idempotency_key_reused',
+    409,
+    'Use a new Idempotency-Key for a different request.',
+)
+ALREADY_STARTED = ErrorKind(
+    'already_started',
+    409,
+    'The first request with this Idempotency-Key was started and will not '
+    'be run again; check its effect before sending with a new key.',
+    Run.UNKNOWN,
+)
+TOO_LARGE = ErrorKind(
+    'too_large',
+    413,
+    'Send less in one request; docs/API.md lists the limits.',
+)
+PROMPT_TOO_LONG = ErrorKind(
+    'prompt_too_long',
+    400,
+    'Shorten the prompt or use an endpoint with a longer context.',
+)
+HEADERS_TOO_LARGE = ErrorKind(
+    'headers_too_large',
+    431,
+    'Send fewer or shorter header fields.',
+)
+OVERLOADED = ErrorKind(
+    'overloaded',
+    429,
+    'Wait as long as Retry-After says and send again.',
+)
+NO_UPSTREAM = ErrorKind(
+    'no_upstream',
+    503,
+    'Wait as long as Retry-After says and send again.',
+)
+STORE_UNAVAILABLE = ErrorKind(
+    'store_unavailable',
+    503,
+    'Nothing was accepted; send again after Retry-After.',
+)
+STORE_UNSURE = ErrorKind(
+    'store_unsure',
+    503,
+    'Send the same request with the same Idempotency-Key; it is settled '
+    'then and never done twice.',
+    Run.UNKNOWN,
+)
+STOPPING = ErrorKind(
+    'stopping',
+    503,
+    'This instance is stopping; send again, another one will answer.',
+)
+UPSTREAM_UNSURE = ErrorKind(
+    'outcome_unknown',
+    502,
+    'The upstream was lost after the request was sent; check its effect '
+    'before sending again.',
+    Run.UNKNOWN,
+)
+UPSTREAM_FAILED = ErrorKind(
+    'upstream_failed',
+    502,
+    'The upstream answered with an error; check the request, then try again.',
+    Run.UNKNOWN,
+)
+CUT_SHORT = ErrorKind(
+    'cut_short',
+    502,
+    'The answer is not complete; drop what came and send again.',
+    Run.UNKNOWN,
+)
+INTERNAL = ErrorKind(
+    'internal',
+    500,
+    'Report this with the time and the instance; the log has the cause.',
+    Run.UNKNOWN,
+)
--- /dev/null
+++ b/gentiantrestle/http/server.py
@@ -0,0 +1,288 @@
+"""Serve HTTP/1.1 connections with h11, bounded in size and time."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import aclosing, suppress
+from http import HTTPStatus
+from typing import NamedTuple, TypeAlias
+
+import h11
+
+from gentiantrestle import events
+from gentiantrestle.errors import (
+    BAD_REQUEST,
+    HEADERS_TOO_LARGE,
+    INTERNAL,
+    OVERLOADED,
+    TIMED_OUT,
+    RefusedError,
+    refuse,
+)
+from gentiantrestle.http.messages import Request, Response, answer_refusal
+
+READ_SIZE = 65536  # bytes
+WRITE_BUFFER = 65536  # bytes
+MAX_HEADER = 16384  # bytes
+ACCEPT_BACKLOG = 1024
+
+Handler: TypeAlias = Callable[[Request], Awaitable[Response]]
+
+
+class Limits(NamedTuple):
+    """Bounds of one server."""
+
+    header_timeout: float = 10
+    idle_timeout: float = 75
+    stall_timeout: float = 30
+    max_connections: int = 2000
+
+
+class ClosedError(Exception):
+    """The other side left, or stalled beyond the bounds."""
+
+
+class ServerConnection:
+    """One caller's connection: requests in turn, answers streamed."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        limits: Limits,
+    ) -> None:
+        """Wrap the streams in the protocol's state machine."""
+        self._reader = reader
+        self._writer = writer
+        self._limits = limits
+        self._h11 = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=MAX_HEADER,
+        )
+        self.started = False
+
+    async def serve(self, handle: Handler, stopping: asyncio.Event) -> None:
+        """Answer requests until either side closes."""
+        while not stopping.is_set():
+            head = await self._read_head(stopping)
+            if head is None:
+                return
+            await self._answer(head, handle, stopping)
+            if self._h11.our_state is not h11.DONE:
+                return
+            if self._h11.their_state is not h11.DONE:
+                return
+            self._h11.start_next_cycle()
+
+    async def refuse(self, exc: RefusedError) -> None:
+        """Answer with a refusal where the state still allows one."""
+        if self._h11.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
+            response = answer_refusal(exc.refusal)
+            await self._send(response, close=True)
+
+    def close(self) -> None:
+        """Close the connection without waiting."""
+        self._writer.close()
+
+    async def _read_head(self, stopping: asyncio.Event) -> h11.Request | None:
+        patience = self._limits.idle_timeout
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.Request):
+                return event
+            if event is not h11.NEED_DATA:
+                return None
+            if self._h11.trailing_data[0]:
+                patience = self._limits.header_timeout
+            await self._receive(patience, stopping)
+
+    async def _receive(
+        self,
+        patience: float,
+        stopping: asyncio.Event | None = None,
+    ) -> None:
+        try:
+            async with asyncio.timeout(patience):
+                received = await self._reader.read(READ_SIZE)
+        except TimeoutError:
+            if not self._h11.trailing_data[0] and stopping is not None:
+                raise ClosedError('idle') from None
+            raise refuse(TIMED_OUT, 'The request came too slowly') from None
+        except ConnectionError as exc:
+            raise ClosedError('reset') from exc
+        self._h11.receive_data(received)
+
+    def _next_event(self) -> h11.Event | type[h11.NEED_DATA]:
+        try:
+            return self._h11.next_event()
+        except h11.RemoteProtocolError as exc:
+            kind = BAD_REQUEST
+            if exc.error_status_hint == HEADERS_TOO_LARGE.status:
+                kind = HEADERS_TOO_LARGE
+            raise refuse(kind, f'Not valid HTTP: {exc}') from None
+
+    async def _body(self) -> AsyncIterator[bytes]:
+        if self._h11.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(
+                status_code=HTTPStatus.CONTINUE,
+                headers=[],
+            )
+            self._writer.write(self._h11.send(go_on))
+        while True:
+            event = self._next_event()
+            if event is h11.NEED_DATA:
+                await self._receive(self._limits.stall_timeout)
+            elif isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise ClosedError('body cut')
+
+    async def _answer(
+        self,
+        head: h11.Request,
+        handle: Handler,
+        stopping: asyncio.Event,
+    ) -> None:
+        req = Request(
+            head.method.decode(),
+            head.target.decode('latin-1'),
+            {
+                name.decode(): text.decode('latin-1')
+                for name, text in head.headers
+            },
+            self._body(),
+        )
+        self.started = True
+        response = await handle(req)
+        if self._h11.their_state is h11.SEND_BODY:
+            await self._skip_body(req)
+        unread = self._h11.their_state is not h11.DONE
+        await self._send(response, close=unread or stopping.is_set())
+        self.started = False
+
+    async def _skip_body(self, req: Request) -> None:
+        """Read a short rest, so that the answer is not lost to a reset."""
+        with suppress(RefusedError, ClosedError):
+            await req.read(MAX_HEADER)
+
+    async def _send(self, response: Response, *, close: bool) -> None:
+        headers = [('Content-Type', response.content_type), *response.headers]
+        if close:
+            headers.append(('Connection', 'close'))
+        whole = isinstance(response.body, bytes)
+        if whole:
+            headers.append(('Content-Length', str(len(response.body))))
+        head = h11.Response(
+            status_code=response.status,
+            headers=headers,
+            reason=HTTPStatus(response.status).phrase,
+        )
+        if whole:
+            await self._send_whole(head, response.body)
+            return
+        async with aclosing(response.body) as parts:
+            await self._write(self._h11.send(head))
+            async for part in parts:
+                await self._write(self._h11.send(h11.Data(data=part)))
+        await self._write(self._h11.send(h11.EndOfMessage()))
+
+    async def _send_whole(self, head: h11.Response, body: bytes) -> None:
+        sent = self._h11.send(head)
+        sent += self._h11.send(h11.Data(data=body))
+        sent += self._h11.send(h11.EndOfMessage())
+        await self._write(sent)
+
+    async def _write(self, sent: bytes) -> None:
+        transport = self._writer.transport
+        if transport.is_closing():
+            raise ClosedError('caller left')
+        self._writer.write(sent)
+        if transport.get_write_buffer_size() <= WRITE_BUFFER:
+            return
+        try:
+            async with asyncio.timeout(self._limits.stall_timeout):
+                await self._writer.drain()
+        except (TimeoutError, ConnectionError) as exc:
+            transport.abort()
+            raise ClosedError('caller stalled') from exc
+
+
+class Server:
+    """Accepts connections and stops without cutting a request."""
+
+    def __init__(self, handle: Handler, limits: Limits) -> None:
+        """Serve with ``handle`` within ``limits``."""
+        self._handle = handle
+        self._limits = limits
+        self._open: dict[asyncio.Task[None], ServerConnection] = {}
+        self._stopping = asyncio.Event()
+        self._server: asyncio.Server | None = None
+
+    @property
+    def active(self) -> int:
+        """Count the requests that are being answered."""
+        return sum(conn.started for conn in self._open.values())
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen; return the port."""
+        self._server = await asyncio.start_server(
+            self._accept,
+            host,
+            port,
+            limit=READ_SIZE,
+            backlog=ACCEPT_BACKLOG,
+        )
+        return self._server.sockets[0].getsockname()[1]
+
+    async def stop(self, grace: float) -> int:
+        """Finish running requests; return how many were cut."""
+        self._stopping.set()
+        if self._server is not None:
+            self._server.close()
+        for task, conn in tuple(self._open.items()):
+            if not conn.started:
+                task.cancel()
+        if self._open:
+            await asyncio.wait(tuple(self._open), timeout=grace)
+        cut = self.active
+        for task in tuple(self._open):
+            task.cancel()
+        await asyncio.gather(*self._open, return_exceptions=True)
+        return cut
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        conn = ServerConnection(reader, writer, self._limits)
+        task = asyncio.current_task()
+        full = len(self._open) >= self._limits.max_connections
+        self._open[task] = conn
+        try:
+            if full:
+                raise refuse(OVERLOADED, 'Too many connections', 1)
+            await conn.serve(self._safe_handle, self._stopping)
+        except RefusedError as exc:
+            with suppress(ClosedError, h11.LocalProtocolError):
+                await conn.refuse(exc)
+        except (ClosedError, h11.LocalProtocolError, ConnectionError):
+            return
+        except asyncio.CancelledError:
+            return
+        finally:
+            self._open.pop(task, None)
+            conn.close()
+
+    async def _safe_handle(self, req: Request) -> Response:
+        try:
+            return await self._handle(req)
+        except RefusedError as exc:
+            return answer_refusal(exc.refusal)
+        except ClosedError:
+            raise
+        except Exception as exc:
+            events.emit(events.REQUEST_FAILED, error=repr(exc))
+            failure = refuse(INTERNAL, 'The request failed inside')
+            return answer_refusal(failure.refusal)
--- /dev/null
+++ b/gentiantrestle/status.py
@@ -0,0 +1,19 @@
+"""Exit statuses of the daemon and of the command-line tool."""
+
+from enum import IntEnum, unique
+
+
+@unique
+class ExitStatus(IntEnum):
+    """What a finished process says to its caller."""
+
+    SUCCESS = 0
+    ERROR = 1
+    BAD_SETTINGS = 2
+    REFUSED = 3
+    OUTCOME_UNKNOWN = 4
+    CONFLICT = 5
+    UNREACHABLE = 6
+    CUT_REQUESTS = 7
+    CHILD_FAILED = 8
+    INTERRUPTED = 130
--- /dev/null
+++ b/gentiantrestle/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API behind one small adapter."""
--- /dev/null
+++ b/gentiantrestle/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between instances, generated from ``peer.thrift``."""
--- /dev/null
+++ b/gentiantrestle/wire/peer.thrift
@@ -0,0 +1,81 @@
+/* Messages between the instances of one fleet. */
+namespace py peer
+
+enum MemberState {
+  STARTING = 0,
+  SERVING = 1,
+  LEAVING = 2,
+}
+
+/* Requests an instance has in flight on one upstream. */
+struct Load {
+  1: required string upstream,
+  2: required i32 online,
+  3: required i32 batch,
+}
+
+/* What one instance says of itself; a higher (incarnation, beat) wins. */
+struct Member {
+  1: required string instance,
+  2: required i64 incarnation,
+  3: required i64 beat,
+  4: required string zone,
+  5: required string region,
+  6: required string host,
+  7: required i32 peer_port,
+  8: required i32 http_port,
+  9: required MemberState state,
+  10: required i64 config_revision,
+  11: required i64 store_revision,
+  12: required list<Load> loads,
+}
+
+struct Heartbeat {
+  1: required list<Member> members,
+}
+
+/* A copied object of the platform's store; absent payload means deleted. */
+struct Change {
+  1: required string name,
+  2: required i64 version,
+  3: optional binary payload,
+}
+
+struct ChangesRequest {
+  1: required i64 after,
+}
+
+struct Changes {
+  1: required i64 revision,
+  2: required bool complete,
+  3: required list<Change> changes,
+}
+
+struct AnswerRequest {
+  1: required string claim,
+}
+
+struct Answer {
+  1: required bool found,
+  2: required bool finished,
+  3: required i32 status,
+  4: required string content_type,
+  5: optional binary body,
+}
+
+/* Online requests in flight, told to the owner of the batch slots. */
+struct LoadReport {
+  1: required string instance,
+  2: required list<Load> loads,
+}
+
+/* Exactly one of the optional fields is set. */
+struct Envelope {
+  1: required i64 call,
+  2: optional Heartbeat heartbeat,
+  3: optional ChangesRequest changes_request,
+  4: optional Changes changes,
+  5: optional AnswerRequest answer_request,
+  6: optional Answer answer,
+  7: optional LoadReport load_report,
+}
--- /dev/null
+++ b/gentiantrestle/wire/peer/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/standins/core.py
@@ -0,0 +1,68 @@
+"""Start one stand-in: ``gentiantrestle-standin KIND PORT [KEY=VALUE]``."""
+
+import asyncio
+import signal
+import sys
+from collections.abc import Mapping
+from typing import Protocol
+
+from gentiantrestle import events
+from gentiantrestle.http.messages import Request, Response
+from gentiantrestle.http.server import Limits, Server
+from standins.engine import EngineStandin
+from standins.platform import PlatformStandin
+from standins.service import ServiceStandin
+
+HOST = '127.0.0.1'
+USAGE = 'usage: gentiantrestle-standin platform|engine|service PORT [K=V]\n'
+FIRST_OPTION = 3
+
+
+class Standin(Protocol):
+    """What each stand-in offers."""
+
+    @classmethod
+    def from_config(cls, cfg: Mapping[str, str]) -> 'Standin':
+        """Build from the ``K=V`` words of the command line."""
+
+    async def handle(self, req: Request) -> Response:
+        """Answer one request."""
+
+    async def run(self) -> None:
+        """Do the work that goes on beside requests."""
+
+
+KINDS: dict[str, type[Standin]] = {
+    'platform': PlatformStandin,
+    'engine': EngineStandin,
+    'service': ServiceStandin,
+}
+
+
+async def serve(kind: str, port: int, cfg: Mapping[str, str]) -> None:
+    """Run one stand-in until it is told to stop."""
+    standin = KINDS[kind].from_config(cfg)
+    server = Server(standin.handle, Limits(idle_timeout=600))
+    await server.start(HOST, port)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, stopped.set)
+    work = asyncio.create_task(standin.run())
+    await stopped.wait()
+    work.cancel()
+    await server.stop(0)
+
+
+def main() -> None:
+    """Read the command line and serve."""
+    if len(sys.argv) < FIRST_OPTION or sys.argv[1] not in KINDS:
+        sys.stderr.write(USAGE)
+        sys.exit(2)
+    events.configure('WARNING', as_json=False)
+    cfg = dict(word.split('=', 1) for word in sys.argv[FIRST_OPTION:])
+    asyncio.run(serve(sys.argv[1], int(sys.argv[2]), cfg))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,178 @@
+"""Stand-in for the platform's object API, with faults to switch on."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import msgspec
+
+from gentiantrestle.http.messages import JSON, Request, Response, answer_json
+from gentiantrestle.http.server import ClosedError
+
+MAX_VALUE = 1024 * 1024  # bytes
+MAX_WAIT = 30.0  # seconds
+OBJECTS = '/v1/objects'
+VERSION = 'X-Version'
+
+
+class Stored(NamedTuple):
+    """One object; an empty body means that it was deleted."""
+
+    version: int
+    body: bytes
+
+
+class Faults:
+    """Switches for outage, slowness and lost answers."""
+
+    def __init__(self) -> None:
+        """Start with no fault."""
+        self.outage = False
+        self.delay = 0.0
+        self.lose = 0
+        self.cut_zones: list[str] = []
+
+    async def before(self, req: Request) -> None:
+        """Delay the call, or drop it."""
+        if self.outage or req.headers.get('x-zone') in self.cut_zones:
+            raise ClosedError('outage')
+        if self.delay:
+            await asyncio.sleep(self.delay)
+
+    def after(self) -> None:
+        """Lose the answer of a write that has taken effect."""
+        if self.lose > 0:
+            self.lose -= 1
+            raise ClosedError('answer lost')
+
+
+class PlatformStandin:
+    """Versioned objects with conditional updates and watches."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._objects: dict[str, Stored] = {}
+        self._revision = 0
+        self._changed = asyncio.Condition()
+        self._faults = Faults()
+        self._calls: Counter[str] = Counter()
+
+    @classmethod
+    def from_config(cls, cfg: Mapping[str, str]) -> 'PlatformStandin':
+        """Build the stand-in; it has no options."""
+        return cls()
+
+    async def run(self) -> None:
+        """Nothing goes on beside the requests."""
+        await asyncio.Event().wait()
+
+    async def handle(self, req: Request) -> Response:
+        """Answer one call."""
+        if req.path == '/control':
+            return await self._control(req)
+        await self._faults.before(req)
+        if req.path == '/v1/watch':
+            self._calls['watch'] += 1
+            return await self._watch(req)
+        if req.path == OBJECTS:
+            self._calls['list'] += 1
+            return answer_json(self._list(req, 0))
+        name = req.path.removeprefix(f'{OBJECTS}/')
+        if req.method == 'GET':
+            self._calls['get'] += 1
+            return self._get(name)
+        self._calls['write'] += 1
+        return await self._write(name, req)
+
+    async def _control(self, req: Request) -> Response:
+        if req.method == 'POST':
+            for name, setting in (await req.read_json(MAX_VALUE)).items():
+                setattr(self._faults, name, setting)
+        return answer_json({
+            'calls': self._calls,
+            'revision': self._revision,
+            'objects': len(self._objects),
+        })
+
+    def _get(self, name: str) -> Response:
+        stored = self._objects.get(name)
+        if stored is None or not stored.body:
+            return Response(404)
+        return _answer_version(200, stored)
+
+    async def _write(self, name: str, req: Request) -> Response:
+        body = b''
+        if req.method == 'PUT':
+            body = await req.read(MAX_VALUE)
+        stored = self._objects.get(name)
+        if not _condition_holds(req.headers, stored):
+            return _answer_version(412, stored or Stored(0, b''))
+        self._revision += 1
+        written = Stored(self._revision, body)
+        self._objects[name] = written
+        async with self._changed:
+            self._changed.notify_all()
+        self._faults.after()
+        return _answer_version(200, Stored(written.version, b''))
+
+    def _list(self, req: Request, after: int) -> dict[str, object]:
+        prefixes = tuple(req.arguments('prefix')) or ('',)
+        with_bodies = 'values' in dict(req.query)
+        names = sorted(
+            name
+            for name, stored in self._objects.items()
+            if stored.version > after
+            and name.startswith(prefixes)
+            and (stored.body or after)
+        )
+        return {
+            'revision': self._revision,
+            'objects': [
+                _describe(name, self._objects[name], with_bodies)
+                for name in names
+            ],
+        }
+
+    async def _watch(self, req: Request) -> Response:
+        after = int(dict(req.query)['after'])
+        wait = min(MAX_WAIT, float(dict(req.query).get('wait', MAX_WAIT)))
+        listed = self._list(req, after)
+        try:
+            async with asyncio.timeout(wait):
+                while not listed['objects']:
+                    async with self._changed:
+                        await self._changed.wait()
+                    listed = self._list(req, after)
+        except TimeoutError:
+            listed['revision'] = self._revision
+        await self._faults.before(req)
+        return answer_json(listed)
+
+
+def _condition_holds(headers: Mapping[str, str], stored: Stored | None) -> bool:
+    exists = stored is not None and bool(stored.body)
+    if headers.get('if-none-match') == '*':
+        return not exists
+    wanted = headers.get('if-match')
+    if wanted is None:
+        return True
+    return exists and stored.version == int(wanted)
+
+
+def _answer_version(status: int, stored: Stored) -> Response:
+    return Response(
+        status,
+        stored.body,
+        JSON,
+        ((VERSION, str(stored.version)),),
+    )
+
+
+def _describe(name: str, stored: Stored, with_body: bool) -> dict[str, object]:
+    described: dict[str, object] = {'name': name, 'version': stored.version}
+    if not stored.body:
+        described['deleted'] = True
+    elif with_body:
+        described['body'] = msgspec.Raw(stored.body)
+    return described
