--- a/gentiantrestle/daemon/batch/gate.py
+++ b/gentiantrestle/daemon/batch/gate.py
@@ -60,7 +60,7 @@
         self._slots: dict[str, list[Slot]] = {}
         self._waiting: list[Waiter] = []
         self._arrivals = count()
-        fleet.on_change = self.enforce
+        fleet.loads.listen(self.enforce)
 
     async def take(
         self,
@@ -142,7 +142,8 @@
         """Yield the deployment's upstreams whose batch slots are owned."""
         me = self._ctx.cfg.instance
         for name in deployment['upstreams']:
-            if self._fleet.zone_of(name) != self._ctx.cfg.zone:
+            settings = self._fleet.settings(name)
+            if settings is None or settings['zone'] != self._ctx.cfg.zone:
                 continue
             if self._fleet.batch_owner(name, now) == me:
                 yield name
@@ -168,6 +169,6 @@
         return slot
 
     def _cap(self, name: str, now: float) -> int:
-        slots = self._fleet.slots_of(name)
+        slots = self._fleet.settings(name)['slots']
         allowance = self._allowances.setdefault(name, Allowance(slots))
         return allowance.update(self._fleet.pressure(name, now), now)
--- a/gentiantrestle/daemon/batch/intake.py
+++ b/gentiantrestle/daemon/batch/intake.py
@@ -114,7 +114,9 @@
     def _check_target(self, item: ItemLine) -> None:
         model = item['body'].get('model')
         if item['url'] not in TARGETS:
-            raise self._fault(f'url is not one of {sorted(TARGETS)}', self._line)
+            raise self._fault(
+                f'url is not one of {sorted(TARGETS)}', self._line
+            )
         if model not in self._fleet['endpoints']:
             raise refuse(
                 UNKNOWN_MODEL,
--- a/gentiantrestle/daemon/batch/reader.py
+++ b/gentiantrestle/daemon/batch/reader.py
@@ -114,7 +114,9 @@
             if isinstance(wanted, Refusal):
                 raise RefusedError(wanted)
             if found.job['state'] == CANCELLED:
-                return describe(found.job, found.job['done'], found.job['failed'])
+                return describe(
+                    found.job, found.job['done'], found.job['failed']
+                )
             if await self._write(wanted, found.version):
                 return describe(wanted, wanted['done'], wanted['failed'])
         raise refuse(STORE_UNSURE, 'The job kept changing', RETRY_AFTER)
--- a/gentiantrestle/daemon/batch/records.py
+++ b/gentiantrestle/daemon/batch/records.py
@@ -234,4 +234,4 @@
     seen = job.get('parts_seen')
     if seen is None:
         return chunk['parts']
-    return chunk['parts'][:seen[index]]
+    return chunk['parts'][: seen[index]]
--- a/gentiantrestle/daemon/batch/run.py
+++ b/gentiantrestle/daemon/batch/run.py
@@ -341,17 +341,18 @@
         async with self._lock:
             saved = dict(self._unsaved)
             parts = [
-                await self._write_part(lines)
-                for lines in _pack(saved.values())
+                await self._write_part(lines) for lines in _pack(saved.values())
             ]
             failed = sum(line['error'] is not None for line in saved.values())
-            await self._commit({
-                'state': state,
-                'parts': [*self._record['parts'], *parts],
-                'settled': bits_to_text(self._settled | set(saved)),
-                'done': self._record['done'] + len(saved) - failed,
-                'failed': self._record['failed'] + failed,
-            })
+            await self._commit(
+                {
+                    'state': state,
+                    'parts': [*self._record['parts'], *parts],
+                    'settled': bits_to_text(self._settled | set(saved)),
+                    'done': self._record['done'] + len(saved) - failed,
+                    'failed': self._record['failed'] + failed,
+                }
+            )
             self._settled |= set(saved)
             for position in saved:
                 self._unsaved.pop(position)
--- a/gentiantrestle/daemon/batch/schedule.py
+++ b/gentiantrestle/daemon/batch/schedule.py
@@ -106,15 +106,6 @@
             yield key
 
 
-def held_chunks(job: JobRecord, book: ChunkBook) -> Iterator[ChunkKey]:
-    """Yield the chunks of a job that are known to be held."""
-    for index in range(job['chunks']):
-        key = ChunkKey(job['id'], index)
-        seen = book.find(key)
-        if seen is not None and seen.record['state'] == HELD:
-            yield key
-
-
 def next_own(
     jobs: Iterable[JobRecord],
     book: ChunkBook,
--- a/gentiantrestle/daemon/batch/slots.py
+++ b/gentiantrestle/daemon/batch/slots.py
@@ -1,6 +1,6 @@
 """How many batch items an upstream may have; decisions only, no I/O."""
 
-from gentiantrestle.daemon.upstreams.service import Pressure
+from gentiantrestle.daemon.upstreams.loads import Pressure
 
 RESERVE_SHARE = 0.125
 CALM_BEFORE_GROWTH = 0.2  # seconds
--- a/gentiantrestle/daemon/configuration/document.py
+++ b/gentiantrestle/daemon/configuration/document.py
@@ -35,7 +35,9 @@
     remedy: str
 
 
-Check: TypeAlias = Callable[[str, Mapping[str, Any], FleetDoc], Iterator[Problem]]
+Check: TypeAlias = Callable[
+    [str, Mapping[str, Any], FleetDoc], Iterator[Problem]
+]
 CHECKS: dict[str, Check] = {}
 
 
--- a/gentiantrestle/daemon/configuration/service.py
+++ b/gentiantrestle/daemon/configuration/service.py
@@ -133,7 +133,9 @@
         )
         if answer.changes is None:
             raise PeerError(f'{member.instance} sent no changes')
-        self._apply(map(_from_wire, answer.changes.changes), answer.changes.revision)
+        self._apply(
+            map(_from_wire, answer.changes.changes), answer.changes.revision
+        )
 
     async def _compare(self) -> None:
         """Read the store now and then, in case the relay has missed news."""
--- a/gentiantrestle/daemon/entry/administration.py
+++ b/gentiantrestle/daemon/entry/administration.py
@@ -56,21 +56,23 @@
     parts = entry.parts
     now = parts.ctx.now()
     alive = set(parts.membership.view.names(now))
-    return answer_json({
-        'instance': parts.ctx.cfg.instance,
-        'zone': parts.ctx.cfg.zone,
-        'ready': entry.ready,
-        'config_revision': parts.configuration.fleet['revision'],
-        'config_age': parts.ctx.wall() - parts.configuration.applied_at,
-        'store_reachable': parts.store.reachable,
-        'relay': parts.configuration.is_relay(),
-        'waiting': parts.online.admission.waiting,
-        'members': [
-            _describe(member, member.instance in alive)
-            for member in parts.membership.view.members()
-        ],
-        'upstreams': parts.fleet.describe(now),
-    })
+    return answer_json(
+        {
+            'instance': parts.ctx.cfg.instance,
+            'zone': parts.ctx.cfg.zone,
+            'ready': entry.ready,
+            'config_revision': parts.configuration.fleet['revision'],
+            'config_age': parts.ctx.wall() - parts.configuration.applied_at,
+            'store_reachable': parts.store.reachable,
+            'relay': parts.configuration.is_relay(),
+            'waiting': parts.online.admission.waiting,
+            'members': [
+                _describe(member, member.instance in alive)
+                for member in parts.membership.view.members()
+            ],
+            'upstreams': parts.fleet.describe(now),
+        }
+    )
 
 
 def _describe(member: Member, alive: bool) -> dict[str, object]:
--- a/gentiantrestle/daemon/entry/bodies.py
+++ b/gentiantrestle/daemon/entry/bodies.py
@@ -107,9 +107,14 @@
 
 
 def _check_messages(messages: Any) -> None:
-    good = isinstance(messages, list) and messages and all(
-        isinstance(message, dict) and isinstance(message.get('content'), str)
-        for message in messages
+    good = (
+        isinstance(messages, list)
+        and messages
+        and all(
+            isinstance(message, dict)
+            and isinstance(message.get('content'), str)
+            for message in messages
+        )
     )
     if not good:
         raise refuse(
--- a/gentiantrestle/daemon/entry/service.py
+++ b/gentiantrestle/daemon/entry/service.py
@@ -55,12 +55,15 @@
         cfg = parts.ctx.cfg
         self.parts = parts
         self.stopping = False
-        self._server = Server(self._answer, Limits(
-            cfg.header_timeout,
-            cfg.idle_timeout,
-            cfg.stall_timeout,
-            cfg.max_connections,
-        ))
+        self._server = Server(
+            self._answer,
+            Limits(
+                cfg.header_timeout,
+                cfg.idle_timeout,
+                cfg.stall_timeout,
+                cfg.max_connections,
+            ),
+        )
 
     async def run(self) -> None:
         """Listen until cancelled."""
@@ -87,10 +90,12 @@
             response = await self._dispatch(match, req)
         except RefusedError as exc:
             response = answer_refusal(exc.refusal)
-        self.parts.ctx.metrics.requests.inc({
-            'route': match.route.label,
-            'status': str(response.status),
-        })
+        self.parts.ctx.metrics.requests.inc(
+            {
+                'route': match.route.label,
+                'status': str(response.status),
+            }
+        )
         return response
 
     async def _dispatch(self, match: routes.Match, req: Request) -> Response:
--- a/gentiantrestle/daemon/membership/view.py
+++ b/gentiantrestle/daemon/membership/view.py
@@ -126,8 +126,7 @@
         return sum(
             quiet < now - heard.at <= self._silence * DOUBT_TERMS
             for heard in self._heard.values()
-            if heard.member.zone == zone
-            and heard.member.state is State.SERVING
+            if heard.member.zone == zone and heard.member.state is State.SERVING
         )
 
     def find(self, instance: str) -> Member | None:
--- a/gentiantrestle/daemon/online/admission.py
+++ b/gentiantrestle/daemon/online/admission.py
@@ -55,7 +55,7 @@
         """Give a slot back after ``seconds`` of use."""
         upstream.online -= 1
         self._service_time += SMOOTHING * (seconds - self._service_time)
-        self._fleet.note_online(upstream.name)
+        self._fleet.loads.note(upstream.name)
         self.pump(self._ctx.now())
 
     def pump(self, now: float) -> None:
@@ -86,15 +86,15 @@
         snapshot = self._fleet.snapshot(
             wanted.deployment,
             now,
-            prompt=wanted.prompt,
-            excluded=wanted.excluded,
+            wanted.prompt,
+            wanted.excluded,
         )
         name = self._choose(snapshot, now)
         if isinstance(name, Refusal):
             return name
         upstream = self._fleet.find(name)
         upstream.online += 1
-        self._fleet.note_online(name)
+        self._fleet.loads.note(name)
         return upstream
 
     def _refuse_early(self, wanted: Wanted) -> None:
--- a/gentiantrestle/daemon/online/once.py
+++ b/gentiantrestle/daemon/online/once.py
@@ -241,19 +241,23 @@
     async def _answer_peer(self, envelope: Envelope) -> Envelope:
         recording = self._recordings.get(envelope.answer_request.claim)
         if recording is None or recording.head is None:
-            return Envelope(answer=Answer(
-                found=recording is not None,
-                finished=False,
-                status=0,
-                content_type='',
-            ))
-        return Envelope(answer=Answer(
-            found=True,
-            finished=recording.finished,
-            status=recording.head.status,
-            content_type=recording.head.content_type,
-            body=b''.join(recording.parts) if recording.finished else None,
-        ))
+            return Envelope(
+                answer=Answer(
+                    found=recording is not None,
+                    finished=False,
+                    status=0,
+                    content_type='',
+                )
+            )
+        return Envelope(
+            answer=Answer(
+                found=True,
+                finished=recording.finished,
+                status=recording.head.status,
+                content_type=recording.head.content_type,
+                body=b''.join(recording.parts) if recording.finished else None,
+            )
+        )
 
 
 def _store_refusal() -> RefusedError:
--- a/gentiantrestle/daemon/online/relay.py
+++ b/gentiantrestle/daemon/online/relay.py
@@ -187,7 +187,9 @@
             f'status {answer.status}: {text}',
         )
 
-    def _fail(self, stage: Stage, kind: ErrorKind, error: object) -> AttemptError:
+    def _fail(
+        self, stage: Stage, kind: ErrorKind, error: object
+    ) -> AttemptError:
         now = self._ctx.now()
         name = self.upstream.name
         self.upstream.health.fail(now, self._ctx.random.random())
--- a/gentiantrestle/daemon/tree.py
+++ b/gentiantrestle/daemon/tree.py
@@ -45,16 +45,18 @@
         membership = Membership.from_config(ctx)
         configuration = Configuration(ctx, store, membership)
         fleet = Fleet(ctx, configuration, membership)
-        return cls(Parts(
-            ctx=ctx,
-            store=store,
-            membership=membership,
-            configuration=configuration,
-            admin=Admin(ctx, store, configuration),
-            fleet=fleet,
-            online=Online(ctx, store, membership, fleet),
-            batch=Batch(ctx, store, configuration, membership, fleet),
-        ))
+        return cls(
+            Parts(
+                ctx=ctx,
+                store=store,
+                membership=membership,
+                configuration=configuration,
+                admin=Admin(ctx, store, configuration),
+                fleet=fleet,
+                online=Online(ctx, store, membership, fleet),
+                batch=Batch(ctx, store, configuration, membership, fleet),
+            )
+        )
 
     async def run(self) -> None:
         """Run all children until cancelled."""
--- a/gentiantrestle/daemon/upstreams/adapter.py
+++ b/gentiantrestle/daemon/upstreams/adapter.py
@@ -91,7 +91,7 @@
             if line.startswith(DONE_MARK):
                 self.is_whole = True
             elif line.startswith(EVENT_START):
-                texts.append(event_text(line[len(EVENT_START):]))
+                texts.append(event_text(line[len(EVENT_START) :]))
         return texts
 
 
--- a/gentiantrestle/daemon/upstreams/routing.py
+++ b/gentiantrestle/daemon/upstreams/routing.py
@@ -9,13 +9,15 @@
 RETRY_AFTER = 1  # seconds
 AFFINITY_LENGTH = 64  # characters
 AFFINITY_SLACK = 0.25
+BATCH_WEIGHT = 0.5
 
 
 class Candidate(NamedTuple):
     """What is known of one upstream when a request is routed.
 
-    ``own`` counts this instance's requests in flight, ``others`` those that
-    the other instances told of; ``slowness`` is its pace over its peers'.
+    ``own`` counts this instance's online requests in flight, ``others`` those
+    that the other instances told of, ``batch`` the batch items, which give
+    way; ``slowness`` is its pace over its peers'.
     """
 
     upstream: str
@@ -24,6 +26,7 @@
     slots: int
     own: int
     others: int
+    batch: int
     slowness: float
     usable: bool
 
@@ -40,7 +43,9 @@
     @property
     def cost(self) -> float:
         """Expected wait, relative to an idle ordinary upstream."""
-        return (1 + self.own + self.others) / self.slots * self.slowness
+        online = 1 + self.own + self.others
+        weighed = online + BATCH_WEIGHT * self.batch
+        return weighed / self.slots * self.slowness
 
 
 class Snapshot(NamedTuple):
@@ -109,10 +114,12 @@
     if isinstance(reach, Refusal):
         return reach
     count = len(reach)
-    first = int(snapshot.draw * count)
-    step = 1 + int(snapshot.draw * count * count) % max(1, count - 1)
+    scaled = snapshot.draw * count
+    first = int(scaled)
+    others = max(1, count - 1)
+    step = 1 + int((scaled - first) * others)
     pair = (reach[first], reach[(first + step) % count])
-    return min(pair, key=lambda one: one.cost).upstream
+    return min(pair, key=_cost).upstream
 
 
 @policy('least_cost')
@@ -121,7 +128,7 @@
     reach = in_reach(snapshot, now)
     if isinstance(reach, Refusal):
         return reach
-    return min(reach, key=lambda one: (one.cost, one.upstream)).upstream
+    return min(reach, key=_cost).upstream
 
 
 @policy('prefix_affinity')
@@ -137,3 +144,7 @@
         if costs[upstream] <= bound:
             return upstream
     return min(costs, key=costs.__getitem__)
+
+
+def _cost(one: Candidate) -> tuple[float, str]:
+    return (one.cost, one.upstream)
--- a/gentiantrestle/http/client.py
+++ b/gentiantrestle/http/client.py
@@ -93,7 +93,9 @@
         while True:
             event = await self._event()
             if isinstance(event, h11.Response):
-                return Answer(event.status_code, event.headers.raw_items(), self)
+                return Answer(
+                    event.status_code, event.headers.raw_items(), self
+                )
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Pass on the parts of the answer's body until it is whole."""
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -82,17 +82,19 @@
     @classmethod
     def from_config(cls, cfg: Mapping[str, str]) -> 'EngineStandin':
         """Read ``slots=``, ``step=``, ``prefill=`` and the like."""
-        return cls(msgspec.convert(
-            [
-                msgspec.convert(
-                    cfg.get(name, default),
-                    type(default),
-                    strict=False,
-                )
-                for name, default in EngineConfig()._asdict().items()
-            ],
-            EngineConfig,
-        ))
+        return cls(
+            msgspec.convert(
+                [
+                    msgspec.convert(
+                        cfg.get(name, default),
+                        type(default),
+                        strict=False,
+                    )
+                    for name, default in EngineConfig()._asdict().items()
+                ],
+                EngineConfig,
+            )
+        )
 
     async def run(self) -> None:
         """Step the running batch for ever."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -89,11 +89,13 @@
         if req.method == 'POST':
             for name, setting in (await req.read_json(MAX_VALUE)).items():
                 setattr(self._faults, name, setting)
-        return answer_json({
-            'calls': self._calls,
-            'revision': self._revision,
-            'objects': len(self._objects),
-        })
+        return answer_json(
+            {
+                'calls': self._calls,
+                'revision': self._revision,
+                'objects': len(self._objects),
+            }
+        )
 
     def _get(self, name: str) -> Response:
         stored = self._objects.get(name)
