--- /dev/null
+++ b/gentiantrestle/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool, built on the library alone."""
--- a/gentiantrestle/config.py
+++ b/gentiantrestle/config.py
@@ -100,7 +100,8 @@
     if option.unit:
         parts.append(f'Unit: {option.unit}.')
     if option.choices:
-        parts.append('One of {0}.'.format(', '.join(option.choices)))
+        choices = ', '.join(option.choices)
+        parts.append(f'One of {choices}.')
     if option.required:
         parts.append('Required.')
     else:
@@ -115,11 +116,7 @@
     environ: Mapping[str, str],
     problems: list[SettingProblem],
 ) -> Chosen:
-    source, raw = 'default', None
-    if option.env in environ:
-        source, raw = f'environment {option.env}', environ[option.env]
-    if option.name in given_flags:
-        source, raw = f'flag --{option.name}', given_flags[option.name]
+    source, raw = _find_raw(option, given_flags, environ)
     if raw is None:
         problems.extend(_check_missing(option))
         return Chosen(option, option.default, source)
@@ -134,6 +131,21 @@
     return Chosen(option, parsed, source)
 
 
+def _find_raw(
+    option: Option,
+    given_flags: Mapping[str, str],
+    environ: Mapping[str, str],
+) -> tuple[str, str | None]:
+    """Return where a setting comes from, and its text; flags go first."""
+    raw = given_flags.get(option.name)
+    if raw is not None:
+        return f'flag --{option.name}', raw
+    raw = environ.get(option.env)
+    if raw is not None:
+        return f'environment {option.env}', raw
+    return 'default', None
+
+
 def _check_missing(option: Option) -> Iterator[SettingProblem]:
     if option.required:
         yield _problem(option, 'no source', 'it has no value')
--- a/gentiantrestle/core.py
+++ b/gentiantrestle/core.py
@@ -10,7 +10,7 @@
 from absl import flags
 
 from gentiantrestle import events
-from gentiantrestle.config import Settings, define_flags
+from gentiantrestle.config import SettingProblem, Settings, define_flags
 from gentiantrestle.context import Context
 from gentiantrestle.daemon.tree import Tree
 from gentiantrestle.status import ExitStatus
@@ -32,22 +32,16 @@
     try:
         rest = values(argv)
     except flags.Error as exc:
-        return _refuse([f'{exc} See gentiantrestled --help.'])
+        return _refuse([str(exc), 'See gentiantrestled --help.'])
+    if len(rest) > 1:
+        return _refuse(['The daemon takes flags only.'])
     if values[HELP].value:
         sys.stdout.write(values.get_help(include_special_flags=False))
         return ExitStatus.SUCCESS
-    if len(rest) > 1:
-        return _refuse([f'{rest[1:]}: the daemon takes flags only.'])
-    given = {
-        name: values[name].value for name in values if values[name].present
-    }
-    cfg = Settings.from_sources(given, environ)
+    cfg = _read_settings(values, environ)
     if isinstance(cfg, list):
         return _refuse([f'{one.reason}. {one.remedy}' for one in cfg])
-    if values[CHECK].value:
-        return _show(cfg)
-    events.configure(cfg.log_level, as_json=cfg.log_json)
-    return uvloop.run(serve(cfg))
+    return _act(cfg, only_check=values[CHECK].value)
 
 
 async def serve(cfg: Settings) -> ExitStatus:
@@ -75,6 +69,23 @@
     return ExitStatus.CUT_REQUESTS if cut else ExitStatus.SUCCESS
 
 
+def _read_settings(
+    values: flags.FlagValues,
+    environ: Mapping[str, str],
+) -> Settings | list[SettingProblem]:
+    given = {
+        name: values[name].value for name in values if values[name].present
+    }
+    return Settings.from_sources(given, environ)
+
+
+def _act(cfg: Settings, *, only_check: bool) -> ExitStatus:
+    if only_check:
+        return _show(cfg)
+    events.configure(cfg.log_level, as_json=cfg.log_json)
+    return uvloop.run(serve(cfg))
+
+
 def _flag_values() -> flags.FlagValues:
     values = flags.FlagValues()
     define_flags(values)
@@ -109,9 +120,8 @@
 
 def _show(cfg: Settings) -> ExitStatus:
     for chosen in cfg.chosen:
-        sys.stdout.write(
-            f'{chosen.option.name} = {chosen.shown}  ({chosen.source})\n',
-        )
+        name = chosen.option.name
+        sys.stdout.write(f'{name} = {chosen.shown}  ({chosen.source})\n')
     return ExitStatus.SUCCESS
 
 
--- a/gentiantrestle/daemon/batch/accept.py
+++ b/gentiantrestle/daemon/batch/accept.py
@@ -10,6 +10,7 @@
 from gentiantrestle.context import Context
 from gentiantrestle.daemon.batch.intake import Intake, Summary
 from gentiantrestle.daemon.batch.records import (
+    JOBS,
     RUNNING,
     ItemLine,
     JobRecord,
@@ -20,6 +21,7 @@
 from gentiantrestle.daemon.configuration.service import Configuration
 from gentiantrestle.errors import (
     KEY_REUSED,
+    OVERLOADED,
     STORE_UNAVAILABLE,
     STORE_UNSURE,
     RefusedError,
@@ -34,6 +36,7 @@
 )
 
 RETRY_AFTER = 2  # seconds
+BUSY_RETRY_AFTER = 30  # seconds
 
 
 class Submission(NamedTuple):
@@ -43,6 +46,7 @@
     key: str
     window: float
     chunks: AsyncIterator[bytes]
+    max_jobs: int
 
 
 class Upload:
@@ -98,6 +102,7 @@
         job: str,
         submission: Submission,
     ) -> JobRecord:
+        self._check_count(submission)
         upload = Upload(self._store)
         try:
             summary = await self._upload(upload, submission.chunks)
@@ -107,6 +112,26 @@
             await upload.discard()
             raise
         record = self._record(job, submission, upload, summary)
+        return await self._create_or_refuse(record, upload)
+
+    def _check_count(self, submission: Submission) -> None:
+        running = sum(
+            copied.document['state'] == RUNNING
+            and copied.document['client'] == submission.client
+            for copied in self._configuration.mirror.below(JOBS)
+        )
+        if running >= submission.max_jobs:
+            raise refuse(
+                OVERLOADED,
+                f'{running} jobs of this account are running already',
+                BUSY_RETRY_AFTER,
+            )
+
+    async def _create_or_refuse(
+        self,
+        record: JobRecord,
+        upload: Upload,
+    ) -> JobRecord:
         try:
             return await self._create(record, upload)
         except StoreUnavailableError:
@@ -153,6 +178,7 @@
         if found.document['digest'] != digest:
             raise refuse(
                 KEY_REUSED,
+                OVERLOADED,
                 'This Idempotency-Key was used for another job',
             )
         name = job_name(found.document['id'])
--- a/gentiantrestle/daemon/batch/intake.py
+++ b/gentiantrestle/daemon/batch/intake.py
@@ -24,8 +24,8 @@
 
 MAX_ITEMS = 200000
 CHUNK_ITEMS = 256
-CHUNK_BYTES = 512 * 1024
-MAX_LINE = 256 * 1024  # bytes
+CHUNK_BYTES = 524288
+MAX_LINE = 262144  # bytes
 MAX_CUSTOM_ID = 256  # characters
 TARGETS = frozenset((COMPLETIONS, CHAT))
 
@@ -56,7 +56,8 @@
     def feed(self, part: bytes) -> Iterator[list[ItemLine]]:
         """Take in a part of the body; yield the chunks that it fills."""
         self._digest.update(part)
-        *lines, self._rest = (self._rest + part).split(b'\n')
+        lines = (self._rest + part).split(b'\n')
+        self._rest = lines.pop()
         for line in lines:
             yield from self._take(line)
         if len(self._rest) > MAX_LINE:
@@ -89,7 +90,9 @@
         self._chunk_bytes += len(line)
 
     def _flush(self) -> list[ItemLine]:
-        chunk, self._chunk, self._chunk_bytes = self._chunk, [], 0
+        chunk = self._chunk
+        self._chunk = []
+        self._chunk_bytes = 0
         return chunk
 
     def _parse(self, line: bytes) -> ItemLine:
--- a/gentiantrestle/daemon/batch/records.py
+++ b/gentiantrestle/daemon/batch/records.py
@@ -14,6 +14,8 @@
 OPEN = 'open'
 DONE = 'done'
 INDEX_WIDTH = 5
+ID_LENGTH = 32
+HEX = 16
 
 
 class JobRecord(TypedDict):
@@ -85,8 +87,9 @@
 
 def job_id(client: str, key: str) -> str:
     """Derive a job's id, so that a resend finds the same job."""
-    text = f'{client}\0{key}'
-    return 'job-' + hashlib.sha256(text.encode()).hexdigest()[:32]
+    digest = hashlib.sha256(f'{client}\0{key}'.encode())
+    short = digest.hexdigest()[:ID_LENGTH]
+    return f'job-{short}'
 
 
 def job_name(job: str) -> str:
@@ -101,7 +104,7 @@
 
 def chunk_name(job: str, index: int) -> str:
     """Name a chunk's object."""
-    return f'{chunk_prefix(job)}{index:0{INDEX_WIDTH}}'
+    return chunk_prefix(job) + _pad(index)
 
 
 def chunk_index(name: str) -> int:
@@ -111,12 +114,16 @@
 
 def input_name(upload: str, index: int) -> str:
     """Name the object that holds a chunk's items."""
-    return f'inputs/{upload}/{index:0{INDEX_WIDTH}}'
+    return f'inputs/{upload}/{_pad(index)}'
 
 
 def part_name(job: str, index: int, part: str) -> str:
     """Name an object that holds results."""
-    return f'parts/{job}/{index:0{INDEX_WIDTH}}/{part}'
+    return f'parts/{job}/{_pad(index)}/{part}'
+
+
+def _pad(index: int) -> str:
+    return str(index).zfill(INDEX_WIDTH)
 
 
 def bits_to_text(positions: Iterable[int]) -> str:
@@ -126,7 +133,7 @@
 
 def text_to_bits(text: str) -> Iterator[int]:
     """Read a set of positions."""
-    number = int(text or '0', 16)
+    number = int(text or '0', base=HEX)
     position = 0
     while number:
         if number & 1:
--- a/gentiantrestle/daemon/batch/run.py
+++ b/gentiantrestle/daemon/batch/run.py
@@ -55,7 +55,9 @@
 BACKOFF = 0.2  # seconds
 COMMIT_PERIOD = 2.0  # seconds
 STORE_PAUSE = 0.5  # seconds
-MAX_PART = 700 * 1024  # bytes
+MAX_PART = 716800  # bytes
+MAX_REASON = 200  # bytes
+PART_ID_LENGTH = 12
 CLIENT_ERROR = 400
 SERVER_ERROR = 500
 
@@ -190,7 +192,7 @@
 
     async def _refused(self, slot: Slot, answer: Answer) -> Ended:
         mark = leaving_mark(answer)
-        text = (await answer.read())[:200].decode(errors='replace')
+        text = (await answer.read())[:MAX_REASON].decode(errors='replace')
         if mark is not None:
             self._tools.fleet.mark_leaving(slot.upstream.name, mark)
             return Ended(Outcome.NOT_SENT, 'the upstream is leaving')
@@ -251,7 +253,7 @@
     async def _run_items(self) -> None:
         repeatable = self._held.job['repeatable']
         async with asyncio.TaskGroup() as group:
-            for position in range(len(self._held.items)):
+            for position, _ in enumerate(self._held.items):
                 if position in self._settled:
                     continue
                 if position in self._started and not repeatable:
@@ -359,8 +361,8 @@
 
     async def _write_part(self, lines: list[ResultLine]) -> str:
         while True:
-            epoch = self._record['epoch']
-            part = f'{epoch}-{uuid4().hex[:12]}'
+            unique = uuid4().hex[:PART_ID_LENGTH]
+            part = f'{self._record["epoch"]}-{unique}'
             name = part_name(self._held.job['id'], self._held.index, part)
             try:
                 await self._tools.store.put(name, {'lines': lines}, ABSENT)
--- a/gentiantrestle/daemon/batch/service.py
+++ b/gentiantrestle/daemon/batch/service.py
@@ -212,7 +212,7 @@
             await run.run()
         except* ChunkLostError:
             self._board.book.forget((run.job,))
-        except* Exception as group:
+        except* Exception as group:  # noqa: BLE001 (a chunk's own failure)
             error = repr(group.exceptions)
             events.emit(events.BATCH_FAILED, chunk=run.name, error=error)
             await self._hand_over(run)
--- a/gentiantrestle/daemon/configuration/document.py
+++ b/gentiantrestle/daemon/configuration/document.py
@@ -22,7 +22,7 @@
 }
 UPSTREAM_KINDS = frozenset(('engine', 'service'))
 MAX_SLOTS = 4096
-MAX_PROMPT = 16 * 1024 * 1024  # characters
+MAX_PROMPT = 16777216  # characters
 SHA256_HEX_LENGTH = 64
 MAX_NAME = 128
 
--- a/gentiantrestle/daemon/configuration/mirror.py
+++ b/gentiantrestle/daemon/configuration/mirror.py
@@ -14,18 +14,25 @@
     document: Document | None
 
 
+class Listener(NamedTuple):
+    """Who is called for changes below a prefix."""
+
+    prefix: str
+    heed: Callable[[Copied], None]
+
+
 class Mirror:
     """Objects by name; only a higher version replaces one."""
 
     def __init__(self) -> None:
         """Start empty, at revision 0."""
         self.revision = 0
-        self._objects: dict[str, Copied] = {}
-        self._listeners: list[tuple[str, Callable[[Copied], None]]] = []
+        self._copies: dict[str, Copied] = {}
+        self._listeners: list[Listener] = []
 
     def listen(self, prefix: str, heed: Callable[[Copied], None]) -> None:
         """Call ``heed`` for each change below a prefix."""
-        self._listeners.append((prefix, heed))
+        self._listeners.append(Listener(prefix, heed))
 
     def apply(self, changes: Iterable[Copied], revision: int) -> None:
         """Take in changes that bring the copy up to ``revision``."""
@@ -35,37 +42,37 @@
 
     def take(self, copied: Copied) -> bool:
         """Take in one object, unless as new a one is known."""
-        known = self._objects.get(copied.name)
+        known = self._copies.get(copied.name)
         if known is not None and known.version >= copied.version:
             return False
-        self._objects[copied.name] = copied
-        for prefix, heed in self._listeners:
-            if copied.name.startswith(prefix):
-                heed(copied)
+        self._copies[copied.name] = copied
+        for listener in self._listeners:
+            if copied.name.startswith(listener.prefix):
+                listener.heed(copied)
         return True
 
     def get(self, name: str) -> Copied | None:
         """Look one object up; a deleted one is not found."""
-        copied = self._objects.get(name)
+        copied = self._copies.get(name)
         if copied is None or copied.document is None:
             return None
         return copied
 
     def below(self, prefix: str) -> Iterator[Copied]:
         """Yield the objects below a prefix."""
-        for name, copied in tuple(self._objects.items()):
+        for name, copied in tuple(self._copies.items()):
             if name.startswith(prefix) and copied.document is not None:
                 yield copied
 
     def since(self, after: int) -> Iterator[Copied]:
         """Yield what has changed after a revision, deletions too."""
-        for copied in self._objects.values():
+        for copied in self._copies.values():
             if copied.version > after:
                 yield copied
 
     def forget(self, prefix: str, before: int) -> None:
         """Drop marks of deletions below a prefix that are old enough."""
-        for name, copied in tuple(self._objects.items()):
+        for name, copied in tuple(self._copies.items()):
             gone = copied.document is None and copied.version < before
             if gone and name.startswith(prefix):
-                self._objects.pop(name)
+                self._copies.pop(name)
--- a/gentiantrestle/daemon/configuration/service.py
+++ b/gentiantrestle/daemon/configuration/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Iterable
+from contextlib import suppress
 
 import msgspec
 
@@ -16,6 +17,7 @@
 from gentiantrestle.models import EMPTY_FLEET, FleetDoc
 from gentiantrestle.store.client import (
     Listed,
+    Listing,
     StoreClient,
     StoreUnavailableError,
 )
@@ -72,11 +74,11 @@
 
     async def refresh(self) -> None:
         """Read what has changed in the store."""
-        if not self.loaded.is_set():
-            listing = await self._store.list_documents(*PREFIXES)
+        if self.loaded.is_set():
+            after = self.mirror.revision
+            self._take_listing(await self._store.changes(after, *PREFIXES))
         else:
-            listing = await self._store.changes(self.mirror.revision, *PREFIXES)
-        self._apply(map(_from_listed, listing['objects']), listing['revision'])
+            self._take_listing(await self._store.list_documents(*PREFIXES))
 
     async def _follow_store(self) -> None:
         was_relay = False
@@ -97,8 +99,8 @@
         if not relay:
             await asyncio.sleep(RETRY_PERIOD)
             return
-        listing = await self._store.watch(self.mirror.revision, *PREFIXES)
-        self._apply(map(_from_listed, listing['objects']), listing['revision'])
+        after = self.mirror.revision
+        self._take_listing(await self._store.watch(after, *PREFIXES))
 
     async def _follow_peers(self) -> None:
         while True:
@@ -144,10 +146,8 @@
             await asyncio.sleep(COMPARE_PERIOD * (0.5 + jitter))
             if self.is_relay():
                 continue
-            try:
+            with suppress(StoreUnavailableError):
                 await self.refresh()
-            except StoreUnavailableError:
-                continue
 
     async def _answer_changes(self, envelope: Envelope) -> Envelope:
         changed = self.mirror.since(envelope.changes_request.after)
@@ -158,6 +158,10 @@
         )
         return Envelope(changes=changes)
 
+    def _take_listing(self, listing: Listing) -> None:
+        changes = map(_from_listed, listing['objects'])
+        self._apply(changes, listing['revision'])
+
     def _apply(self, changes: Iterable[Copied], revision: int) -> None:
         self.mirror.apply(changes, revision)
         self.loaded.set()
--- a/gentiantrestle/daemon/entry/bodies.py
+++ b/gentiantrestle/daemon/entry/bodies.py
@@ -64,7 +64,7 @@
     return Work(
         client=client,
         deployment=find_deployment(fleet, endpoint),
-        target='/' + fields['rest'],
+        target=f'/{fields["rest"]}',
         body=raw,
         method=req.method,
         content_type=req.headers.get('content-type', ''),
--- a/gentiantrestle/daemon/entry/callers.py
+++ b/gentiantrestle/daemon/entry/callers.py
@@ -1,5 +1,7 @@
 """Routes of those who wait for an answer."""
 
+from http import HTTPStatus
+
 from gentiantrestle.daemon.entry.bodies import completion_work, service_work
 from gentiantrestle.daemon.entry.routes import ANYONE, CLIENT, route
 from gentiantrestle.daemon.entry.service import Entry, Visit
@@ -9,7 +11,6 @@
 
 KEY_HEADER = 'idempotency-key'
 RETRY_AFTER = 1  # seconds
-UNAVAILABLE = 503
 
 
 @route('GET', '/healthz', ANYONE)
@@ -23,7 +24,7 @@
     """Say whether callers should come here."""
     return answer_json(
         {'ready': entry.ready},
-        200 if entry.ready else UNAVAILABLE,
+        HTTPStatus.OK if entry.ready else HTTPStatus.SERVICE_UNAVAILABLE,
     )
 
 
@@ -32,7 +33,7 @@
     """Show the metrics."""
     accepts = tuple(visit.req.headers.get('accept', '*/*').split(','))
     body, content_type = entry.parts.ctx.metrics.render(accepts)
-    return Response(200, body, content_type)
+    return Response(HTTPStatus.OK, body, content_type)
 
 
 @route('GET', '/v1/models', CLIENT)
--- a/gentiantrestle/daemon/entry/jobs.py
+++ b/gentiantrestle/daemon/entry/jobs.py
@@ -1,43 +1,44 @@
 """Routes of batch jobs."""
 
+from http import HTTPStatus
 from uuid import uuid4
 
 from gentiantrestle.daemon.batch.accept import Submission
 from gentiantrestle.daemon.batch.reader import describe
-from gentiantrestle.daemon.batch.records import RUNNING
 from gentiantrestle.daemon.entry.callers import KEY_HEADER
 from gentiantrestle.daemon.entry.routes import CLIENT, route
 from gentiantrestle.daemon.entry.service import Entry, Visit
-from gentiantrestle.errors import BAD_REQUEST, OVERLOADED, refuse
+from gentiantrestle.errors import BAD_REQUEST, refuse
 from gentiantrestle.http.messages import JSON_LINES, Response, answer_json
 
 DEFAULT_WINDOW = 86400.0  # seconds
-MAX_WINDOW = 30 * DEFAULT_WINDOW
+MAX_WINDOW = 2592000.0  # seconds
 DEFAULT_MAX_JOBS = 1000
-ACCEPTED = 202
-RETRY_AFTER = 30  # seconds
 
 
 @route('POST', '/v1/batches', CLIENT)
 async def submit_job(entry: Entry, visit: Visit) -> Response:
     """Accept a job of JSON lines."""
     client = visit.identity.client
-    _check_count(entry, client)
+    settings = entry.parts.configuration.fleet['clients'].get(client, {})
     submission = Submission(
         client,
         visit.req.headers.get(KEY_HEADER) or uuid4().hex,
         _window(visit),
-        visit.req.limited(entry.parts.ctx.cfg.max_batch_body),
+        visit.req.limited(entry.cfg.max_batch_body),
+        settings.get('max_jobs', DEFAULT_MAX_JOBS),
+    )
+    job = await entry.batch.acceptance.accept(submission)
+    return answer_json(
+        describe(job, job['done'], job['failed']), HTTPStatus.ACCEPTED
     )
-    job = await entry.parts.batch.acceptance.accept(submission)
-    return answer_json(describe(job, job['done'], job['failed']), ACCEPTED)
 
 
 @route('GET', '/v1/batches', CLIENT)
 async def list_jobs(entry: Entry, visit: Visit) -> Response:
     """List the client's jobs, the newest first."""
     jobs = sorted(
-        entry.parts.batch.reader.jobs_of(visit.identity.client),
+        entry.batch.reader.jobs_of(visit.identity.client),
         key=lambda job: job['created'],
         reverse=True,
     )
@@ -48,7 +49,7 @@
 @route('GET', '/v1/batches/{job}', CLIENT)
 async def show_job(entry: Entry, visit: Visit) -> Response:
     """Show how far a job is."""
-    status = await entry.parts.batch.reader.status(
+    status = await entry.batch.reader.status(
         visit.identity.client,
         visit.fields['job'],
     )
@@ -58,17 +59,17 @@
 @route('GET', '/v1/batches/{job}/results', CLIENT)
 async def read_results(entry: Entry, visit: Visit) -> Response:
     """Stream the results that there are."""
-    lines = await entry.parts.batch.reader.results(
+    lines = await entry.batch.reader.results(
         visit.identity.client,
         visit.fields['job'],
     )
-    return Response(200, lines, JSON_LINES)
+    return Response(HTTPStatus.OK, lines, JSON_LINES)
 
 
 @route('POST', '/v1/batches/{job}/cancel', CLIENT)
 async def cancel_job(entry: Entry, visit: Visit) -> Response:
     """Cancel a job."""
-    status = await entry.parts.batch.reader.cancel(
+    status = await entry.batch.reader.cancel(
         visit.identity.client,
         visit.fields['job'],
     )
@@ -87,18 +88,3 @@
             f'completion_window is not from 1 to {MAX_WINDOW:.0f} seconds',
         )
     return window
-
-
-def _check_count(entry: Entry, client: str) -> None:
-    settings = entry.parts.configuration.fleet['clients'].get(client, {})
-    limit = settings.get('max_jobs', DEFAULT_MAX_JOBS)
-    running = sum(
-        job['state'] == RUNNING
-        for job in entry.parts.batch.reader.jobs_of(client)
-    )
-    if running >= limit:
-        raise refuse(
-            OVERLOADED,
-            f'{running} jobs of this account are running already',
-            RETRY_AFTER,
-        )
--- a/gentiantrestle/daemon/entry/service.py
+++ b/gentiantrestle/daemon/entry/service.py
@@ -54,6 +54,9 @@
         """Bound the server as the settings say."""
         cfg = parts.ctx.cfg
         self.parts = parts
+        self.cfg = cfg
+        self.batch = parts.batch
+        self._requests = parts.ctx.metrics.requests
         self.stopping = False
         self._server = Server(
             self._answer,
@@ -67,8 +70,7 @@
 
     async def run(self) -> None:
         """Listen until cancelled."""
-        cfg = self.parts.ctx.cfg
-        await self._server.start(cfg.host, cfg.http_port)
+        await self._server.start(self.cfg.host, self.cfg.http_port)
         await asyncio.Event().wait()
 
     async def stop(self, grace: float) -> int:
@@ -90,7 +92,7 @@
             response = await self._dispatch(match, req)
         except RefusedError as exc:
             response = answer_refusal(exc.refusal)
-        self.parts.ctx.metrics.requests.inc(
+        self._requests.inc(
             {
                 'route': match.route.label,
                 'status': str(response.status),
@@ -114,7 +116,7 @@
         identity = identify(
             req.headers.get('authorization', ''),
             self.parts.configuration.fleet,
-            self.parts.ctx.cfg.admin_key_hash,
+            self.cfg.admin_key_hash,
         )
         if isinstance(identity, Refusal):
             raise RefusedError(identity)
--- a/gentiantrestle/daemon/membership/codec.py
+++ b/gentiantrestle/daemon/membership/codec.py
@@ -11,7 +11,15 @@
 from gentiantrestle.wire.peer import ttypes
 
 LENGTH = struct.Struct('>I')
-MAX_FRAME = 64 * 1024 * 1024  # bytes
+MAX_FRAME = 67108864  # bytes
+BROKEN = (
+    TProtocolException,
+    TTransportException,
+    EOFError,
+    ValueError,
+    LookupError,
+    struct.error,
+)
 
 
 class BadFrameError(Exception):
@@ -32,14 +40,7 @@
     try:
         envelope.read(TCompactProtocol(TMemoryBuffer(payload)))
         envelope.validate()
-    except (
-        TProtocolException,
-        TTransportException,
-        EOFError,
-        ValueError,
-        IndexError,
-        struct.error,
-    ) as exc:
+    except BROKEN as exc:
         raise BadFrameError(repr(exc)) from exc
     return envelope
 
@@ -47,7 +48,7 @@
 async def read_frame(reader: asyncio.StreamReader) -> ttypes.Envelope:
     """Read one framed envelope from a stream."""
     head = await reader.readexactly(LENGTH.size)
-    (size,) = LENGTH.unpack(head)
+    size = LENGTH.unpack(head)[0]
     if size > MAX_FRAME:
         raise BadFrameError(f'frame of {size} bytes')
     return decode(await reader.readexactly(size))
--- a/gentiantrestle/daemon/membership/service.py
+++ b/gentiantrestle/daemon/membership/service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Iterator
 
 from gentiantrestle import events
 from gentiantrestle.context import Context
@@ -13,6 +13,7 @@
 from gentiantrestle.daemon.membership.peers import (
     PeerClient,
     PeerError,
+    PeerHandler,
     PeerServer,
 )
 from gentiantrestle.daemon.membership.view import Member, State, View
@@ -32,7 +33,7 @@
         self._ctx = ctx
         self.view = view
         self.peers = PeerClient()
-        self._answers: dict[str, Callable[[Envelope], Awaitable[Envelope]]] = {
+        self._answers: dict[str, PeerHandler] = {
             'heartbeat': self._answer_heartbeat,
         }
         self._random = random.Random(ctx.incarnation)
@@ -59,7 +60,7 @@
     def answer(
         self,
         field: str,
-        handle: Callable[[Envelope], Awaitable[Envelope]],
+        handle: PeerHandler,
     ) -> None:
         """Answer envelopes that carry ``field`` with ``handle``."""
         self._answers[field] = handle
--- a/gentiantrestle/daemon/membership/view.py
+++ b/gentiantrestle/daemon/membership/view.py
@@ -65,7 +65,8 @@
     def tick(self, now: float) -> None:
         """Advance the own beat; forgive silence the own pause has caused."""
         self.me = self.me._replace(beat=self.me.beat + 1)
-        last, self._last_tick = self._last_tick, now
+        last = self._last_tick
+        self._last_tick = now
         if last is None or now - last <= self._silence / 2:
             return
         for name, heard in self._heard.items():
@@ -136,6 +137,13 @@
         heard = self._heard.get(instance)
         return heard.member if heard else None
 
+    def region_of(self, zone: str) -> str:
+        """Name the region of a zone, as its members say; empty if unknown."""
+        for member in self.members():
+            if member.zone == zone:
+                return member.region
+        return ''
+
     def forget(self, now: float, after: float) -> None:
         """Drop members that were silent for ``after`` seconds."""
         for name, heard in tuple(self._heard.items()):
--- a/gentiantrestle/daemon/online/admission.py
+++ b/gentiantrestle/daemon/online/admission.py
@@ -37,7 +37,7 @@
         self._ctx = ctx
         self._fleet = fleet
         self._queue = FairQueue(ctx.cfg.queue_length)
-        self._service_time = 0.0
+        self._service_time = float(0)
         self._choose = POLICIES[ROUTING]
 
     async def enter(self, wanted: Wanted) -> Upstream:
@@ -64,24 +64,29 @@
             ticket = self._queue.pop(now)
             if ticket is None:
                 return
-            wanted, fut = ticket.token
-            if fut.done():
-                continue
-            chosen = self._try(wanted, now)
-            if isinstance(chosen, Upstream):
-                fut.set_result(chosen)
-                continue
-            if chosen.kind is not OVERLOADED:
-                fut.set_exception(RefusedError(chosen))
-                continue
-            self._queue.push_front(ticket)
-            return
+            if not self._settle(ticket, now):
+                self._queue.push_front(ticket)
+                return
 
     @property
     def waiting(self) -> int:
         """Count the requests that wait for a slot."""
         return len(self._queue)
 
+    def _settle(self, ticket: Ticket, now: float) -> bool:
+        """Tell a waiting request its slot or refusal, if there is one."""
+        wanted, fut = ticket.token
+        if fut.done():
+            return True
+        chosen = self._try(wanted, now)
+        if isinstance(chosen, Upstream):
+            fut.set_result(chosen)
+            return True
+        if chosen.kind is OVERLOADED:
+            return False
+        fut.set_exception(RefusedError(chosen))
+        return True
+
     def _try(self, wanted: Wanted, now: float) -> Upstream | Refusal:
         snapshot = self._fleet.snapshot(
             wanted.deployment,
--- a/gentiantrestle/daemon/online/claims.py
+++ b/gentiantrestle/daemon/online/claims.py
@@ -35,12 +35,13 @@
 def claim_name(caller: Caller) -> str:
     """Name the claim's object; the same key of two clients differs."""
     text = f'{caller.client}\0{caller.key}'
-    return PREFIX + hashlib.sha256(text.encode()).hexdigest()
+    digest = hashlib.sha256(text.encode()).hexdigest()
+    return f'{PREFIX}{digest}'
 
 
 def body_digest(target: str, body: bytes) -> str:
     """Digest what a key stands for."""
-    return hashlib.sha256(target.encode() + b'\0' + body).hexdigest()
+    return hashlib.sha256(b'%b\0%b' % (target.encode(), body)).hexdigest()
 
 
 def decide(
--- a/gentiantrestle/daemon/online/once.py
+++ b/gentiantrestle/daemon/online/once.py
@@ -31,7 +31,7 @@
 
 RETRY_AFTER = 1  # seconds
 KEEP_FOR = 600.0  # seconds
-MAX_KEPT_BYTES = 32 * 1024 * 1024
+MAX_KEPT_BYTES = 33554432
 ASK_PERIOD = 0.2  # seconds
 
 
--- a/gentiantrestle/daemon/online/relay.py
+++ b/gentiantrestle/daemon/online/relay.py
@@ -43,7 +43,7 @@
 )
 from gentiantrestle.models import DeploymentDoc
 
-MAX_ANSWER = 64 * 1024 * 1024  # bytes
+MAX_REASON = 200  # bytes
 SERVER_ERROR = 500
 RETRY_AFTER = 1  # seconds
 PACE_EVENTS = 8
@@ -180,7 +180,7 @@
             self.upstream.pool.release(answer)
         if leaving is not None:
             return LeavingError(leaving)
-        text = body[:200].decode(errors='replace')
+        text = body[:MAX_REASON].decode(errors='replace')
         return self._fail(
             Stage.SENT,
             UPSTREAM_FAILED,
@@ -237,7 +237,8 @@
     async def aclose(self) -> None:
         """Stop reading; closing twice is the same as once."""
         await self._parts.aclose()
-        leave, self._leave = self._leave, None
+        leave = self._leave
+        self._leave = None
         if leave is not None:
             self._attempt.upstream.pool.release(self._answer)
             leave(self._attempt)
@@ -302,19 +303,20 @@
 
     async def _try(self, work: Work, upstream: Upstream) -> Response:
         attempt = Attempt(self._ctx, work, upstream)
-        streaming = False
         try:
             answer = await attempt.send()
-            kind = answer.header('Content-Type') or JSON
-            if kind.startswith(EVENT_STREAM):
-                streaming = True
-                stream = AnswerStream(attempt, answer, self._leave)
-                return Response(answer.status, stream, kind)
+        except BaseException:
+            self._leave(attempt)
+            raise
+        kind = answer.header('Content-Type') or JSON
+        if kind.startswith(EVENT_STREAM):
+            stream = AnswerStream(attempt, answer, self._leave)
+            return Response(answer.status, stream, kind)
+        try:
             body = await attempt.read(answer)
-            return Response(answer.status, body, kind)
         finally:
-            if not streaming:
-                self._leave(attempt)
+            self._leave(attempt)
+        return Response(answer.status, body, kind)
 
     def _leave(self, attempt: Attempt) -> None:
         seconds = self._ctx.now() - attempt.started_at
--- a/gentiantrestle/daemon/online/retries.py
+++ b/gentiantrestle/daemon/online/retries.py
@@ -51,8 +51,8 @@
 
     def __init__(self) -> None:
         """Start with the floor, so that a quiet instance may retry."""
-        self._requests = 0.0
-        self._retries = 0.0
+        self._requests = float(0)
+        self._retries = float(0)
         self._decayed_at: float | None = None
 
     def note_request(self, now: float) -> None:
--- a/gentiantrestle/daemon/upstreams/adapter.py
+++ b/gentiantrestle/daemon/upstreams/adapter.py
@@ -85,7 +85,8 @@
 
     def feed(self, part: bytes) -> list[str]:
         """Return the texts of the events that are complete."""
-        *lines, self._buffer = (self._buffer + part).split(EVENT_END)
+        lines = (self._buffer + part).split(EVENT_END)
+        self._buffer = lines.pop()
         texts = []
         for line in lines:
             if line.startswith(DONE_MARK):
@@ -98,9 +99,8 @@
 def event_text(payload: bytes) -> str:
     """Read the text of one completion or chat event."""
     choice = msgspec.json.decode(payload)['choices'][0]
-    if 'text' in choice:
-        return choice['text']
-    return choice.get('delta', {}).get('content', '')
+    delta = choice.get('delta', {})
+    return choice.get('text', delta.get('content', ''))
 
 
 def whole_answer(target: str, texts: list[str], model: str) -> dict[str, Any]:
--- a/gentiantrestle/daemon/upstreams/health.py
+++ b/gentiantrestle/daemon/upstreams/health.py
@@ -19,10 +19,10 @@
     def __init__(self) -> None:
         """Start as healthy, without measurements."""
         self.failures = 0
-        self.closed_until = 0.0
+        self.closed_until = float(0)
         self.pace: float | None = None
         self.samples = 0
-        self.measured_at = 0.0
+        self.measured_at = float(0)
 
     def succeed(self) -> None:
         """Note a whole answer."""
--- a/gentiantrestle/daemon/upstreams/routing.py
+++ b/gentiantrestle/daemon/upstreams/routing.py
@@ -78,11 +78,8 @@
     if not usable:
         return Refusal(NO_UPSTREAM, 'No upstream can be used', RETRY_AFTER)
     near = [one for one in usable if one.zone == snapshot.zone]
-    for group in (
-        near,
-        [one for one in usable if one.region == snapshot.region],
-        usable,
-    ):
+    region = [one for one in usable if one.region == snapshot.region]
+    for group in (near, region, usable):
         free = [one for one in group if one.free]
         if free:
             return free
--- a/gentiantrestle/daemon/upstreams/service.py
+++ b/gentiantrestle/daemon/upstreams/service.py
@@ -79,9 +79,7 @@
                 for upstream in self._upstreams.values()
                 if upstream.online or upstream.batch
             ]
-            owners = {
-                self.batch_owner(name, now) for name in self._upstreams
-            }
+            owners = {self.batch_owner(name, now) for name in self._upstreams}
             await self.loads.tell(
                 tuple(Load(one.name, one.online, one.batch) for one in in_use),
                 owners - {None, self._ctx.cfg.instance},
@@ -170,9 +168,7 @@
                 leaving=name in self.leaving,
                 batch_owner=self.batch_owner(name, now),
             )
-            for name, settings in self._configuration.fleet[
-                'upstreams'
-            ].items()
+            for name, settings in self._configuration.fleet['upstreams'].items()
         ]
 
     def _candidate(
@@ -189,7 +185,7 @@
         return Candidate(
             upstream=name,
             zone=settings['zone'],
-            region=self._regions.get(settings['zone'], ''),
+            region=self._region_of(settings['zone']),
             slots=settings['slots'],
             own=upstream.online,
             others=told.online,
@@ -198,6 +194,13 @@
             usable=self.is_usable(name, now),
         )
 
+    def _region_of(self, zone: str) -> str:
+        """Learn a zone's region from the live list, else from members."""
+        known = self._regions.get(zone)
+        if known:
+            return known
+        return self._view.region_of(zone)
+
     def _take_live(self, copied: Copied) -> None:
         document: dict[str, Any] = copied.document or {}
         zone = copied.name.removeprefix(LIVE)
--- a/gentiantrestle/errors.py
+++ b/gentiantrestle/errors.py
@@ -34,7 +34,8 @@
     @property
     def message(self) -> str:
         """Join reason and remedy into one sentence for a person."""
-        return f'{self.reason}. {self.kind.remedy}'
+        remedy = self.kind.remedy
+        return f'{self.reason}. {remedy}'
 
 
 class RefusedError(Exception):
--- a/gentiantrestle/http/client.py
+++ b/gentiantrestle/http/client.py
@@ -112,9 +112,9 @@
         self._writer.close()
 
     def _finish(self) -> None:
-        if self._h11.our_state is h11.DONE:
-            if self._h11.their_state is h11.DONE:
-                self._h11.start_next_cycle()
+        states = (self._h11.our_state, self._h11.their_state)
+        if states == (h11.DONE, h11.DONE):
+            self._h11.start_next_cycle()
 
     async def _event(self) -> h11.Event:
         try:
@@ -180,14 +180,14 @@
             return
         answer.conn.close()
 
-    async def fetch(self, call: Call) -> tuple[int, Answer, bytes]:
+    async def fetch(self, call: Call) -> tuple[Answer, bytes]:
         """Send a call and collect its whole answer."""
         answer = await self.call(call)
         try:
             body = await answer.read()
         finally:
             self.release(answer)
-        return answer.status, answer, body
+        return answer, body
 
     def close(self) -> None:
         """Close the connections that are not in use."""
--- a/gentiantrestle/http/messages.py
+++ b/gentiantrestle/http/messages.py
@@ -79,7 +79,7 @@
 
 def answer_json(document: Any, status: int = OK) -> Response:
     """Answer with a JSON document."""
-    return Response(status, msgspec.json.encode(document) + b'\n')
+    return Response(status, msgspec.json.Encoder().encode_lines([document]))
 
 
 def error_document(refusal: Refusal) -> dict[str, Any]:
@@ -101,7 +101,7 @@
         headers.append(('Retry-After', str(refusal.retry_after)))
     return Response(
         refusal.kind.status,
-        msgspec.json.encode(error_document(refusal)) + b'\n',
+        msgspec.json.Encoder().encode_lines([error_document(refusal)]),
         JSON,
         tuple(headers),
     )
--- a/gentiantrestle/http/server.py
+++ b/gentiantrestle/http/server.py
@@ -121,22 +121,26 @@
             raise refuse(kind, f'Not valid HTTP: {exc}') from None
 
     async def _body(self) -> AsyncIterator[bytes]:
+        self._go_on()
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+                continue
+            if isinstance(event, h11.EndOfMessage):
+                return
+            if event is not h11.NEED_DATA:
+                raise ClosedError('body cut')
+            await self._receive(self._limits.stall_timeout)
+
+    def _go_on(self) -> None:
+        """Let a caller send its body that waits for our consent."""
         if self._h11.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(
                 status_code=HTTPStatus.CONTINUE,
                 headers=[],
             )
             self._writer.write(self._h11.send(go_on))
-        while True:
-            event = self._next_event()
-            if event is h11.NEED_DATA:
-                await self._receive(self._limits.stall_timeout)
-            elif isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
-            else:
-                raise ClosedError('body cut')
 
     async def _answer(
         self,
@@ -282,7 +286,7 @@
             return answer_refusal(exc.refusal)
         except ClosedError:
             raise
-        except Exception as exc:
+        except Exception as exc:  # noqa: BLE001 (answered and logged)
             events.emit(events.REQUEST_FAILED, error=repr(exc))
             failure = refuse(INTERNAL, 'The request failed inside')
             return answer_refusal(failure.refusal)
--- /dev/null
+++ b/gentiantrestle/library/draft.py
@@ -0,0 +1,84 @@
+"""A configuration to be: built step by step, read, then applied."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from gentiantrestle.models import (
+    ClientDoc,
+    DeploymentDoc,
+    EndpointDoc,
+    FleetDoc,
+    UpstreamDoc,
+)
+
+KINDS = ('upstreams', 'deployments', 'endpoints', 'clients')
+INDENT = 2
+
+
+class Draft:
+    """A changed copy of the configuration that was in force."""
+
+    def __init__(self, in_force: FleetDoc) -> None:
+        """Start from a configuration; its revision is the draft's base."""
+        self._base = in_force
+        self.document: dict[str, Any] = {
+            kind: dict(in_force[kind]) for kind in KINDS
+        }
+        self.document['revision'] = in_force['revision']
+
+    def upstream(self, name: str, **fields: Any) -> 'Draft':
+        """Set an upstream: zone, address, kind, slots, checks_fencing."""
+        return self.put('upstreams', name, UpstreamDoc(**fields))
+
+    def deployment(self, name: str, **fields: Any) -> 'Draft':
+        """Set a deployment: model, version, upstreams, adapters."""
+        return self.put('deployments', name, DeploymentDoc(**fields))
+
+    def endpoint(self, name: str, **fields: Any) -> 'Draft':
+        """Set an endpoint: deployment, max_prompt, repeatable."""
+        return self.put('endpoints', name, EndpointDoc(**fields))
+
+    def client(self, name: str, **fields: Any) -> 'Draft':
+        """Set a client account: key_hashes, admin, max_jobs."""
+        return self.put('clients', name, ClientDoc(**fields))
+
+    def put(self, kind: str, name: str, entry: Any) -> 'Draft':
+        """Set one entry of a kind."""
+        self.document[kind][name] = entry
+        return self
+
+    def remove(self, kind: str, name: str) -> 'Draft':
+        """Remove one entry of a kind; one that is missing is fine."""
+        self.document[kind].pop(name, None)
+        return self
+
+    def difference(self) -> Iterator[str]:
+        """Yield what the draft changes, a line for each entry."""
+        for kind in KINDS:
+            before, after = self._base[kind], self.document[kind]
+            for name in sorted(set(before) | set(after)):
+                yield from _compare(
+                    f'{kind}.{name}',
+                    before.get(name),
+                    after.get(name),
+                )
+
+    def __str__(self) -> str:
+        """Print the whole configuration as it would be."""
+        text = msgspec.json.encode(self.document)
+        return msgspec.json.format(text, indent=INDENT).decode()
+
+
+def _compare(field: str, before: Any, after: Any) -> Iterator[str]:
+    if before == after:
+        return
+    if before is not None:
+        yield f'- {field} = {_show(before)}'
+    if after is not None:
+        yield f'+ {field} = {_show(after)}'
+
+
+def _show(entry: Any) -> str:
+    return msgspec.json.encode(entry).decode()
--- /dev/null
+++ b/gentiantrestle/output/__init__.py
@@ -0,0 +1,1 @@
+"""What the command-line tool prints."""
--- a/gentiantrestle/store/client.py
+++ b/gentiantrestle/store/client.py
@@ -12,8 +12,8 @@
 from gentiantrestle.http.client import Call, LostError, NotSentError, Pool
 
 ABSENT = 0
-TOKEN = 'token'  # noqa: S105 (a field's name, no secret)
-OBJECTS = '/v1/objects'
+TOKEN = 'token'
+ROOT = '/v1/objects'
 POOL_SIZE = 32
 WATCH_WAIT = 10.0  # seconds
 SETTLE_PAUSE = 0.1  # seconds
@@ -38,6 +38,14 @@
     document: Document
 
 
+class Reply(NamedTuple):
+    """What the object API answered."""
+
+    status: int
+    version: int
+    body: bytes
+
+
 class Conflict(NamedTuple):
     """A falsy sentinel: the condition of a write did not hold."""
 
@@ -62,7 +70,7 @@
     """What a list or a watch answers."""
 
     revision: int
-    objects: list[Listed]
+    objects: list[Listed]  # noqa: WPS110 (the object API's word)
 
 
 class StoreClient:
@@ -79,10 +87,10 @@
 
     async def get(self, name: str) -> Versioned | None:
         """Read one object, or nothing where none exists."""
-        status, version, body = await self._call('get', _get(name))
-        if status == NOT_FOUND:
+        reply = await self._call('get', _get(name))
+        if reply.status == NOT_FOUND:
             return None
-        return Versioned(version, msgspec.json.decode(body))
+        return Versioned(reply.version, msgspec.json.decode(reply.body))
 
     async def list_names(self, prefix: str) -> list[Listed]:
         """List names and versions below a prefix."""
@@ -115,18 +123,13 @@
         written = {**document, TOKEN: uuid4().hex}
         call = _put(name, written, expected)
         for attempt in range(SETTLE_TRIES):
-            try:
-                status, version, _ = await self._call('write', call)
-            except StoreUnavailableError:
-                if attempt == 0:
-                    raise
-            except StoreUnsureError:
-                events.emit(events.WRITE_UNSURE, name=name)
-            else:
-                if status != PRECONDITION_FAILED:
-                    return Versioned(version, written)
-                return await self._settle(name, written, lost=attempt > 0)
-            await asyncio.sleep(SETTLE_PAUSE * 2**attempt)
+            sent = await self._try_write(name, call, first=attempt == 0)
+            if sent is None:
+                await asyncio.sleep(SETTLE_PAUSE * 2**attempt)
+                continue
+            if sent.status != PRECONDITION_FAILED:
+                return Versioned(sent.version, written)
+            return await self._settle(name, written, lost=attempt > 0)
         raise StoreUnsureError(name)
 
     async def delete(self, name: str) -> None:
@@ -138,6 +141,23 @@
         self._calls.close()
         self._watches.close()
 
+    async def _try_write(
+        self,
+        name: str,
+        call: Call,
+        *,
+        first: bool,
+    ) -> 'Reply | None':
+        """Send a write; nothing comes back when its answer is lost."""
+        try:
+            return await self._call('write', call)
+        except StoreUnavailableError:
+            if first:
+                raise
+        except StoreUnsureError:
+            events.emit(events.WRITE_UNSURE, name=name)
+        return None
+
     async def _settle(
         self,
         name: str,
@@ -166,18 +186,18 @@
     ) -> Listing:
         query = [('prefix', prefix) for prefix in prefixes]
         query += [('values', '1'), ('after', str(after)), ('wait', str(wait))]
-        _, _, body = await self._call(
+        reply = await self._call(
             'watch' if wait else 'compare',
             Call('GET', f'/v1/watch?{urlencode(query)}'),
             pool=self._watches if wait else self._calls,
             timeout=wait + self._ctx.cfg.store_timeout,
         )
-        return msgspec.json.decode(body, type=Listing)
+        return msgspec.json.decode(reply.body, type=Listing)
 
     async def _list(self, query: list[tuple[str, str]]) -> Listing:
-        target = f'{OBJECTS}?{urlencode(query)}'
-        _, _, body = await self._call('list', Call('GET', target))
-        return msgspec.json.decode(body, type=Listing)
+        target = f'{ROOT}?{urlencode(query)}'
+        reply = await self._call('list', Call('GET', target))
+        return msgspec.json.decode(reply.body, type=Listing)
 
     async def _call(
         self,
@@ -186,14 +206,14 @@
         *,
         pool: Pool | None = None,
         timeout: float | None = None,
-    ) -> tuple[int, int, bytes]:
+    ) -> 'Reply':
         self._ctx.metrics.store_calls.inc({'verb': verb})
         zoned = call._replace(
             headers=(*call.headers, ('X-Zone', self._ctx.cfg.zone)),
         )
         try:
             async with asyncio.timeout(timeout or self._ctx.cfg.store_timeout):
-                status, answer, body = await (pool or self._calls).fetch(zoned)
+                answer, body = await (pool or self._calls).fetch(zoned)
         except NotSentError as exc:
             self._note(reachable=False, error=str(exc))
             raise StoreUnavailableError(str(exc)) from exc
@@ -203,7 +223,8 @@
                 raise StoreUnsureError(repr(exc)) from exc
             raise StoreUnavailableError(repr(exc)) from exc
         self._note(reachable=True)
-        return status, int(answer.header('X-Version') or 0), body
+        version = int(answer.header('X-Version') or 0)
+        return Reply(answer.status, version, body)
 
     def _note(self, *, reachable: bool, error: str = '') -> None:
         if reachable and not self.reachable:
@@ -214,7 +235,7 @@
 
 
 def _target(name: str) -> str:
-    return f'{OBJECTS}/{quote(name)}'
+    return f'{ROOT}/{quote(name)}'
 
 
 def _get(name: str) -> Call:
--- a/gentiantrestle/supervisor.py
+++ b/gentiantrestle/supervisor.py
@@ -65,7 +65,7 @@
         while True:
             try:
                 await child.run()
-            except Exception as exc:
+            except Exception as exc:  # noqa: BLE001 (its very task)
                 await self._recover(child, rule, exc)
             else:
                 return
--- a/standins/core.py
+++ b/standins/core.py
@@ -16,6 +16,7 @@
 HOST = '127.0.0.1'
 USAGE = 'usage: gentiantrestle-standin platform|engine|service PORT [K=V]\n'
 FIRST_OPTION = 3
+IDLE_TIMEOUT = 600  # seconds
 
 
 class Standin(Protocol):
@@ -42,7 +43,7 @@
 async def serve(kind: str, port: int, cfg: Mapping[str, str]) -> None:
     """Run one stand-in until it is told to stop."""
     standin = KINDS[kind].from_config(cfg)
-    server = Server(standin.handle, Limits(idle_timeout=600))
+    server = Server(standin.handle, Limits(idle_timeout=IDLE_TIMEOUT))
     await server.start(HOST, port)
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -4,6 +4,7 @@
 import time
 from collections import Counter, OrderedDict, deque
 from collections.abc import AsyncIterator, Mapping
+from http import HTTPStatus
 from typing import Any, NamedTuple
 
 import msgspec
@@ -16,13 +17,16 @@
     answer_json,
 )
 
-MAX_BODY = 16 * 1024 * 1024  # bytes
+MAX_BODY = 16777216  # bytes
+DEFAULT_TOKENS = 16
 VOCABULARY = 1000
 REPORT_LAG = 1.0  # seconds
 OCCUPANCY_COST = 1.0
 PREFIX_LENGTH = 64  # characters
 DONE = b'data: [DONE]\n\n'
 POISON = 'poison'
+BROKEN = HTTPStatus.INTERNAL_SERVER_ERROR
+OLD_FENCE = HTTPStatus.CONFLICT
 COMPLETIONS = frozenset(('/v1/completions', '/v1/chat/completions'))
 
 
@@ -36,15 +40,22 @@
     checks_fencing: bool = True
 
 
+class Report(NamedTuple):
+    """Load at a time, told only after a while."""
+
+    at: float
+    load: dict[str, int]
+
+
 class Stream:
     """One request inside the engine."""
 
     def __init__(self, body: Mapping[str, Any]) -> None:
         """Take prompt and length; resume after the tokens that are known."""
         self.prompt = _prompt(body)
-        self.wanted = int(body.get('max_tokens', 16))
+        self.wanted = int(body.get('max_tokens', DEFAULT_TOKENS))
         self.produced = int(body.get('resume_from', 0))
-        self.ready = 0.0
+        self.ready = float(0)
         self.cancelled = False
         self.tokens: asyncio.Queue[int | None] = asyncio.Queue()
 
@@ -72,7 +83,7 @@
         self._waiting: deque[Stream] = deque()
         self._arrived = asyncio.Event()
         self._prefixes: OrderedDict[int, None] = OrderedDict()
-        self._reports: deque[tuple[float, dict[str, int]]] = deque()
+        self._reports: deque[Report] = deque()
         self._runs: Counter[str] = Counter()
         self._fence = 0
         self._orders: list[dict[str, Any]] = []
@@ -152,15 +163,21 @@
     ) -> Response:
         if self._leaving is not None:
             mark = (('X-Leaving', str(self._leaving)),)
-            return Response(503, b'{}', headers=mark)
+            return Response(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                b'{}',
+                headers=mark,
+            )
         stream = Stream(body)
         self._runs[stream.prompt] += 1
         if POISON in stream.prompt:
-            return answer_json({'error': 'this prompt never works'}, 500)
+            return answer_json({'error': 'this prompt never works'}, BROKEN)
         self._waiting.append(stream)
         self._arrived.set()
         if body.get('stream'):
-            return Response(200, self._events(stream, chat), EVENT_STREAM)
+            return Response(
+                HTTPStatus.OK, self._events(stream, chat), EVENT_STREAM
+            )
         text = [part async for part in _texts(stream)]
         return answer_json(_describe(''.join(text), len(text), chat))
 
@@ -191,20 +208,20 @@
     def _order(self, order: dict[str, Any]) -> Response:
         fence = int(order['fence'])
         if self._cfg.checks_fencing and fence < self._fence:
-            return answer_json({'error': 'old fencing number'}, 409)
+            return answer_json({'error': 'old fencing number'}, OLD_FENCE)
         self._fence = fence
         self._orders.append(order)
         return answer_json({'accepted': True})
 
     def _report(self, now: float) -> None:
         load = {'running': len(self._running), 'waiting': len(self._waiting)}
-        self._reports.append((now, load))
+        self._reports.append(Report(now, load))
 
     def _lagging_load(self) -> dict[str, int]:
         horizon = time.monotonic() - REPORT_LAG
         load = {'running': 0, 'waiting': 0}
-        while self._reports and self._reports[0][0] <= horizon:
-            load = self._reports.popleft()[1]
+        while self._reports and self._reports[0].at <= horizon:
+            load = self._reports.popleft().load
         return load
 
 
@@ -218,8 +235,9 @@
 
 def token_text(prompt: str, index: int) -> str:
     """Return the token at ``index`` of the answer to ``prompt``."""
-    seed = f'{index}/{prompt}'.encode()
-    return f' w{xxhash.xxh32_intdigest(seed) % VOCABULARY}'
+    word = xxhash.xxh32_intdigest(f'{index}/{prompt}'.encode())
+    word %= VOCABULARY
+    return f' w{word}'
 
 
 def _prompt(body: Mapping[str, Any]) -> str:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Mapping
+from http import HTTPStatus
 from typing import NamedTuple
 
 import msgspec
@@ -12,7 +13,7 @@
 
 MAX_VALUE = 1024 * 1024  # bytes
 MAX_WAIT = 30.0  # seconds
-OBJECTS = '/v1/objects'
+ROOT = '/v1/objects'
 VERSION = 'X-Version'
 
 
@@ -29,7 +30,7 @@
     def __init__(self) -> None:
         """Start with no fault."""
         self.outage = False
-        self.delay = 0.0
+        self.delay = float(0)
         self.lose = 0
         self.cut_zones: list[str] = []
 
@@ -52,7 +53,7 @@
 
     def __init__(self) -> None:
         """Start empty."""
-        self._objects: dict[str, Stored] = {}
+        self._stored: dict[str, Stored] = {}
         self._revision = 0
         self._changed = asyncio.Condition()
         self._faults = Faults()
@@ -75,10 +76,10 @@
         if req.path == '/v1/watch':
             self._calls['watch'] += 1
             return await self._watch(req)
-        if req.path == OBJECTS:
+        if req.path == ROOT:
             self._calls['list'] += 1
             return answer_json(self._list(req, 0))
-        name = req.path.removeprefix(f'{OBJECTS}/')
+        name = req.path.removeprefix(f'{ROOT}/')
         if req.method == 'GET':
             self._calls['get'] += 1
             return self._get(name)
@@ -93,37 +94,39 @@
             {
                 'calls': self._calls,
                 'revision': self._revision,
-                'objects': len(self._objects),
+                'objects': len(self._stored),
             }
         )
 
     def _get(self, name: str) -> Response:
-        stored = self._objects.get(name)
+        stored = self._stored.get(name)
         if stored is None or not stored.body:
-            return Response(404)
-        return _answer_version(200, stored)
+            return Response(HTTPStatus.NOT_FOUND)
+        return _answer_version(HTTPStatus.OK, stored)
 
     async def _write(self, name: str, req: Request) -> Response:
         body = b''
         if req.method == 'PUT':
             body = await req.read(MAX_VALUE)
-        stored = self._objects.get(name)
+        stored = self._stored.get(name)
         if not _condition_holds(req.headers, stored):
-            return _answer_version(412, stored or Stored(0, b''))
+            return _answer_version(
+                HTTPStatus.PRECONDITION_FAILED, stored or Stored(0, b'')
+            )
         self._revision += 1
         written = Stored(self._revision, body)
-        self._objects[name] = written
+        self._stored[name] = written
         async with self._changed:
             self._changed.notify_all()
         self._faults.after()
-        return _answer_version(200, Stored(written.version, b''))
+        return _answer_version(HTTPStatus.OK, Stored(written.version, b''))
 
     def _list(self, req: Request, after: int) -> dict[str, object]:
         prefixes = tuple(req.arguments('prefix')) or ('',)
         with_bodies = 'values' in dict(req.query)
         names = sorted(
             name
-            for name, stored in self._objects.items()
+            for name, stored in self._stored.items()
             if stored.version > after
             and name.startswith(prefixes)
             and (stored.body or after)
@@ -131,11 +134,15 @@
         return {
             'revision': self._revision,
             'objects': [
-                _describe(name, self._objects[name], with_bodies)
+                _describe(name, self._stored[name], with_bodies)
                 for name in names
             ],
         }
 
+    async def _wait_for_change(self) -> None:
+        async with self._changed:
+            await self._changed.wait()
+
     async def _watch(self, req: Request) -> Response:
         after = int(dict(req.query)['after'])
         wait = min(MAX_WAIT, float(dict(req.query).get('wait', MAX_WAIT)))
@@ -143,8 +150,7 @@
         try:
             async with asyncio.timeout(wait):
                 while not listed['objects']:
-                    async with self._changed:
-                        await self._changed.wait()
+                    await self._wait_for_change()
                     listed = self._list(req, after)
         except TimeoutError:
             listed['revision'] = self._revision
