Batch jobs proved with real processes; short jobs are split too

A job of 120 items was one chunk; its holder owned the batch slots of one engine of three, so the job took 36 s or more. Ruled out: a held connection or lease (the log shows the store answering again and results being saved); a lost write token. Conclusion: a chunk is the unit that spreads, so small jobs need several.

--- a/gentiantrestle/daemon/batch/accept.py
+++ b/gentiantrestle/daemon/batch/accept.py
@@ -46,6 +46,7 @@
     key: str
     window: float
     chunks: AsyncIterator[bytes]
+    body_size: int
     max_jobs: int
 
 
@@ -105,7 +106,7 @@
         self._check_count(submission)
         upload = Upload(self._store)
         try:
-            summary = await self._upload(upload, submission.chunks)
+            summary = await self._upload(upload, submission)
         except (StoreUnavailableError, StoreUnsureError):
             raise _unavailable() from None
         except RefusedError:
@@ -146,10 +147,10 @@
     async def _upload(
         self,
         upload: Upload,
-        parts: AsyncIterator[bytes],
+        submission: Submission,
     ) -> Summary:
-        intake = Intake(self._configuration.fleet)
-        async for part in parts:
+        intake = Intake(self._configuration.fleet, submission.body_size)
+        async for part in submission.chunks:
             for items in intake.feed(part):
                 await upload.add(items)
         for items in intake.finish():
--- a/gentiantrestle/daemon/batch/intake.py
+++ b/gentiantrestle/daemon/batch/intake.py
@@ -24,6 +24,8 @@
 
 MAX_ITEMS = 200000
 CHUNK_ITEMS = 256
+MIN_CHUNK_ITEMS = 16
+CHUNKS_PER_JOB = 10
 CHUNK_BYTES = 524288
 MAX_LINE = 262144  # bytes
 MAX_CUSTOM_ID = 256  # characters
@@ -39,12 +41,26 @@
     digest: str
 
 
+def chunk_limit(body_size: int, line_size: int) -> int:
+    """Return how many items a chunk holds, from sizes in bytes.
+
+    A short job is split as well, so that several instances share it.
+    """
+    if not body_size:
+        return CHUNK_ITEMS
+    expected = body_size // max(1, line_size)
+    share = -(-expected // CHUNKS_PER_JOB)
+    return min(CHUNK_ITEMS, max(MIN_CHUNK_ITEMS, share))
+
+
 class Intake:
     """Checks lines one by one and yields chunks as they fill."""
 
-    def __init__(self, fleet: FleetDoc) -> None:
-        """Check against the endpoints of a configuration."""
+    def __init__(self, fleet: FleetDoc, body_size: int) -> None:
+        """Check against a configuration; ``body_size`` 0 means unknown."""
         self._fleet = fleet
+        self._body_size = body_size
+        self._limit = CHUNK_ITEMS
         self._rest = b''
         self._line = 0
         self._digest = hashlib.sha256()
@@ -84,8 +100,10 @@
         if len(line) > MAX_LINE:
             raise self._fault(f'the item is above {MAX_LINE} bytes', self._line)
         full = self._chunk_bytes + len(line) > CHUNK_BYTES
-        if self._chunk and (full or len(self._chunk) >= CHUNK_ITEMS):
+        if self._chunk and (full or len(self._chunk) >= self._limit):
             yield self._flush()
+        if not self._seen:
+            self._limit = chunk_limit(self._body_size, len(line) + 1)
         self._chunk.append(self._parse(line))
         self._chunk_bytes += len(line)
 
--- a/gentiantrestle/daemon/entry/jobs.py
+++ b/gentiantrestle/daemon/entry/jobs.py
@@ -26,6 +26,7 @@
         visit.req.headers.get(KEY_HEADER) or uuid4().hex,
         _window(visit),
         visit.req.limited(entry.cfg.max_batch_body),
+        visit.req.body_size,
         settings.get('max_jobs', DEFAULT_MAX_JOBS),
     )
     job = await entry.batch.acceptance.accept(submission)
--- a/gentiantrestle/http/messages.py
+++ b/gentiantrestle/http/messages.py
@@ -38,6 +38,12 @@
         """Return every value of one query argument."""
         return [text for key, text in self.query if key == name]
 
+    @property
+    def body_size(self) -> int:
+        """Size of the body in bytes, or 0 if the caller did not say."""
+        told = self.headers.get('content-length', '')
+        return int(told) if told.isdigit() else 0
+
     async def read(self, limit: int) -> bytes:
         """Collect the body; refuse one above ``limit`` bytes."""
         parts = [part async for part in self.limited(limit)]
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, laid out as the features are."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,32 @@
+"""Fixtures that several tests share."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from tests.utils.fleet import Fleet
+
+
+@pytest.fixture
+async def start_fleet(
+    tmp_path: Path,
+) -> AsyncIterator[Callable[..., Awaitable[Fleet]]]:
+    """Start fleets of processes; all of them are ended after the test."""
+    fleets: list[Fleet] = []
+
+    async def start(
+        *zones: str,
+        engine_words: tuple[str, ...] = (),
+        daemon_flags: tuple[str, ...] = (),
+    ) -> Fleet:
+        fleet = Fleet(tmp_path, zones or ('a1', 'a1', 'a1'))
+        fleet.engine_words += engine_words
+        fleet.daemon_flags = daemon_flags
+        fleets.append(fleet)
+        await fleet.start()
+        return fleet
+
+    yield start
+    for fleet in fleets:
+        await fleet.stop()
--- /dev/null
+++ b/tests/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of decisions: plain data in, plain data out."""
--- /dev/null
+++ b/tests/interfaces/__init__.py
@@ -0,0 +1,1 @@
+"""Contract tests of each interface."""
--- /dev/null
+++ b/tests/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that several tests share."""
--- /dev/null
+++ b/tests/utils/http.py
@@ -0,0 +1,75 @@
+"""Small HTTP calls for tests."""
+
+import asyncio
+from typing import Any, NamedTuple
+
+import msgspec
+
+from gentiantrestle.http.client import Call, ClientConnection
+from gentiantrestle.models import Address
+
+CONNECT_TIMEOUT = 2.0  # seconds
+
+
+class Reply(NamedTuple):
+    """A whole answer with its header fields in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Read the body as JSON."""
+        return msgspec.json.decode(self.body)
+
+
+async def send(
+    address: Address,
+    method: str,
+    target: str,
+    body: Any = b'',
+    **headers: str,
+) -> Reply:
+    """Send one call on a connection of its own."""
+    if not isinstance(body, bytes):
+        body = msgspec.json.encode(body)
+    fields = tuple(
+        (name.replace('_', '-'), text) for name, text in headers.items()
+    )
+    conn = await ClientConnection.open(address, CONNECT_TIMEOUT)
+    try:
+        answer = await conn.send(
+            Call(method, target, fields, body),
+            str(address),
+        )
+        whole = await answer.read()
+    finally:
+        conn.close()
+    found = {
+        name.decode().lower(): text.decode()
+        for name, text in answer.raw_headers
+    }
+    return Reply(answer.status, found, whole)
+
+
+async def send_raw(address: Address, raw: bytes) -> bytes:
+    """Send bytes as they are; return all that comes until the end."""
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        writer.write(raw)
+        await writer.drain()
+        return await reader.read()
+    finally:
+        writer.close()
+
+
+async def until(check: Any, timeout: float = 30) -> Any:
+    """Wait until a condition holds; return what it found."""
+    async with asyncio.timeout(timeout):
+        while True:
+            found = check()
+            if asyncio.iscoroutine(found):
+                found = await found
+            if found:
+                return found
+            await asyncio.sleep(0.02)
