--- a/gentiantrestle/daemon/batch/run.py
+++ b/gentiantrestle/daemon/batch/run.py
@@ -120,10 +120,10 @@
         try:
             return await slot.task
         except asyncio.CancelledError:
-            if slot.taken_back:
-                return Ended(Outcome.TAKEN_BACK)
             slot.task.cancel()
-            raise
+            if _is_being_cancelled() or not slot.taken_back:
+                raise
+            return Ended(Outcome.TAKEN_BACK)
         except NotSentError as exc:
             self._note_failure(slot, exc)
             return Ended(Outcome.NOT_SENT, str(exc))
@@ -429,6 +429,12 @@
         await asyncio.sleep(STORE_PAUSE * (1 + jitter))
 
 
+def _is_being_cancelled() -> bool:
+    """Tell whether the chunk itself is to stop, not just its slot."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def _pack(lines: Iterable[ResultLine]) -> Iterable[list[ResultLine]]:
     """Group result lines so that each group fits one object."""
     group: list[ResultLine] = []
--- a/gentiantrestle/daemon/batch/service.py
+++ b/gentiantrestle/daemon/batch/service.py
@@ -52,6 +52,7 @@
 
 TICK = 0.05  # seconds
 MAX_HELD = 4
+STRANDED_AFTER = 1.0  # seconds
 
 
 class Batch:
@@ -76,6 +77,7 @@
         self._me = Holder(ctx.cfg.instance, ctx.incarnation)
         self._runs: dict[ChunkKey, asyncio.Task[None]] = {}
         self._unsure: set[ChunkKey] = set()
+        self._stranded: dict[ChunkKey, float] = {}
         self._next_search = ctx.now()
         self._stopping = False
         self.acceptance = Acceptance(ctx, store, configuration)
@@ -99,7 +101,8 @@
         tasks = tuple(self._runs.values())
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        if tasks:
+            await asyncio.wait(tasks, timeout=self._ctx.cfg.grace)
 
     def _works_on(self, key: ChunkKey) -> bool:
         return key in self._runs
@@ -108,12 +111,24 @@
         while True:
             await asyncio.sleep(TICK)
             self._gate.tick()
+            self._give_up_stranded(self._ctx.now())
             if self._stopping or len(self._runs) >= MAX_HELD:
                 continue
             with suppress(*STORE_ERRORS):
                 await self._recheck_claims()
                 await self._claim_next()
 
+    def _give_up_stranded(self, now: float) -> None:
+        """Hand over chunks for which this instance owns no slots any more."""
+        for key, task in tuple(self._runs.items()):
+            job = self._board.job(key.job)
+            deployment = self._board.deployment(job) if job else None
+            if deployment and any(self._gate.owned(deployment, now)):
+                self._stranded.pop(key, None)
+            elif now - self._stranded.setdefault(key, now) > STRANDED_AFTER:
+                self._stranded.pop(key)
+                task.cancel()
+
     async def _claim_next(self) -> None:
         jobs = [job for job in self._board.jobs() if self._has_room(job)]
         if not jobs:
@@ -186,7 +201,11 @@
         )
         task = asyncio.create_task(self._work(key, version, record))
         self._runs[key] = task
-        task.add_done_callback(lambda _: self._runs.pop(key, None))
+        task.add_done_callback(lambda _: self._drop(key))
+
+    def _drop(self, key: ChunkKey) -> None:
+        self._runs.pop(key, None)
+        self._stranded.pop(key, None)
 
     async def _work(
         self,
--- a/gentiantrestle/daemon/membership/view.py
+++ b/gentiantrestle/daemon/membership/view.py
@@ -162,8 +162,9 @@
         was_alive = known is not None and self._is_alive(known, now)
         if known is not None and _keeps_leaving(known.member, member):
             member = member._replace(state=State.LEAVING)
-        self._heard[member.instance] = Heard(member, now)
-        return not was_alive
+        heard = Heard(member, now)
+        self._heard[member.instance] = heard
+        return self._is_alive(heard, now) and not was_alive
 
 
 def _keeps_leaving(known: Member, told: Member) -> bool:
--- a/gentiantrestle/daemon/online/claims.py
+++ b/gentiantrestle/daemon/online/claims.py
@@ -10,9 +10,13 @@
 
 
 class Claim(TypedDict):
-    """The store's record that a request was started, and where."""
+    """The store's record that a request was started, and where.
+
+    ``home`` is the address for peers of the instance that runs it.
+    """
 
     instance: str
+    home: str
     incarnation: int
     digest: str
     at: float
--- a/gentiantrestle/daemon/online/once.py
+++ b/gentiantrestle/daemon/online/once.py
@@ -21,6 +21,7 @@
     refuse,
 )
 from gentiantrestle.http.messages import Response, answer_refusal
+from gentiantrestle.models import Address
 from gentiantrestle.store.client import (
     ABSENT,
     StoreClient,
@@ -127,6 +128,7 @@
         name = claim_name(caller)
         claim = Claim(
             instance=self._ctx.cfg.instance,
+            home=str(Address(self._ctx.cfg.host, self._ctx.cfg.peer_port)),
             incarnation=self._ctx.incarnation,
             digest=digest,
             at=self._ctx.wall(),
@@ -220,17 +222,20 @@
             if not answer.found:
                 break
             if answer.finished:
-                return Response(answer.status, answer.body, answer.content_type)
+                return Response(
+                    answer.status,
+                    answer.body,
+                    answer.content_type,
+                    tuple(answer.headers.items()),
+                )
             await asyncio.sleep(ASK_PERIOD)
         raise refuse(ALREADY_STARTED, 'Its answer is no longer to be had')
 
     async def _ask(self, name: str, claim: Claim) -> Answer:
-        home = self._membership.view.find(claim['instance'])
-        if home is None or home.incarnation != claim['incarnation']:
-            raise refuse(ALREADY_STARTED, 'The instance that ran it is lost')
         envelope = Envelope(answer_request=AnswerRequest(claim=name))
+        home = Address.parse(claim['home'])
         try:
-            reply = await self._membership.call(home, envelope)
+            reply = await self._membership.peers.call(home, envelope)
         except PeerError:
             raise refuse(
                 ALREADY_STARTED,
@@ -239,25 +244,29 @@
         return reply.answer
 
     async def _answer_peer(self, envelope: Envelope) -> Envelope:
-        recording = self._recordings.get(envelope.answer_request.claim)
-        if recording is None or recording.head is None:
-            return Envelope(
-                answer=Answer(
-                    found=recording is not None,
-                    finished=False,
-                    status=0,
-                    content_type='',
-                )
-            )
-        return Envelope(
-            answer=Answer(
-                found=True,
-                finished=recording.finished,
-                status=recording.head.status,
-                content_type=recording.head.content_type,
-                body=b''.join(recording.parts) if recording.finished else None,
-            )
+        name = envelope.answer_request.claim
+        recording = self._recordings.get(name)
+        if recording is not None and recording.finished:
+            return Envelope(answer=_finished_answer(recording))
+        answer = Answer(
+            found=recording is not None or name in self._locks,
+            finished=False,
+            status=0,
+            content_type='',
+            headers={},
         )
+        return Envelope(answer=answer)
+
+
+def _finished_answer(recording: Recording) -> Answer:
+    return Answer(
+        found=True,
+        finished=True,
+        status=recording.head.status,
+        content_type=recording.head.content_type,
+        body=b''.join(recording.parts),
+        headers=dict(recording.head.headers),
+    )
 
 
 def _store_refusal() -> RefusedError:
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -61,6 +61,7 @@
   3: required i32 status,
   4: required string content_type,
   5: optional binary body,
+  6: required map<string, string> headers,
 }
 
 /* Online requests in flight, told to the owner of the batch slots. */
--- a/gentiantrestle/wire/peer/ttypes.py
+++ b/gentiantrestle/wire/peer/ttypes.py
@@ -795,6 +795,7 @@
      - status
      - content_type
      - body
+     - headers
 
     """
 
@@ -804,15 +805,17 @@
         'status',
         'content_type',
         'body',
+        'headers',
     )
 
 
-    def __init__(self, found=None, finished=None, status=None, content_type=None, body=None,):
+    def __init__(self, found=None, finished=None, status=None, content_type=None, body=None, headers=None,):
         self.found = found
         self.finished = finished
         self.status = status
         self.content_type = content_type
         self.body = body
+        self.headers = headers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -848,6 +851,17 @@
                     self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.MAP:
+                    self.headers = {}
+                    (_ktype22, _vtype23, _size21) = iprot.readMapBegin()
+                    for _i25 in range(_size21):
+                        _key26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val27 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.headers[_key26] = _val27
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -878,6 +892,14 @@
             oprot.writeFieldBegin('body', TType.STRING, 5)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
+        if self.headers is not None:
+            oprot.writeFieldBegin('headers', TType.MAP, 6)
+            oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.headers))
+            for kiter28, viter29 in self.headers.items():
+                oprot.writeString(kiter28.encode('utf-8') if sys.version_info[0] == 2 else kiter28)
+                oprot.writeString(viter29.encode('utf-8') if sys.version_info[0] == 2 else viter29)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -890,6 +912,8 @@
             raise TProtocolException(message='Required field status is unset!')
         if self.content_type is None:
             raise TProtocolException(message='Required field content_type is unset!')
+        if self.headers is None:
+            raise TProtocolException(message='Required field headers is unset!')
         return
 
     def __repr__(self):
@@ -946,11 +970,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = Load()
-                        _elem26.read(iprot)
-                        self.loads.append(_elem26)
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = Load()
+                        _elem35.read(iprot)
+                        self.loads.append(_elem35)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -971,8 +995,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter27 in self.loads:
-                iter27.write(oprot)
+            for iter36 in self.loads:
+                iter36.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1210,6 +1234,7 @@
     (3, TType.I32, 'status', None, None, ),  # 3
     (4, TType.STRING, 'content_type', 'UTF8', None, ),  # 4
     (5, TType.STRING, 'body', 'BINARY', None, ),  # 5
+    (6, TType.MAP, 'headers', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 6
 )
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,16 +2,19 @@
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
+from typing import TypeAlias
 
 import pytest
 
 from tests.utils.fleet import Fleet
 
+StartFleet: TypeAlias = Callable[..., Awaitable[Fleet]]
+
 
 @pytest.fixture
 async def start_fleet(
     tmp_path: Path,
-) -> AsyncIterator[Callable[..., Awaitable[Fleet]]]:
+) -> AsyncIterator[StartFleet]:
     """Start fleets of processes; all of them are ended after the test."""
     fleets: list[Fleet] = []
 
--- /dev/null
+++ b/tests/processes/test_online.py
@@ -0,0 +1,264 @@
+"""Online requests: whole answers, at most once, nothing cut by a stop."""
+
+import asyncio
+import signal
+
+import pytest
+
+from gentiantrestle.http.client import LostError
+from standins.engine import token_text
+from tests.utils.fleet import Fleet, job_lines
+from tests.utils.http import Reply, until
+
+PROMPT = 'sort a spare room'
+
+
+def _text(prompt: str, count: int) -> str:
+    return ''.join(token_text(prompt, index) for index in range(count))
+
+
+async def _complete(
+    fleet: Fleet,
+    index: int,
+    prompt: str = PROMPT,
+    tokens: int = 5,
+    stream: bool = True,
+    **headers: str,
+) -> Reply:
+    body = {
+        'model': headers.pop('model', 'chat'),
+        'prompt': prompt,
+        'max_tokens': tokens,
+        'stream': stream,
+    }
+    return await fleet.call(
+        index,
+        'POST',
+        '/v1/completions',
+        body,
+        **headers,
+    )
+
+
+async def _quote(fleet: Fleet, index: int, key: str) -> Reply:
+    return await fleet.call(
+        index,
+        'POST',
+        '/v1/services/book/quote',
+        b'quote',
+        idempotency_key=key,
+    )
+
+
+async def test_stream_comes_whole(start_fleet) -> None:
+    fleet = await start_fleet('a1')
+    reply = await _complete(fleet, 0)
+    assert reply.status == 200
+    assert reply.headers['content-type'] == 'text/event-stream'
+    assert reply.body.endswith(b'data: [DONE]\n\n')
+    whole = await _complete(fleet, 0, stream=False)
+    assert whole.json()['choices'][0]['text'] == _text(PROMPT, 5)
+
+
+async def test_each_caller_gets_its_own_answer(start_fleet) -> None:
+    fleet = await start_fleet()
+    prompts = [f'note {index}' for index in range(60)]
+    replies = await asyncio.gather(
+        *(
+            _complete(fleet, index % 3, prompt, stream=False)
+            for index, prompt in enumerate(prompts)
+        )
+    )
+    for prompt, reply in zip(prompts, replies, strict=True):
+        assert reply.json()['choices'][0]['text'] == _text(prompt, 5)
+
+
+async def test_cut_stream_ends_with_an_error(start_fleet) -> None:
+    fleet = await start_fleet('a1')
+    await fleet.control_engine(0, cut_after=2)
+    reply = await _complete(fleet, 0)
+    assert b'[DONE]' not in reply.body
+    assert b'event: error' in reply.body
+    assert b'"type":"cut_short"' in reply.body
+    assert b'"run":"unknown"' in reply.body
+
+
+async def test_lost_engine_is_passed_over(start_fleet) -> None:
+    fleet = await start_fleet()
+    dead = fleet.engine_process(1)
+    await dead.end()
+    replies = await asyncio.gather(
+        *(_complete(fleet, index % 3) for index in range(30))
+    )
+    assert all(reply.body.endswith(b'[DONE]\n\n') for reply in replies)
+
+
+async def test_resend_runs_once_on_any_instance(start_fleet) -> None:
+    fleet = await start_fleet()
+    replies = await asyncio.gather(
+        *(_quote(fleet, index % 3, 'quote-1') for index in range(6))
+    )
+    assert {reply.status for reply in replies} == {200}
+    assert len({reply.body for reply in replies}) == 1
+    assert await fleet.service_runs() == {'quote': 1}
+
+
+async def test_key_of_another_body_is_a_conflict(start_fleet) -> None:
+    fleet = await start_fleet()
+    await _quote(fleet, 0, 'key')
+    other = await fleet.call(
+        1,
+        'POST',
+        '/v1/services/book/quote',
+        b'another quote',
+        idempotency_key='key',
+    )
+    assert other.status == 409
+    assert other.json()['error']['type'] == 'idempotency_key_reused'
+
+
+async def test_lost_answer_of_a_service_is_unknown(start_fleet) -> None:
+    fleet = await start_fleet()
+    await fleet.control_service(drop=True)
+    first = await _quote(fleet, 0, 'key')
+    assert first.status == 502
+    assert first.headers['x-run'] == 'unknown'
+    await fleet.control_service(drop=False)
+    again = await _quote(fleet, 1, 'key')
+    assert again.headers['x-run'] == 'unknown'
+    assert await fleet.service_runs() == {'quote': 1}
+
+
+async def test_home_killed_after_sending_leaves_it_unknown(
+    start_fleet,
+) -> None:
+    fleet = await start_fleet()
+    await fleet.control_service(delay=2)
+    first = asyncio.create_task(_quote(fleet, 0, 'key'))
+    await until(lambda: fleet.service_runs())
+    await fleet.daemons[0].end()
+    with pytest.raises(LostError):
+        await first
+    again = await _quote(fleet, 1, 'key')
+    assert again.status == 409
+    assert again.headers['x-run'] == 'unknown'
+    await fleet.start_daemon(0)
+    await until(lambda: fleet.is_ready(0))
+    third = await _quote(fleet, 0, 'key')
+    assert third.headers['x-run'] == 'unknown'
+    assert await fleet.service_runs() == {'quote': 1}
+
+
+async def test_claim_with_a_lost_answer_still_runs_once(start_fleet) -> None:
+    fleet = await start_fleet()
+    await fleet.fault(lose=1)
+    reply = await _quote(fleet, 0, 'key')
+    assert reply.status == 200
+    assert await fleet.service_runs() == {'quote': 1}
+
+
+async def test_outage_refuses_only_what_needs_the_store(start_fleet) -> None:
+    fleet = await start_fleet()
+    await fleet.fault(outage=True)
+    assert (await _complete(fleet, 0)).status == 200
+    refused = await _quote(fleet, 0, 'key')
+    assert refused.status == 503
+    assert refused.headers['x-run'] == 'not run'
+    assert not await fleet.service_runs()
+    await fleet.fault(outage=False)
+    assert (await _quote(fleet, 1, 'key')).status == 200
+
+
+async def test_planned_stop_cuts_no_stream(start_fleet) -> None:
+    fleet = await start_fleet(engine_words=('step=0.02',))
+    streams = [
+        asyncio.create_task(_complete(fleet, 0, f'p{index}', 50))
+        for index in range(6)
+    ]
+    await until(lambda: fleet.engine_runs())
+    status = await fleet.daemons[0].end(signal.SIGTERM)
+    assert status == 0
+    for reply in await asyncio.gather(*streams):
+        assert reply.body.endswith(b'data: [DONE]\n\n')
+
+
+async def test_rolling_restart_under_load_cuts_nothing(start_fleet) -> None:
+    fleet = await start_fleet()
+    replies: list[Reply] = []
+    stopping: set[int] = set()
+    finished = asyncio.Event()
+
+    async def load(worker: int) -> None:
+        turn = worker
+        while not finished.is_set():
+            turn = (turn + 1) % 3
+            if turn not in stopping:
+                replies.append(await _complete(fleet, turn, f'w{worker}'))
+
+    job = (await fleet.submit(0, job_lines(60, 20), 'job')).json()['id']
+    workers = [asyncio.create_task(load(worker)) for worker in range(4)]
+    for index in range(3):
+        stopping.add(index)
+        assert await fleet.daemons[index].end(signal.SIGTERM) == 0
+        await fleet.start_daemon(index)
+        await until(lambda index=index: fleet.is_ready(index))
+        stopping.discard(index)
+    finished.set()
+    await asyncio.gather(*workers)
+    refused = [reply for reply in replies if reply.status != 200]
+    assert all(reply.headers['x-run'] == 'not run' for reply in refused)
+    whole = [reply for reply in replies if reply.status == 200]
+    assert whole
+    assert all(reply.body.endswith(b'[DONE]\n\n') for reply in whole)
+    status = await fleet.wait_for_end(0, job)
+    assert status['request_counts']['completed'] == 60
+
+
+async def test_leaving_engine_gets_no_new_work(start_fleet) -> None:
+    fleet = await start_fleet()
+    await fleet.control_engine(1, leaving=5)
+    replies = await asyncio.gather(
+        *(_complete(fleet, 0, f'p{index}') for index in range(12))
+    )
+    assert {reply.status for reply in replies} == {200}
+    marks = {
+        one['upstream']: one['leaving']
+        for one in (await fleet.status(0))['upstreams']
+    }
+    assert marks == {'e0': False, 'e1': True, 'e2': False, 's0': False}
+
+
+async def test_live_list_marks_leaving_until_a_new_incarnation(
+    start_fleet,
+) -> None:
+    fleet = await start_fleet()
+
+    async def say(state: str, incarnation: int) -> None:
+        entry = {'state': state, 'incarnation': incarnation}
+        await fleet.write_object(
+            'live/a1',
+            {
+                'region': 'a',
+                'upstreams': {'e1': entry},
+            },
+        )
+
+    async def is_leaving(index: int) -> bool:
+        status = await fleet.status(index)
+        return any(
+            one['leaving']
+            for one in status['upstreams']
+            if one['upstream'] == 'e1'
+        )
+
+    await say('leaving', 1)
+    for index in range(3):
+        await until(lambda index=index: is_leaving(index))
+    await say('live', 1)
+    await say('live', 2)
+
+    async def is_back(index: int) -> bool:
+        return not await is_leaving(index)
+
+    for index in range(3):
+        await until(lambda index=index: is_back(index))
--- a/tests/utils/fleet.py
+++ b/tests/utils/fleet.py
@@ -103,6 +103,7 @@
 
     async def start_daemon(self, index: int) -> None:
         """Start one daemon, or start it again."""
+        peers = ','.join(map(str, self.peers))
         await self.daemons[index].start(
             'gentiantrestle.core',
             f'--instance=i{index}',
@@ -111,7 +112,7 @@
             f'--http_port={self.http[index].port}',
             f'--peer_port={self.peers[index].port}',
             f'--store={self.platform}',
-            '--peers={0}'.format(','.join(map(str, self.peers))),
+            f'--peers={peers}',
             f'--admin_key_hash={hash_of(OPERATOR_KEY)}',
             '--lease=1.5',
             '--silence=0.6',
@@ -141,6 +142,20 @@
         """Switch faults of an engine."""
         await send(self.engines[index], 'POST', '/control', switches)
 
+    async def control_service(self, **switches: Any) -> None:
+        """Switch faults of the plain service."""
+        await send(self.service, 'POST', '/control', switches)
+
+    def engine_process(self, index: int) -> Process:
+        """Return an engine's process."""
+        engines = [one for one in self._standins if one.name == 'engine']
+        return engines[index]
+
+    async def write_object(self, name: str, document: dict[str, Any]) -> None:
+        """Write an object as the platform itself would."""
+        target = f'/v1/objects/{name}'
+        await send(self.platform, 'PUT', target, document)
+
     async def engine_runs(self) -> dict[str, int]:
         """Count the runs of each prompt over all engines."""
         runs: dict[str, int] = {}
@@ -239,7 +254,7 @@
             'revision': revision,
             'upstreams': {**engines, 's0': service},
             'deployments': {
-                'd': {'model': 'm', 'version': '1', 'upstreams': [*engines]},
+                'd': {'model': 'm', 'version': '1', 'upstreams': list(engines)},
                 'svc': {'model': 's', 'version': '1', 'upstreams': ['s0']},
             },
             'endpoints': {
--- a/tests/utils/ports.py
+++ b/tests/utils/ports.py
@@ -1,17 +1,37 @@
-"""Free ports on the loopback address."""
+"""Ports on the loopback address, different ones for each test worker."""
 
+import os
 import socket
+from collections.abc import Iterator
+from contextlib import suppress
+from itertools import cycle, islice
 
 HOST = '127.0.0.1'
+FIRST_PORT = 20000
+PORTS_PER_WORKER = 1500
+WORKERS = 8
+
+
+def _candidates() -> Iterator[int]:
+    """Go round ports below those that outgoing connections are given."""
+    name = os.environ.get('PYTEST_XDIST_WORKER', 'gw0')
+    worker = int(name.removeprefix('gw')) % WORKERS
+    first = FIRST_PORT + worker * PORTS_PER_WORKER
+    ports = range(first, first + PORTS_PER_WORKER)
+    start = os.getpid() % PORTS_PER_WORKER
+    return islice(cycle(ports), start, None)
+
+
+def _unused() -> Iterator[int]:
+    for port in _candidates():
+        with suppress(OSError), socket.socket() as probe:
+            probe.bind((HOST, port))
+            yield port
+
+
+PORTS = _unused()
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that nobody listens on right now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind((HOST, 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
+    """Return ports that nobody listens on."""
+    return list(islice(PORTS, count))
