Benchmarks: hop, tokens, harm, blocking, slowed, flood, burst, store, recovery

Cause: no figure stood behind the policy. Change: benchmarks/ with an open-loop driver and seeded arrivals.

--- /dev/null
+++ b/benchmarks/core.py
@@ -0,0 +1,42 @@
+"""Run measurements: ``make bench`` or ``make bench ARGS='hop tokens'``."""
+
+import asyncio
+import sys
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from benchmarks import hop, policy, recovery
+
+MEASUREMENTS: dict[str, Callable[[Path], Awaitable[list[str]]]] = {
+    'hop': hop.measure_hop,
+    'tokens': hop.measure_tokens,
+    'harm': policy.measure_harm,
+    'blocking': policy.measure_blocking,
+    'slowed': policy.measure_slowed,
+    'flood': policy.measure_flood,
+    'burst': policy.measure_burst,
+    'decision': policy.measure_decision,
+    'store': recovery.measure_store,
+    'takeover': recovery.measure_takeover,
+    'config': recovery.measure_config,
+}
+
+
+def main() -> None:
+    """Run the measurements that are named, or all of them."""
+    names = sys.argv[1:] or list(MEASUREMENTS)
+    unknown = set(names) - set(MEASUREMENTS)
+    if unknown:
+        sys.stderr.write(f'no such measurement: {sorted(unknown)}\n')
+        sys.exit(2)
+    for name in names:
+        with tempfile.TemporaryDirectory() as folder:
+            lines = asyncio.run(MEASUREMENTS[name](Path(folder)))
+        for line in lines:
+            sys.stdout.write(f'{name}: {line}\n')
+            sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/benchmarks/hop.py
@@ -0,0 +1,111 @@
+"""The cost of one entry hop, of streamed tokens, and of open streams."""
+
+import asyncio
+import os
+import time
+from pathlib import Path
+
+from hdrh.histogram import HdrHistogram
+
+from benchmarks.load import (
+    DIGITS,
+    LONGEST,
+    MICROSECONDS,
+    Arrival,
+    Shape,
+    Timings,
+    build,
+    drive,
+)
+from gentiantrestle.http.client import Pool
+from tests.utils.fleet import CLIENT_KEY, Fleet
+
+ROUNDS = 600
+OPEN_STREAMS = 200
+TOKENS = 300
+TICKS = os.sysconf('SC_CLK_TCK')
+MEBIBYTE = 1048576
+
+
+async def measure_hop(folder: Path) -> list[str]:
+    """Compare a call through a daemon with a direct one, in turn."""
+    fleet = Fleet(folder, ('a1',))
+    fleet.engine_words = ('slots=64', 'step=0.002')
+    await fleet.start()
+    try:
+        return await _compare(fleet)
+    finally:
+        await fleet.stop()
+
+
+async def _compare(fleet: Fleet) -> list[str]:
+    direct = HdrHistogram(1, LONGEST, DIGITS)
+    through = HdrHistogram(1, LONGEST, DIGITS)
+    shape = Shape('one', 16, 1)
+    engine = Pool(fleet.engines[0], 4, 5)
+    daemon = Pool(fleet.http[0], 4, 5)
+    for turn in range(ROUNDS):
+        call = build(Arrival(0, shape, 0, f'hop {turn}'))
+        await _time(engine, call, direct)
+        await _time(daemon, call, through)
+    lines = []
+    for percent in (50, 99):
+        before = direct.get_value_at_percentile(percent)
+        after = through.get_value_at_percentile(percent)
+        lines.append(
+            f'hop p{percent}: direct {before / 1000:.2f} ms, through '
+            f'{after / 1000:.2f} ms, ratio {after / before:.3f}',
+        )
+    return lines
+
+
+async def _time(pool: Pool, call: object, histogram: HdrHistogram) -> None:
+    began = time.monotonic()
+    await pool.fetch(call)
+    histogram.record_value(int((time.monotonic() - began) * MICROSECONDS))
+
+
+async def measure_tokens(folder: Path) -> list[str]:
+    """Stream many answers through one daemon; count tokens a CPU second."""
+    fleet = Fleet(folder, ('a1',))
+    fleet.engine_words = (f'slots={OPEN_STREAMS}', 'step=0.012')
+    fleet.slots = OPEN_STREAMS
+    await fleet.start()
+    try:
+        return await _stream(fleet)
+    finally:
+        await fleet.stop()
+
+
+async def _stream(fleet: Fleet) -> list[str]:
+    pid = fleet.daemons[0].child.pid
+    shape = Shape('stream', TOKENS, 1, CLIENT_KEY)
+    plan = [
+        Arrival(index * 0.002, shape, 0, f't{index}')
+        for index in range(OPEN_STREAMS)
+    ]
+    timings = Timings()
+    before, began = _cpu_seconds(pid), time.monotonic()
+    loaded = asyncio.create_task(drive(fleet.http, plan, timings))
+    await asyncio.sleep(2)
+    memory = _memory(pid)
+    await loaded
+    spent, passed = _cpu_seconds(pid) - before, time.monotonic() - began
+    tokens = timings.whole * TOKENS
+    return [
+        f'streams: {timings.whole} whole, {timings.broken} broken, '
+        f'{tokens / passed:.0f} tokens/s for {passed:.1f} s',
+        f'tokens for each CPU second of the daemon: {tokens / spent:.0f} '
+        f'(target 6800), CPU share {spent / passed:.2f}',
+        f'memory at {OPEN_STREAMS} open streams: {memory / MEBIBYTE:.0f} MiB',
+    ]
+
+
+def _cpu_seconds(pid: int) -> float:
+    fields = Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def _memory(pid: int) -> int:
+    pages = Path(f'/proc/{pid}/statm').read_text().split()[1]
+    return int(pages) * os.sysconf('SC_PAGE_SIZE')
--- /dev/null
+++ b/benchmarks/recovery.py
@@ -0,0 +1,134 @@
+"""Store calls, take-over after a death, and configuration changes."""
+
+import asyncio
+import time
+from pathlib import Path
+from statistics import median
+
+from benchmarks.policy import start_fleet
+from tests.utils.fleet import Fleet, job_lines
+from tests.utils.http import send, until
+
+ITEMS = 5000
+ROUNDS = 5
+
+
+async def measure_store(folder: Path) -> list[str]:
+    """Store writes for 1,000 batch items and for each online request."""
+    fleet = await start_fleet(folder)
+    try:
+        before = await _calls(fleet)
+        job = (await fleet.submit(0, job_lines(ITEMS, 4), 'store')).json()
+        await until(lambda: _ended(fleet, job['id']), 60)
+        after = await _calls(fleet)
+        online = await _calls(fleet)
+        for index in range(200):
+            await fleet.call(
+                index % 9,
+                'POST',
+                '/v1/completions',
+                {
+                    'model': 'chat',
+                    'prompt': f'p{index}',
+                    'max_tokens': 1,
+                },
+            )
+        last = await _calls(fleet)
+    finally:
+        await fleet.stop()
+    scale = 1000 / ITEMS
+    names = ('write', 'get', 'list')
+    return [
+        'for 1,000 batch items: '
+        + ', '.join(
+            f'{(after.get(name, 0) - before.get(name, 0)) * scale:.1f} {name}s'
+            for name in names
+        )
+        + ' (aim: under 20 writes)',
+        f'for 200 online requests: {last["write"] - online["write"]} writes '
+        '(aim: 0)',
+    ]
+
+
+async def _calls(fleet: Fleet) -> dict[str, int]:
+    return (await send(fleet.platform, 'POST', '/control', {})).json()['calls']
+
+
+async def _ended(fleet: Fleet, job: str) -> bool:
+    return (await fleet.job(1, job))['status'] != 'running'
+
+
+async def measure_takeover(folder: Path) -> list[str]:
+    """Time from a holder's death until all its chunks run elsewhere."""
+    fleet = await start_fleet(folder)
+    try:
+        job = (await fleet.submit(0, job_lines(2000, 100), 'take')).json()
+        await asyncio.sleep(1.5)
+        victim = await _busiest(fleet)
+        began = time.monotonic()
+        await fleet.daemons[victim].end()
+        held = [
+            name
+            for name, record in (await _chunks(fleet, job['id'])).items()
+            if record['owner'] == f'i{victim}' and record['state'] == 'held'
+        ]
+        await until(lambda: _moved(fleet, job['id'], held, victim), 60)
+        passed = time.monotonic() - began
+    finally:
+        await fleet.stop()
+    return [
+        f'{len(held)} chunks of a killed holder ran again after '
+        f'{passed:.2f} s (silence 0.6 s, lease 1.5 s)',
+    ]
+
+
+async def _chunks(fleet: Fleet, job: str) -> dict[str, dict]:
+    target = f'/v1/objects?values=1&prefix=chunks/{job}/'
+    listing = (await send(fleet.platform, 'GET', target)).json()
+    return {one['name']: one['body'] for one in listing['objects']}
+
+
+async def _busiest(fleet: Fleet) -> int:
+    batch = [
+        sum(one['batch'] for one in (await fleet.status(index))['upstreams'])
+        for index in range(len(fleet.http))
+    ]
+    return batch.index(max(batch))
+
+
+async def _moved(
+    fleet: Fleet,
+    job: str,
+    held: list[str],
+    victim: int,
+) -> bool:
+    records = await _chunks(fleet, job)
+    return all(
+        records[name]['owner'] != f'i{victim}'
+        or records[name]['state'] == 'done'
+        for name in held
+    )
+
+
+async def measure_config(folder: Path) -> list[str]:
+    """Time from acceptance of a configuration to the last instance."""
+    fleet = await start_fleet(folder)
+    times = []
+    try:
+        for revision in range(1, ROUNDS + 1):
+            await fleet.apply(fleet.document(revision), revision)
+            began = time.monotonic()
+            for index in range(len(fleet.http)):
+                await until(
+                    lambda index=index, revision=revision: fleet.runs_revision(
+                        index,
+                        revision + 1,
+                    ),
+                )
+            times.append(time.monotonic() - began)
+    finally:
+        await fleet.stop()
+    return [
+        f'in force at 9 instances after median {median(times):.2f} s, at '
+        f'most {max(times):.2f} s (aim: 4 s)',
+    ]
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -86,6 +86,7 @@
         self._reports: deque[Report] = deque()
         self._runs: Counter[str] = Counter()
         self._fence = 0
+        self._made = 0
         self._orders: list[dict[str, Any]] = []
         self._cut_after: int | None = None
         self._leaving: int | None = None
@@ -118,6 +119,7 @@
             pace = self._cfg.step * (1 + OCCUPANCY_COST * share)
             await asyncio.sleep(pace * self._slow)
             now = time.monotonic()
+            self._made += len(self._running)
             self._running = [
                 stream
                 for stream in self._running
@@ -136,7 +138,13 @@
             return self._order(await req.read_json(MAX_BODY))
         if req.path == '/load':
             return answer_json(self._lagging_load())
-        return answer_json({'runs': self._runs, 'orders': self._orders})
+        return answer_json(
+            {
+                'runs': self._runs,
+                'orders': self._orders,
+                'made': self._made,
+            }
+        )
 
     def _admit(self) -> None:
         while self._waiting and len(self._running) < self._cfg.slots:
--- a/tests/utils/fleet.py
+++ b/tests/utils/fleet.py
@@ -73,6 +73,8 @@
         self.engines = [Address(HOST, next(ports)) for _ in self.zones]
         self.http = [Address(HOST, next(ports)) for _ in self.zones]
         self.peers = [Address(HOST, next(ports)) for _ in self.zones]
+        self.engine_zones: tuple[str, ...] = self.zones
+        self.slots = SLOTS
         self.daemons: list[Process] = []
         self._standins: list[Process] = []
         self.engine_words: tuple[str, ...] = (f'slots={SLOTS}', 'step=0.005')
@@ -165,6 +167,13 @@
                 runs[prompt] = runs.get(prompt, 0) + count
         return runs
 
+    async def engine_tokens(self) -> dict[str, int]:
+        """Count the tokens that each engine has made."""
+        return {
+            str(address): (await send(address, 'GET', '/stats')).json()['made']
+            for address in self.engines
+        }
+
     async def service_runs(self) -> dict[str, int]:
         """Count the runs of each body at the plain service."""
         return (await send(self.service, 'GET', '/stats')).json()['runs']
@@ -237,10 +246,10 @@
         """Describe the fleet's configuration."""
         engines = {
             f'e{index}': {
-                'zone': self.zones[index],
+                'zone': self.engine_zones[index],
                 'address': str(address),
                 'kind': 'engine',
-                'slots': SLOTS,
+                'slots': self.slots,
             }
             for index, address in enumerate(self.engines)
         }
