--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -93,10 +93,14 @@
     spent, passed = _cpu_seconds(pid) - before, time.monotonic() - began
     tokens = timings.whole * TOKENS
     return [
-        f'streams: {timings.whole} whole, {timings.broken} broken, '
-        f'{tokens / passed:.0f} tokens/s for {passed:.1f} s',
-        f'tokens for each CPU second of the daemon: {tokens / spent:.0f} '
-        f'(target 6800), CPU share {spent / passed:.2f}',
+        (
+            f'streams: {timings.whole} whole, {timings.broken} broken, '
+            f'{tokens / passed:.0f} tokens/s for {passed:.1f} s'
+        ),
+        (
+            f'tokens for each CPU second of the daemon: {tokens / spent:.0f} '
+            f'(target 6800), CPU share {spent / passed:.2f}'
+        ),
         f'memory at {OPEN_STREAMS} open streams: {memory / MEBIBYTE:.0f} MiB',
     ]
 
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -134,11 +134,9 @@
 
 async def _has_batch(fleet: Fleet) -> bool:
     return any(
-        [
-            one['batch']
-            for index in range(len(fleet.http))
-            for one in (await fleet.status(index))['upstreams']
-        ]
+        one['batch']
+        for index in range(len(fleet.http))
+        for one in (await fleet.status(index))['upstreams']
     )
 
 
--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -46,8 +46,10 @@
             for name in names
         )
         + ' (aim: under 20 writes)',
-        f'for 200 online requests: {last["write"] - online["write"]} writes '
-        '(aim: 0)',
+        (
+            f'for 200 online requests: {last["write"] - online["write"]} writes '
+            '(aim: 0)'
+        ),
     ]
 
 
@@ -78,8 +80,10 @@
     finally:
         await fleet.stop()
     return [
-        f'{len(held)} chunks of a killed holder ran again after '
-        f'{passed:.2f} s (silence 1.5 s, lease 6 s)',
+        (
+            f'{len(held)} chunks of a killed holder ran again after '
+            f'{passed:.2f} s (silence 1.5 s, lease 6 s)'
+        ),
     ]
 
 
@@ -130,6 +134,8 @@
     finally:
         await fleet.stop()
     return [
-        f'in force at 9 instances after median {median(times):.2f} s, at '
-        f'most {max(times):.2f} s (aim: 4 s)',
+        (
+            f'in force at 9 instances after median {median(times):.2f} s, at '
+            f'most {max(times):.2f} s (aim: 4 s)'
+        ),
     ]
--- a/gentiantrestle/daemon/upstreams/adapter.py
+++ b/gentiantrestle/daemon/upstreams/adapter.py
@@ -66,13 +66,13 @@
 
     def feed(self, part: bytes) -> None:
         """Look at one part of the stream."""
-        self.events += part.count(EVENT_END)
+        self.events += (self._tail[-1:] + part).count(EVENT_END)
         self._tail = (self._tail + part)[-TAIL_LENGTH:]
 
     @property
     def is_whole(self) -> bool:
         """Tell whether the last event was the mark of the end."""
-        return self._tail.rstrip().endswith(DONE_MARK)
+        return self._tail.endswith(DONE_MARK + EVENT_END)
 
 
 class StreamReader:
--- /dev/null
+++ b/tests/decisions/test_configuration.py
@@ -0,0 +1,179 @@
+"""Configurations: every problem at once, and never going back."""
+
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gentiantrestle.config import Settings
+from gentiantrestle.daemon.batch.intake import chunk_limit
+from gentiantrestle.daemon.configuration.admin import Proposal, decide
+from gentiantrestle.daemon.configuration.document import validate
+from gentiantrestle.daemon.configuration.mirror import Copied, Mirror
+from gentiantrestle.errors import Refusal
+from gentiantrestle.library.draft import Draft
+
+GIVEN = {
+    'instance': 'i0',
+    'zone': 'a1',
+    'region': 'a',
+    'store': '127.0.0.1:7000',
+}
+
+
+def _document() -> dict[str, Any]:
+    return {
+        'revision': 3,
+        'upstreams': {
+            'u': {
+                'zone': 'a1',
+                'address': '127.0.0.1:1',
+                'kind': 'engine',
+                'slots': 1,
+            },
+        },
+        'deployments': {
+            'd': {'model': 'm', 'version': '1', 'upstreams': ['u']},
+        },
+        'endpoints': {'e': {'deployment': 'd', 'max_prompt': 9}},
+        'clients': {'c': {'key_hashes': ['0' * 64]}},
+    }
+
+
+def _with(path: str, found: Any) -> dict[str, Any]:
+    document = _document()
+    *way, last = path.split('.')
+    target = document
+    for name in way:
+        target = target[name]
+    target[last] = found
+    return document
+
+
+@pytest.mark.parametrize(
+    ('path', 'wrong'),
+    [
+        ('colour', 'red'),
+        ('upstreams', []),
+        ('upstreams.u', 7),
+        ('upstreams.u.slots', 'many'),
+        ('upstreams.u.slots', 0),
+        ('upstreams.u.kind', 'cat'),
+        ('upstreams.u.colour', 'red'),
+        ('upstreams.u.address', 'host:1'),
+        ('deployments.d.upstreams', ['none']),
+        ('endpoints.e.deployment', 'none'),
+        ('endpoints.e.max_prompt', 0),
+        ('endpoints.e.repeatable', 'yes'),
+        ('clients.c.key_hashes', ['short']),
+    ],
+)
+def test_wrong_field_is_named_with_a_remedy(path: str, wrong: Any) -> None:
+    problems = validate(_with(path, wrong))
+    assert [problem.field for problem in problems] == [path]
+    assert problems[0].remedy
+
+
+def test_all_problems_come_at_once() -> None:
+    document = _with('upstreams.u.slots', 0)
+    document['endpoints']['e'] = {'deployment': 'none', 'max_prompt': 0}
+    assert len(validate(document)) == 3
+
+
+@pytest.mark.parametrize(
+    ('based_on', 'current', 'kind'),
+    [(3, 3, ''), (3, 4, 'conflict'), (4, 3, 'conflict')],
+)
+def test_change_needs_the_revision_in_force(
+    based_on: int,
+    current: int,
+    kind: str,
+) -> None:
+    decided = decide(Proposal(_document(), based_on), current)
+    if kind:
+        assert isinstance(decided, Refusal)
+        assert decided.kind.name == kind
+        assert str(current) in decided.reason
+        assert str(based_on) in decided.reason
+        return
+    assert decided['revision'] == current + 1
+
+
+@given(st.lists(st.tuples(st.integers(1, 40), st.booleans())))
+@settings(derandomize=True, deadline=None)
+def test_a_copy_never_goes_back(changes: list[tuple[int, bool]]) -> None:
+    mirror = Mirror()
+    seen = []
+    mirror.listen('conf/', lambda copied: seen.append(copied.version))
+    for version, deleted in changes:
+        document = None if deleted else {'at': version}
+        mirror.apply([Copied('conf/x', version, document)], version)
+    assert seen == sorted(set(seen))
+    versions = [version for version, _ in changes]
+    assert mirror.revision == max(versions, default=0)
+
+
+def test_a_copy_passes_on_what_has_changed() -> None:
+    mirror = Mirror()
+    mirror.apply(
+        [Copied('a', 1, {}), Copied('b', 5, {}), Copied('c', 7, None)],
+        7,
+    )
+    assert {copied.name for copied in mirror.since(4)} == {'b', 'c'}
+    assert mirror.get('c') is None
+
+
+def test_draft_shows_its_difference() -> None:
+    draft = Draft(_document()).remove('clients', 'c')
+    draft.endpoint('f', deployment='d', max_prompt=5)
+    assert [line.split(' = ')[0] for line in draft.difference()] == [
+        '+ endpoints.f',
+        '- clients.c',
+    ]
+    assert draft.document['revision'] == 3
+
+
+@pytest.mark.parametrize(
+    ('flags', 'environ', 'names'),
+    [
+        ({}, {}, ['instance', 'zone', 'region', 'store']),
+        ({**GIVEN, 'http_port': '0'}, {}, ['http_port']),
+        ({**GIVEN, 'http_port': 'x', 'lease': '0'}, {}, ['http_port', 'lease']),
+        ({**GIVEN, 'store': 'name:1'}, {}, ['store']),
+        ({**GIVEN, 'log_level': 'LOUD'}, {}, ['log_level']),
+        ({**GIVEN, 'admin_key_hash': 'key'}, {}, ['admin_key_hash']),
+        (GIVEN, {'GENTIANTRESTLE_LOG_JSON': 'perhaps'}, ['log_json']),
+    ],
+)
+def test_all_wrong_settings_come_at_once(
+    flags: dict[str, str],
+    environ: dict[str, str],
+    names: list[str],
+) -> None:
+    problems = Settings.from_sources(flags, environ)
+    assert sorted(one.name for one in problems) == sorted(names)
+    assert all(one.remedy for one in problems)
+
+
+def test_flags_go_before_the_environment() -> None:
+    environ = {
+        'GENTIANTRESTLE_ZONE': 'from-environment',
+        'GENTIANTRESTLE_LEASE': '9',
+    }
+    cfg = Settings.from_sources(GIVEN, environ)
+    assert (cfg.zone, cfg.lease) == ('a1', 9)
+
+
+def test_secrets_are_not_shown() -> None:
+    secret = '0' * 64
+    cfg = Settings.from_sources({**GIVEN, 'admin_key_hash': secret}, {})
+    assert secret not in ' '.join(chosen.shown for chosen in cfg.chosen)
+
+
+@pytest.mark.parametrize(
+    ('body', 'line', 'limit'),
+    [(0, 100, 256), (12000, 100, 16), (200000, 100, 200), (10**7, 100, 256)],
+)
+def test_short_jobs_are_split_too(body: int, line: int, limit: int) -> None:
+    assert chunk_limit(body, line) == limit
--- /dev/null
+++ b/tests/decisions/test_membership.py
@@ -0,0 +1,121 @@
+"""Liveness by silence, sticky leaving, pauses and clock steps."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gentiantrestle.daemon.membership.rendezvous import owner, rank
+from gentiantrestle.daemon.membership.view import Member, State, View
+
+SILENCE = 2.0
+
+
+def _member(name: str, **changes: object) -> Member:
+    fields = {
+        'instance': name,
+        'incarnation': 1,
+        'beat': 1,
+        'zone': 'a1',
+        'region': 'a',
+        'host': '127.0.0.1',
+        'peer_port': 1,
+        'http_port': 2,
+        'state': State.SERVING,
+    }
+    return Member(**{**fields, **changes})
+
+
+def _view(*members: Member, now: float = 0) -> View:
+    view = View(_member('me'), SILENCE)
+    view.merge(members, now)
+    return view
+
+
+@pytest.mark.parametrize(
+    ('now', 'alive'),
+    [(0, True), (SILENCE, True), (SILENCE + 0.1, False)],
+)
+def test_silence_makes_a_member_lost(now: float, alive: bool) -> None:
+    assert ('x' in _view(_member('x')).names(now)) is alive
+
+
+def test_an_old_beat_does_not_revive() -> None:
+    view = _view(_member('x', beat=5))
+    assert view.merge([_member('x', beat=5)], 9) == []
+    assert view.merge([_member('x', beat=4)], 9) == []
+    assert view.names(9) == ['me']
+    assert view.merge([_member('x', beat=6)], 9) == ['x']
+
+
+def test_leaving_sticks_until_a_new_incarnation() -> None:
+    view = _view(_member('x', state=State.LEAVING))
+    view.merge([_member('x', beat=2)], 1)
+    assert view.names(1) == ['me']
+    view.merge([_member('x', incarnation=2)], 1)
+    assert view.names(1) == ['me', 'x']
+
+
+def test_own_leaving_is_final() -> None:
+    view = _view()
+    view.say(state=State.LEAVING)
+    view.say(state=State.SERVING)
+    assert view.names(0) == []
+
+
+def test_own_pause_is_no_silence_of_others() -> None:
+    view = _view(_member('x'))
+    view.tick(0.5)
+    view.tick(60)
+    assert view.names(60) == ['me', 'x']
+    view.tick(60.1)
+    assert view.names(60 + SILENCE + 0.2) == ['me']
+
+
+def test_a_restarted_instance_is_another_one() -> None:
+    view = _view(_member('x'))
+    view.merge([_member('x', incarnation=2)], 1)
+    assert not view.is_alive('x', 1, 1)
+    assert view.is_alive('x', 2, 1)
+
+
+@pytest.mark.parametrize(
+    ('other_beats', 'missing'),
+    [(True, True), (False, False)],
+)
+def test_missing_needs_a_zone_in_reach(
+    other_beats: bool,
+    missing: bool,
+) -> None:
+    far = {'zone': 'b1'}
+    view = _view(_member('x', **far), _member('y', **far))
+    now = SILENCE * 2 + 1
+    if other_beats:
+        view.merge([_member('y', beat=2, **far)], now)
+    assert view.is_missing('x', now) is missing
+
+
+@given(st.lists(st.integers(1, 30), min_size=1), st.integers(0, 29))
+@settings(derandomize=True, deadline=None)
+def test_merging_in_any_order_gives_the_newest(
+    beats: list[int],
+    split: int,
+) -> None:
+    members = [_member('x', beat=beat) for beat in beats]
+    one, two = _view(), _view()
+    one.merge(members, 1)
+    two.merge(members[split:] + members[:split], 1)
+    assert one.find('x') == two.find('x')
+    assert one.find('x').beat == max(beats)
+
+
+@given(st.sets(st.text(min_size=1), min_size=2), st.text())
+@settings(derandomize=True, deadline=None)
+def test_only_the_lost_owners_keys_move(names: set[str], key: str) -> None:
+    first, second, *_ = rank(key, names)
+    assert owner(key, names) == first
+    assert owner(key, names - {first}) == second
+    assert owner(key, names - {second}) == first
+
+
+def test_nobody_owns_in_an_empty_zone() -> None:
+    assert owner('key', ()) is None
--- /dev/null
+++ b/tests/interfaces/test_callers.py
@@ -0,0 +1,206 @@
+"""Contract of the callers' HTTP side: bad requests and bad jobs."""
+
+import asyncio
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from tests.utils.fleet import CLIENT_KEY, Fleet, job_lines
+from tests.utils.http import Reply, send_raw
+
+scenarios('../features/callers.feature')
+
+COMPLETIONS = '/v1/completions'
+GOOD = {'model': 'chat', 'prompt': 'hi', 'max_tokens': 1}
+BODIES: dict[str, Any] = {
+    'an unknown model': {**GOOD, 'model': 'none'},
+    'no model': {'prompt': 'hi'},
+    'no JSON': b'{"model": ',
+    'a JSON list': b'[]',
+    'no prompt': {'model': 'chat'},
+    'an empty prompt': {**GOOD, 'prompt': ''},
+    'too many tokens': {**GOOD, 'max_tokens': 10**9},
+    'tokens as text': {**GOOD, 'max_tokens': 'ten'},
+    'an over-long prompt': {**GOOD, 'prompt': 'x' * 1001},
+    'an over-large body': b'x' * (1024 * 1024 + 1),
+}
+RAW = {
+    'a huge header': b'GET /v1/models HTTP/1.1\r\nHost: x\r\nX: '
+    + b'y' * 100000
+    + b'\r\n\r\n',
+    'broken HTTP': b'not http at all\r\n\r\n',
+}
+
+
+def _line(**changes: Any) -> bytes:
+    item = {'custom_id': 'c', 'url': COMPLETIONS, 'body': GOOD}
+    return msgspec.json.encode({**item, **changes}) + b'\n'
+
+
+JOBS = {
+    'nothing': b'',
+    'a doubled custom id': _line() + _line(),
+    'malformed line 3': job_lines(2) + b'{"custom_id": \n',
+    'an over-size item': _line(body={**GOOD, 'pad': 'x' * 300000}),
+    'an unknown model': _line(body={**GOOD, 'model': 'none'}),
+    'two models': _line()
+    + _line(
+        custom_id='d',
+        body={**GOOD, 'model': 'once'},
+    ),
+    'an unknown url': _line(url='/v1/else'),
+    'an over-long prompt': _line(body={**GOOD, 'prompt': 'x' * 1001}),
+    'a bad window': job_lines(1),
+}
+
+
+class World:
+    """A fleet of one instance, shared by all scenarios of this module."""
+
+    def __init__(self, folder: Path) -> None:
+        """Start the fleet on a loop of its own."""
+        self.runner = asyncio.Runner()
+        self.fleet = Fleet(folder, ('a1',))
+        self.runner.run(self.fleet.start())
+        self.reply: Reply | None = None
+
+    def close(self) -> None:
+        """End the fleet."""
+        self.runner.run(self.fleet.stop())
+        self.runner.close()
+
+    def call(self, method: str, target: str, body: Any, **fields: str) -> None:
+        """Send a call and keep its answer."""
+        sent = self.fleet.call(0, method, target, body, **fields)
+        self.reply = self.runner.run(sent)
+
+    def raw(self, sent: bytes) -> None:
+        """Send bytes as they are and keep the answer."""
+        came = self.runner.run(send_raw(self.fleet.http[0], sent))
+        head, _, body = came.partition(b'\r\n\r\n')
+        lines = head.decode().split('\r\n')
+        headers = dict(line.lower().split(': ', 1) for line in lines[1:])
+        self.reply = Reply(int(lines[0].split()[1]), headers, body)
+
+
+@pytest.fixture(scope='module')
+def world(tmp_path_factory: pytest.TempPathFactory) -> Iterator[World]:
+    """Share one fleet between the scenarios."""
+    shared = World(tmp_path_factory.mktemp('callers'))
+    yield shared
+    shared.close()
+
+
+@given('an instance with one engine')
+def _instance(world: World) -> None:
+    world.reply = None
+
+
+@when(parsers.re('a caller sends (?P<request>.*)'))
+def _send(world: World, request: str) -> None:
+    request = request.strip()
+    if request in BODIES:
+        world.call('POST', COMPLETIONS, BODIES[request])
+    elif request in RAW:
+        world.raw(RAW[request])
+    else:
+        _send_other(world, request)
+
+
+def _send_other(world: World, request: str) -> None:
+    chat = '/v1/chat/completions'
+    texts = {'model': 'chat', 'messages': ['hi']}
+    calls: dict[str, tuple[str, str, Any, dict[str, str]]] = {
+        'messages of texts': ('POST', chat, texts, {}),
+        'a wrong method': ('DELETE', COMPLETIONS, b'', {}),
+        'an unknown path': ('GET', '/v1/nothing', b'', {}),
+        'no key': ('POST', COMPLETIONS, GOOD, {'authorization': 'none'}),
+        'a wrong key': ('POST', COMPLETIONS, GOOD, {'key': 'wrong'}),
+        "a client's key to admin": ('GET', '/admin/config', b'', {}),
+    }
+    method, target, body, fields = calls[request]
+    world.call(method, target, body, **fields)
+
+
+@when(parsers.re('a caller submits (?P<job>.*)'))
+def _submit(world: World, job: str) -> None:
+    window = '-1' if job == 'a bad window' else '60'
+    target = f'/v1/batches?completion_window={window}'
+    world.call('POST', target, JOBS[job.strip()])
+
+
+@then(parsers.parse('the answer is {status:d} of type {kind}'))
+def _answer(world: World, status: int, kind: str) -> None:
+    assert (world.reply.status, world.reply.json()['error']['type']) == (
+        status,
+        kind.strip(),
+    )
+
+
+@then('it says that the work was not run')
+def _not_run(world: World) -> None:
+    assert world.reply.headers['x-run'] == 'not run'
+    assert world.reply.json()['error']['run'] == 'not run'
+
+
+@then('it names a remedy')
+def _remedy(world: World) -> None:
+    assert world.reply.json()['error']['remedy'].endswith('.')
+
+
+@then('no engine has run anything')
+def _no_run(world: World) -> None:
+    assert not world.runner.run(world.fleet.engine_runs())
+
+
+@then(parsers.parse('the message has "{words}"'))
+def _words(world: World, words: str) -> None:
+    assert words in world.reply.json()['error']['message']
+
+
+@then('the account has no job')
+def _no_job(world: World) -> None:
+    world.call('GET', '/v1/batches', b'')
+    assert not world.reply.json()['data']
+
+
+def test_a_job_of_another_account_is_not_found(world: World) -> None:
+    world.call('POST', '/v1/batches', job_lines(1), idempotency_key='mine')
+    job = world.reply.json()['id']
+    world.call('GET', f'/v1/batches/{job}', b'', key='other-key')
+    assert world.reply.status == 404
+    world.call('POST', f'/v1/batches/{job}/cancel', b'', key='other-key')
+    assert world.reply.status == 404
+
+
+def test_resend_with_another_body_is_a_conflict(world: World) -> None:
+    world.call('POST', '/v1/batches', job_lines(1), idempotency_key='twice')
+    world.call('POST', '/v1/batches', job_lines(2), idempotency_key='twice')
+    assert world.reply.status == 409
+    assert world.reply.json()['error']['type'] == 'idempotency_key_reused'
+
+
+def test_probes_and_metrics_need_no_key(world: World) -> None:
+    for target in ('/healthz', '/readyz', '/metrics'):
+        world.call('GET', target, b'', authorization='none')
+        assert world.reply.status == 200
+    assert b'gentiantrestle_store_calls_total' in world.reply.body
+    assert CLIENT_KEY.encode() not in world.reply.body
+
+
+def test_slow_header_times_out(tmp_path: Path) -> None:
+    async def probe() -> bytes:
+        fleet = Fleet(tmp_path, ('a1',))
+        fleet.daemon_flags = ('--header_timeout=0.3', '--idle_timeout=1')
+        await fleet.start()
+        try:
+            half = b'POST /v1/completions HTTP/1.1\r\nHost: x\r\n'
+            return await send_raw(fleet.http[0], half)
+        finally:
+            await fleet.stop()
+
+    assert b'408' in asyncio.run(probe())
--- /dev/null
+++ b/tests/interfaces/test_store.py
@@ -0,0 +1,125 @@
+"""Contract of the store's adapter, against the stand-in."""
+
+import asyncio
+from typing import Any
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from gentiantrestle.config import Settings
+from gentiantrestle.context import Context
+from gentiantrestle.http.server import Limits, Server
+from gentiantrestle.models import Address
+from gentiantrestle.store.client import (
+    ABSENT,
+    Conflict,
+    StoreClient,
+    StoreUnavailableError,
+    StoreUnsureError,
+)
+from standins.platform import PlatformStandin
+from tests.utils.http import send
+from tests.utils.ports import HOST, free_ports
+
+scenarios('../features/store.feature')
+
+NAME = 'conf/one'
+OLD = 999
+FAULTS = {
+    'none': {},
+    'one lost answer': {'lose': 1},
+    'two lost answers': {'lose': 2},
+    'outage': {'outage': True},
+    'refused': {},
+}
+
+
+def build_context(port: int) -> Context:
+    """Build a context whose store is at a port of this machine."""
+    cfg = Settings.from_sources(
+        {
+            'instance': 'i0',
+            'zone': 'a1',
+            'region': 'a',
+            'store': f'{HOST}:{port}',
+            'store_timeout': '0.5',
+        },
+        {},
+    )
+    return Context.from_config(cfg)
+
+
+@pytest.fixture
+def world() -> dict[str, Any]:
+    """Hold what the steps of one scenario tell each other."""
+    return {'port': free_ports(1)[0]}
+
+
+@given(parsers.parse('a store with {before}'))
+def _store(world: dict[str, Any], before: str) -> None:
+    world['before'] = before
+
+
+@given(parsers.parse('the fault {fault}'))
+def _fault(world: dict[str, Any], fault: str) -> None:
+    world['fault'] = fault
+
+
+@when(parsers.parse('a document is written expecting {expecting}'))
+def _write(world: dict[str, Any], expecting: str) -> None:
+    asyncio.run(_run(world, expecting))
+
+
+@then(parsers.parse('the outcome is {outcome}'))
+def _outcome(world: dict[str, Any], outcome: str) -> None:
+    assert world['outcome'] == outcome
+
+
+@then(parsers.parse('the store holds the document {holds:d} times'))
+def _holds(world: dict[str, Any], holds: int) -> None:
+    assert world['holds'] == holds
+
+
+async def _run(world: dict[str, Any], expecting: str) -> None:
+    standin = PlatformStandin()
+    server = Server(standin.handle, Limits())
+    await server.start(HOST, world['port'])
+    store = StoreClient(build_context(world['port']))
+    version = ABSENT
+    if world['before'] == 'a document':
+        version = (await store.put(NAME, {'text': 'old'}, ABSENT)).version
+    await send(
+        Address(HOST, world['port']), 'POST', '/control', FAULTS[world['fault']]
+    )
+    expected = {'absent': ABSENT, 'current': version, 'old': OLD}[expecting]
+    if world['fault'] == 'refused':
+        await server.stop(0)
+        store.close()
+    world['outcome'] = await _put(store, expected)
+    await send_control_off(world)
+    world['holds'] = await _count(store, world)
+    await server.stop(0)
+
+
+async def _put(store: StoreClient, expected: int) -> str:
+    try:
+        written = await store.put(NAME, {'text': 'new'}, expected)
+    except StoreUnavailableError:
+        return 'unavailable'
+    except StoreUnsureError:
+        return 'unsure'
+    return 'conflict' if isinstance(written, Conflict) else 'written'
+
+
+async def send_control_off(world: dict[str, Any]) -> None:
+    """End the outage, where the stand-in still runs."""
+    if world['fault'] != 'refused':
+        address = Address(HOST, world['port'])
+        await send(address, 'POST', '/control', {'outage': False})
+
+
+async def _count(store: StoreClient, world: dict[str, Any]) -> int:
+    if world['fault'] == 'refused':
+        return 0
+    found = await store.get(NAME)
+    return int(found is not None and found.document['text'] == 'new')
--- /dev/null
+++ b/tests/test_catalogue.py
@@ -0,0 +1,43 @@
+"""The pages that are checked against the code."""
+
+import re
+from pathlib import Path
+
+from gentiantrestle import errors, events
+from gentiantrestle.definition import OPTIONS
+
+DOCS = Path(__file__).parent.parent / 'docs'
+
+
+def test_every_event_stands_in_the_catalogue() -> None:
+    rows = re.findall(
+        r'^\| (\d{4}) \| (\w+) \| `(.+?)` \|',
+        (DOCS / 'EVENTS.md').read_text(),
+        re.MULTILINE,
+    )
+    assert sorted((int(code), level, text) for code, level, text in rows) == (
+        sorted(events.CATALOGUE)
+    )
+
+
+def test_event_numbers_are_unique() -> None:
+    codes = [event.code for event in events.CATALOGUE]
+    assert len(codes) == len(set(codes))
+
+
+def test_every_setting_stands_in_the_guide() -> None:
+    text = (DOCS / 'OPERATORS.md').read_text()
+    for option in OPTIONS:
+        default = 'required' if option.default is None else option.default
+        assert f'| `{option.name}` | {default} | {option.unit} |' in text
+
+
+def test_every_kind_of_error_stands_in_the_interface_page() -> None:
+    text = (DOCS / 'API.md').read_text()
+    kinds = [
+        kind
+        for kind in vars(errors).values()
+        if isinstance(kind, errors.ErrorKind)
+    ]
+    for kind in kinds:
+        assert f'| `{kind.name}` | {kind.status} | {kind.run.value} |' in text
--- a/tests/utils/ports.py
+++ b/tests/utils/ports.py
@@ -22,14 +22,14 @@
     return islice(cycle(ports), start, None)
 
 
-def _unused() -> Iterator[int]:
-    for port in _candidates():
-        with suppress(OSError), socket.socket() as probe:
-            probe.bind((HOST, port))
-            yield port
+def _is_unused(port: int) -> bool:
+    with suppress(OSError), socket.socket() as probe:
+        probe.bind((HOST, port))
+        return True
+    return False
 
 
-PORTS = _unused()
+PORTS = filter(_is_unused, _candidates())
 
 
 def free_ports(count: int) -> list[int]:
