--- a/gentiantrestle/daemon/membership/peers.py
+++ b/gentiantrestle/daemon/membership/peers.py
@@ -6,6 +6,7 @@
 from itertools import count
 from typing import TypeAlias
 
+from gentiantrestle import events
 from gentiantrestle.daemon.membership.codec import (
     BadFrameError,
     encode,
@@ -62,13 +63,18 @@
         self._task.cancel()
         self._writer.close()
 
+    def _match(self, envelope: Envelope) -> None:
+        """Give an answer to its call; one that nobody awaits is dropped."""
+        fut = self._pending.pop(envelope.call, None)
+        if fut is None or fut.done():
+            events.emit(events.LATE_ANSWER, call=envelope.call)
+            return
+        fut.set_result(envelope)
+
     async def _read(self, reader: asyncio.StreamReader) -> None:
         try:
             while True:
-                envelope = await read_frame(reader)
-                fut = self._pending.pop(envelope.call, None)
-                if fut is not None and not fut.done():
-                    fut.set_result(envelope)
+                self._match(await read_frame(reader))
         except (BadFrameError, EOFError, ConnectionError):
             self._writer.close()
         finally:
--- a/gentiantrestle/daemon/online/admission.py
+++ b/gentiantrestle/daemon/online/admission.py
@@ -43,7 +43,7 @@
     async def enter(self, wanted: Wanted) -> Upstream:
         """Take a slot, at once or after a wait; or raise a refusal."""
         now = self._ctx.now()
-        chosen = self._try(wanted, now)
+        chosen = self._try(wanted)
         if isinstance(chosen, Upstream):
             return chosen
         if chosen.kind is not OVERLOADED:
@@ -51,6 +51,15 @@
         self._refuse_early(wanted)
         return await self._wait(wanted, now + self._ctx.cfg.queue_wait)
 
+    def has_free(self, wanted: Wanted) -> bool:
+        """Tell whether a request could go at once."""
+        return isinstance(self._choose_now(wanted), str)
+
+    def take_free(self, wanted: Wanted) -> Upstream | None:
+        """Take a slot only if one is free."""
+        chosen = self._try(wanted)
+        return chosen if isinstance(chosen, Upstream) else None
+
     def leave(self, upstream: Upstream, seconds: float) -> None:
         """Give a slot back after ``seconds`` of use."""
         upstream.online -= 1
@@ -64,7 +73,7 @@
             ticket = self._queue.pop(now)
             if ticket is None:
                 return
-            if not self._settle(ticket, now):
+            if not self._settle(ticket):
                 self._queue.push_front(ticket)
                 return
 
@@ -73,12 +82,12 @@
         """Count the requests that wait for a slot."""
         return len(self._queue)
 
-    def _settle(self, ticket: Ticket, now: float) -> bool:
+    def _settle(self, ticket: Ticket) -> bool:
         """Tell a waiting request its slot or refusal, if there is one."""
         wanted, fut = ticket.token
         if fut.done():
             return True
-        chosen = self._try(wanted, now)
+        chosen = self._try(wanted)
         if isinstance(chosen, Upstream):
             fut.set_result(chosen)
             return True
@@ -87,14 +96,8 @@
         fut.set_exception(RefusedError(chosen))
         return True
 
-    def _try(self, wanted: Wanted, now: float) -> Upstream | Refusal:
-        snapshot = self._fleet.snapshot(
-            wanted.deployment,
-            now,
-            wanted.prompt,
-            wanted.excluded,
-        )
-        name = self._choose(snapshot, now)
+    def _try(self, wanted: Wanted) -> Upstream | Refusal:
+        name = self._choose_now(wanted)
         if isinstance(name, Refusal):
             return name
         upstream = self._fleet.find(name)
@@ -102,6 +105,16 @@
         self._fleet.loads.note(name)
         return upstream
 
+    def _choose_now(self, wanted: Wanted) -> str | Refusal:
+        now = self._ctx.now()
+        snapshot = self._fleet.snapshot(
+            wanted.deployment,
+            now,
+            wanted.prompt,
+            wanted.excluded,
+        )
+        return self._choose(snapshot, now)
+
     def _refuse_early(self, wanted: Wanted) -> None:
         slots = self._fleet.total_slots(wanted.deployment)
         wait = expected_wait(len(self._queue), slots, self._service_time)
--- a/gentiantrestle/daemon/online/relay.py
+++ b/gentiantrestle/daemon/online/relay.py
@@ -11,6 +11,8 @@
 from gentiantrestle import events
 from gentiantrestle.context import Context
 from gentiantrestle.daemon.online.admission import Admission, Wanted
+from gentiantrestle.daemon.online.hedging import HedgeRule
+from gentiantrestle.daemon.online.race import discard, first_good
 from gentiantrestle.daemon.online.retries import (
     Failure,
     RetryBudget,
@@ -46,7 +48,7 @@
 MAX_REASON = 200  # bytes
 SERVER_ERROR = 500
 RETRY_AFTER = 1  # seconds
-PACE_EVENTS = 8
+PACE_EVENTS = 4
 
 
 class Work(NamedTuple):
@@ -128,7 +130,10 @@
         return body
 
     async def stream(self, answer: Answer) -> AsyncIterator[bytes]:
-        """Pass a stream on; end it with an explicit error if it is cut."""
+        """Pass a stream on; end it with an explicit error if it is cut.
+
+        A stream that is cut before its first part raises instead.
+        """
         whole = WholeStream()
         error = 'the stream ended early'
         try:
@@ -141,6 +146,8 @@
         if whole.is_whole:
             self.upstream.health.succeed()
             return
+        if not whole.events:
+            raise self._fail(Stage.SENT, UPSTREAM_UNSURE, error)
         failure = self._fail(Stage.ANSWERING, CUT_SHORT, error)
         events.emit(events.ANSWER_CUT, attempt=self.attempt_id, error=error)
         yield _error_event(failure.refusal)
@@ -229,10 +236,19 @@
         self._answer = answer
         self._leave: Callable[[Attempt], None] | None = leave
         self._parts = attempt.stream(answer)
+        self._first = b''
+
+    async def begin(self) -> None:
+        """Wait for the first part; close and raise if none comes."""
+        try:
+            self._first = await anext(self._parts, b'')
+        except BaseException:
+            await self.aclose()
+            raise
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         """Iterate over the parts of the answer."""
-        return self._parts
+        return self._iterate()
 
     async def aclose(self) -> None:
         """Stop reading; closing twice is the same as once."""
@@ -243,6 +259,11 @@
             self._attempt.upstream.pool.release(self._answer)
             leave(self._attempt)
 
+    async def _iterate(self) -> AsyncIterator[bytes]:
+        yield self._first
+        async for part in self._parts:
+            yield part
+
 
 class Relay:
     """Finds an upstream for each request and tries again where allowed."""
@@ -258,6 +279,7 @@
         self._fleet = fleet
         self._admission = admission
         self._budgets: dict[str, RetryBudget] = {}
+        self._hedges = HedgeRule()
 
     async def answer(self, work: Work) -> Response:
         """Answer a request, or raise a refusal that says if it was run."""
@@ -275,13 +297,50 @@
             )
             upstream = await self._admission.enter(wanted)
             try:
-                return await self._try(work, upstream)
+                return await self._race(work, upstream, wanted, budget)
             except AttemptError as exc:
-                self._note_leaving(upstream, exc)
                 failure = Failure(exc.stage, work.repeatable, attempts)
                 excluded.add(upstream.name)
                 self._follow(failure, exc, budget, len(excluded), work)
 
+    async def _race(
+        self,
+        work: Work,
+        upstream: Upstream,
+        wanted: Wanted,
+        budget: RetryBudget,
+    ) -> Response:
+        """Try one upstream, and a second one if the first is slow to start.
+
+        The first answer that begins is the answer; the other attempt is
+        cancelled before any of its parts is passed on.
+        """
+        delay = self._hedges.delay(work.prompt, repeatable=work.repeatable)
+        tasks = [asyncio.create_task(self._try(work, upstream))]
+        try:
+            done, _ = await asyncio.wait(tasks, timeout=delay)
+            second = None if done else self._second(wanted, upstream, budget)
+            if second is not None:
+                tasks.append(asyncio.create_task(self._try(work, second)))
+            return await first_good(tasks)
+        finally:
+            await discard(tasks)
+
+    def _second(
+        self,
+        wanted: Wanted,
+        first: Upstream,
+        budget: RetryBudget,
+    ) -> Upstream | None:
+        """Take a free slot elsewhere, if there is one and the budget lasts."""
+        others = wanted._replace(excluded=wanted.excluded | {first.name})
+        if not self._admission.has_free(others):
+            return None
+        if not budget.take(self._ctx.now()):
+            return None
+        self._ctx.metrics.attempts.inc({'outcome': 'hedge'})
+        return self._admission.take_free(others)
+
     def _follow(
         self,
         failure: Failure,
@@ -297,20 +356,22 @@
             raise RefusedError(exc.refusal) from exc
         self._ctx.metrics.attempts.inc({'outcome': 'retry'})
 
-    def _note_leaving(self, upstream: Upstream, exc: AttemptError) -> None:
-        if isinstance(exc, LeavingError):
-            self._fleet.mark_leaving(upstream.name, exc.incarnation)
-
     async def _try(self, work: Work, upstream: Upstream) -> Response:
         attempt = Attempt(self._ctx, work, upstream)
         try:
             answer = await attempt.send()
+        except LeavingError as exc:
+            self._fleet.mark_leaving(upstream.name, exc.incarnation)
+            self._leave(attempt)
+            raise
         except BaseException:
             self._leave(attempt)
             raise
         kind = answer.header('Content-Type') or JSON
         if kind.startswith(EVENT_STREAM):
             stream = AnswerStream(attempt, answer, self._leave)
+            await stream.begin()
+            self._hedges.note_start(self._ctx.now() - attempt.started_at)
             return Response(answer.status, stream, kind)
         try:
             body = await attempt.read(answer)
