--- a/gentiantrestle/cli/configuration.py
+++ b/gentiantrestle/cli/configuration.py
@@ -21,6 +21,16 @@
     session.printer.document(_operator(session).status())
 
 
+@command('report SCOPE', 'Show service-level burn: fleet, zone or instance.')
+def show_report(session: Session, scope: str) -> None:
+    """Show burn rates and jobs at risk."""
+    report = _operator(session).report(scope)
+    session.printer.table(report['rows'])
+    session.printer.table(report['jobs'])
+    if report['missing']:
+        session.printer.document({'missing': report['missing']})
+
+
 @command('config show', 'Show the configuration in force.')
 def show_config(session: Session) -> None:
     """Show the configuration in force."""
--- a/gentiantrestle/daemon/batch/records.py
+++ b/gentiantrestle/daemon/batch/records.py
@@ -41,6 +41,7 @@
     done: int
     failed: int
     finished: NotRequired[float]
+    finisher: NotRequired[str]
     parts_seen: NotRequired[list[int]]
 
 
@@ -193,6 +194,7 @@
     job: JobRecord,
     chunks: Iterable[ChunkRecord],
     wall: float,
+    finisher: str,
 ) -> JobRecord | None:
     """Complete a running job once all of its chunks are done."""
     done = [chunk for chunk in chunks if chunk['state'] == DONE]
@@ -205,6 +207,7 @@
             'done': sum(chunk['done'] for chunk in done),
             'failed': sum(chunk['failed'] for chunk in done),
             'finished': wall,
+            'finisher': finisher,
         },
     )
 
--- a/gentiantrestle/daemon/batch/watch.py
+++ b/gentiantrestle/daemon/batch/watch.py
@@ -126,7 +126,8 @@
 
     async def _finish(self, job: JobRecord) -> None:
         records = [seen.record for _, seen in self._board.seen(job)]
-        finished = finish_job(job, records, self._ctx.wall())
+        wall = self._ctx.wall()
+        finished = finish_job(job, records, wall, self._me.instance)
         if finished is None:
             return
         name = job_name(job['id'])
--- a/gentiantrestle/daemon/entry/bodies.py
+++ b/gentiantrestle/daemon/entry/bodies.py
@@ -38,9 +38,11 @@
     prompt = _check_prompt(req.path, body, endpoint['max_prompt'])
     _check_numbers(body)
     streamed = bool(body.get('stream', False))
+    name = body['model']
     body['model'] = deployment['model']
     return Work(
         client=client,
+        endpoint=name,
         deployment=deployment,
         target=req.path,
         body=msgspec.json.encode(body),
@@ -63,6 +65,7 @@
     safe = req.method in SAFE_METHODS
     return Work(
         client=client,
+        endpoint=fields['endpoint'],
         deployment=find_deployment(fleet, endpoint),
         target=f'/{fields["rest"]}',
         body=raw,
--- a/gentiantrestle/daemon/entry/service.py
+++ b/gentiantrestle/daemon/entry/service.py
@@ -11,6 +11,7 @@
 from gentiantrestle.daemon.entry.keys import Identity, identify, require_admin
 from gentiantrestle.daemon.membership.service import Membership
 from gentiantrestle.daemon.online.service import Online
+from gentiantrestle.daemon.report.service import Reporter
 from gentiantrestle.daemon.upstreams.service import Fleet
 from gentiantrestle.errors import (
     STOPPING,
@@ -37,6 +38,7 @@
     fleet: Fleet
     online: Online
     batch: Batch
+    reporter: Reporter
 
 
 class Visit(NamedTuple):
--- a/gentiantrestle/daemon/online/relay.py
+++ b/gentiantrestle/daemon/online/relay.py
@@ -55,6 +55,7 @@
     """One online request that may go to an upstream."""
 
     client: str
+    endpoint: str
     deployment: DeploymentDoc
     target: str
     body: bytes
--- a/gentiantrestle/daemon/online/service.py
+++ b/gentiantrestle/daemon/online/service.py
@@ -8,7 +8,9 @@
 from gentiantrestle.daemon.online.claims import Caller, body_digest
 from gentiantrestle.daemon.online.once import Once
 from gentiantrestle.daemon.online.relay import Relay, Work
+from gentiantrestle.daemon.report.service import Reporter
 from gentiantrestle.daemon.upstreams.service import Fleet
+from gentiantrestle.errors import RefusedError
 from gentiantrestle.http.messages import Response
 from gentiantrestle.store.client import StoreClient
 
@@ -24,9 +26,11 @@
         store: StoreClient,
         membership: Membership,
         fleet: Fleet,
+        reporter: Reporter,
     ) -> None:
         """Share one queue and one memory of answers."""
         self._ctx = ctx
+        self.reporter = reporter
         self.admission = Admission(ctx, fleet)
         self._relay = Relay(ctx, fleet, self.admission)
         self.once = Once(ctx, store, membership)
@@ -41,6 +45,15 @@
 
     async def answer(self, work: Work, key: str | None) -> Response:
         """Answer one request; a key makes a resend find the first answer."""
+        measure = self.reporter.measure(work.endpoint)
+        try:
+            response = await self._answer(work, key)
+        except RefusedError as exc:
+            measure.refused(exc)
+            raise
+        return measure.answered(response)
+
+    async def _answer(self, work: Work, key: str | None) -> Response:
         if work.repeatable or key is None:
             return await self._relay.answer(work)
         return await self.once.run(
--- /dev/null
+++ b/gentiantrestle/daemon/report/__init__.py
@@ -0,0 +1,1 @@
+"""How fast the service-level objectives' budgets burn."""
--- a/gentiantrestle/daemon/tree.py
+++ b/gentiantrestle/daemon/tree.py
@@ -6,16 +6,17 @@
 from gentiantrestle.daemon.batch.service import Batch
 from gentiantrestle.daemon.configuration.admin import Admin
 from gentiantrestle.daemon.configuration.service import Configuration
-from gentiantrestle.daemon.entry import administration, callers, jobs
+from gentiantrestle.daemon.entry import administration, callers, jobs, reports
 from gentiantrestle.daemon.entry.service import Entry, Parts
 from gentiantrestle.daemon.membership.service import Membership
 from gentiantrestle.daemon.membership.view import State
 from gentiantrestle.daemon.online.service import Online
+from gentiantrestle.daemon.report.service import Reporter
 from gentiantrestle.daemon.upstreams.service import Fleet
 from gentiantrestle.store.client import StoreClient
 from gentiantrestle.supervisor import Child, Supervisor
 
-ROUTE_MODULES = (administration, callers, jobs)
+ROUTE_MODULES = (administration, callers, jobs, reports)
 NOTICE_TIME = 1.0  # seconds
 
 
@@ -33,6 +34,7 @@
                 Child('upstreams', parts.fleet.run),
                 Child('online', parts.online.run),
                 Child('batch', parts.batch.run),
+                Child('report', parts.reporter.run),
                 Child('entry', self._entry.run),
             ),
             parts.ctx.now,
@@ -45,6 +47,8 @@
         membership = Membership.from_config(ctx)
         configuration = Configuration(ctx, store, membership)
         fleet = Fleet(ctx, configuration, membership)
+        batch = Batch(ctx, store, configuration, membership, fleet)
+        reporter = Reporter(ctx, membership, configuration, batch.reader)
         return cls(
             Parts(
                 ctx=ctx,
@@ -53,8 +57,9 @@
                 configuration=configuration,
                 admin=Admin(ctx, store, configuration),
                 fleet=fleet,
-                online=Online(ctx, store, membership, fleet),
-                batch=Batch(ctx, store, configuration, membership, fleet),
+                online=Online(ctx, store, membership, fleet, reporter),
+                batch=batch,
+                reporter=reporter,
             )
         )
 
--- a/gentiantrestle/library/operator.py
+++ b/gentiantrestle/library/operator.py
@@ -44,6 +44,10 @@
         """Read an earlier configuration."""
         return self._conn.call('GET', f'/admin/history/{revision}')
 
+    def report(self, scope: str) -> dict[str, Any]:
+        """Read the burn of a scope: fleet, zone or instance."""
+        return self._conn.call('GET', f'/admin/report?scope={scope}')
+
     def status(self) -> dict[str, Any]:
         """Read what the instance knows of the fleet."""
         return self._conn.call('GET', '/admin/status')
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -70,6 +70,22 @@
   2: required list<Load> loads,
 }
 
+struct ReportRequest {
+}
+
+/* Good and bad events of an objective within a window, in s. */
+struct ReportRow {
+  1: required string endpoint,
+  2: required string objective,
+  3: required i32 window,
+  4: required i64 good,
+  5: required i64 bad,
+}
+
+struct Report {
+  1: required list<ReportRow> rows,
+}
+
 /* Exactly one of the optional fields is set. */
 struct Envelope {
   1: required i64 call,
@@ -79,4 +95,6 @@
   5: optional AnswerRequest answer_request,
   6: optional Answer answer,
   7: optional LoadReport load_report,
+  8: optional ReportRequest report_request,
+  9: optional Report report,
 }
--- a/gentiantrestle/wire/peer/ttypes.py
+++ b/gentiantrestle/wire/peer/ttypes.py
@@ -1028,6 +1028,261 @@
         return not (self == other)
 
 
+class ReportRequest(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReportRequest')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReportRow(object):
+    """
+    Attributes:
+     - endpoint
+     - objective
+     - window
+     - good
+     - bad
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'objective',
+        'window',
+        'good',
+        'bad',
+    )
+
+
+    def __init__(self, endpoint=None, objective=None, window=None, good=None, bad=None,):
+        self.endpoint = endpoint
+        self.objective = objective
+        self.window = window
+        self.good = good
+        self.bad = bad
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.objective = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.window = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.good = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.bad = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReportRow')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.objective is not None:
+            oprot.writeFieldBegin('objective', TType.STRING, 2)
+            oprot.writeString(self.objective.encode('utf-8') if sys.version_info[0] == 2 else self.objective)
+            oprot.writeFieldEnd()
+        if self.window is not None:
+            oprot.writeFieldBegin('window', TType.I32, 3)
+            oprot.writeI32(self.window)
+            oprot.writeFieldEnd()
+        if self.good is not None:
+            oprot.writeFieldBegin('good', TType.I64, 4)
+            oprot.writeI64(self.good)
+            oprot.writeFieldEnd()
+        if self.bad is not None:
+            oprot.writeFieldBegin('bad', TType.I64, 5)
+            oprot.writeI64(self.bad)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint is None:
+            raise TProtocolException(message='Required field endpoint is unset!')
+        if self.objective is None:
+            raise TProtocolException(message='Required field objective is unset!')
+        if self.window is None:
+            raise TProtocolException(message='Required field window is unset!')
+        if self.good is None:
+            raise TProtocolException(message='Required field good is unset!')
+        if self.bad is None:
+            raise TProtocolException(message='Required field bad is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Report(object):
+    """
+    Attributes:
+     - rows
+
+    """
+
+    __slots__ = (
+        'rows',
+    )
+
+
+    def __init__(self, rows=None,):
+        self.rows = rows
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = ReportRow()
+                        _elem42.read(iprot)
+                        self.rows.append(_elem42)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Report')
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter43 in self.rows:
+                iter43.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.rows is None:
+            raise TProtocolException(message='Required field rows is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Envelope(object):
     """
     Attributes:
@@ -1038,6 +1293,8 @@
      - answer_request
      - answer
      - load_report
+     - report_request
+     - report
 
     """
 
@@ -1049,10 +1306,12 @@
         'answer_request',
         'answer',
         'load_report',
+        'report_request',
+        'report',
     )
 
 
-    def __init__(self, call=None, heartbeat=None, changes_request=None, changes=None, answer_request=None, answer=None, load_report=None,):
+    def __init__(self, call=None, heartbeat=None, changes_request=None, changes=None, answer_request=None, answer=None, load_report=None, report_request=None, report=None,):
         self.call = call
         self.heartbeat = heartbeat
         self.changes_request = changes_request
@@ -1060,6 +1319,8 @@
         self.answer_request = answer_request
         self.answer = answer
         self.load_report = load_report
+        self.report_request = report_request
+        self.report = report
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1111,6 +1372,18 @@
                     self.load_report.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.report_request = ReportRequest()
+                    self.report_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.report = Report()
+                    self.report.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1149,6 +1422,14 @@
             oprot.writeFieldBegin('load_report', TType.STRUCT, 7)
             self.load_report.write(oprot)
             oprot.writeFieldEnd()
+        if self.report_request is not None:
+            oprot.writeFieldBegin('report_request', TType.STRUCT, 8)
+            self.report_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.report is not None:
+            oprot.writeFieldBegin('report', TType.STRUCT, 9)
+            self.report.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1242,6 +1523,23 @@
     (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'loads', (TType.STRUCT, [Load, None], False), None, ),  # 2
 )
+all_structs.append(ReportRequest)
+ReportRequest.thrift_spec = (
+)
+all_structs.append(ReportRow)
+ReportRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'objective', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'window', None, None, ),  # 3
+    (4, TType.I64, 'good', None, None, ),  # 4
+    (5, TType.I64, 'bad', None, None, ),  # 5
+)
+all_structs.append(Report)
+Report.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'rows', (TType.STRUCT, [ReportRow, None], False), None, ),  # 1
+)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -1252,6 +1550,8 @@
     (5, TType.STRUCT, 'answer_request', [AnswerRequest, None], None, ),  # 5
     (6, TType.STRUCT, 'answer', [Answer, None], None, ),  # 6
     (7, TType.STRUCT, 'load_report', [LoadReport, None], None, ),  # 7
+    (8, TType.STRUCT, 'report_request', [ReportRequest, None], None, ),  # 8
+    (9, TType.STRUCT, 'report', [Report, None], None, ),  # 9
 )
 fix_spec(all_structs)
 del all_structs
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -87,6 +87,7 @@
         self._runs: Counter[str] = Counter()
         self._fence = 0
         self._made = 0
+        self._refused = 0
         self._orders: list[dict[str, Any]] = []
         self._cut_after: int | None = None
         self._leaving: int | None = None
@@ -143,6 +144,7 @@
                 'runs': self._runs,
                 'orders': self._orders,
                 'made': self._made,
+                'refused': self._refused,
             }
         )
 
@@ -170,6 +172,7 @@
         chat: bool,
     ) -> Response:
         if self._leaving is not None:
+            self._refused += 1
             mark = (('X-Leaving', str(self._leaving)),)
             return Response(
                 HTTPStatus.SERVICE_UNAVAILABLE,
--- a/tests/decisions/test_chunks.py
+++ b/tests/decisions/test_chunks.py
@@ -216,9 +216,11 @@
 
 
 def test_job_finishes_only_when_all_chunks_are_done() -> None:
-    assert finish_job(_job(), [_chunk(DONE, 1)], 5) is None
-    assert finish_job(_job(), [_chunk(DONE, 1), _chunk(HELD, 1)], 5) is None
-    finished = finish_job(_job(), [_chunk(DONE, 1), _chunk(DONE, 2)], 5)
+    assert finish_job(_job(), [_chunk(DONE, 1)], 5, 'i') is None
+    assert (
+        finish_job(_job(), [_chunk(DONE, 1), _chunk(HELD, 1)], 5, 'i') is None
+    )
+    finished = finish_job(_job(), [_chunk(DONE, 1), _chunk(DONE, 2)], 5, 'i')
     assert (finished['state'], finished['done']) == ('completed', 3)
 
 
--- a/tests/processes/test_batch.py
+++ b/tests/processes/test_batch.py
@@ -104,6 +104,14 @@
     assert len(listed) == 1
 
 
+async def test_acknowledged_job_survives_loss(start_fleet) -> None:
+    fleet = await start_fleet()
+    job = (await fleet.submit(0, job_lines(ITEMS), 'job')).json()['id']
+    await fleet.daemons[0].end()
+    status = await fleet.wait_for_end(1, job)
+    assert status['request_counts']['completed'] == ITEMS
+
+
 async def test_outage_during_acceptance_accepts_nothing(start_fleet) -> None:
     fleet = await start_fleet()
     await fleet.fault(outage=True)
@@ -139,6 +147,7 @@
     status = await fleet.wait_for_end(0, job)
     assert status['request_counts']['completed'] == ITEMS
     await _assert_each_once(fleet, job, ITEMS)
+    assert set((await fleet.engine_runs()).values()) == {1}
 
 
 async def test_never_doable_items_do_not_hold_the_job(start_fleet) -> None:
--- a/tests/processes/test_online.py
+++ b/tests/processes/test_online.py
@@ -7,7 +7,7 @@
 
 from gentiantrestle.http.client import LostError
 from standins.engine import token_text
-from tests.utils.fleet import Fleet, job_lines
+from tests.utils.fleet import OPERATOR_KEY, Fleet, job_lines
 from tests.utils.http import Reply, until
 
 PROMPT = 'sort a spare room'
@@ -226,6 +226,45 @@
         for one in (await fleet.status(0))['upstreams']
     }
     assert marks == {'e0': False, 'e1': True, 'e2': False, 's0': False}
+    before = await fleet.engine_refusals(1)
+    await asyncio.gather(
+        *(_complete(fleet, 0, f'q{index}') for index in range(12))
+    )
+    assert await fleet.engine_refusals(1) == before
+
+
+async def test_report_counts_good_and_bad(start_fleet) -> None:
+    fleet = await start_fleet()
+    for index in range(6):
+        await _complete(fleet, index % 3)
+    for index in range(3):
+        await fleet.control_engine(index, cut_after=1)
+    await _complete(fleet, 1)
+    for index in range(3):
+        await fleet.control_engine(index, cut_after=None)
+    job = (await fleet.submit(0, job_lines(9, 2000), 'job')).json()['id']
+
+    async def report() -> dict | None:
+        target = '/admin/report?scope=fleet'
+        reply = await fleet.call(2, 'GET', target, key=OPERATOR_KEY)
+        return reply.json() if reply.json()['jobs'] else None
+
+    told = await until(report)
+    rows = {
+        (row['endpoint'], row['objective'], row['window']): row
+        for row in told['rows']
+    }
+    row = rows['chat', 'availability', 300]
+    assert (row['good'], row['bad']) == (6, 1)
+    assert row['burn'] == pytest.approx(1 / 7 / 0.001)
+    assert [risk['job'] for risk in told['jobs']] == [job]
+    page = await fleet.call(
+        0,
+        'GET',
+        '/admin/report.html',
+        key=OPERATOR_KEY,
+    )
+    assert b'<svg' in page.body
 
 
 async def test_live_list_marks_leaving_until_a_new_incarnation(
--- a/tests/utils/fleet.py
+++ b/tests/utils/fleet.py
@@ -167,6 +167,11 @@
                 runs[prompt] = runs.get(prompt, 0) + count
         return runs
 
+    async def engine_refusals(self, index: int) -> int:
+        """Count the requests that a leaving engine has refused."""
+        stats = await send(self.engines[index], 'GET', '/stats')
+        return stats.json()['refused']
+
     async def engine_tokens(self) -> dict[str, int]:
         """Count the tokens that each engine has made."""
         return {
