Zones cut from peers and platform, on one loop

Cause: no proof cut the links between instances. Ruled out: network namespaces and proxies; the peer call is cut in the test.

--- a/gentiantrestle/daemon/tree.py
+++ b/gentiantrestle/daemon/tree.py
@@ -25,7 +25,7 @@
 
     def __init__(self, parts: Parts) -> None:
         """Supervise the parts; each is a folder beside this module."""
-        self._parts = parts
+        self.parts = parts
         self._entry = Entry(parts)
         self._supervisor = Supervisor(
             (
@@ -71,16 +71,16 @@
 
     async def stop(self, grace: float) -> int:
         """Leave, hand batch work over, finish requests; count the cut."""
-        view = self._parts.membership.view
+        view = self.parts.membership.view
         view.say(state=State.LEAVING)
         self._entry.stopping = True
-        await self._parts.membership.announce()
-        await self._parts.batch.stop()
+        await self.parts.membership.announce()
+        await self.parts.batch.stop()
         cut = await self._entry.stop(grace)
-        self._parts.membership.peers.close()
-        self._parts.store.close()
+        self.parts.membership.peers.close()
+        self.parts.store.close()
         return cut
 
     async def _serve_when_loaded(self) -> None:
-        await self._parts.configuration.loaded.wait()
-        self._parts.membership.view.say(state=State.SERVING)
+        await self.parts.configuration.loaded.wait()
+        self.parts.membership.view.say(state=State.SERVING)
--- /dev/null
+++ b/tests/utils/zones.py
@@ -0,0 +1,163 @@
+"""Several daemons on one loop, whose links a test can cut."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from gentiantrestle.config import Settings
+from gentiantrestle.context import Context
+from gentiantrestle.daemon.membership.peers import PeerError
+from gentiantrestle.daemon.tree import Tree
+from gentiantrestle.http.server import Limits, Server
+from gentiantrestle.models import Address
+from gentiantrestle.wire.peer.ttypes import Envelope
+from standins.engine import EngineConfig, EngineStandin
+from standins.platform import PlatformStandin
+from standins.service import ServiceStandin
+from tests.utils.fleet import CLIENT_KEY, OPERATOR_KEY, hash_of
+from tests.utils.http import Reply, send
+from tests.utils.ports import HOST, free_ports
+
+
+class Zones:
+    """One daemon and one engine in each zone, a platform and a service."""
+
+    def __init__(self, zones: tuple[str, ...]) -> None:
+        """Give everything its ports; nothing listens yet."""
+        self.zones = zones
+        count = len(zones)
+        ports = iter(free_ports(3 * count + 2))
+        self.http = [Address(HOST, next(ports)) for _ in zones]
+        self.peers = [Address(HOST, next(ports)) for _ in zones]
+        self.engines = [Address(HOST, next(ports)) for _ in zones]
+        self.platform_address = Address(HOST, next(ports))
+        self.service_address = Address(HOST, next(ports))
+        self.platform = PlatformStandin()
+        self.service = ServiceStandin(0.01)
+        self.cut: set[str] = set()
+        self._servers: list[Server] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Start everything."""
+        await self._serve(self.platform.handle, self.platform_address)
+        await self._serve(self.service.handle, self.service_address)
+        for address in self.engines:
+            engine = EngineStandin(EngineConfig())
+            await self._serve(engine.handle, address)
+            self._tasks.append(asyncio.create_task(engine.run()))
+        for index, _ in enumerate(self.zones):
+            self._start_daemon(index)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for server in self._servers:
+            await server.stop(0)
+
+    async def cut_off(self, *zones: str) -> None:
+        """Cut zones off from the others and from the platform."""
+        self.cut = set(zones)
+        body = {'cut_zones': list(zones)}
+        await send(self.platform_address, 'POST', '/control', body)
+
+    async def call(
+        self,
+        index: int,
+        method: str,
+        target: str,
+        body: Any = b'',
+        **headers: str,
+    ) -> Reply:
+        """Call a daemon, as an operator where the path says so."""
+        key = OPERATOR_KEY if target.startswith('/admin') else CLIENT_KEY
+        headers['authorization'] = f'Bearer {key}'
+        return await send(self.http[index], method, target, body, **headers)
+
+    async def revision(self, index: int) -> int:
+        """Read the revision that is in force at a daemon."""
+        return (await self.call(index, 'GET', '/admin/config')).json()[
+            'revision'
+        ]
+
+    def document(self, revision: int) -> dict[str, Any]:
+        """Describe the fleet."""
+        upstreams = {
+            f'e{index}': {
+                'zone': zone,
+                'address': str(self.engines[index]),
+                'kind': 'engine',
+                'slots': 8,
+            }
+            for index, zone in enumerate(self.zones)
+        }
+        upstreams['s'] = {
+            'zone': self.zones[0],
+            'address': str(self.service_address),
+            'kind': 'service',
+            'slots': 8,
+        }
+        engines = sorted(set(upstreams) - {'s'})
+        return {
+            'revision': revision,
+            'upstreams': upstreams,
+            'deployments': {
+                'd': {'model': 'm', 'version': '1', 'upstreams': engines},
+                'svc': {'model': 's', 'version': '1', 'upstreams': ['s']},
+            },
+            'endpoints': {
+                'chat': {'deployment': 'd', 'max_prompt': 100},
+                'book': {'deployment': 'svc', 'max_prompt': 100},
+            },
+            'clients': {'moko': {'key_hashes': [hash_of(CLIENT_KEY)]}},
+        }
+
+    async def _serve(
+        self,
+        handle: Callable[..., Awaitable[Any]],
+        address: Address,
+    ) -> None:
+        server = Server(handle, Limits())
+        await server.start(*address)
+        self._servers.append(server)
+
+    def _start_daemon(self, index: int) -> None:
+        cfg = Settings.from_sources(
+            {
+                'instance': f'i{index}',
+                'zone': self.zones[index],
+                'region': 'a',
+                'http_port': str(self.http[index].port),
+                'peer_port': str(self.peers[index].port),
+                'store': str(self.platform_address),
+                'peers': ','.join(map(str, self.peers)),
+                'admin_key_hash': hash_of(OPERATOR_KEY),
+                'heartbeat': '0.1',
+                'silence': '0.6',
+                'lease': '1.5',
+                'store_timeout': '0.5',
+            },
+            {},
+        )
+        tree = Tree.from_config(Context.from_config(cfg))
+        self._cut_link(tree, self.zones[index])
+        self._tasks.append(asyncio.create_task(tree.run()))
+
+    def _cut_link(self, tree: Tree, zone: str) -> None:
+        """Let calls between a cut zone and the others fail."""
+        peers = tree.parts.membership.peers
+        call = peers.call
+
+        async def call_unless_cut(
+            address: Address,
+            envelope: Envelope,
+            timeout: float = 1,
+        ) -> Envelope:
+            other = self.zones[self.peers.index(address)]
+            if other != zone and self.cut & {other, zone}:
+                raise PeerError('cut')
+            return await call(address, envelope, timeout)
+
+        peers.call = call_unless_cut
