One reader of answer parts; the connection stands in its own module

Ruled out: a shared base class; the answer itself passes its parts on. Change: Answer.parts, http/connection.py.

--- a/gentiantrestle/daemon/batch/item.py
+++ b/gentiantrestle/daemon/batch/item.py
@@ -154,12 +154,8 @@
     async def _read(self, answer: Answer) -> None:
         self._reader = StreamReader()
         stall = self._tools.ctx.cfg.stall_timeout
-        async with aclosing(answer.conn.chunks()) as parts:
-            while True:
-                async with asyncio.timeout(stall):
-                    part = await anext(parts, None)
-                if part is None:
-                    return
+        async with aclosing(answer.parts(stall)) as parts:
+            async for part in parts:
                 self._texts.extend(self._reader.feed(part))
 
     async def _refused(self, slot: Slot, answer: Answer) -> Ended:
--- a/gentiantrestle/daemon/entry/service.py
+++ b/gentiantrestle/daemon/entry/service.py
@@ -19,8 +19,9 @@
     RefusedError,
     refuse,
 )
+from gentiantrestle.http.connection import Limits
 from gentiantrestle.http.messages import Request, Response, answer_refusal
-from gentiantrestle.http.server import Limits, Server
+from gentiantrestle.http.server import Server
 from gentiantrestle.store.client import StoreClient
 
 NOBODY = Identity('', admin=False)
--- a/gentiantrestle/daemon/online/attempt.py
+++ b/gentiantrestle/daemon/online/attempt.py
@@ -150,12 +150,8 @@
     ) -> AsyncIterator[bytes]:
         stall = self._ctx.cfg.stall_timeout
         measured_at, measured_events = self._ctx.now(), 0
-        async with aclosing(answer.conn.chunks()) as parts:
-            while True:
-                async with asyncio.timeout(stall):
-                    part = await anext(parts, None)
-                if part is None:
-                    return
+        async with aclosing(answer.parts(stall)) as parts:
+            async for part in parts:
                 whole.feed(part)
                 passed = whole.events - measured_events
                 if passed >= PACE_EVENTS:
--- a/gentiantrestle/http/client.py
+++ b/gentiantrestle/http/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from contextlib import aclosing
 from typing import NamedTuple
 
 import h11
@@ -144,6 +145,19 @@
                 return text.decode('latin-1')
         return ''
 
+    async def parts(self, stall: float) -> AsyncIterator[bytes]:
+        """Pass the body on; raise ``TimeoutError`` when it stalls.
+
+        ``stall`` is the longest pause between two parts, in s.
+        """
+        async with aclosing(self.conn.chunks()) as parts:
+            while True:
+                async with asyncio.timeout(stall):
+                    part = await anext(parts, None)
+                if part is None:
+                    return
+                yield part
+
     async def read(self) -> bytes:
         """Collect the whole body."""
         return b''.join([part async for part in self.conn.chunks()])
--- a/standins/core.py
+++ b/standins/core.py
@@ -7,8 +7,9 @@
 from typing import Protocol
 
 from gentiantrestle import events
+from gentiantrestle.http.connection import Limits
 from gentiantrestle.http.messages import Request, Response
-from gentiantrestle.http.server import Limits, Server
+from gentiantrestle.http.server import Server
 from standins.engine import EngineStandin
 from standins.platform import PlatformStandin
 from standins.service import ServiceStandin
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
+from gentiantrestle.http.connection import ClosedError
 from gentiantrestle.http.messages import JSON, Request, Response, answer_json
-from gentiantrestle.http.server import ClosedError
 
 MAX_VALUE = 1024 * 1024  # bytes
 MAX_WAIT = 30.0  # seconds
--- a/standins/service.py
+++ b/standins/service.py
@@ -4,8 +4,8 @@
 from collections import Counter
 from collections.abc import Mapping
 
+from gentiantrestle.http.connection import ClosedError
 from gentiantrestle.http.messages import Request, Response, answer_json
-from gentiantrestle.http.server import ClosedError
 
 MAX_BODY = 1024 * 1024  # bytes
 
--- a/tests/interfaces/test_http.py
+++ b/tests/interfaces/test_http.py
@@ -6,8 +6,9 @@
 import pytest
 
 from gentiantrestle.http.client import Call, LostError, NotSentError, Pool
+from gentiantrestle.http.connection import Limits
 from gentiantrestle.http.messages import Request, Response
-from gentiantrestle.http.server import Limits, Server
+from gentiantrestle.http.server import Server
 from gentiantrestle.models import Address
 from tests.utils.http import send_raw, until
 from tests.utils.ports import HOST, free_ports
--- a/tests/interfaces/test_store.py
+++ b/tests/interfaces/test_store.py
@@ -8,7 +8,8 @@
 
 from gentiantrestle.config import Settings
 from gentiantrestle.context import Context
-from gentiantrestle.http.server import Limits, Server
+from gentiantrestle.http.connection import Limits
+from gentiantrestle.http.server import Server
 from gentiantrestle.models import Address
 from gentiantrestle.store.client import (
     ABSENT,
--- a/tests/utils/zones.py
+++ b/tests/utils/zones.py
@@ -8,7 +8,8 @@
 from gentiantrestle.context import Context
 from gentiantrestle.daemon.membership.peers import PeerError
 from gentiantrestle.daemon.tree import Tree
-from gentiantrestle.http.server import Limits, Server
+from gentiantrestle.http.connection import Limits
+from gentiantrestle.http.server import Server
 from gentiantrestle.models import Address
 from gentiantrestle.wire.peer.ttypes import Envelope
 from standins.engine import EngineConfig, EngineStandin
