No waiting client is passed over; claimed requests end in every case

Causes, found by reading: when a popped ticket had been its client's only one, the count of clients fell and the loop ended before the others were tried; a claimed request that failed inside left its readers waiting for ever; a planned stop did not wait for claimed requests. Ruled out: a second queue; the loop counts the clients it began with.

--- a/gentiantrestle/daemon/entry/service.py
+++ b/gentiantrestle/daemon/entry/service.py
@@ -1,6 +1,7 @@
 """The child that answers HTTP."""
 
 import asyncio
+from contextlib import suppress
 from typing import NamedTuple
 
 from gentiantrestle.context import Context
@@ -80,6 +81,9 @@
         """Finish what runs; return how many requests were cut."""
         self.stopping = True
         cut = await self._server.stop(grace)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(grace):
+                await self.parts.online.once.finish()
         return cut + self.parts.online.once.running
 
     @property
--- a/gentiantrestle/daemon/online/admission.py
+++ b/gentiantrestle/daemon/online/admission.py
@@ -73,7 +73,8 @@
     def pump(self, now: float) -> None:
         """Let waiting requests go while there are free slots."""
         put_back: list[Ticket] = []
-        while len(put_back) < self._queue.clients:
+        clients = self._queue.clients
+        while len(put_back) < clients:
             ticket = self._queue.pop(now)
             if ticket is None:
                 break
--- a/gentiantrestle/daemon/online/once.py
+++ b/gentiantrestle/daemon/online/once.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import aclosing
 
+from gentiantrestle import events
 from gentiantrestle.context import Context
 from gentiantrestle.daemon.membership.peers import PeerError
 from gentiantrestle.daemon.membership.service import Membership
@@ -16,7 +17,9 @@
 )
 from gentiantrestle.errors import (
     ALREADY_STARTED,
+    INTERNAL,
     STORE_UNAVAILABLE,
+    Refusal,
     RefusedError,
     refuse,
 )
@@ -51,18 +54,19 @@
     async def record(self, run: Callable[[], Awaitable[Response]]) -> None:
         """Run the request and keep its answer; a refusal is one too."""
         try:
-            response = await run()
+            self.head = await run()
         except RefusedError as exc:
-            response = answer_refusal(exc.refusal)
-        self.head = response
-        if isinstance(response.body, bytes):
-            self._add(response.body)
-        else:
-            async with aclosing(response.body) as parts:
-                async for part in parts:
-                    self._add(part)
-        self.finished = True
-        self._wake()
+            self.head = answer_refusal(exc.refusal)
+        except Exception as exc:  # noqa: BLE001 (kept, else readers hang)
+            events.emit(events.REQUEST_FAILED, error=repr(exc))
+            self.head = answer_refusal(
+                Refusal(INTERNAL, 'The request failed inside'),
+            )
+        try:
+            await self._record_body(self.head)
+        finally:
+            self.finished = True
+            self._wake()
 
     async def replay(self) -> Response:
         """Answer another reader with the same answer, from its start."""
@@ -84,6 +88,14 @@
                 return
             await changed.wait()
 
+    async def _record_body(self, response: Response) -> None:
+        if isinstance(response.body, bytes):
+            self._add(response.body)
+            return
+        async with aclosing(response.body) as parts:
+            async for part in parts:
+                self._add(part)
+
     def _add(self, part: bytes) -> None:
         self.parts.append(part)
         self.size += len(part)
