Instances tell each other loads, versions and results

Cause: entries placed blind; 5,632 of 6,437 arrivals at the engines were shed. Ruled out: asking the engines for reports (priced as probes, late).

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -80,6 +80,13 @@
     'INFO',
     'upstreams at {revision}: {ready} ready, {draining} leaving, {gone} gone',
 )
+STATE_COPIED = _define(
+    3006,
+    'INFO',
+    'copied from {instance}: configuration {version}, upstreams {revision}',
+)
+PEER_FAILED = _define(3007, 'WARNING', 'call to {instance}: {error}')
+PULSE_UNREADABLE = _define(3008, 'WARNING', 'datagram not read: {error}')
 CALL_PLACED = _define(
     5101,
     'INFO',
--- a/gentiantrestle/gateway/batch/book.py
+++ b/gentiantrestle/gateway/batch/book.py
@@ -48,6 +48,11 @@
             self._listed.add(one.id)
         self.chunks += 1
 
+    def take_over(self, rows: list[ItemResult], chunks: int) -> None:
+        """Take in results from the instance that runs the job."""
+        self.append(rows)
+        self.chunks = max(self.chunks - 1, chunks)
+
     def is_listed(self, wanted: str) -> bool:
         """Tell whether an item has a position."""
         return wanted in self._listed
--- a/gentiantrestle/gateway/batch/desk.py
+++ b/gentiantrestle/gateway/batch/desk.py
@@ -1,7 +1,7 @@
 """Callers' calls on batch jobs: hand in, read, fetch a body, end."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from gentiantrestle import events
@@ -34,7 +34,7 @@
 OK = 200
 MAX_JOB = 1000000  # bytes: what one object of the store holds
 MAX_PAGE = 900000  # characters of output in one answer
-POLL_TIME = 0.4  # seconds between looks at another instance's results
+POLL_TIME = 0.25  # seconds between looks at another instance's results
 WAIT_STEP = 0.1  # seconds between looks at own results
 STORE_PAUSE = 0.5  # seconds until a caller comes back to an absent store
 QUOTA_PAUSE = 1.0  # seconds until a caller comes back to a full quota
@@ -68,6 +68,8 @@
         self._dialect = dialect
         self._instance = instance
         self.is_runner: Callable[[Entry], bool] = _never
+        self.on_end: Callable[[str], None] = _ignore
+        self.ask_runner: Callable[[Entry], Awaitable[bool]] = _ask_nobody
 
     async def hand_in(self, call: Call, route: Route, wall: float) -> Answer:
         """Accept a job once; the store's yes comes before ours."""
@@ -130,6 +132,7 @@
         if not known:
             raise refuse(NOT_FOUND, 'No such job')
         events.emit(events.JOB_FINISHED, job=wanted.job, state='ended')
+        self.on_end(wanted.job)
         self._runner.wake()
         return Answer(OK, JSON_HEADERS, b'{}')
 
@@ -155,6 +158,8 @@
             await asyncio.sleep(WAIT_STEP if own else POLL_TIME)
 
     async def _refresh(self, entry: Entry) -> None:
+        if await self.ask_runner(entry):
+            return
         try:
             await self._keeper.refresh(entry)
         except StoreUnavailableError as exc:
@@ -182,6 +187,14 @@
     return Answer(ACCEPTED, JSON_HEADERS, b'{}')
 
 
+async def _ask_nobody(entry: Entry) -> bool:
+    return False
+
+
+def _ignore(job: str) -> None:
+    """Tell nobody until somebody is set."""
+
+
 def _never(entry: Entry) -> bool:
     return False
 
--- a/gentiantrestle/gateway/batch/duty.py
+++ b/gentiantrestle/gateway/batch/duty.py
@@ -25,16 +25,21 @@
     spec: ItemSpec
 
 
-def runs_here(entry: Entry, instance: str, alive: Iterable[str]) -> bool:
-    """Tell whether this instance runs a job.
+def runner_of(entry: Entry, names: Iterable[str]) -> str | None:
+    """Name the instance that runs a job.
 
     The acceptor does while it lives; after it any instance may be chosen.
     Two that disagree cost work, not correctness.
     """
-    names = set(alive) | {instance}
-    if entry.job.acceptor in names:
-        return entry.job.acceptor == instance
-    return owner(entry.job.id, names) == instance
+    alive = set(names)
+    if entry.job.acceptor in alive:
+        return entry.job.acceptor
+    return owner(entry.job.id, alive)
+
+
+def runs_here(entry: Entry, instance: str, alive: Iterable[str]) -> bool:
+    """Tell whether this instance runs a job."""
+    return runner_of(entry, (*alive, instance)) == instance
 
 
 def due_items(
--- /dev/null
+++ b/gentiantrestle/gateway/fellows.py
@@ -0,0 +1,113 @@
+"""Which other instances live and what they know; no I/O.
+
+Answers the load of instances that are killed, paused, cut off or replaced:
+silence is judged on this instance's steady clock, a restart by incarnation.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+# An instance tells of itself at least every 0.4 s; datagrams may be lost.
+SILENCE = 1.6  # seconds until an instance counts as gone
+FORGET_AFTER = 60.0  # seconds until a silent host is not told any more
+# After a departure others may have taken work over that is not known yet.
+SETTLE_TIME = 5.0  # seconds
+
+
+class Fellow(NamedTuple):
+    """What one instance said of itself last, and when it was heard."""
+
+    instance: str
+    incarnation: int
+    number: int
+    host: str
+    zone: str
+    leaving: bool
+    config_version: int
+    store_reached: bool
+    heard: float
+
+    def fresh(self, now: float) -> bool:
+        """Tell whether the instance was heard of lately."""
+        return now - self.heard < SILENCE
+
+
+class Fellows:
+    """The other instances by name, and the hosts to tell."""
+
+    def __init__(self, instance: str, host: str, seeds: Iterable[str]) -> None:
+        """Know the seeds' hosts only."""
+        self._instance = instance
+        self._own_host = host
+        self._by_name: dict[str, Fellow] = {}
+        self._seeds = frozenset(seeds) - {host}
+        self._hosts: dict[str, float] = {}
+        self._unsettled_until = float(0)
+
+    def hear(self, told: Fellow) -> bool:
+        """Take in what an instance says; tell whether it is a newcomer."""
+        if told.instance == self._instance:
+            return False
+        known = self._by_name.get(told.instance)
+        if known is not None and told[1:3] <= known[1:3]:
+            return False
+        self._by_name[told.instance] = told
+        self._hosts[told.host] = told.heard
+        return known is None or known.incarnation != told.incarnation
+
+    def learn_hosts(self, hosts: Iterable[str], now: float) -> None:
+        """Take in hosts that another instance knows."""
+        for host in hosts:
+            if host != self._own_host:
+                self._hosts.setdefault(host, now)
+
+    def hosts(self, now: float) -> list[str]:
+        """List the hosts to tell: those heard of lately, and the seeds."""
+        for host, heard in tuple(self._hosts.items()):
+            if now - heard > FORGET_AFTER:
+                self._hosts.pop(host)
+        return sorted(self._seeds | set(self._hosts))
+
+    def sweep(self, now: float) -> list[Fellow]:
+        """Drop and return the instances that have fallen silent."""
+        silent = [
+            one for one in self._by_name.values() if not one.fresh(now)
+        ]
+        for one in silent:
+            self._by_name.pop(one.instance)
+            self._unsettled_until = now + SETTLE_TIME
+        return silent
+
+    def settled(self, now: float) -> bool:
+        """Tell whether no instance has gone lately."""
+        return now >= self._unsettled_until
+
+    def workers(self, now: float) -> tuple[str, ...]:
+        """Name the living instances that take work on."""
+        return tuple(
+            one.instance
+            for one in self._by_name.values()
+            if one.fresh(now) and not one.leaving
+        )
+
+    def find(self, instance: str) -> Fellow | None:
+        """Return one living instance."""
+        return self._by_name.get(instance)
+
+    def ahead(self, version: int, now: float) -> Fellow | None:
+        """Return an instance with a newer configuration than ``version``."""
+        newest = max(
+            self._fresh(now),
+            key=lambda one: one.config_version,
+            default=None,
+        )
+        if newest is None or newest.config_version <= version:
+            return None
+        return newest
+
+    def with_store(self, now: float) -> list[Fellow]:
+        """List the instances that reach the store."""
+        return [one for one in self._fresh(now) if one.store_reached]
+
+    def _fresh(self, now: float) -> list[Fellow]:
+        return [one for one in self._by_name.values() if one.fresh(now)]
--- /dev/null
+++ b/gentiantrestle/gateway/gossip.py
@@ -0,0 +1,181 @@
+"""Tells the other instances of loads and versions, by datagrams."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from gentiantrestle import events
+from gentiantrestle.daemon.membership.codec import (
+    BadFrameError,
+    LENGTH,
+    decode,
+    encode,
+)
+from gentiantrestle.gateway.fellows import Fellow, Fellows
+from gentiantrestle.gateway.loads import Load, LoadBoard, Told
+from gentiantrestle.models import Address
+from gentiantrestle.wire.peer import ttypes
+
+# Datagrams an instance may send in a second; it tells many others less often.
+DATAGRAM_RATE = 160
+MIN_GAP = 0.05  # seconds between two changes told
+MAX_GAP = 0.4  # seconds until the same is told again
+MAX_HOSTS = 100  # hosts in one datagram
+
+
+class Own(NamedTuple):
+    """What this instance tells of itself."""
+
+    leaving: bool
+    config_version: int
+    store_reached: bool
+    waiting: int
+    ended: tuple[str, ...]
+
+
+class Identity(NamedTuple):
+    """Who this instance is; the incarnation grows with each start."""
+
+    instance: str
+    incarnation: int
+    host: str
+    zone: str
+    port: int
+
+
+class Gossip(asyncio.DatagramProtocol):
+    """Sends and hears what instances tell each other all the time."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        fellows: Fellows,
+        board: LoadBoard,
+        own: Callable[[], Own],
+        now: Callable[[], float],
+    ) -> None:
+        """Tell what ``own`` returns; note others' loads on ``board``."""
+        self._me = identity
+        self._fellows = fellows
+        self._board = board
+        self._own = own
+        self._now = now
+        self._number = 0
+        self._last: tuple[Own, dict[str, Load]] | None = None
+        self._last_at = float(0)
+        self._transport: asyncio.DatagramTransport | None = None
+        self.on_heard: Callable[[Iterable[str]], None] = _nothing
+
+    async def run(self) -> None:
+        """Tell and sweep until cancelled."""
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self._me.host, self._me.port)
+        )
+        try:
+            while True:
+                await asyncio.sleep(self._tell())
+                self._sweep()
+        finally:
+            self._transport.close()
+
+    def datagram_received(
+        self,
+        payload: bytes,
+        sender: tuple[str, int],
+    ) -> None:
+        """Take in what another instance tells."""
+        try:
+            pulse = decode(payload).pulse
+        except BadFrameError as exc:
+            events.emit(events.PULSE_UNREADABLE, error=repr(exc))
+            return
+        if pulse is not None:
+            self._hear(pulse)
+
+    def announce(self) -> None:
+        """Tell the others now."""
+        if self._transport is not None:
+            self._send(self._fellows.hosts(self._now()), self._own())
+
+    def _hear(self, pulse: ttypes.Pulse) -> None:
+        now = self._now()
+        fellow = Fellow(
+            pulse.instance,
+            pulse.incarnation,
+            pulse.number,
+            pulse.host,
+            pulse.zone,
+            pulse.state == ttypes.MemberState.LEAVING,
+            pulse.config_version,
+            pulse.store_reached,
+            now,
+        )
+        newcomer = self._fellows.hear(fellow)
+        self._fellows.learn_hosts(pulse.hosts or (), now)
+        loads = {
+            one.upstream: Load(one.online, one.batch) for one in pulse.loads
+        }
+        if pulse.instance != self._me.instance:
+            self._board.hear(pulse.instance, Told(now, loads, pulse.waiting))
+        if newcomer:
+            events.emit(events.MEMBER_ALIVE, instance=pulse.instance)
+            hosts = self._fellows.hosts(now)[:MAX_HOSTS]
+            self._send([pulse.host], self._own(), hosts)
+        self.on_heard(pulse.ended or ())
+
+    def _tell(self) -> float:
+        """Tell the others if it is time; return when to look again, in s."""
+        now = self._now()
+        hosts = self._fellows.hosts(now)
+        own = self._own()
+        state = (own, dict(self._board.own))
+        if state != self._last or now - self._last_at >= MAX_GAP:
+            self._last, self._last_at = state, now
+            self._send(hosts, own)
+        return max(MIN_GAP, min(MAX_GAP, len(hosts) / DATAGRAM_RATE))
+
+    def _send(
+        self,
+        hosts: Iterable[str],
+        own: Own,
+        told_hosts: list[str] | None = None,
+    ) -> None:
+        self._number += 1
+        state = ttypes.MemberState.SERVING
+        if own.leaving:
+            state = ttypes.MemberState.LEAVING
+        pulse = ttypes.Pulse(
+            instance=self._me.instance,
+            incarnation=self._me.incarnation,
+            number=self._number,
+            host=self._me.host,
+            zone=self._me.zone,
+            state=state,
+            config_version=own.config_version,
+            store_reached=own.store_reached,
+            waiting=own.waiting,
+            loads=[
+                ttypes.Load(name, load.online, load.batch)
+                for name, load in self._board.own.items()
+            ],
+            hosts=told_hosts,
+            ended=list(own.ended),
+        )
+        payload = encode(ttypes.Envelope(call=0, pulse=pulse))[LENGTH.size :]
+        for host in hosts:
+            self._transport.sendto(payload, (host, self._me.port))
+
+    def _sweep(self) -> None:
+        for gone in self._fellows.sweep(self._now()):
+            events.emit(events.MEMBER_LOST, instance=gone.instance)
+            self._board.forget(gone.instance)
+
+
+def _nothing(ended: Iterable[str]) -> None:
+    """Do nothing until something is set."""
+
+
+def peer_address(fellow: Fellow, port: int) -> Address:
+    """Return where an instance answers calls; ports are the same on all."""
+    return Address(fellow.host, port)
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -3,21 +3,24 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections import deque
+from collections.abc import Iterable
 from typing import NamedTuple
 
-from gentiantrestle import events
 from gentiantrestle.gateway.batch.book import Book
+from gentiantrestle.gateway.batch.book import Entry as BatchEntry
 from gentiantrestle.gateway.batch.desk import Desk
-from gentiantrestle.gateway.batch.duty import runs_here
+from gentiantrestle.gateway.batch.duty import runner_of, runs_here
 from gentiantrestle.gateway.batch.keeper import Keeper
 from gentiantrestle.gateway.batch.records import JOB_KIND
 from gentiantrestle.gateway.batch.runner import Clock, Parts, Runner
 from gentiantrestle.gateway.callers import Callers
 from gentiantrestle.gateway.entry import Entry
+from gentiantrestle.gateway.fellows import Fellows
 from gentiantrestle.gateway.follow import Follower, Sink
 from gentiantrestle.gateway.forward import Forwarder
 from gentiantrestle.gateway.gate import Gate
+from gentiantrestle.gateway.gossip import Gossip, Identity, Own
 from gentiantrestle.gateway.loads import LoadBoard
 from gentiantrestle.gateway.placement import Placement, Site
 from gentiantrestle.gateway.ports import (
@@ -26,6 +29,7 @@
     ObjectStore,
     Stored,
 )
+from gentiantrestle.gateway.relay import Reach, Relay
 from gentiantrestle.gateway.roster import Roster
 from gentiantrestle.gateway.routing import Router
 from gentiantrestle.gateway.state import State
@@ -40,6 +44,8 @@
 # The balancer asks once a second and drops an instance after two misses.
 NOTICE_TIME = 2.6  # seconds
 STOP_STEP = 0.05  # seconds
+# Jobs ended here that the others are told of with each datagram.
+ENDED_TOLD = 8
 
 
 class Plan(NamedTuple):
@@ -47,7 +53,10 @@
 
     instance: str
     site: Site
+    host: str
     callers: Address
+    peer_port: int
+    seeds: tuple[str, ...]
     grace: float
 
 
@@ -108,6 +117,12 @@
         )
         self.gate.preempt = self.runner.preempt
         self.state.on_change = self._wake
+        self._followers: dict[str, Follower] = dict(self._build_followers())
+        self.fellows = Fellows(plan.instance, plan.host, plan.seeds)
+        self._gossip = self._build_gossip()
+        self._relay = self._build_relay()
+        self.runner.alive = lambda: self.fellows.workers(self._clock.now())
+        self._ended: deque[str] = deque(maxlen=ENDED_TOLD)
         self.callers = self._build_callers(placement)
         self.stopping = False
 
@@ -127,16 +142,28 @@
         began = self._clock.now()
         self.stopping = True
         self.callers.stopping = True
+        self._gossip.announce()
         await self.runner.stop()
         await self._until(began + NOTICE_TIME, idle=False)
         self.callers.close_idle()
         await self._until(began + self._plan.grace * 0.9, idle=True)
         return self.callers.active
 
-    def is_runner(self, entry: object) -> bool:
-        """Tell whether this instance runs a job."""
+    def is_runner(self, entry: BatchEntry) -> bool:
+        """Tell whether this instance runs a job, beyond doubt."""
+        if not self.fellows.settled(self._clock.now()):
+            return False
         return runs_here(entry, self._plan.instance, self.runner.alive())
 
+    async def ask_runner(self, entry: BatchEntry) -> bool:
+        """Read a job's results from its runner; False if it can't say."""
+        now = self._clock.now()
+        name = runner_of(entry, self.fellows.workers(now))
+        fellow = self.fellows.find(name) if name else None
+        if fellow is None or not self.fellows.settled(now):
+            return False
+        return await self._relay.results(fellow, entry)
+
     async def _until(self, end: float, *, idle: bool) -> None:
         while self._clock.now() < end:
             if idle and not self.callers.active:
@@ -144,6 +171,14 @@
             await asyncio.sleep(STOP_STEP)
 
     def _children(self) -> Iterable[Child]:
+        yield Child('gossip', self._gossip.run)
+        yield Child('peers', lambda: self._relay.serve(self._plan.host))
+        yield Child('relay', lambda: self._relay.run(self._clock.now))
+        for kind, follower in self._followers.items():
+            yield Child(f'follow {kind}', follower.run)
+        yield Child('batch', self.runner.run)
+
+    def _build_followers(self) -> Iterable[tuple[str, Follower]]:
         kinds = self._adapter.kinds
         sinks = (
             (kinds.config, self.state.config_sink(), CONFIG_REST),
@@ -151,11 +186,59 @@
             (JOB_KIND, Sink(self._take_jobs, self._take_jobs, _pass), JOB_REST),
         )
         for kind, sink, rest in sinks:
-            follower = Follower(
-                self._adapter.store, kind, sink, self._rng, rest=rest
+            yield (
+                kind,
+                Follower(
+                    self._adapter.store, kind, sink, self._rng, rest=rest
+                ),
             )
-            yield Child(f'follow {kind}', follower.run)
-        yield Child('batch', self.runner.run)
+
+    def _build_gossip(self) -> Gossip:
+        plan = self._plan
+        identity = Identity(
+            plan.instance,
+            time.time_ns(),
+            plan.host,
+            plan.site.zone,
+            plan.peer_port,
+        )
+        gossip = Gossip(
+            identity, self.fellows, self.board, self._own, self._clock.now
+        )
+        gossip.on_heard = self._hear
+        return gossip
+
+    def _build_relay(self) -> Relay:
+        reach = Reach(
+            lambda: self.router.table.version,
+            lambda: self.roster.revision,
+            lambda: self._connected,
+        )
+        relay = Relay(
+            self.state, self.fellows, self.book, reach, self._plan.peer_port
+        )
+        relay.runs_here = self.is_runner
+        return relay
+
+    @property
+    def _connected(self) -> bool:
+        return all(one.connected for one in self._followers.values())
+
+    def _own(self) -> Own:
+        return Own(
+            self.stopping,
+            self.router.table.version,
+            self._connected,
+            self.gate.waiting,
+            tuple(self._ended),
+        )
+
+    def _hear(self, ended: Iterable[str]) -> None:
+        for job in ended:
+            entry = self.book.entries.get(job)
+            if entry is not None:
+                entry.end()
+        self.gate.dispatch()
 
     def _build_callers(self, placement: Placement) -> Callers:
         adapter = self._adapter
@@ -170,6 +253,8 @@
             self._plan.instance,
         )
         desk.is_runner = self.is_runner
+        desk.ask_runner = self.ask_runner
+        desk.on_end = self._ended.append
         entry = Entry(
             self.router, forwarder, desk, adapter.dialect, self._clock
         )
--- a/gentiantrestle/platform/__main__.py
+++ b/gentiantrestle/platform/__main__.py
@@ -56,7 +56,10 @@
         Plan(
             cfg.instance,
             Site(cfg.zone, cfg.regions),
+            cfg.host,
             cfg.callers,
+            cfg.peer_port,
+            cfg.seeds,
             cfg.grace,
         ),
         Adapter(
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -86,6 +86,44 @@
   1: required list<ReportRow> rows,
 }
 
+/* What an instance of the gateway tells the others, often and briefly. */
+struct Pulse {
+  1: required string instance,
+  2: required i64 incarnation,
+  3: required i64 number,
+  4: required string host,
+  5: required string zone,
+  6: required MemberState state,
+  7: required i64 config_version,
+  8: required bool store_reached,
+  9: required i32 waiting,
+  10: required list<Load> loads,
+  /* Hosts of other instances, told to one that has just come. */
+  11: optional list<string> hosts,
+  /* Jobs that their callers have ended lately. */
+  12: optional list<string> ended,
+}
+
+/* Asks the instance that runs a job for its results from a position on. */
+struct ResultsRequest {
+  1: required string job,
+  2: required i32 after,
+}
+
+struct ResultRow {
+  1: required string item,
+  2: required bool completed,
+  3: required string output,
+}
+
+struct Results {
+  1: required bool known,
+  2: required bool complete,
+  3: required list<ResultRow> rows,
+  /* Parts of the job's results that the store holds. */
+  4: required i32 chunks,
+}
+
 /* Exactly one of the optional fields is set. */
 struct Envelope {
   1: required i64 call,
@@ -97,4 +135,7 @@
   7: optional LoadReport load_report,
   8: optional ReportRequest report_request,
   9: optional Report report,
+  10: optional Pulse pulse,
+  11: optional ResultsRequest results_request,
+  12: optional Results results,
 }
--- a/gentiantrestle/wire/peer/ttypes.py
+++ b/gentiantrestle/wire/peer/ttypes.py
@@ -1283,6 +1283,554 @@
         return not (self == other)
 
 
+class Pulse(object):
+    """
+    Attributes:
+     - instance
+     - incarnation
+     - number
+     - host
+     - zone
+     - state
+     - config_version
+     - store_reached
+     - waiting
+     - loads
+     - hosts
+     - ended
+
+    """
+
+    __slots__ = (
+        'instance',
+        'incarnation',
+        'number',
+        'host',
+        'zone',
+        'state',
+        'config_version',
+        'store_reached',
+        'waiting',
+        'loads',
+        'hosts',
+        'ended',
+    )
+
+
+    def __init__(self, instance=None, incarnation=None, number=None, host=None, zone=None, state=None, config_version=None, store_reached=None, waiting=None, loads=None, hosts=None, ended=None,):
+        self.instance = instance
+        self.incarnation = incarnation
+        self.number = number
+        self.host = host
+        self.zone = zone
+        self.state = state
+        self.config_version = config_version
+        self.store_reached = store_reached
+        self.waiting = waiting
+        self.loads = loads
+        self.hosts = hosts
+        self.ended = ended
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.state = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.store_reached = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype47, _size44) = iprot.readListBegin()
+                    for _i48 in range(_size44):
+                        _elem49 = Load()
+                        _elem49.read(iprot)
+                        self.loads.append(_elem49)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.hosts = []
+                    (_etype53, _size50) = iprot.readListBegin()
+                    for _i54 in range(_size50):
+                        _elem55 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.hosts.append(_elem55)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.ended = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.ended.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Pulse')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 3)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 4)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 5)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.I32, 6)
+            oprot.writeI32(self.state)
+            oprot.writeFieldEnd()
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 7)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
+        if self.store_reached is not None:
+            oprot.writeFieldBegin('store_reached', TType.BOOL, 8)
+            oprot.writeBool(self.store_reached)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I32, 9)
+            oprot.writeI32(self.waiting)
+            oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.loads))
+            for iter62 in self.loads:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.hosts is not None:
+            oprot.writeFieldBegin('hosts', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRING, len(self.hosts))
+            for iter63 in self.hosts:
+                oprot.writeString(iter63.encode('utf-8') if sys.version_info[0] == 2 else iter63)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ended is not None:
+            oprot.writeFieldBegin('ended', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRING, len(self.ended))
+            for iter64 in self.ended:
+                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.instance is None:
+            raise TProtocolException(message='Required field instance is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        if self.host is None:
+            raise TProtocolException(message='Required field host is unset!')
+        if self.zone is None:
+            raise TProtocolException(message='Required field zone is unset!')
+        if self.state is None:
+            raise TProtocolException(message='Required field state is unset!')
+        if self.config_version is None:
+            raise TProtocolException(message='Required field config_version is unset!')
+        if self.store_reached is None:
+            raise TProtocolException(message='Required field store_reached is unset!')
+        if self.waiting is None:
+            raise TProtocolException(message='Required field waiting is unset!')
+        if self.loads is None:
+            raise TProtocolException(message='Required field loads is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ResultsRequest(object):
+    """
+    Attributes:
+     - job
+     - after
+
+    """
+
+    __slots__ = (
+        'job',
+        'after',
+    )
+
+
+    def __init__(self, job=None, after=None,):
+        self.job = job
+        self.after = after
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.after = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ResultsRequest')
+        if self.job is not None:
+            oprot.writeFieldBegin('job', TType.STRING, 1)
+            oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
+            oprot.writeFieldEnd()
+        if self.after is not None:
+            oprot.writeFieldBegin('after', TType.I32, 2)
+            oprot.writeI32(self.after)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.job is None:
+            raise TProtocolException(message='Required field job is unset!')
+        if self.after is None:
+            raise TProtocolException(message='Required field after is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ResultRow(object):
+    """
+    Attributes:
+     - item
+     - completed
+     - output
+
+    """
+
+    __slots__ = (
+        'item',
+        'completed',
+        'output',
+    )
+
+
+    def __init__(self, item=None, completed=None, output=None,):
+        self.item = item
+        self.completed = completed
+        self.output = output
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.item = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.completed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.output = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ResultRow')
+        if self.item is not None:
+            oprot.writeFieldBegin('item', TType.STRING, 1)
+            oprot.writeString(self.item.encode('utf-8') if sys.version_info[0] == 2 else self.item)
+            oprot.writeFieldEnd()
+        if self.completed is not None:
+            oprot.writeFieldBegin('completed', TType.BOOL, 2)
+            oprot.writeBool(self.completed)
+            oprot.writeFieldEnd()
+        if self.output is not None:
+            oprot.writeFieldBegin('output', TType.STRING, 3)
+            oprot.writeString(self.output.encode('utf-8') if sys.version_info[0] == 2 else self.output)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.item is None:
+            raise TProtocolException(message='Required field item is unset!')
+        if self.completed is None:
+            raise TProtocolException(message='Required field completed is unset!')
+        if self.output is None:
+            raise TProtocolException(message='Required field output is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Results(object):
+    """
+    Attributes:
+     - known
+     - complete
+     - rows
+     - chunks
+
+    """
+
+    __slots__ = (
+        'known',
+        'complete',
+        'rows',
+        'chunks',
+    )
+
+
+    def __init__(self, known=None, complete=None, rows=None, chunks=None,):
+        self.known = known
+        self.complete = complete
+        self.rows = rows
+        self.chunks = chunks
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.known = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.complete = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = ResultRow()
+                        _elem70.read(iprot)
+                        self.rows.append(_elem70)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.chunks = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Results')
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.BOOL, 1)
+            oprot.writeBool(self.known)
+            oprot.writeFieldEnd()
+        if self.complete is not None:
+            oprot.writeFieldBegin('complete', TType.BOOL, 2)
+            oprot.writeBool(self.complete)
+            oprot.writeFieldEnd()
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter71 in self.rows:
+                iter71.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.chunks is not None:
+            oprot.writeFieldBegin('chunks', TType.I32, 4)
+            oprot.writeI32(self.chunks)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.known is None:
+            raise TProtocolException(message='Required field known is unset!')
+        if self.complete is None:
+            raise TProtocolException(message='Required field complete is unset!')
+        if self.rows is None:
+            raise TProtocolException(message='Required field rows is unset!')
+        if self.chunks is None:
+            raise TProtocolException(message='Required field chunks is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Envelope(object):
     """
     Attributes:
@@ -1295,6 +1843,9 @@
      - load_report
      - report_request
      - report
+     - pulse
+     - results_request
+     - results
 
     """
 
@@ -1308,10 +1859,13 @@
         'load_report',
         'report_request',
         'report',
+        'pulse',
+        'results_request',
+        'results',
     )
 
 
-    def __init__(self, call=None, heartbeat=None, changes_request=None, changes=None, answer_request=None, answer=None, load_report=None, report_request=None, report=None,):
+    def __init__(self, call=None, heartbeat=None, changes_request=None, changes=None, answer_request=None, answer=None, load_report=None, report_request=None, report=None, pulse=None, results_request=None, results=None,):
         self.call = call
         self.heartbeat = heartbeat
         self.changes_request = changes_request
@@ -1321,6 +1875,9 @@
         self.load_report = load_report
         self.report_request = report_request
         self.report = report
+        self.pulse = pulse
+        self.results_request = results_request
+        self.results = results
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1384,6 +1941,24 @@
                     self.report.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRUCT:
+                    self.pulse = Pulse()
+                    self.pulse.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.results_request = ResultsRequest()
+                    self.results_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.results = Results()
+                    self.results.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1430,6 +2005,18 @@
             oprot.writeFieldBegin('report', TType.STRUCT, 9)
             self.report.write(oprot)
             oprot.writeFieldEnd()
+        if self.pulse is not None:
+            oprot.writeFieldBegin('pulse', TType.STRUCT, 10)
+            self.pulse.write(oprot)
+            oprot.writeFieldEnd()
+        if self.results_request is not None:
+            oprot.writeFieldBegin('results_request', TType.STRUCT, 11)
+            self.results_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.results is not None:
+            oprot.writeFieldBegin('results', TType.STRUCT, 12)
+            self.results.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1540,6 +2127,43 @@
     None,  # 0
     (1, TType.LIST, 'rows', (TType.STRUCT, [ReportRow, None], False), None, ),  # 1
 )
+all_structs.append(Pulse)
+Pulse.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'number', None, None, ),  # 3
+    (4, TType.STRING, 'host', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'zone', 'UTF8', None, ),  # 5
+    (6, TType.I32, 'state', None, None, ),  # 6
+    (7, TType.I64, 'config_version', None, None, ),  # 7
+    (8, TType.BOOL, 'store_reached', None, None, ),  # 8
+    (9, TType.I32, 'waiting', None, None, ),  # 9
+    (10, TType.LIST, 'loads', (TType.STRUCT, [Load, None], False), None, ),  # 10
+    (11, TType.LIST, 'hosts', (TType.STRING, 'UTF8', False), None, ),  # 11
+    (12, TType.LIST, 'ended', (TType.STRING, 'UTF8', False), None, ),  # 12
+)
+all_structs.append(ResultsRequest)
+ResultsRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'after', None, None, ),  # 2
+)
+all_structs.append(ResultRow)
+ResultRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'item', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'completed', None, None, ),  # 2
+    (3, TType.STRING, 'output', 'UTF8', None, ),  # 3
+)
+all_structs.append(Results)
+Results.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'known', None, None, ),  # 1
+    (2, TType.BOOL, 'complete', None, None, ),  # 2
+    (3, TType.LIST, 'rows', (TType.STRUCT, [ResultRow, None], False), None, ),  # 3
+    (4, TType.I32, 'chunks', None, None, ),  # 4
+)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -1552,6 +2176,9 @@
     (7, TType.STRUCT, 'load_report', [LoadReport, None], None, ),  # 7
     (8, TType.STRUCT, 'report_request', [ReportRequest, None], None, ),  # 8
     (9, TType.STRUCT, 'report', [Report, None], None, ),  # 9
+    (10, TType.STRUCT, 'pulse', [Pulse, None], None, ),  # 10
+    (11, TType.STRUCT, 'results_request', [ResultsRequest, None], None, ),  # 11
+    (12, TType.STRUCT, 'results', [Results, None], None, ),  # 12
 )
 fix_spec(all_structs)
 del all_structs
