A restarted acceptor reads what is listed before it answers for a job

Ruled out: lost store objects (the parts were there). Change: an entry counts as learned only after it was created here or read to its end.

--- a/gentiantrestle/gateway/batch/book.py
+++ b/gentiantrestle/gateway/batch/book.py
@@ -15,6 +15,8 @@
         self.stored = record.stored
         self.results: list[ItemResult] = []
         self.chunks = 0
+        # Whether this process has seen all that the store lists of the job.
+        self.learned = False
         self._listed: set[str] = set()
         self._bodies = {spec.id: spec for spec in record.job.items}
 
--- a/gentiantrestle/gateway/batch/desk.py
+++ b/gentiantrestle/gateway/batch/desk.py
@@ -96,8 +96,7 @@
         events.emit(
             events.JOB_ACCEPTED, job=job.id, items=len(job.items), new=new
         )
-        if new:
-            self._runner.adopt(job.id)
+        self._runner.wake()
         return _accepted()
 
     async def read(self, wanted: ReadResults) -> Answer:
--- a/gentiantrestle/gateway/batch/keeper.py
+++ b/gentiantrestle/gateway/batch/keeper.py
@@ -65,7 +65,8 @@
         content = job_to_content(job)
         new = await self._store.create(JOB_KIND, job.id, content)
         if new:
-            self.note(Stored(job.id, 0, content))
+            entry = self.note(Stored(job.id, 0, content))
+            entry.learned = True
         return new
 
     async def find(self, job: str) -> Entry | None:
@@ -99,8 +100,9 @@
             if name != chunk_name(entry.job.id, entry.chunks):
                 continue
             if stored is None:
-                return
+                break
             entry.append(results_from_content(stored.content))
+        entry.learned = True
 
     async def list_results(
         self,
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -20,6 +20,7 @@
 from gentiantrestle.gateway.ports import Dialect
 from gentiantrestle.gateway.roster import Roster
 from gentiantrestle.gateway.routing import Router, choose_service
+from gentiantrestle.store.client import StoreUnavailableError
 
 # How often waiting items look for slots, besides when one is given back.
 ROUND_TIME = 0.1  # seconds
@@ -68,14 +69,14 @@
         self._paused: dict[str, float] = {}
         self._outbox: dict[str, list[ItemResult]] = {}
         self._listing: dict[str, asyncio.Task[None]] = {}
-        self._known: set[str] = set()
+        self._learning: set[str] = set()
         self._woken = asyncio.Event()
         self.stopping = False
 
     async def run(self) -> None:
         """Look for work until cancelled."""
         while True:
-            await self._round()
+            self._round()
             self._woken.clear()
             try:
                 async with asyncio.timeout(ROUND_TIME):
@@ -87,11 +88,6 @@
         """Look for work now."""
         self._woken.set()
 
-    def adopt(self, job: str) -> None:
-        """Run a job that was just accepted: nothing of it is listed."""
-        self._known.add(job)
-        self.wake()
-
     def preempt(self, upstreams: Iterable[str]) -> str | None:
         """Cut the newest item on one of some upstreams; return which."""
         wanted = set(upstreams)
@@ -116,11 +112,11 @@
         if self._listing:
             await asyncio.wait(tuple(self._listing.values()), timeout=2)
 
-    async def _round(self) -> None:
+    def _round(self) -> None:
         if self.stopping:
             return
         now = self._p.clock.now()
-        mine = await self._own_entries()
+        mine = self._own_entries()
         self._cut_closed()
         self._yield_overload(now)
         self._give_up_late(mine)
@@ -129,38 +125,39 @@
         for due in due_items(mine, busy):
             self._start(due, blocked, now)
 
-    async def _own_entries(self) -> list[tuple[Entry, Route]]:
+    def _own_entries(self) -> list[tuple[Entry, Route]]:
         alive = tuple(self.alive())
         found = []
         for entry in self._p.book.open_entries():
             if not runs_here(entry, self._instance, alive):
                 continue
-            if not await self._prepare(entry):
+            if not entry.learned:
+                self._learn(entry)
                 continue
             route = self._p.router.match(entry.job.host, entry.job.path)
             if route is not None:
                 found.append((entry, route))
         return found
 
-    async def _prepare(self, entry: Entry) -> bool:
+    def _learn(self, entry: Entry) -> None:
         """Read what others have listed before running another's job."""
-        if entry.job.id in self._known:
-            return True
-        self._known.add(entry.job.id)
-        asyncio.create_task(self._learn(entry))
-        return False
+        if entry.job.id not in self._learning:
+            self._learning.add(entry.job.id)
+            asyncio.create_task(self._read_listed(entry))
 
-    async def _learn(self, entry: Entry) -> None:
+    async def _read_listed(self, entry: Entry) -> None:
         try:
             await self._p.keeper.refresh(entry)
-        except Exception as exc:  # noqa: BLE001 (tried again next round)
+        except StoreUnavailableError as exc:
             events.emit(
                 events.WRITE_FAILED, name=entry.job.id, error=repr(exc)
             )
             await asyncio.sleep(ITEM_PAUSE)
-            self._known.discard(entry.job.id)
+        finally:
+            self._learning.discard(entry.job.id)
         if entry.complete:
             await self._p.keeper.finish(entry.job.id)
+        self.wake()
 
     def _held_back(self, now: float) -> set[str]:
         """Return items that pause, and those that wait to be listed."""
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -151,7 +151,7 @@
 
     def is_runner(self, entry: BatchEntry) -> bool:
         """Tell whether this instance runs a job, beyond doubt."""
-        if not self.fellows.settled(self._clock.now()):
+        if not entry.learned or not self.fellows.settled(self._clock.now()):
             return False
         return runs_here(entry, self._plan.instance, self.runner.alive())
 
