--- a/gentiantrestle/gateway/batch/book.py
+++ b/gentiantrestle/gateway/batch/book.py
@@ -17,6 +17,8 @@
         self.chunks = 0
         # Whether this process has seen all that the store lists of the job.
         self.learned = False
+        # Whether no other process can have listed results of the job.
+        self.sole = False
         self._listed: set[str] = set()
         self._bodies = {spec.id: spec for spec in record.job.items}
 
@@ -100,6 +102,12 @@
         """List the jobs whose items may still be run."""
         return [entry for entry in self.entries.values() if entry.open]
 
+    def share(self, run: str) -> None:
+        """Note that another instance runs the jobs that ``run`` accepted."""
+        for entry in self.entries.values():
+            if entry.job.acceptor == run:
+                entry.sole = False
+
     def waiting_tokens(self, host: str, prefix: str) -> int:
         """Sum the tokens that wait on a route."""
         return sum(
--- a/gentiantrestle/gateway/batch/desk.py
+++ b/gentiantrestle/gateway/batch/desk.py
@@ -67,7 +67,7 @@
         self._runner = runner
         self._dialect = dialect
         self._instance = instance
-        self.is_runner: Callable[[Entry], bool] = _never
+        self.is_sure: Callable[[Entry], bool] = _never
         self.on_end: Callable[[str], None] = _ignore
         self.ask_runner: Callable[[Entry], Awaitable[bool]] = _ask_nobody
 
@@ -149,7 +149,7 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + wanted.wait
         while len(entry.results) <= wanted.after and not entry.complete:
-            own = self.is_runner(entry)
+            own = self.is_sure(entry)
             if not own:
                 await self._refresh(entry)
             if len(entry.results) > wanted.after or loop.time() >= until:
@@ -169,7 +169,7 @@
         if not route.max_tokens or self._fits(job, route):
             return
         for entry in self._book.open_entries():
-            if not self.is_runner(entry):
+            if not self.is_sure(entry):
                 await self._refresh(entry)
         if self._fits(job, route):
             return
--- a/gentiantrestle/gateway/batch/keeper.py
+++ b/gentiantrestle/gateway/batch/keeper.py
@@ -67,6 +67,7 @@
         if new:
             entry = self.note(Stored(job.id, 0, content))
             entry.learned = True
+            entry.sole = True
         return new
 
     async def find(self, job: str) -> Entry | None:
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -1,6 +1,7 @@
 """Runs the items of the jobs that this instance is in charge of."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -28,6 +29,7 @@
 LIST_PAUSE = 0.4  # seconds
 # An upstream that refused or lost an item is left alone by it for this long.
 ITEM_PAUSE = 0.3  # seconds
+TAKEN_TOLD = 8
 
 
 class Clock(NamedTuple):
@@ -71,6 +73,8 @@
         self._listing: dict[str, asyncio.Task[None]] = {}
         self._learning: set[str] = set()
         self._woken = asyncio.Event()
+        # Runs of instances whose jobs were taken over, told to the others.
+        self.taken: deque[str] = deque(maxlen=TAKEN_TOLD)
         self.stopping = False
 
     async def run(self) -> None:
@@ -131,6 +135,7 @@
         for entry in self._p.book.open_entries():
             if not runs_here(entry, self._instance, alive):
                 continue
+            self._note_taken(entry)
             if not entry.learned:
                 self._learn(entry)
                 continue
@@ -139,6 +144,12 @@
                 found.append((entry, route))
         return found
 
+    def _note_taken(self, entry: Entry) -> None:
+        run = entry.job.acceptor
+        if run != self._instance and run not in self.taken:
+            events.emit(events.JOBS_TAKEN, run=run)
+            self.taken.append(run)
+
     def _learn(self, entry: Entry) -> None:
         """Read what others have listed before running another's job."""
         if entry.job.id not in self._learning:
--- a/gentiantrestle/gateway/fellows.py
+++ b/gentiantrestle/gateway/fellows.py
@@ -10,8 +10,8 @@
 # An instance tells of itself at least every 0.4 s; datagrams may be lost.
 SILENCE = 1.6  # seconds until an instance counts as gone
 FORGET_AFTER = 60.0  # seconds until a silent host is not told any more
-# After a departure others may have taken work over that is not known yet.
-SETTLE_TIME = 5.0  # seconds
+# How long a silent instance may still do work that is not known here.
+SETTLE_TIME = 60.0  # seconds
 
 
 class Fellow(NamedTuple):
@@ -27,6 +27,11 @@
     store_reached: bool
     heard: float
 
+    @property
+    def run(self) -> str:
+        """Name this run of the instance: another one after a restart."""
+        return run_name(self.instance, self.incarnation)
+
     def fresh(self, now: float) -> bool:
         """Tell whether the instance was heard of lately."""
         return now - self.heard < SILENCE
@@ -42,7 +47,7 @@
         self._by_name: dict[str, Fellow] = {}
         self._seeds = frozenset(seeds) - {host}
         self._hosts: dict[str, float] = {}
-        self._unsettled_until = float(0)
+        self._lost: dict[str, float] = {}
 
     def hear(self, told: Fellow) -> bool:
         """Take in what an instance says; tell whether it is a newcomer."""
@@ -53,6 +58,7 @@
             return False
         self._by_name[told.instance] = told
         self._hosts[told.host] = told.heard
+        self._lost.pop(told.instance, None)
         return known is None or known.incarnation != told.incarnation
 
     def learn_hosts(self, hosts: Iterable[str], now: float) -> None:
@@ -75,24 +81,27 @@
         ]
         for one in silent:
             self._by_name.pop(one.instance)
-            self._unsettled_until = now + SETTLE_TIME
+            if not one.leaving:
+                self._lost[one.instance] = now
         return silent
 
     def settled(self, now: float) -> bool:
-        """Tell whether no instance has gone lately."""
-        return now >= self._unsettled_until
+        """Tell whether every instance that was lost lately is back."""
+        return all(now - at > SETTLE_TIME for at in self._lost.values())
 
     def workers(self, now: float) -> tuple[str, ...]:
-        """Name the living instances that take work on."""
+        """Name the runs of living instances that take work on."""
         return tuple(
-            one.instance
+            one.run
             for one in self._by_name.values()
             if one.fresh(now) and not one.leaving
         )
 
-    def find(self, instance: str) -> Fellow | None:
-        """Return one living instance."""
-        return self._by_name.get(instance)
+    def find(self, run: str) -> Fellow | None:
+        """Return a living instance by the name of its run."""
+        return next(
+            (one for one in self._by_name.values() if one.run == run), None
+        )
 
     def ahead(self, version: int, now: float) -> Fellow | None:
         """Return an instance with a newer configuration than ``version``."""
@@ -111,3 +120,8 @@
 
     def _fresh(self, now: float) -> list[Fellow]:
         return [one for one in self._by_name.values() if one.fresh(now)]
+
+
+def run_name(instance: str, incarnation: int) -> str:
+    """Name one run of an instance."""
+    return f'{instance}/{incarnation:x}'
--- a/gentiantrestle/gateway/gossip.py
+++ b/gentiantrestle/gateway/gossip.py
@@ -31,6 +31,14 @@
     store_reached: bool
     waiting: int
     ended: tuple[str, ...]
+    taken: tuple[str, ...]
+
+
+class Heard(NamedTuple):
+    """What another instance says of jobs: ended ones, and runs taken over."""
+
+    ended: tuple[str, ...]
+    taken: tuple[str, ...]
 
 
 class Identity(NamedTuple):
@@ -64,7 +72,7 @@
         self._last: tuple[Own, dict[str, Load]] | None = None
         self._last_at = float(0)
         self._transport: asyncio.DatagramTransport | None = None
-        self.on_heard: Callable[[Iterable[str]], None] = _nothing
+        self.on_heard: Callable[[Heard], None] = _nothing
 
     async def run(self) -> None:
         """Tell and sweep until cancelled."""
@@ -122,7 +130,7 @@
             events.emit(events.MEMBER_ALIVE, instance=pulse.instance)
             hosts = self._fellows.hosts(now)[:MAX_HOSTS]
             self._send([pulse.host], self._own(), hosts)
-        self.on_heard(pulse.ended or ())
+        self.on_heard(Heard(tuple(pulse.ended), tuple(pulse.taken)))
 
     def _tell(self) -> float:
         """Tell the others if it is time; return when to look again, in s."""
@@ -161,6 +169,7 @@
             ],
             hosts=told_hosts,
             ended=list(own.ended),
+            taken=list(own.taken),
         )
         payload = encode(ttypes.Envelope(call=0, pulse=pulse))[LENGTH.size :]
         for host in hosts:
@@ -172,7 +181,7 @@
             self._board.forget(gone.instance)
 
 
-def _nothing(ended: Iterable[str]) -> None:
+def _nothing(heard: Heard) -> None:
     """Do nothing until something is set."""
 
 
--- a/gentiantrestle/gateway/relay.py
+++ b/gentiantrestle/gateway/relay.py
@@ -60,7 +60,7 @@
         self._server = PeerServer(self._answer)
         self._behind_since: float | None = None
         self._copied_at = float(0)
-        self.runs_here: Callable[[Entry], bool] = _never
+        self.is_sure: Callable[[Entry], bool] = _never
 
     async def serve(self, host: str) -> None:
         """Answer the other instances until cancelled."""
@@ -164,7 +164,7 @@
 
     def _results(self, asked: ttypes.ResultsRequest) -> ttypes.Results:
         entry = self._book.entries.get(asked.job)
-        if entry is None or not self.runs_here(entry):
+        if entry is None or not self.is_sure(entry):
             return ttypes.Results(
                 known=False, complete=False, rows=[], chunks=0
             )
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -10,17 +10,17 @@
 from gentiantrestle.gateway.batch.book import Book
 from gentiantrestle.gateway.batch.book import Entry as BatchEntry
 from gentiantrestle.gateway.batch.desk import Desk
-from gentiantrestle.gateway.batch.duty import runner_of, runs_here
+from gentiantrestle.gateway.batch.duty import runner_of
 from gentiantrestle.gateway.batch.keeper import Keeper
 from gentiantrestle.gateway.batch.records import JOB_KIND
 from gentiantrestle.gateway.batch.runner import Clock, Parts, Runner
 from gentiantrestle.gateway.callers import Callers
 from gentiantrestle.gateway.entry import Entry
-from gentiantrestle.gateway.fellows import Fellows
+from gentiantrestle.gateway.fellows import Fellows, run_name
 from gentiantrestle.gateway.follow import Follower, Sink
 from gentiantrestle.gateway.forward import Forwarder
 from gentiantrestle.gateway.gate import Gate
-from gentiantrestle.gateway.gossip import Gossip, Identity, Own
+from gentiantrestle.gateway.gossip import Gossip, Heard, Identity, Own
 from gentiantrestle.gateway.loads import LoadBoard
 from gentiantrestle.gateway.placement import Placement, Site
 from gentiantrestle.gateway.ports import (
@@ -84,7 +84,9 @@
         """Build the parts; nothing runs yet."""
         self._plan = plan
         self._adapter = adapter
-        self._rng = random.Random(time.time_ns())
+        self._incarnation = time.time_ns()
+        self._rng = random.Random(self._incarnation)
+        run = run_name(plan.instance, self._incarnation)
         self._clock = Clock(time.monotonic, time.time)
         self.router = Router()
         self.roster = Roster()
@@ -113,7 +115,7 @@
                 adapter.dialect,
                 self._clock,
             ),
-            plan.instance,
+            run,
         )
         self.gate.preempt = self.runner.preempt
         self.state.on_change = self._wake
@@ -149,18 +151,21 @@
         await self._until(began + self._plan.grace * 0.9, idle=True)
         return self.callers.active
 
-    def is_runner(self, entry: BatchEntry) -> bool:
-        """Tell whether this instance runs a job, beyond doubt."""
-        if not entry.learned or not self.fellows.settled(self._clock.now()):
-            return False
-        return runs_here(entry, self._plan.instance, self.runner.alive())
+    def is_sure(self, entry: BatchEntry) -> bool:
+        """Tell whether this process knows all results without the store.
+
+        It does for jobs that it accepted itself, unless another instance may
+        have taken them over without being heard.
+        """
+        settled = self.fellows.settled(self._clock.now())
+        return entry.sole and settled and not self.stopping
 
     async def ask_runner(self, entry: BatchEntry) -> bool:
         """Read a job's results from its runner; False if it can't say."""
         now = self._clock.now()
         name = runner_of(entry, self.fellows.workers(now))
         fellow = self.fellows.find(name) if name else None
-        if fellow is None or not self.fellows.settled(now):
+        if fellow is None:
             return False
         return await self._relay.results(fellow, entry)
 
@@ -197,7 +202,7 @@
         plan = self._plan
         identity = Identity(
             plan.instance,
-            time.time_ns(),
+            self._incarnation,
             plan.host,
             plan.site.zone,
             plan.peer_port,
@@ -217,7 +222,7 @@
         relay = Relay(
             self.state, self.fellows, self.book, reach, self._plan.peer_port
         )
-        relay.runs_here = self.is_runner
+        relay.is_sure = self.is_sure
         return relay
 
     @property
@@ -231,10 +236,13 @@
             self._connected,
             self.gate.waiting,
             tuple(self._ended),
+            tuple(self.runner.taken),
         )
 
-    def _hear(self, ended: Iterable[str]) -> None:
-        for job in ended:
+    def _hear(self, heard: Heard) -> None:
+        for run in heard.taken:
+            self.book.share(run)
+        for job in heard.ended:
             entry = self.book.entries.get(job)
             if entry is not None:
                 entry.end()
@@ -250,9 +258,9 @@
             self.keeper,
             self.runner,
             adapter.dialect,
-            self._plan.instance,
+            run_name(self._plan.instance, self._incarnation),
         )
-        desk.is_runner = self.is_runner
+        desk.is_runner = self.is_sure
         desk.ask_runner = self.ask_runner
         desk.on_end = self._ended.append
         entry = Entry(
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -101,7 +101,9 @@
   /* Hosts of other instances, told to one that has just come. */
   11: optional list<string> hosts,
   /* Jobs that their callers have ended lately. */
-  12: optional list<string> ended,
+  12: required list<string> ended,
+  /* Runs of instances whose jobs the sender has taken over. */
+  13: required list<string> taken,
 }
 
 /* Asks the instance that runs a job for its results from a position on. */
--- a/gentiantrestle/wire/peer/ttypes.py
+++ b/gentiantrestle/wire/peer/ttypes.py
@@ -1298,6 +1298,7 @@
      - loads
      - hosts
      - ended
+     - taken
 
     """
 
@@ -1314,10 +1315,11 @@
         'loads',
         'hosts',
         'ended',
+        'taken',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, number=None, host=None, zone=None, state=None, config_version=None, store_reached=None, waiting=None, loads=None, hosts=None, ended=None,):
+    def __init__(self, instance=None, incarnation=None, number=None, host=None, zone=None, state=None, config_version=None, store_reached=None, waiting=None, loads=None, hosts=None, ended=None, taken=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.number = number
@@ -1330,6 +1332,7 @@
         self.loads = loads
         self.hosts = hosts
         self.ended = ended
+        self.taken = taken
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1416,6 +1419,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.taken = []
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.taken.append(_elem67)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1465,22 +1478,29 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter62 in self.loads:
-                iter62.write(oprot)
+            for iter68 in self.loads:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.hosts))
-            for iter63 in self.hosts:
-                oprot.writeString(iter63.encode('utf-8') if sys.version_info[0] == 2 else iter63)
+            for iter69 in self.hosts:
+                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.ended))
-            for iter64 in self.ended:
-                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
+            for iter70 in self.ended:
+                oprot.writeString(iter70.encode('utf-8') if sys.version_info[0] == 2 else iter70)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.taken is not None:
+            oprot.writeFieldBegin('taken', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRING, len(self.taken))
+            for iter71 in self.taken:
+                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1507,6 +1527,10 @@
             raise TProtocolException(message='Required field waiting is unset!')
         if self.loads is None:
             raise TProtocolException(message='Required field loads is unset!')
+        if self.ended is None:
+            raise TProtocolException(message='Required field ended is unset!')
+        if self.taken is None:
+            raise TProtocolException(message='Required field taken is unset!')
         return
 
     def __repr__(self):
@@ -1756,11 +1780,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = ResultRow()
-                        _elem70.read(iprot)
-                        self.rows.append(_elem70)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = ResultRow()
+                        _elem77.read(iprot)
+                        self.rows.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1790,8 +1814,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter71 in self.rows:
-                iter71.write(oprot)
+            for iter78 in self.rows:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.chunks is not None:
@@ -2142,6 +2166,7 @@
     (10, TType.LIST, 'loads', (TType.STRUCT, [Load, None], False), None, ),  # 10
     (11, TType.LIST, 'hosts', (TType.STRING, 'UTF8', False), None, ),  # 11
     (12, TType.LIST, 'ended', (TType.STRING, 'UTF8', False), None, ),  # 12
+    (13, TType.LIST, 'taken', (TType.STRING, 'UTF8', False), None, ),  # 13
 )
 all_structs.append(ResultsRequest)
 ResultsRequest.thrift_spec = (
