--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -37,7 +37,9 @@
     1005, 'WARNING', 'child {child} restarts in {delay} s'
 )
 CHILD_GAVE_UP = _define(1006, 'CRITICAL', 'child {child} failed too often')
-SETTINGS_CHANGED = _define(1007, 'INFO', 'settings changed; none of them is in use')
+SETTINGS_CHANGED = _define(
+    1007, 'INFO', 'settings changed; none of them is in use'
+)
 STORE_DOWN = _define(2001, 'WARNING', 'store does not answer: {error}')
 STORE_BACK = _define(2002, 'INFO', 'store answers again')
 WRITE_SETTLED = _define(
@@ -72,9 +74,7 @@
 FOLLOW_BACK = _define(2007, 'INFO', 'watch of {kind} at {revision}')
 HISTORY_GONE = _define(2008, 'WARNING', 'history of {kind} is gone; listing')
 WRITE_FAILED = _define(2009, 'WARNING', 'store call for {name}: {error}')
-ENTRY_UNREADABLE = _define(
-    3004, 'WARNING', 'entry {name} is not used: {error}'
-)
+ENTRY_UNREADABLE = _define(3004, 'WARNING', 'entry {name} is not used: {error}')
 ROSTER_CHANGED = _define(
     3005,
     'INFO',
--- a/gentiantrestle/gateway/batch/book.py
+++ b/gentiantrestle/gateway/batch/book.py
@@ -63,9 +63,7 @@
 
     def unlisted(self) -> Iterator[ItemSpec]:
         """Pass on the items without a position, in their order."""
-        return (
-            spec for spec in self.job.items if spec.id not in self._listed
-        )
+        return (spec for spec in self.job.items if spec.id not in self._listed)
 
     def body(self, wanted: str) -> bytes | None:
         """Return an item's body, or nothing if the job has no such item."""
--- a/gentiantrestle/gateway/batch/desk.py
+++ b/gentiantrestle/gateway/batch/desk.py
@@ -6,13 +6,11 @@
 
 from gentiantrestle import events
 from gentiantrestle.errors import (
-    BAD_REQUEST,
     NOT_FOUND,
     OVERLOADED,
     STORE_UNAVAILABLE,
-    UPSTREAM_UNSURE,
-    RefusedError,
     TOO_LARGE,
+    UPSTREAM_UNSURE,
     refuse,
 )
 from gentiantrestle.gateway.batch.book import Book, Entry
@@ -196,5 +194,3 @@
 
 def _never(entry: Entry) -> bool:
     return False
-
-
--- a/gentiantrestle/gateway/batch/item.py
+++ b/gentiantrestle/gateway/batch/item.py
@@ -68,9 +68,7 @@
 
     def give_up(self, reason: str) -> ItemResult:
         """Return the result of an item that is not run any more."""
-        events.emit(
-            events.ITEM_FAILED, item=self.spec.id, error=reason
-        )
+        events.emit(events.ITEM_FAILED, item=self.spec.id, error=reason)
         return ItemResult(self.spec.id, completed=False, output='')
 
     async def _start(
--- a/gentiantrestle/gateway/batch/keeper.py
+++ b/gentiantrestle/gateway/batch/keeper.py
@@ -154,9 +154,7 @@
             told = (stored.status or {}).get('state', '')
             if told in {ENDED, DONE} or entry is None:
                 return True
-            if await self._store.put_status(
-                JOB_KIND, stored, {'state': state}
-            ):
+            if await self._store.put_status(JOB_KIND, stored, {'state': state}):
                 if state == ENDED:
                     entry.end()
                 return True
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -160,9 +160,7 @@
         try:
             await self._p.keeper.refresh(entry)
         except StoreUnavailableError as exc:
-            events.emit(
-                events.WRITE_FAILED, name=entry.job.id, error=repr(exc)
-            )
+            events.emit(events.WRITE_FAILED, name=entry.job.id, error=repr(exc))
             await asyncio.sleep(ITEM_PAUSE)
         finally:
             self._learning.discard(entry.job.id)
@@ -190,9 +188,7 @@
         if service in blocked:
             return
         found = self._p.roster.of_service(service, now)
-        upstream = self._p.placement.choose(
-            found, now, reserve=RESERVED_SLOTS
-        )
+        upstream = self._p.placement.choose(found, now, reserve=RESERVED_SLOTS)
         if upstream is None:
             blocked.add(service)
             return
--- a/gentiantrestle/gateway/callers.py
+++ b/gentiantrestle/gateway/callers.py
@@ -289,5 +289,3 @@
         return HTTPStatus(status).phrase.encode()
     except ValueError:
         return b''
-
-
--- a/gentiantrestle/gateway/fellows.py
+++ b/gentiantrestle/gateway/fellows.py
@@ -76,9 +76,7 @@
 
     def sweep(self, now: float) -> list[Fellow]:
         """Drop and return the instances that have fallen silent."""
-        silent = [
-            one for one in self._by_name.values() if not one.fresh(now)
-        ]
+        silent = [one for one in self._by_name.values() if not one.fresh(now)]
         for one in silent:
             self._by_name.pop(one.instance)
             if not one.leaving:
--- a/gentiantrestle/gateway/follow.py
+++ b/gentiantrestle/gateway/follow.py
@@ -109,9 +109,7 @@
 
     def _note_lost(self, exc: Exception) -> None:
         if self.connected:
-            events.emit(
-                events.FOLLOW_LOST, kind=self._kind, error=repr(exc)
-            )
+            events.emit(events.FOLLOW_LOST, kind=self._kind, error=repr(exc))
         self.connected = False
         self._sink.lost()
 
--- a/gentiantrestle/gateway/forward.py
+++ b/gentiantrestle/gateway/forward.py
@@ -32,7 +32,7 @@
 COME_BACK = 0.3  # seconds
 
 
-class Ended(Exception):  # noqa: N818 (an outcome, not an error)
+class Ended(Exception):
     """Carries how an attempt ended up to the loop that decides."""
 
     def __init__(self, outcome: Outcome, reason: str) -> None:
--- a/gentiantrestle/gateway/gate.py
+++ b/gentiantrestle/gateway/gate.py
@@ -109,9 +109,7 @@
 
     def _take(self, wanted: Wanted, now: float) -> Upstream | None:
         found = self._roster.of_service(wanted.service, now)
-        upstream = self._placement.choose(
-            found, now, excluded=wanted.excluded
-        )
+        upstream = self._placement.choose(found, now, excluded=wanted.excluded)
         if upstream is not None:
             return upstream
         yielded = self.preempt(
--- a/gentiantrestle/gateway/gossip.py
+++ b/gentiantrestle/gateway/gossip.py
@@ -6,8 +6,8 @@
 
 from gentiantrestle import events
 from gentiantrestle.daemon.membership.codec import (
-    BadFrameError,
     LENGTH,
+    BadFrameError,
     decode,
     encode,
 )
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -99,9 +99,7 @@
             self._clock.now,
         )
         placement = Placement(plan.site, self.board)
-        self.gate = Gate(
-            self.roster, self.board, placement, self._clock.now
-        )
+        self.gate = Gate(self.roster, self.board, placement, self._clock.now)
         self.book = Book()
         self.keeper = Keeper(adapter.store, self.book, self._rng)
         self.runner = Runner(
@@ -193,9 +191,7 @@
         for kind, sink, rest in sinks:
             yield (
                 kind,
-                Follower(
-                    self._adapter.store, kind, sink, self._rng, rest=rest
-                ),
+                Follower(self._adapter.store, kind, sink, self._rng, rest=rest),
             )
 
     def _build_gossip(self) -> Gossip:
@@ -284,5 +280,3 @@
 
 def _pass() -> None:
     """Jobs are kept as they are while the store is away."""
-
-
--- a/gentiantrestle/gateway/waiting.py
+++ b/gentiantrestle/gateway/waiting.py
@@ -84,7 +84,9 @@
         """Count the requests that wait."""
         return len(self._heap) - len(self._left)
 
-    def add(self, call: Call, rule: Patience, priority: int, now: float) -> Ticket:
+    def add(
+        self, call: Call, rule: Patience, priority: int, now: float
+    ) -> Ticket:
         """Queue a request behind those of its rank."""
         order = (int(not rule.returned), priority, next(self._numbers))
         ticket = Ticket(order, call, now + rule.seconds)
--- a/gentiantrestle/platform/readiness.py
+++ b/gentiantrestle/platform/readiness.py
@@ -3,10 +3,9 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-
+from gentiantrestle.errors import Refusal
 from gentiantrestle.gateway.callers import Callers, Exchange
 from gentiantrestle.gateway.model import CallerLimits
-from gentiantrestle.errors import Refusal
 from gentiantrestle.models import Address
 
 PATH = b'/gentiantrestle/readyz'
@@ -35,5 +34,3 @@
 
 def _refuse(refusal: Refusal) -> tuple[int, list, bytes]:
     return refusal.kind.status, [], b''
-
-
--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: decisions, its store, its connections, its processes."""
--- /dev/null
+++ b/tests/gateway/memory.py
@@ -0,0 +1,105 @@
+"""A store in memory with the platform's promises and its faults."""
+
+import asyncio
+from typing import Any
+
+from gentiantrestle.gateway.ports import HistoryGoneError, Page, Stored
+from gentiantrestle.store.client import (
+    StoreUnavailableError,
+    StoreUnsureError,
+)
+
+
+class MemoryStore:
+    """Objects by kind and name under one revision counter."""
+
+    def __init__(self) -> None:
+        """Start empty and sound."""
+        self.revision = 1
+        self.kinds: dict[str, dict[str, Stored]] = {}
+        self.down = False
+        self.lose_answers = 0
+        self.calls: list[str] = []
+        self.compacted = 0
+        self._changes: list[tuple[str, Stored]] = []
+
+    async def list_page(
+        self, kind: str, after: str, *, stale: bool = False
+    ) -> Page:
+        """List everything in one page."""
+        self._begin('list')
+        found = tuple(self.kinds.get(kind, {}).values())
+        return Page(found, self.revision)
+
+    async def watch(self, kind: str, revision: int, wait: float) -> Page:
+        """Return the changes since a revision, or wait the whole time."""
+        self._begin('watch')
+        if revision < self.compacted:
+            raise HistoryGoneError(kind)
+        found = self._since(kind, revision)
+        if not found:
+            await asyncio.sleep(wait)
+            found = self._since(kind, revision)
+        return Page(found, self.revision)
+
+    async def get(self, kind: str, name: str) -> Stored | None:
+        """Read one object."""
+        self._begin('get')
+        return self.kinds.get(kind, {}).get(name)
+
+    async def create(self, kind: str, name: str, content: Any) -> bool:
+        """Create an object once."""
+        self._begin('create')
+        if name in self.kinds.setdefault(kind, {}):
+            return False
+        self.write(kind, Stored(name, 0, content))
+        self._end()
+        return True
+
+    async def put_status(self, kind: str, found: Stored, status: Any) -> bool:
+        """Replace a status under the object's revision."""
+        self._begin('status')
+        known = self.kinds.get(kind, {}).get(found.name)
+        if known is None or known.revision != found.revision:
+            return False
+        self.write(kind, known._replace(status=status))
+        self._end()
+        return True
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Delete an object."""
+        self._begin('delete')
+        gone = self.kinds.get(kind, {}).pop(name, None)
+        if gone is not None:
+            self.revision += 1
+            gone = gone._replace(revision=self.revision, deleted=True)
+            self._changes.append((kind, gone))
+
+    def write(self, kind: str, stored: Stored) -> None:
+        """Put an object under the next revision."""
+        self.revision += 1
+        stored = stored._replace(revision=self.revision)
+        self.kinds.setdefault(kind, {})[stored.name] = stored
+        self._changes.append((kind, stored))
+
+    def compact(self) -> None:
+        """Drop the history."""
+        self.compacted = self.revision + 1
+        self._changes.clear()
+
+    def _since(self, kind: str, revision: int) -> tuple[Stored, ...]:
+        return tuple(
+            stored
+            for changed, stored in self._changes
+            if changed == kind and stored.revision > revision
+        )
+
+    def _begin(self, verb: str) -> None:
+        self.calls.append(verb)
+        if self.down:
+            raise StoreUnavailableError('down')
+
+    def _end(self) -> None:
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise StoreUnsureError('lost')
--- /dev/null
+++ b/tests/gateway/samples.py
@@ -0,0 +1,81 @@
+"""Sample routes, upstreams, calls and jobs."""
+
+from typing import Any
+
+from gentiantrestle.gateway.model import (
+    Call,
+    CallerLimits,
+    ItemSpec,
+    Job,
+    Route,
+    RouteKind,
+    Share,
+    Table,
+    Upstream,
+)
+from gentiantrestle.models import Address
+
+HOST = 'shop.example'
+ENGINES = 'engines'
+ZONES = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
+
+
+def route(**changes: Any) -> Route:
+    """Return a streaming route with some fields changed."""
+    plain = Route(
+        name='chat',
+        host=HOST,
+        prefix='/chat/',
+        kind=RouteKind.STREAM,
+        timeout=5,
+        target=0.3,
+        priority=0,
+        shares=(Share(ENGINES, 1),),
+        max_attempts=2,
+        resumable=True,
+    )
+    return plain._replace(**changes)
+
+
+def batch_route(**changes: Any) -> Route:
+    """Return a batch route with some fields changed."""
+    fields = {
+        'name': 'lists',
+        'prefix': '/lists/',
+        'kind': RouteKind.BATCH,
+        'completion_target': 18.0,
+        'retention': 60.0,
+        'max_attempts': 3,
+    }
+    return route(**(fields | changes))
+
+
+def table(*routes: Route, version: int = 1) -> Table:
+    """Return a configuration of some routes."""
+    return Table(version, routes, {}, CallerLimits())
+
+
+def upstream(name: str, **changes: Any) -> Upstream:
+    """Return a ready engine with some fields changed."""
+    plain = Upstream(
+        name, ENGINES, Address('127.0.0.1', 9), 'a1', 8, False, 1
+    )
+    return plain._replace(**changes)
+
+
+def call(name: str, now: float = 0, **changes: Any) -> Call:
+    """Return a caller's request that came at ``now``."""
+    plain = Call(
+        name, 'POST', '/chat/1', HOST, (), b'', now, now + 5, False, 0
+    )
+    return plain._replace(**changes)
+
+
+def job(name: str = 'job1', count: int = 2, **changes: Any) -> Job:
+    """Return a job with some items."""
+    specs = tuple(
+        ItemSpec(f'{name}-{number}', '/lists/x', {'x-model': 'm'}, b'{}', 100)
+        for number in range(count)
+    )
+    plain = Job(name, HOST, '/lists/all', 0, 'one/1', specs)
+    return plain._replace(**changes)
--- /dev/null
+++ b/tests/gateway/test_batch.py
@@ -0,0 +1,147 @@
+"""Jobs in the store: accepted once, positions fixed, after any loss."""
+
+import random
+
+import pytest
+
+from gentiantrestle.gateway.batch.book import Book
+from gentiantrestle.gateway.batch.duty import due_items, runner_of
+from gentiantrestle.gateway.batch.keeper import Keeper
+from gentiantrestle.gateway.batch.records import (
+    JOB_KIND,
+    RESULT_KIND,
+    JobRecord,
+    chunk_name,
+    job_from_stored,
+    job_to_content,
+)
+from gentiantrestle.gateway.model import ItemResult
+from gentiantrestle.gateway.ports import Stored
+from gentiantrestle.store.client import (
+    StoreUnavailableError,
+    StoreUnsureError,
+)
+from tests.gateway.memory import MemoryStore
+from tests.gateway.samples import batch_route, job
+from tests.utils.virtual import play
+
+
+def _instance(store: MemoryStore) -> tuple[Keeper, Book]:
+    book = Book()
+    return Keeper(store, book, random.Random(1)), book
+
+
+def _result(number: int, output: str = 'text') -> ItemResult:
+    return ItemResult(f'job1-{number}', True, output)
+
+
+def test_a_job_reads_back_as_it_was_handed_in() -> None:
+    one = job(count=3)
+    stored = Stored(one.id, 5, job_to_content(one), {'state': 'ended'})
+    assert job_from_stored(stored).job == one._replace(ended=True)
+
+
+async def test_a_job_is_accepted_once_over_instances() -> None:
+    store = MemoryStore()
+    first, _ = _instance(store)
+    second, _ = _instance(store)
+    assert await first.accept(job())
+    assert not await second.accept(job())
+
+
+async def test_a_lost_answer_is_not_called_not_accepted() -> None:
+    store = MemoryStore()
+    keeper, _ = _instance(store)
+    store.lose_answers = 1
+    with pytest.raises(StoreUnsureError):
+        await keeper.accept(job())
+    assert not await keeper.accept(job())
+
+
+async def test_positions_are_fixed_when_two_run_the_same_job() -> None:
+    store = MemoryStore()
+    one, one_book = _instance(store)
+    two, two_book = _instance(store)
+    await one.accept(job())
+    await two.find('job1')
+    await one.list_results(one_book.entries['job1'], (_result(0, 'mine'),))
+    both = (_result(0, 'other'), _result(1))
+    await two.list_results(two_book.entries['job1'], both)
+    wanted = [_result(0, 'mine'), _result(1)]
+    assert two_book.entries['job1'].results == wanted
+    await one.refresh(one_book.entries['job1'])
+    assert one_book.entries['job1'].results == wanted
+
+
+def test_results_wait_for_an_absent_store_and_are_listed_once() -> None:
+    async def run() -> MemoryStore:
+        store = MemoryStore()
+        keeper, book = _instance(store)
+        await keeper.accept(job())
+        store.lose_answers = 1
+        await keeper.list_results(book.entries['job1'], (_result(0),))
+        return store
+
+    store = play(run())
+    assert list(store.kinds[RESULT_KIND]) == [chunk_name('job1', 0)]
+
+
+async def test_only_the_acceptor_of_this_very_run_knows_without_store() -> None:
+    store = MemoryStore()
+    keeper, book = _instance(store)
+    await keeper.accept(job())
+    assert book.entries['job1'].sole
+    restarted, fresh = _instance(store)
+    entry = await restarted.find('job1')
+    assert entry is not None
+    assert not entry.learned
+    await restarted.refresh(entry)
+    assert entry.learned
+    assert not entry.sole
+    book.share('one/1')
+    assert not book.entries['job1'].sole
+
+
+async def test_an_end_holds_and_what_is_listed_stays() -> None:
+    store = MemoryStore()
+    keeper, book = _instance(store)
+    await keeper.accept(job())
+    await keeper.list_results(book.entries['job1'], (_result(0),))
+    assert await keeper.end('job1')
+    assert await keeper.end('job1')
+    assert not book.entries['job1'].open
+    assert book.entries['job1'].results == [_result(0)]
+    assert not await keeper.end('unknown')
+
+
+async def test_an_end_without_store_is_refused() -> None:
+    store = MemoryStore()
+    keeper, _ = _instance(store)
+    store.down = True
+    with pytest.raises(StoreUnavailableError):
+        await keeper.end('job1')
+
+
+async def test_an_unreadable_job_is_passed_over() -> None:
+    store = MemoryStore()
+    keeper, _ = _instance(store)
+    store.write(JOB_KIND, Stored('odd', 0, {'items': 7}))
+    assert await keeper.find('odd') is None
+
+
+def test_a_run_that_died_is_replaced_by_one_that_lives() -> None:
+    book = Book()
+    entry = book.put(JobRecord(job(), Stored('job1', 1, {})))
+    assert runner_of(entry, ['one/1', 'two/1']) == 'one/1'
+    chosen = runner_of(entry, ['two/1', 'one/2', 'three/1'])
+    assert chosen in {'two/1', 'one/2', 'three/1'}
+    assert runner_of(entry, ['three/1', 'one/2', 'two/1']) == chosen
+
+
+def test_the_job_that_is_due_first_goes_first() -> None:
+    book = Book()
+    late = book.put(JobRecord(job('late', submitted=9), Stored('late', 1, {})))
+    soon = book.put(JobRecord(job('soon', submitted=3), Stored('soon', 1, {})))
+    pairs = [(late, batch_route()), (soon, batch_route())]
+    order = [due.spec.id for due in due_items(pairs, {'soon-1'})]
+    assert order == ['soon-0', 'late-0', 'late-1']
--- /dev/null
+++ b/tests/gateway/test_decisions.py
@@ -0,0 +1,212 @@
+"""Routes, rosters, slots, steps and streams, without a network."""
+
+import pytest
+
+from gentiantrestle.gateway.fellows import SILENCE, Fellow, Fellows
+from gentiantrestle.gateway.loads import STALE_AFTER, Load, LoadBoard, Told
+from gentiantrestle.gateway.model import Share
+from gentiantrestle.gateway.placement import Placement, Site
+from gentiantrestle.gateway.roster import LAPSE_GRACE, Roster
+from gentiantrestle.gateway.routing import Router, choose_service
+from gentiantrestle.gateway.sse import EventSplitter, OrderError
+from gentiantrestle.gateway.steps import Outcome, Progress, Step, next_step
+from gentiantrestle.gateway.waiting import WaitingLine, patience, retry_after
+from tests.gateway.samples import (
+    ENGINES,
+    HOST,
+    ZONES,
+    call,
+    route,
+    table,
+    upstream,
+)
+
+
+@pytest.mark.parametrize(
+    ('host', 'target', 'name'),
+    [
+        (HOST, '/chat/1', 'chat'),
+        (f'{HOST.upper()}:80', '/chat/1?x=/chat/new/', 'chat'),
+        (HOST, '/chat/new/1', 'new'),
+        (HOST, '/chat', None),
+        ('other.example', '/chat/1', None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_wins(
+    host: str, target: str, name: str | None
+) -> None:
+    router = Router()
+    router.apply(table(route(), route(name='new', prefix='/chat/new/')))
+    found = router.match(host, target)
+    assert (found and found.name) == name
+
+
+def test_an_older_configuration_never_comes_back() -> None:
+    router = Router()
+    assert router.apply(table(route(), version=7))
+    assert not router.apply(table(version=6))
+    assert not router.apply(table(version=7))
+    assert router.match(HOST, '/chat/1') is not None
+
+
+def test_a_split_keeps_its_weights_and_each_request_its_side() -> None:
+    split = route(shares=(Share('old', 90), Share('new', 10)))
+    chosen = [choose_service(split, f'request-{one}') for one in range(2000)]
+    assert 140 < chosen.count('new') < 260
+    assert choose_service(split, 'request-1') == chosen[1]
+
+
+def test_entries_that_lapse_with_the_store_stay_in_use_for_a_while() -> None:
+    roster = Roster()
+    roster.put(upstream('u1'))
+    roster.note_outage(10)
+    roster.remove('u1', 10.5)
+    back = 10 + LAPSE_GRACE
+    assert [one.id for one in roster.of_service(ENGINES, back - 0.1)] == ['u1']
+    assert roster.of_service(ENGINES, back + 0.1) == []
+
+
+@pytest.mark.parametrize('draining', [True, False])
+def test_a_leaving_upstream_gets_no_new_work(draining: bool) -> None:
+    roster = Roster()
+    roster.put(upstream('u1'))
+    if draining:
+        roster.put(upstream('u1', draining=True))
+    else:
+        roster.remove('u1', 0)
+    assert roster.of_service(ENGINES, 0) == []
+
+
+def _placement() -> tuple[Placement, LoadBoard]:
+    board = LoadBoard()
+    return Placement(Site('a1', ZONES), board), board
+
+
+def test_a_near_slot_goes_before_a_far_one_until_it_is_taken() -> None:
+    placement, board = _placement()
+    near, far = upstream('near'), upstream('far', zone='b1')
+    assert placement.choose([far, near], 0) == near
+    board.add('near', online=8)
+    assert placement.choose([far, near], 0) == far
+    board.add('far', online=8)
+    assert placement.choose([far, near], 0) is None
+
+
+def test_what_peers_told_counts_until_it_is_stale() -> None:
+    placement, board = _placement()
+    one = upstream('u1')
+    board.hear('peer', Told(0, {'u1': Load(8, 0)}, 0))
+    assert placement.choose([one], STALE_AFTER / 2) is None
+    assert placement.choose([one], STALE_AFTER + 0.1) == one
+
+
+def test_an_upstream_that_refuses_connections_rests() -> None:
+    placement, _ = _placement()
+    bad, good = upstream('bad'), upstream('good', zone='b1')
+    for _ in range(2):
+        placement.health('bad').fail(0, 0)
+    assert placement.choose([bad, good], 0.1) == good
+    assert placement.choose([bad], 0.1) == bad
+
+
+STEPS = [
+    # outcome, idempotent, runs, refusals, begun, step
+    (Outcome.NOT_RUN, False, 0, 1, False, Step.RETRY),
+    (Outcome.NOT_RUN, False, 0, 4, False, Step.REFUSE),
+    (Outcome.LOST, False, 1, 0, False, Step.ANSWER_UNKNOWN),
+    (Outcome.LOST, True, 1, 0, False, Step.RETRY),
+    (Outcome.LOST, True, 2, 0, False, Step.ANSWER_UNKNOWN),
+    (Outcome.LOST, True, 2, 0, True, Step.CUT),
+    (Outcome.NOT_RUN, True, 1, 4, False, Step.ANSWER_UNKNOWN),
+    (Outcome.FAILED, False, 1, 0, False, Step.PASS_ON),
+    (Outcome.FAILED, True, 1, 0, False, Step.RETRY),
+    (Outcome.EXPIRED, True, 1, 0, False, Step.ANSWER_UNKNOWN),
+    (Outcome.EXPIRED, False, 0, 0, False, Step.REFUSE),
+    (Outcome.DONE, False, 1, 0, True, Step.FINISH),
+]
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'idempotent', 'runs', 'refusals', 'begun', 'step'), STEPS
+)
+def test_what_may_have_run_is_never_called_not_run(
+    outcome: Outcome,
+    idempotent: bool,
+    runs: int,
+    refusals: int,
+    begun: bool,
+    step: Step,
+) -> None:
+    so_far = Progress(idempotent, 2, runs, refusals, begun)
+    assert next_step(outcome, so_far, 1.0) is step
+
+
+def test_those_that_came_back_go_first() -> None:
+    line = WaitingLine()
+    for name, returned in (('new', False), ('back', True)):
+        one = call(name, returned=returned)
+        line.add(one, patience(one, route(), 0), 0, 0)
+    gone = line.peek()
+    assert gone is not None
+    assert gone.call.id == 'back'
+    line.remove(gone)
+    assert [ticket.call.id for ticket in iter(line.pop, None)] == ['new']
+
+
+def test_a_new_request_waits_within_its_target_and_no_longer() -> None:
+    assert 0 < patience(call('c'), route(), 0).seconds < 0.3
+    back = patience(call('c', returned=True), route(), 0)
+    assert 0.3 < back.seconds < 2
+
+
+def test_retry_after_stays_within_a_third_of_the_time_left() -> None:
+    assert retry_after(9, call('c'), 0) <= 5 / 3
+    assert retry_after(0, call('c'), 0) > 0
+
+
+def test_events_are_passed_on_whole() -> None:
+    splitter = EventSplitter(0)
+    assert splitter.feed(b'id: 1\ndata: a') == []
+    found = splitter.feed(b'\n\nid: 2\ndata: b\n\nid: 3')
+    assert [(one.number, one.data) for one in found] == [(1, 'a'), (2, 'b')]
+    assert splitter.last == 2
+    assert splitter.rest == b'id: 3'
+
+
+def test_a_stream_that_goes_back_is_not_passed_on() -> None:
+    splitter = EventSplitter(4)
+    with pytest.raises(OrderError):
+        splitter.feed(b'id: 4\ndata: a\n\n')
+
+
+def _fellow(name: str, **changes: object) -> Fellow:
+    plain = Fellow(name, 1, 1, f'10.0.0.{name}', 'a1', False, 3, True, 0)
+    return plain._replace(**changes)
+
+
+def test_silence_ends_a_run_and_a_restart_is_another_run() -> None:
+    fellows = Fellows('me', '10.0.0.9', ())
+    assert fellows.hear(_fellow('1'))
+    assert not fellows.hear(_fellow('1', number=1))
+    assert fellows.workers(0) == ('1/1',)
+    assert fellows.hear(_fellow('1', incarnation=2, number=1))
+    assert fellows.workers(0) == ('1/2',)
+    assert fellows.sweep(SILENCE + 1)
+    assert fellows.workers(SILENCE + 1) == ()
+
+
+def test_a_lost_instance_leaves_doubt_until_it_is_back() -> None:
+    fellows = Fellows('me', '10.0.0.9', ())
+    fellows.hear(_fellow('1'))
+    fellows.sweep(SILENCE + 1)
+    assert not fellows.settled(10)
+    fellows.hear(_fellow('1', incarnation=2, heard=11))
+    assert fellows.settled(11)
+
+
+def test_one_that_leaves_on_purpose_leaves_no_doubt() -> None:
+    fellows = Fellows('me', '10.0.0.9', ())
+    fellows.hear(_fellow('1', leaving=True))
+    assert fellows.workers(0) == ()
+    fellows.sweep(SILENCE + 1)
+    assert fellows.settled(10)
