Batch takes free slots in the order of time to spare, over all instances

Ruled out: cutting as such (a run goes on at its event; 202 of 253 results came from several runs without being late).

--- a/gentiantrestle/gateway/batch/duty.py
+++ b/gentiantrestle/gateway/batch/duty.py
@@ -1,29 +1,58 @@
 """Which instance runs a job, and which item is next; no I/O.
 
-Answers the load of many jobs at once: the job that is due first goes first,
-and within it the longest items, since they bind when it is done.
+Answers the load of more jobs than can be in time: the item with the least
+time to spare goes first, one that can't be in time any more goes last.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from gentiantrestle.daemon.membership.rendezvous import owner
 from gentiantrestle.gateway.batch.book import Entry
 from gentiantrestle.gateway.model import ItemSpec, Route
 
-# Slots of each upstream that batch leaves free for online requests: about
-# what comes to one upstream while a slot is given back.
-RESERVED_SLOTS = 1
+# An item with less time to spare than this is not cut for a request: the
+# request would take about as long as the item has left.
+YIELD_SPARE = 1.0  # seconds
+# One slot in so many stays free of batch: about what comes to all upstreams
+# while an item that gives way is cut.
+SLOTS_FOR_RESERVE = 24
+SMOOTHING = 0.1
+FIRST_PACE = 0.003  # seconds a token is assumed to take before any was made
 
 
 class Due(NamedTuple):
-    """An item that waits for a slot, and when its job is due."""
+    """An item that waits for a slot; ``spare`` is its time to spare in s."""
 
-    at: float
-    tokens: int
+    spare: float
     entry: Entry
     spec: ItemSpec
 
+    @property
+    def rank(self) -> tuple[bool, float]:
+        """Order items: those that can be in time, the tightest first."""
+        return self.spare < 0, self.spare
+
+
+class Pace:
+    """Smoothed time that a run takes for each token, in s."""
+
+    def __init__(self) -> None:
+        """Start from an assumption."""
+        self.mean = FIRST_PACE
+
+    def note(self, seconds: float, tokens: int) -> None:
+        """Take in one finished item."""
+        if tokens:
+            self.mean += SMOOTHING * (seconds / tokens - self.mean)
+
+    def spare(self, due: float, wall: float, left: float) -> float:
+        """Return the time to spare before an item is due, in s.
+
+        ``left`` is how many tokens the item still has to make.
+        """
+        return due - wall - left * self.mean
+
 
 def runner_of(entry: Entry, names: Iterable[str]) -> str | None:
     """Name the instance that runs a job.
@@ -42,20 +71,39 @@
     return runner_of(entry, (*alive, instance)) == instance
 
 
+def startable(free: int, slots: int, ahead: int) -> int:
+    """Return how many items an instance may start on a service's free slots.
+
+    Items of other instances that have less time to spare go ``ahead``, so
+    that all of them don't take the same free slot at once.
+    """
+    return max(0, free - slots // SLOTS_FOR_RESERVE - ahead)
+
+
+def may_yield(spare: float) -> bool:
+    """Tell whether an item is cut for a request.
+
+    One that can't be in time loses nothing by it; one with time to spare can
+    go on elsewhere.
+    """
+    return spare < 0 or spare > YIELD_SPARE
+
+
+def yield_rank(spare: float) -> tuple[bool, float]:
+    """Order items for yielding, the first to yield last."""
+    return spare < 0, spare
+
+
 def due_items(
     entries: Iterable[tuple[Entry, Route]],
     busy: set[str],
-) -> Iterator[Due]:
-    """Pass on the items that wait, those due first and longest first."""
+    spare: Callable[[Entry, Route, ItemSpec], float],
+) -> list[Due]:
+    """List the items that wait, in the order in which they are started."""
     found = [
-        Due(
-            entry.job.submitted + route.completion_target,
-            -spec.tokens,
-            entry,
-            spec,
-        )
+        Due(spare(entry, route, spec), entry, spec)
         for entry, route in entries
         for spec in entry.unlisted()
         if spec.id not in busy
     ]
-    return iter(sorted(found, key=lambda due: due[:2]))
+    return sorted(found, key=lambda due: due.rank)
--- a/gentiantrestle/gateway/batch/item.py
+++ b/gentiantrestle/gateway/batch/item.py
@@ -39,6 +39,7 @@
         self._failures = 0
         self._texts: list[str] = []
         self._last = 0
+        self.spent = float(0)
 
     async def run(
         self,
@@ -50,6 +51,7 @@
         """Run on from the last event; never raises but on cancellation."""
         sending = Sending(dialect)
         health = placement.health(upstream.id)
+        started = now()
         try:
             await sending.open(upstream)
             reply = await self._start(sending, dialect, upstream)
@@ -63,6 +65,7 @@
             health.succeed()
         finally:
             sending.close()
+            self.spent += now() - started
         self._log(upstream, finished)
         return finished
 
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -8,15 +8,18 @@
 from gentiantrestle import events
 from gentiantrestle.gateway.batch.book import Book, Entry
 from gentiantrestle.gateway.batch.duty import (
-    RESERVED_SLOTS,
     Due,
+    Pace,
     due_items,
+    may_yield,
     runs_here,
+    startable,
+    yield_rank,
 )
 from gentiantrestle.gateway.batch.item import ItemRun
 from gentiantrestle.gateway.batch.keeper import Keeper
-from gentiantrestle.gateway.loads import LoadBoard
-from gentiantrestle.gateway.model import ItemResult, Route, Upstream
+from gentiantrestle.gateway.loads import BatchWaiting, LoadBoard
+from gentiantrestle.gateway.model import ItemResult, ItemSpec, Route, Upstream
 from gentiantrestle.gateway.placement import Placement
 from gentiantrestle.gateway.ports import Dialect
 from gentiantrestle.gateway.roster import Roster
@@ -73,6 +76,8 @@
         self._listing: dict[str, asyncio.Task[None]] = {}
         self._learning: set[str] = set()
         self._woken = asyncio.Event()
+        self._pace = Pace()
+        self.waiting = BatchWaiting()
         # Runs of instances whose jobs were taken over, told to the others.
         self.taken: deque[str] = deque(maxlen=TAKEN_TOLD)
         self.stopping = False
@@ -93,18 +98,24 @@
         self._woken.set()
 
     def preempt(self, upstreams: Iterable[str]) -> str | None:
-        """Cut the newest item on one of some upstreams; return which."""
+        """Cut the item that can best wait on some upstreams; return which."""
         wanted = set(upstreams)
-        fit = [
-            (running.since, item_id)
+        spares = {
+            item_id: self._spare_of(item_id)
             for item_id, running in self._running.items()
             if running.upstream.id in wanted
-        ]
+        }
+        fit = [one for one in spares if may_yield(spares[one])]
         if not fit:
             return None
-        item_id = max(fit)[1]
+        item_id = max(fit, key=lambda one: yield_rank(spares[one]))
         upstream = self._running[item_id].upstream.id
-        events.emit(events.ITEM_PREEMPTED, item=item_id, upstream=upstream)
+        events.emit(
+            events.ITEM_PREEMPTED,
+            item=item_id,
+            upstream=upstream,
+            spare_ms=round(spares[item_id] * 1000),
+        )
         self._cut(item_id)
         return upstream
 
@@ -122,12 +133,42 @@
         now = self._p.clock.now()
         mine = self._own_entries()
         self._cut_closed()
-        self._yield_overload(now)
+        self.yield_overload()
         self._give_up_late(mine)
         busy = set(self._running) | self._held_back(now)
-        blocked: set[str] = set()
-        for due in due_items(mine, busy):
-            self._start(due, blocked, now)
+        waiting = due_items(mine, busy, self._spare)
+        if waiting:
+            first = waiting[0].spare
+            self.waiting = BatchWaiting(len(waiting), first)
+            self._start_some(waiting, now)
+        else:
+            self.waiting = BatchWaiting()
+
+    def _start_some(self, waiting: list[Due], now: float) -> None:
+        """Start the first items, as far as each service has slots for them."""
+        ahead = self._p.board.batch_ahead(self.waiting, now)
+        budgets: dict[str, int] = {}
+        for due in waiting:
+            route = self._p.router.match(due.entry.job.host, due.spec.path)
+            if route is None:
+                continue
+            service = choose_service(route, due.spec.id)
+            found = self._p.roster.of_service(service, now)
+            if service not in budgets:
+                budgets[service] = self._budget(found, ahead, now)
+            if budgets[service]:
+                budgets[service] -= 1
+                self._start(due, route, found)
+
+    def _budget(
+        self,
+        found: list[Upstream],
+        ahead: int,
+        now: float,
+    ) -> int:
+        fit = self._p.placement.healthy(found, now)
+        free = sum(max(0, self._p.placement.free(one, now)) for one in fit)
+        return startable(free, sum(one.slots for one in found), ahead)
 
     def _own_entries(self) -> list[tuple[Entry, Route]]:
         alive = tuple(self.alive())
@@ -180,17 +221,15 @@
             held.update(one.id for one in results)
         return held
 
-    def _start(self, due: Due, blocked: set[str], now: float) -> None:
-        route = self._p.router.match(due.entry.job.host, due.spec.path)
-        if route is None:
-            return
-        service = choose_service(route, due.spec.id)
-        if service in blocked:
-            return
-        found = self._p.roster.of_service(service, now)
-        upstream = self._p.placement.choose(found, now, reserve=RESERVED_SLOTS)
+    def _start(
+        self,
+        due: Due,
+        route: Route,
+        found: list[Upstream],
+    ) -> None:
+        now = self._p.clock.now()
+        upstream = self._p.placement.choose(found, now)
         if upstream is None:
-            blocked.add(service)
             return
         run = self._runs.get(due.spec.id)
         if run is None:
@@ -214,6 +253,8 @@
         if finished.result is None:
             self._paused[run.spec.id] = self._p.clock.now() + ITEM_PAUSE
             return
+        if finished.result.completed:
+            self._pace.note(run.spent, run.spec.tokens)
         self._post(run.entry, finished.result)
         self.wake()
 
@@ -261,12 +302,37 @@
                 self._cut(item_id)
                 self._runs.pop(item_id, None)
 
-    def _yield_overload(self, now: float) -> None:
-        """Cut items where all instances together take over the slots."""
+    def yield_overload(self) -> None:
+        """Cut items where all instances together take over the slots.
+
+        Of several instances the one with the most batch there gives way.
+        """
+        now = self._p.clock.now()
         for upstream in {one.upstream for one in self._running.values()}:
-            if self._p.placement.free(upstream, now) < 0:
+            own = self._p.board.own[upstream.id].batch
+            if self._p.placement.free(upstream, now) >= 0:
+                continue
+            if own >= self._p.board.most_batch(upstream.id, now):
                 self.preempt((upstream.id,))
 
+    def _spare(self, entry: Entry, route: Route, spec: ItemSpec) -> float:
+        run = self._runs.get(spec.id)
+        spent = run.spent if run is not None else 0
+        tokens = max(0, spec.tokens - spent / self._pace.mean)
+        due = entry.job.submitted + route.completion_target
+        return self._pace.spare(due, self._p.clock.wall(), tokens)
+
+    def _spare_of(self, item_id: str) -> float:
+        """Return a running item's time to spare, in s."""
+        run = self._runs[item_id]
+        job = run.entry.job
+        route = self._p.router.match(job.host, job.path)
+        if route is None:
+            return 0
+        return self._spare(run.entry, route, run.spec) + (
+            self._p.clock.now() - self._running[item_id].since
+        )
+
     def _give_up_late(self, mine: Iterable[tuple[Entry, Route]]) -> None:
         """List items that nobody waits for any more."""
         wall = self._p.clock.wall()
--- a/gentiantrestle/gateway/gate.py
+++ b/gentiantrestle/gateway/gate.py
@@ -69,7 +69,11 @@
         """Take a slot, waiting a little; raises ``RefusedError``."""
         now = self._now()
         line = self._lines.setdefault(wanted.service, WaitingLine())
-        upstream = None if len(line) else self._take(wanted, now)
+        upstream = (
+            None
+            if len(line)
+            else self._find(wanted.service, wanted.excluded, now)
+        )
         if upstream is None:
             upstream = await self._wait(wanted, line, now)
         self._board.add(upstream.id, online=1)
@@ -97,8 +101,7 @@
         fut = self._futures.get(ticket.call.id)
         if fut is None or fut.done():
             return True
-        found = self._roster.of_service(service, now)
-        upstream = self._placement.choose(found, now)
+        upstream = self._find(service, frozenset(), now)
         if upstream is None:
             return False
         # Counted at once, so that the next one sees the slot as taken;
@@ -107,15 +110,23 @@
         fut.set_result(upstream)
         return True
 
-    def _take(self, wanted: Wanted, now: float) -> Upstream | None:
-        found = self._roster.of_service(wanted.service, now)
-        upstream = self._placement.choose(found, now, excluded=wanted.excluded)
+    def _find(
+        self,
+        service: str,
+        excluded: frozenset[str],
+        now: float,
+    ) -> Upstream | None:
+        """Find a free slot, one of own batch, or one of others' batch."""
+        found = self._roster.of_service(service, now)
+        upstream = self._placement.choose(found, now, excluded=excluded)
         if upstream is not None:
             return upstream
         yielded = self.preempt(
-            one.id for one in found if one.id not in wanted.excluded
+            [one.id for one in found if one.id not in excluded]
         )
-        return next((one for one in found if one.id == yielded), None)
+        if yielded is not None:
+            return next(one for one in found if one.id == yielded)
+        return self._placement.choose_over_batch(found, now, excluded=excluded)
 
     async def _wait(
         self,
--- a/gentiantrestle/gateway/gossip.py
+++ b/gentiantrestle/gateway/gossip.py
@@ -12,7 +12,7 @@
     encode,
 )
 from gentiantrestle.gateway.fellows import Fellow, Fellows
-from gentiantrestle.gateway.loads import Load, LoadBoard, Told
+from gentiantrestle.gateway.loads import BatchWaiting, Load, LoadBoard, Told
 from gentiantrestle.models import Address
 from gentiantrestle.wire.peer import ttypes
 
@@ -20,6 +20,7 @@
 DATAGRAM_RATE = 160
 MIN_GAP = 0.05  # seconds between two changes told
 MAX_GAP = 0.4  # seconds until the same is told again
+MS_PER_S = 1000
 MAX_HOSTS = 100  # hosts in one datagram
 
 
@@ -32,6 +33,7 @@
     waiting: int
     ended: tuple[str, ...]
     taken: tuple[str, ...]
+    batch: BatchWaiting
 
 
 class Heard(NamedTuple):
@@ -125,7 +127,12 @@
             one.upstream: Load(one.online, one.batch) for one in pulse.loads
         }
         if pulse.instance != self._me.instance:
-            self._board.hear(pulse.instance, Told(now, loads, pulse.waiting))
+            batch = BatchWaiting(
+                pulse.batch_waiting, pulse.batch_spare / MS_PER_S
+            )
+            self._board.hear(
+                pulse.instance, Told(now, loads, pulse.waiting, batch)
+            )
         if newcomer:
             events.emit(events.MEMBER_ALIVE, instance=pulse.instance)
             hosts = self._fellows.hosts(now)[:MAX_HOSTS]
@@ -137,7 +144,8 @@
         now = self._now()
         hosts = self._fellows.hosts(now)
         own = self._own()
-        state = (own, dict(self._board.own))
+        told = own._replace(batch=BatchWaiting(own.batch.count))
+        state = (told, dict(self._board.own))
         if state != self._last or now - self._last_at >= MAX_GAP:
             self._last, self._last_at = state, now
             self._send(hosts, own)
@@ -170,6 +178,8 @@
             hosts=told_hosts,
             ended=list(own.ended),
             taken=list(own.taken),
+            batch_waiting=own.batch.count,
+            batch_spare=int(own.batch.spare * MS_PER_S),
         )
         payload = encode(ttypes.Envelope(call=0, pulse=pulse))[LENGTH.size :]
         for host in hosts:
--- a/gentiantrestle/gateway/loads.py
+++ b/gentiantrestle/gateway/loads.py
@@ -18,12 +18,25 @@
         return self.online + self.batch
 
 
+class BatchWaiting(NamedTuple):
+    """Batch items that wait at one instance; ``spare`` is in s."""
+
+    count: int = 0
+    spare: float = 0
+
+    @property
+    def rank(self) -> tuple[bool, float]:
+        """Order by who needs slots most: hopeless items come last."""
+        return self.spare < 0, self.spare
+
+
 class Told(NamedTuple):
     """What one peer said of its loads, and when it was heard."""
 
     at: float
     loads: dict[str, Load]
     waiting: int
+    batch: BatchWaiting = BatchWaiting()
 
 
 NO_LOAD = Load()
@@ -67,6 +80,27 @@
             sum(load.batch for load in loads),
         )
 
+    def most_batch(self, upstream: str, now: float) -> int:
+        """Return the most batch that one other instance has there."""
+        return max(
+            (
+                told.loads[upstream].batch
+                for told in self._told.values()
+                if upstream in told.loads and now - told.at < STALE_AFTER
+            ),
+            default=0,
+        )
+
+    def batch_ahead(self, own: BatchWaiting, now: float) -> int:
+        """Count the items at other instances that go before the own ones."""
+        return sum(
+            told.batch.count
+            for told in self._told.values()
+            if now - told.at < STALE_AFTER
+            and told.batch.count
+            and told.batch.rank < own.rank
+        )
+
     def waiting(self, now: float) -> int:
         """Count the callers that wait at the peers."""
         return sum(
--- a/gentiantrestle/gateway/placement.py
+++ b/gentiantrestle/gateway/placement.py
@@ -16,6 +16,9 @@
 # bear before a farther one is taken: links between zones and regions are paid.
 ZONE_COST = 0.2
 REGION_COST = 0.6
+# Online requests that may queue at an upstream for batch to give way: the
+# instance that runs the batch sees it within one datagram.
+OVERBOOKING = 2
 # Failures after which an upstream rests: a refused connection is a sure sign.
 FAILURES_TO_REST = 2
 SLOT_WEIGHT = 0.001  # breaks ties between equally loaded upstreams
@@ -70,6 +73,26 @@
         ]
         return min(fit, key=lambda one: self._cost(one, now), default=None)
 
+    def choose_over_batch(
+        self,
+        upstreams: Iterable[Upstream],
+        now: float,
+        *,
+        excluded: frozenset[str] = frozenset(),
+    ) -> Upstream | None:
+        """Return an upstream where batch will give way to a request."""
+        fit = [
+            upstream
+            for upstream in self.healthy(upstreams, now)
+            if upstream.id not in excluded and self._may_overbook(upstream, now)
+        ]
+        return min(fit, key=lambda one: self._cost(one, now), default=None)
+
+    def _may_overbook(self, upstream: Upstream, now: float) -> bool:
+        load = self._board.of(upstream.id, now)
+        over = load.total - upstream.slots
+        return over < min(OVERBOOKING, load.batch)
+
     def healthy(
         self,
         upstreams: Iterable[Upstream],
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -233,6 +233,7 @@
             self.gate.waiting,
             tuple(self._ended),
             tuple(self.runner.taken),
+            self.runner.waiting,
         )
 
     def _hear(self, heard: Heard) -> None:
@@ -242,6 +243,7 @@
             entry = self.book.entries.get(job)
             if entry is not None:
                 entry.end()
+        self.runner.yield_overload()
         self.gate.dispatch()
 
     def _build_callers(self, placement: Placement) -> Callers:
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -104,6 +104,9 @@
   12: required list<string> ended,
   /* Runs of instances whose jobs the sender has taken over. */
   13: required list<string> taken,
+  /* Batch items that wait for a slot, and the least time to spare, in ms. */
+  14: required i32 batch_waiting,
+  15: required i64 batch_spare,
 }
 
 /* Asks the instance that runs a job for its results from a position on. */
--- a/gentiantrestle/wire/peer/ttypes.py
+++ b/gentiantrestle/wire/peer/ttypes.py
@@ -1299,6 +1299,8 @@
      - hosts
      - ended
      - taken
+     - batch_waiting
+     - batch_spare
 
     """
 
@@ -1316,10 +1318,12 @@
         'hosts',
         'ended',
         'taken',
+        'batch_waiting',
+        'batch_spare',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, number=None, host=None, zone=None, state=None, config_version=None, store_reached=None, waiting=None, loads=None, hosts=None, ended=None, taken=None,):
+    def __init__(self, instance=None, incarnation=None, number=None, host=None, zone=None, state=None, config_version=None, store_reached=None, waiting=None, loads=None, hosts=None, ended=None, taken=None, batch_waiting=None, batch_spare=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.number = number
@@ -1333,6 +1337,8 @@
         self.hosts = hosts
         self.ended = ended
         self.taken = taken
+        self.batch_waiting = batch_waiting
+        self.batch_spare = batch_spare
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1429,6 +1435,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I32:
+                    self.batch_waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I64:
+                    self.batch_spare = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1503,6 +1519,14 @@
                 oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.batch_waiting is not None:
+            oprot.writeFieldBegin('batch_waiting', TType.I32, 14)
+            oprot.writeI32(self.batch_waiting)
+            oprot.writeFieldEnd()
+        if self.batch_spare is not None:
+            oprot.writeFieldBegin('batch_spare', TType.I64, 15)
+            oprot.writeI64(self.batch_spare)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1531,6 +1555,10 @@
             raise TProtocolException(message='Required field ended is unset!')
         if self.taken is None:
             raise TProtocolException(message='Required field taken is unset!')
+        if self.batch_waiting is None:
+            raise TProtocolException(message='Required field batch_waiting is unset!')
+        if self.batch_spare is None:
+            raise TProtocolException(message='Required field batch_spare is unset!')
         return
 
     def __repr__(self):
@@ -2167,6 +2195,8 @@
     (11, TType.LIST, 'hosts', (TType.STRING, 'UTF8', False), None, ),  # 11
     (12, TType.LIST, 'ended', (TType.STRING, 'UTF8', False), None, ),  # 12
     (13, TType.LIST, 'taken', (TType.STRING, 'UTF8', False), None, ),  # 13
+    (14, TType.I32, 'batch_waiting', None, None, ),  # 14
+    (15, TType.I64, 'batch_spare', None, None, ),  # 15
 )
 all_structs.append(ResultsRequest)
 ResultsRequest.thrift_spec = (
--- a/tests/gateway/samples.py
+++ b/tests/gateway/samples.py
@@ -57,17 +57,13 @@
 
 def upstream(name: str, **changes: Any) -> Upstream:
     """Return a ready engine with some fields changed."""
-    plain = Upstream(
-        name, ENGINES, Address('127.0.0.1', 9), 'a1', 8, False, 1
-    )
+    plain = Upstream(name, ENGINES, Address('127.0.0.1', 9), 'a1', 8, False, 1)
     return plain._replace(**changes)
 
 
 def call(name: str, now: float = 0, **changes: Any) -> Call:
     """Return a caller's request that came at ``now``."""
-    plain = Call(
-        name, 'POST', '/chat/1', HOST, (), b'', now, now + 5, False, 0
-    )
+    plain = Call(name, 'POST', '/chat/1', HOST, (), b'', now, now + 5, False, 0)
     return plain._replace(**changes)
 
 
--- a/tests/gateway/test_batch.py
+++ b/tests/gateway/test_batch.py
@@ -5,7 +5,12 @@
 import pytest
 
 from gentiantrestle.gateway.batch.book import Book
-from gentiantrestle.gateway.batch.duty import due_items, runner_of
+from gentiantrestle.gateway.batch.duty import (
+    due_items,
+    may_yield,
+    runner_of,
+    yield_rank,
+)
 from gentiantrestle.gateway.batch.keeper import Keeper
 from gentiantrestle.gateway.batch.records import (
     JOB_KIND,
@@ -91,7 +96,7 @@
     keeper, book = _instance(store)
     await keeper.accept(job())
     assert book.entries['job1'].sole
-    restarted, fresh = _instance(store)
+    restarted, _ = _instance(store)
     entry = await restarted.find('job1')
     assert entry is not None
     assert not entry.learned
@@ -138,10 +143,23 @@
     assert runner_of(entry, ['three/1', 'one/2', 'two/1']) == chosen
 
 
-def test_the_job_that_is_due_first_goes_first() -> None:
+def test_the_item_with_least_time_to_spare_goes_first() -> None:
     book = Book()
     late = book.put(JobRecord(job('late', submitted=9), Stored('late', 1, {})))
     soon = book.put(JobRecord(job('soon', submitted=3), Stored('soon', 1, {})))
-    pairs = [(late, batch_route()), (soon, batch_route())]
-    order = [due.spec.id for due in due_items(pairs, {'soon-1'})]
-    assert order == ['soon-0', 'late-0', 'late-1']
+    lost = book.put(JobRecord(job('lost', submitted=0), Stored('lost', 1, {})))
+    pairs = [(one, batch_route()) for one in (late, soon, lost)]
+    waiting = due_items(
+        pairs,
+        {'soon-1', 'lost-1'},
+        lambda entry, *_: entry.job.submitted - 1,
+    )
+    order = [due.spec.id for due in waiting]
+    assert order == ['soon-0', 'late-0', 'late-1', 'lost-0']
+
+
+def test_an_item_that_would_miss_its_time_does_not_give_way() -> None:
+    assert may_yield(5)
+    assert not may_yield(0.5)
+    assert may_yield(-1)
+    assert yield_rank(-1) > yield_rank(9) > yield_rank(5)
