--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -87,6 +87,7 @@
 )
 PEER_FAILED = _define(3007, 'WARNING', 'call to {instance}: {error}')
 PULSE_UNREADABLE = _define(3008, 'WARNING', 'datagram not read: {error}')
+INSTANCE_EMPTY = _define(3009, 'INFO', '{instance} holds nothing; retired')
 CALL_PLACED = _define(
     5101,
     'INFO',
--- a/gentiantrestle/gateway/batch/keeper.py
+++ b/gentiantrestle/gateway/batch/keeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -26,9 +27,19 @@
     StoreUnsureError,
 )
 
+# Results that were read anywhere must be seen here a second later.
+LOOK_AGE = 0.5  # seconds
 UNREADABLE = (LookupError, TypeError, ValueError)
 
 
+class _Look:
+    """The last look at a job's results, and who looks now."""
+
+    def __init__(self) -> None:
+        self.lock = asyncio.Lock()
+        self.at = float('-inf')
+
+
 class Keeper:
     """Reads and writes jobs; the book holds what the store has."""
 
@@ -37,8 +48,11 @@
         store: ObjectStore,
         book: Book,
         rng: random.Random,
+        now: Callable[[], float],
     ) -> None:
         """Write through ``store``; note in ``book`` what was settled."""
+        self._now = now
+        self._looks: dict[str, _Look] = {}
         self._store = store
         self._book = book
         self._rng = rng
@@ -93,11 +107,23 @@
             events.emit(events.WRITE_FAILED, name=job, error=repr(exc))
 
     async def refresh(self, entry: Entry) -> None:
-        """Read the parts of a job's results that are new."""
+        """Read the parts of a job's results that are new.
+
+        Looks that come together, or soon after one another, are one.
+        """
+        look = self._looks.setdefault(entry.job.id, _Look())
+        async with look.lock:
+            if entry.complete or self._now() - look.at < LOOK_AGE:
+                return
+            at = self._now()
+            await self._read_chunks(entry)
+            look.at = at
+
+    async def _read_chunks(self, entry: Entry) -> None:
         while not entry.complete:
             name = chunk_name(entry.job.id, entry.chunks)
             stored = await self._store.get(RESULT_KIND, name)
-            # Another reader may have taken the same part in meanwhile.
+            # The own listing may have taken the same part in meanwhile.
             if name != chunk_name(entry.job.id, entry.chunks):
                 continue
             if stored is None:
@@ -143,7 +169,7 @@
             if entry.chunks == index:
                 entry.append(results)
             return
-        await self.refresh(entry)
+        await self._read_chunks(entry)
 
     async def _set_state(self, job: str, state: str) -> bool:
         while True:
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -97,6 +97,10 @@
         """Look for work now."""
         self._woken.set()
 
+    def is_own(self, entry: Entry) -> bool:
+        """Tell whether this instance runs a job."""
+        return runs_here(entry, self._instance, self.alive())
+
     def preempt(self, upstreams: Iterable[str]) -> str | None:
         """Cut the item that can best wait on some upstreams; return which."""
         wanted = set(upstreams)
@@ -171,10 +175,9 @@
         return startable(free, sum(one.slots for one in found), ahead)
 
     def _own_entries(self) -> list[tuple[Entry, Route]]:
-        alive = tuple(self.alive())
         found = []
         for entry in self._p.book.open_entries():
-            if not runs_here(entry, self._instance, alive):
+            if not self.is_own(entry):
                 continue
             self._note_taken(entry)
             if not entry.learned:
--- a/gentiantrestle/gateway/relay.py
+++ b/gentiantrestle/gateway/relay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import msgspec
@@ -60,7 +60,7 @@
         self._server = PeerServer(self._answer)
         self._behind_since: float | None = None
         self._copied_at = float(0)
-        self.is_sure: Callable[[Entry], bool] = _never
+        self.make_sure: Callable[[Entry], Awaitable[bool]] = _never
 
     async def serve(self, host: str) -> None:
         """Answer the other instances until cancelled."""
@@ -148,7 +148,7 @@
         if envelope.changes_request is not None:
             answer.changes = self._changes()
         elif envelope.results_request is not None:
-            answer.results = self._results(envelope.results_request)
+            answer.results = await self._results(envelope.results_request)
         return answer
 
     def _changes(self) -> ttypes.Changes:
@@ -162,9 +162,9 @@
             revision=self._reach.revision(), complete=True, changes=changes
         )
 
-    def _results(self, asked: ttypes.ResultsRequest) -> ttypes.Results:
+    async def _results(self, asked: ttypes.ResultsRequest) -> ttypes.Results:
         entry = self._book.entries.get(asked.job)
-        if entry is None or not self.is_sure(entry):
+        if entry is None or not await self.make_sure(entry):
             return ttypes.Results(
                 known=False, complete=False, rows=[], chunks=0
             )
@@ -187,5 +187,5 @@
     return Stored(name, change.version, content)
 
 
-def _never(entry: Entry) -> bool:
+async def _never(entry: Entry) -> bool:
     return False
--- /dev/null
+++ b/gentiantrestle/gateway/retirement.py
@@ -0,0 +1,73 @@
+"""Answers requests to empty a storage instance: it never holds anything."""
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any
+
+from gentiantrestle import events
+from gentiantrestle.gateway.follow import Sink
+from gentiantrestle.gateway.ports import ObjectStore, Stored
+from gentiantrestle.store.client import (
+    StoreUnavailableError,
+    StoreUnsureError,
+)
+
+# Others answer for an instance that does not do so itself within this time.
+OWN_TIME = 1.5  # seconds
+RETRY_PAUSE = 0.5  # seconds
+
+
+class Retirement:
+    """Marks what is to be emptied as empty."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        kind: str,
+        instance: str,
+        completed: dict[str, Any],
+    ) -> None:
+        """Write ``completed`` as the status of an answered request."""
+        self._store = store
+        self._kind = kind
+        self._instance = instance
+        self._completed = completed
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    def sink(self) -> Sink:
+        """Return what a follower of the requests does."""
+        return Sink(self._take, self._take, _nothing)
+
+    def _take(self, found: Iterable[Stored], revision: int) -> None:
+        for stored in found:
+            name = stored.name
+            if stored.deleted or stored.status == self._completed:
+                continue
+            if name not in self._tasks:
+                self._tasks[name] = asyncio.create_task(self._answer(name))
+
+    async def _answer(self, name: str) -> None:
+        if name != self._instance:
+            await asyncio.sleep(OWN_TIME)
+        while not await self._try_answer(name):
+            await asyncio.sleep(RETRY_PAUSE)
+        self._tasks.pop(name, None)
+
+    async def _try_answer(self, name: str) -> bool:
+        try:
+            stored = await self._store.get(self._kind, name)
+            if stored is None or stored.status == self._completed:
+                return True
+            done = await self._store.put_status(
+                self._kind, stored, self._completed
+            )
+        except (StoreUnavailableError, StoreUnsureError) as exc:
+            events.emit(events.WRITE_FAILED, name=name, error=repr(exc))
+            return False
+        if done:
+            events.emit(events.INSTANCE_EMPTY, instance=name)
+        return done
+
+
+def _nothing() -> None:
+    """Requests wait while the store is away."""
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -34,13 +34,14 @@
 from gentiantrestle.gateway.routing import Router
 from gentiantrestle.gateway.state import State
 from gentiantrestle.models import Address
+from gentiantrestle.store.client import StoreUnavailableError
 from gentiantrestle.supervisor import Child, Supervisor
 
 # Changes that come within this time are read with one call; the bound for
 # configuration and leaving upstreams is 2.5 s after the store's answer.
 CONFIG_REST = 0.2  # seconds
 UPSTREAM_REST = 0.4  # seconds
-JOB_REST = 0.8  # seconds
+JOB_REST = 1.5  # seconds
 # The balancer asks once a second and drops an instance after two misses.
 NOTICE_TIME = 2.6  # seconds
 STOP_STEP = 0.05  # seconds
@@ -101,7 +102,9 @@
         placement = Placement(plan.site, self.board)
         self.gate = Gate(self.roster, self.board, placement, self._clock.now)
         self.book = Book()
-        self.keeper = Keeper(adapter.store, self.book, self._rng)
+        self.keeper = Keeper(
+            adapter.store, self.book, self._rng, self._clock.now
+        )
         self.runner = Runner(
             Parts(
                 self.book,
@@ -158,6 +161,18 @@
         settled = self.fellows.settled(self._clock.now())
         return entry.sole and settled and not self.stopping
 
+    async def make_sure(self, entry: BatchEntry) -> bool:
+        """Have a job's results known here, if this process runs it."""
+        if self.is_sure(entry):
+            return True
+        if self.stopping or not self.runner.is_own(entry):
+            return False
+        try:
+            await self.keeper.refresh(entry)
+        except StoreUnavailableError:
+            return False
+        return True
+
     async def ask_runner(self, entry: BatchEntry) -> bool:
         """Read a job's results from its runner; False if it can't say."""
         now = self._clock.now()
@@ -218,7 +233,7 @@
         relay = Relay(
             self.state, self.fellows, self.book, reach, self._plan.peer_port
         )
-        relay.is_sure = self.is_sure
+        relay.make_sure = self.make_sure
         return relay
 
     @property
--- a/gentiantrestle/platform/__main__.py
+++ b/gentiantrestle/platform/__main__.py
@@ -2,19 +2,26 @@
 
 import asyncio
 import os
+import random
 import signal
 import sys
+import time
+from collections.abc import Awaitable, Callable
 
 import uvloop
 
 from gentiantrestle import events
+from gentiantrestle.gateway.follow import Follower
 from gentiantrestle.gateway.placement import Site
+from gentiantrestle.gateway.retirement import Retirement
 from gentiantrestle.gateway.service import Adapter, Gateway, Kinds, Plan
 from gentiantrestle.logsink import LineSink
 from gentiantrestle.platform.dialect import PlatformDialect
 from gentiantrestle.platform.documents import (
     CONFIG_KIND,
     CONFIG_NAME,
+    RETIRED,
+    RETIREMENT_KIND,
     SERVER_KIND,
     StoreDocuments,
 )
@@ -26,9 +33,12 @@
     SettingsError,
 )
 from gentiantrestle.status import ExitStatus
+from gentiantrestle.supervisor import Child, Supervisor
 
 ENTRY = 'entry'
 STORAGE = 'storage'
+# Requests to empty an instance are seconds apart.
+RETIREMENT_REST = 0.5  # seconds
 USAGE = f'usage: python3 -m gentiantrestle.platform {ENTRY}|{STORAGE}\n'
 
 
@@ -46,7 +56,7 @@
         return ExitStatus.BAD_SETTINGS
     events.configure_sink('INFO', LineSink(sys.stdout.fileno()))
     if role == STORAGE:
-        return uvloop.run(idle(cfg))
+        return uvloop.run(keep(cfg))
     return uvloop.run(serve(cfg))
 
 
@@ -69,9 +79,18 @@
             Kinds(CONFIG_KIND, CONFIG_NAME, SERVER_KIND),
         ),
     )
-    stopped = _stop_signal()
     await Readiness(lambda: gateway.ready).start(cfg.readiness)
     root = asyncio.create_task(gateway.run())
+    return await _run_until_stopped(cfg, root, gateway.stop)
+
+
+async def _run_until_stopped(
+    cfg: NodeSettings,
+    root: asyncio.Task[None],
+    stop: Callable[[], Awaitable[int]],
+) -> int:
+    """Wait for a signal, then stop; return the exit status."""
+    stopped = _stop_signal()
     events.emit(events.STARTED, instance=cfg.instance, zone=cfg.zone)
     await asyncio.wait({root, stopped}, return_when=asyncio.FIRST_COMPLETED)
     if root.done():
@@ -80,20 +99,31 @@
         )
         return ExitStatus.CHILD_FAILED
     events.emit(events.STOPPING, signal=stopped.result())
-    cut = await gateway.stop()
+    cut = await stop()
     root.cancel()
     await asyncio.wait({root})
     events.emit(events.STOPPED, cut=cut)
     return ExitStatus.CUT_REQUESTS if cut else ExitStatus.SUCCESS
 
 
-async def idle(cfg: NodeSettings) -> int:
-    """Hold nothing: what must last lies in the platform's store."""
-    events.emit(events.STARTED, instance=cfg.instance, zone=cfg.zone)
-    stopped = _stop_signal()
-    events.emit(events.STOPPING, signal=await stopped)
-    events.emit(events.STOPPED, cut=0)
-    return ExitStatus.SUCCESS
+async def keep(cfg: NodeSettings) -> int:
+    """Hold nothing, and say so when the instance is to be emptied."""
+    store = Objects(cfg.store)
+    retirement = Retirement(store, RETIREMENT_KIND, cfg.instance, dict(RETIRED))
+    follower = Follower(
+        store,
+        RETIREMENT_KIND,
+        retirement.sink(),
+        random.Random(time.time_ns()),
+        rest=RETIREMENT_REST,
+    )
+    children = (Child('retirement', follower.run),)
+    root = asyncio.create_task(Supervisor(children, time.monotonic).run())
+    return await _run_until_stopped(cfg, root, _nothing_cut)
+
+
+async def _nothing_cut() -> int:
+    return 0
 
 
 def _stop_signal() -> asyncio.Future[str]:
--- a/gentiantrestle/platform/documents.py
+++ b/gentiantrestle/platform/documents.py
@@ -1,6 +1,7 @@
 """Decodes what the operator and the servers write into the store."""
 
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any
 
 from gentiantrestle import events
@@ -19,6 +20,9 @@
 CONFIG_KIND = 'config'
 CONFIG_NAME = 'main'
 SERVER_KIND = 'servers'
+# Requests that a storage machine be emptied, by its name.
+RETIREMENT_KIND = 'retirements'
+RETIRED = MappingProxyType({'state': 'completed'})
 KINDS = {
     'safe': RouteKind.SAFE,
     'unsafe': RouteKind.UNSAFE,
--- a/tests/gateway/test_batch.py
+++ b/tests/gateway/test_batch.py
@@ -33,7 +33,7 @@
 
 def _instance(store: MemoryStore) -> tuple[Keeper, Book]:
     book = Book()
-    return Keeper(store, book, random.Random(1)), book
+    return Keeper(store, book, random.Random(1), lambda: 0), book
 
 
 def _result(number: int, output: str = 'text') -> ItemResult:
