--- a/gentiantrestle/gateway/fellows.py
+++ b/gentiantrestle/gateway/fellows.py
@@ -74,6 +74,19 @@
                 self._hosts.pop(host)
         return sorted(self._seeds | set(self._hosts))
 
+    def split_hosts(
+        self,
+        zone: str,
+        now: float,
+    ) -> tuple[list[str], list[str]]:
+        """List the hosts in a zone, and all others."""
+        near = {one.host for one in self._by_name.values() if one.zone == zone}
+        hosts = self.hosts(now)
+        return (
+            [host for host in hosts if host in near],
+            [host for host in hosts if host not in near],
+        )
+
     def sweep(self, now: float) -> list[Fellow]:
         """Drop and return the instances that have fallen silent."""
         silent = [one for one in self._by_name.values() if not one.fresh(now)]
--- a/gentiantrestle/gateway/gossip.py
+++ b/gentiantrestle/gateway/gossip.py
@@ -16,7 +16,7 @@
 from gentiantrestle.models import Address
 from gentiantrestle.wire.peer import ttypes
 
-# Datagrams an instance may send in a second; it tells many others less often.
+# Datagrams an instance may send in a second to one group of others.
 DATAGRAM_RATE = 160
 MIN_GAP = 0.05  # seconds between two changes told
 MAX_GAP = 0.4  # seconds until the same is told again
@@ -53,6 +53,27 @@
     port: int
 
 
+class Rhythm:
+    """When a group of hosts is told again; no I/O."""
+
+    def __init__(self) -> None:
+        """Tell at the first question."""
+        self._state: object = None
+        self._at = float('-inf')
+
+    def is_due(self, state: object, hosts: int, now: float) -> bool:
+        """Tell whether it is time to tell ``hosts`` others a state."""
+        since = now - self._at
+        gap = min(MAX_GAP, max(MIN_GAP, hosts / DATAGRAM_RATE))
+        # Half a step early, so that a late timer doesn't skip a turn.
+        if since < gap - MIN_GAP / 2:
+            return False
+        if state == self._state and since < MAX_GAP:
+            return False
+        self._state, self._at = state, now
+        return True
+
+
 class Gossip(asyncio.DatagramProtocol):
     """Sends and hears what instances tell each other all the time."""
 
@@ -71,8 +92,8 @@
         self._own = own
         self._now = now
         self._number = 0
-        self._last: tuple[Own, dict[str, Load]] | None = None
-        self._last_at = float(0)
+        self._near = Rhythm()
+        self._far = Rhythm()
         self._transport: asyncio.DatagramTransport | None = None
         self.on_heard: Callable[[Heard], None] = _nothing
 
@@ -84,8 +105,9 @@
         )
         try:
             while True:
-                await asyncio.sleep(self._tell())
+                self._tell()
                 self._sweep()
+                await asyncio.sleep(MIN_GAP)
         finally:
             self._transport.close()
 
@@ -139,17 +161,16 @@
             self._send([pulse.host], self._own(), hosts)
         self.on_heard(Heard(tuple(pulse.ended), tuple(pulse.taken)))
 
-    def _tell(self) -> float:
-        """Tell the others if it is time; return when to look again, in s."""
+    def _tell(self) -> None:
+        """Tell the others what is new, those near more often."""
         now = self._now()
-        hosts = self._fellows.hosts(now)
+        near, far = self._fellows.split_hosts(self._me.zone, now)
         own = self._own()
         told = own._replace(batch=BatchWaiting(own.batch.count))
         state = (told, dict(self._board.own))
-        if state != self._last or now - self._last_at >= MAX_GAP:
-            self._last, self._last_at = state, now
-            self._send(hosts, own)
-        return max(MIN_GAP, min(MAX_GAP, len(hosts) / DATAGRAM_RATE))
+        for hosts, pace in ((near, self._near), (far, self._far)):
+            if pace.is_due(state, len(hosts), now):
+                self._send(hosts, own)
 
     def _send(
         self,
--- a/gentiantrestle/gateway/placement.py
+++ b/gentiantrestle/gateway/placement.py
@@ -5,7 +5,7 @@
 belongs on a free slot, near if there is one, and nowhere if there is none.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from gentiantrestle.daemon.upstreams.health import Health
@@ -19,6 +19,9 @@
 # Online requests that may queue at an upstream for batch to give way: the
 # instance that runs the batch sees it within one datagram.
 OVERBOOKING = 2
+# Chance in a choice, as a share of slots: several instances with the same late
+# news must not all take the same upstream.
+SPREAD = 0.25
 # Failures after which an upstream rests: a refused connection is a sure sign.
 FAILURES_TO_REST = 2
 SLOT_WEIGHT = 0.001  # breaks ties between equally loaded upstreams
@@ -42,8 +45,17 @@
 class Placement:
     """Chooses among a service's upstreams."""
 
-    def __init__(self, site: Site, board: LoadBoard) -> None:
-        """Read loads from ``board``; start with every upstream healthy."""
+    def __init__(
+        self,
+        site: Site,
+        board: LoadBoard,
+        chance: Callable[[], float],
+    ) -> None:
+        """Read loads from ``board``; start with every upstream healthy.
+
+        ``chance`` returns numbers from 0 to 1.
+        """
+        self._chance = chance
         self._site = site
         self._board = board
         self._health: dict[str, Health] = {}
@@ -108,4 +120,6 @@
         share = load / max(1, upstream.slots)
         own = self._board.own.get(upstream.id)
         own_share = own.total * SLOT_WEIGHT if own else 0
-        return share + own_share + self._site.distance_cost(upstream.zone)
+        spread = self._chance() * SPREAD
+        distance = self._site.distance_cost(upstream.zone)
+        return share + own_share + distance + spread
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -99,7 +99,7 @@
             adapter.kinds.config_name,
             self._clock.now,
         )
-        placement = Placement(plan.site, self.board)
+        placement = Placement(plan.site, self.board, self._rng.random)
         self.gate = Gate(self.roster, self.board, placement, self._clock.now)
         self.book = Book()
         self.keeper = Keeper(
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -3,6 +3,7 @@
 import pytest
 
 from gentiantrestle.gateway.fellows import SILENCE, Fellow, Fellows
+from gentiantrestle.gateway.gossip import MAX_GAP, Rhythm
 from gentiantrestle.gateway.loads import STALE_AFTER, Load, LoadBoard, Told
 from gentiantrestle.gateway.model import Share
 from gentiantrestle.gateway.placement import Placement, Site
@@ -79,7 +80,7 @@
 
 def _placement() -> tuple[Placement, LoadBoard]:
     board = LoadBoard()
-    return Placement(Site('a1', ZONES), board), board
+    return Placement(Site('a1', ZONES), board, lambda: 0), board
 
 
 def test_a_near_slot_goes_before_a_far_one_until_it_is_taken() -> None:
@@ -210,3 +211,19 @@
     assert fellows.workers(0) == ()
     fellows.sweep(SILENCE + 1)
     assert fellows.settled(10)
+
+
+def test_news_goes_out_when_it_is_due_and_is_repeated() -> None:
+    rhythm = Rhythm()
+    assert rhythm.is_due('a', 8, 0)
+    assert not rhythm.is_due('b', 8, 0.01)
+    assert rhythm.is_due('b', 8, 0.05)
+    assert not rhythm.is_due('b', 8, 0.2)
+    assert rhythm.is_due('b', 8, 0.05 + MAX_GAP)
+
+
+def test_many_others_are_told_less_often() -> None:
+    rhythm = Rhythm()
+    rhythm.is_due('a', 53, 0)
+    assert not rhythm.is_due('b', 53, 0.2)
+    assert rhythm.is_due('b', 53, 0.4)
