Placing of items is logged

Cause: slot use by kind could not be read from the log. Change: one line for each item placed, with its time to spare.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -113,6 +113,7 @@
 ITEM_RUN_ENDED = _define(
     6101, 'INFO', 'item {item} at {upstream}: {reason} at {last_event}'
 )
+ITEM_PLACED = _define(6104, 'INFO', 'item {item} of {job} to {upstream}')
 ITEM_PREEMPTED = _define(6102, 'INFO', 'item {item} gives way on {upstream}')
 JOBS_TAKEN = _define(6103, 'INFO', 'jobs of {run} are run here now')
 LINES_DROPPED = _define(7001, 'WARNING', '{count} log lines were dropped')
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -238,6 +238,14 @@
         if run is None:
             run = ItemRun(due.entry, due.spec, route.max_attempts)
             self._runs[due.spec.id] = run
+        events.emit(
+            events.ITEM_PLACED,
+            item=due.spec.id,
+            job=due.entry.job.id,
+            upstream=upstream.id,
+            spare_ms=round(due.spare * 1000),
+            roster=self._p.roster.revision,
+        )
         self._p.board.add(upstream.id, batch=1)
         task = asyncio.create_task(self._drive(run, upstream))
         self._running[due.spec.id] = _Running(upstream, task, now)
