--- a/gentiantrestle/gateway/batch/duty.py
+++ b/gentiantrestle/gateway/batch/duty.py
@@ -1,7 +1,7 @@
 """Which instance runs a job, and which item is next; no I/O.
 
-Answers the load of more jobs than can be in time: the item with the least
-time to spare goes first, one that can't be in time any more goes last.
+Answers the load of more jobs than can be in time: the item that has the least
+left to do goes first, so that most are in time; one that can't be goes last.
 """
 
 from collections.abc import Callable, Iterable
@@ -22,16 +22,24 @@
 
 
 class Due(NamedTuple):
-    """An item that waits for a slot; ``spare`` is its time to spare in s."""
+    """An item that waits for a slot, with its time to spare in s."""
 
     spare: float
+    left: int
     entry: Entry
     spec: ItemSpec
 
     @property
-    def rank(self) -> tuple[bool, float]:
-        """Order items: those that can be in time, the tightest first."""
-        return self.spare < 0, self.spare
+    def rank(self) -> tuple[bool, int]:
+        """Order items: those that can be in time, the shortest first."""
+        return self.spare < 0, self.left
+
+
+class Need(NamedTuple):
+    """Tokens that an item still has to make, and its time to spare in s."""
+
+    left: int
+    spare: float
 
 
 class Pace:
@@ -53,6 +61,10 @@
         """
         return due - wall - left * self.mean
 
+    def left(self, tokens: int, spent: float) -> int:
+        """Return how many tokens are left after ``spent`` s of running."""
+        return max(0, int(tokens - spent / self.mean))
+
 
 def runner_of(entry: Entry, names: Iterable[str]) -> str | None:
     """Name the instance that runs a job.
@@ -97,13 +109,13 @@
 def due_items(
     entries: Iterable[tuple[Entry, Route]],
     busy: set[str],
-    spare: Callable[[Entry, Route, ItemSpec], float],
+    need: Callable[[Entry, Route, ItemSpec], Need],
 ) -> list[Due]:
     """List the items that wait, in the order in which they are started."""
-    found = [
-        Due(spare(entry, route, spec), entry, spec)
-        for entry, route in entries
-        for spec in entry.unlisted()
-        if spec.id not in busy
-    ]
+    found = []
+    for entry, route in entries:
+        for spec in entry.unlisted():
+            if spec.id not in busy:
+                left, spare = need(entry, route, spec)
+                found.append(Due(spare, left, entry, spec))
     return sorted(found, key=lambda due: due.rank)
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -9,6 +9,7 @@
 from gentiantrestle.gateway.batch.book import Book, Entry
 from gentiantrestle.gateway.batch.duty import (
     Due,
+    Need,
     Pace,
     due_items,
     may_yield,
@@ -140,10 +141,10 @@
         self.yield_overload()
         self._give_up_late(mine)
         busy = set(self._running) | self._held_back(now)
-        waiting = due_items(mine, busy, self._spare)
+        waiting = due_items(mine, busy, self._need)
         if waiting:
-            first = waiting[0].spare
-            self.waiting = BatchWaiting(len(waiting), first)
+            late, left = waiting[0].rank
+            self.waiting = BatchWaiting(len(waiting), late, left)
             self._start_some(waiting, now)
         else:
             self.waiting = BatchWaiting()
@@ -326,12 +327,20 @@
             if own >= self._p.board.most_batch(upstream.id, now):
                 self.preempt((upstream.id,))
 
-    def _spare(self, entry: Entry, route: Route, spec: ItemSpec) -> float:
+    def _need(
+        self,
+        entry: Entry,
+        route: Route,
+        spec: ItemSpec,
+        running: float = 0,
+    ) -> Need:
+        """Say what an item needs; it has been ``running`` s this time."""
         run = self._runs.get(spec.id)
-        spent = run.spent if run is not None else 0
-        tokens = max(0, spec.tokens - spent / self._pace.mean)
+        spent = running + (run.spent if run is not None else 0)
+        left = self._pace.left(spec.tokens, spent)
         due = entry.job.submitted + route.completion_target
-        return self._pace.spare(due, self._p.clock.wall(), tokens)
+        spare = self._pace.spare(due, self._p.clock.wall(), left)
+        return Need(left, spare)
 
     def _spare_of(self, item_id: str) -> float:
         """Return a running item's time to spare, in s."""
@@ -340,9 +349,8 @@
         route = self._p.router.match(job.host, job.path)
         if route is None:
             return 0
-        return self._spare(run.entry, route, run.spec) + (
-            self._p.clock.now() - self._running[item_id].since
-        )
+        running = self._p.clock.now() - self._running[item_id].since
+        return self._need(run.entry, route, run.spec, running).spare
 
     def _give_up_late(self, mine: Iterable[tuple[Entry, Route]]) -> None:
         """List items that nobody waits for any more."""
--- a/gentiantrestle/gateway/loads.py
+++ b/gentiantrestle/gateway/loads.py
@@ -19,15 +19,16 @@
 
 
 class BatchWaiting(NamedTuple):
-    """Batch items that wait at one instance; ``spare`` is in s."""
+    """Batch items that wait at one instance; ``left`` is in tokens."""
 
     count: int = 0
-    spare: float = 0
+    late: bool = False
+    left: int = 0
 
     @property
-    def rank(self) -> tuple[bool, float]:
-        """Order by who needs slots most: hopeless items come last."""
-        return self.spare < 0, self.spare
+    def rank(self) -> tuple[bool, int]:
+        """Order instances by their first item: which one goes first."""
+        return self.late, self.left
 
 
 class Told(NamedTuple):
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -104,9 +104,11 @@
   12: required list<string> ended,
   /* Runs of instances whose jobs the sender has taken over. */
   13: required list<string> taken,
-  /* Batch items that wait for a slot, and the least time to spare, in ms. */
+  /* Batch items that wait for a slot; of the first, whether it is too late
+     to be in time and the tokens it still has to make. */
   14: required i32 batch_waiting,
-  15: required i64 batch_spare,
+  15: required bool batch_late,
+  16: required i64 batch_left,
 }
 
 /* Asks the instance that runs a job for its results from a position on. */
--- a/tests/gateway/test_batch.py
+++ b/tests/gateway/test_batch.py
@@ -6,9 +6,11 @@
 
 from gentiantrestle.gateway.batch.book import Book
 from gentiantrestle.gateway.batch.duty import (
+    Need,
     due_items,
     may_yield,
     runner_of,
+    startable,
     yield_rank,
 )
 from gentiantrestle.gateway.batch.keeper import Keeper
@@ -20,6 +22,7 @@
     job_from_stored,
     job_to_content,
 )
+from gentiantrestle.gateway.loads import BatchWaiting, LoadBoard, Told
 from gentiantrestle.gateway.model import ItemResult
 from gentiantrestle.gateway.ports import Stored
 from gentiantrestle.store.client import (
@@ -143,19 +146,36 @@
     assert runner_of(entry, ['three/1', 'one/2', 'two/1']) == chosen
 
 
-def test_the_item_with_least_time_to_spare_goes_first() -> None:
+def test_the_shortest_item_that_can_be_in_time_goes_first() -> None:
     book = Book()
-    late = book.put(JobRecord(job('late', submitted=9), Stored('late', 1, {})))
-    soon = book.put(JobRecord(job('soon', submitted=3), Stored('soon', 1, {})))
-    lost = book.put(JobRecord(job('lost', submitted=0), Stored('lost', 1, {})))
-    pairs = [(one, batch_route()) for one in (late, soon, lost)]
+    long = book.put(JobRecord(job('long'), Stored('long', 1, {})))
+    short = book.put(JobRecord(job('short'), Stored('short', 1, {})))
+    lost = book.put(JobRecord(job('lost'), Stored('lost', 1, {})))
+    pairs = [(one, batch_route()) for one in (long, lost, short)]
+    needs = {
+        'long': Need(900, 2),
+        'short': Need(100, 9),
+        'lost': Need(50, -1),
+    }
     waiting = due_items(
         pairs,
-        {'soon-1', 'lost-1'},
-        lambda entry, *_: entry.job.submitted - 1,
+        {'short-1', 'lost-1'},
+        lambda entry, *_: needs[entry.job.id],
     )
     order = [due.spec.id for due in waiting]
-    assert order == ['soon-0', 'late-0', 'late-1', 'lost-0']
+    assert order == ['short-0', 'long-0', 'long-1', 'lost-0']
+
+
+def test_instances_don_t_take_the_same_free_slot() -> None:
+    board = LoadBoard()
+    mine = BatchWaiting(3, False, 100)
+    board.hear('tighter', Told(0, {}, 0, BatchWaiting(2, False, 50)))
+    board.hear('later', Told(0, {}, 0, BatchWaiting(9, True, 10)))
+    ahead = board.batch_ahead(mine, 0)
+    assert ahead == 2
+    assert startable(free=2, slots=8, ahead=ahead) == 0
+    assert startable(free=5, slots=8, ahead=ahead) == 3
+    assert startable(free=5, slots=48, ahead=ahead) == 1
 
 
 def test_an_item_that_would_miss_its_time_does_not_give_way() -> None:
