--- a/gentiantrestle/gateway/batch/duty.py
+++ b/gentiantrestle/gateway/batch/duty.py
@@ -1,7 +1,9 @@
 """Which instance runs a job, and which item is next; no I/O.
 
-Answers the load of more jobs than can be in time: the item that has the least
-left to do goes first, so that most are in time; one that can't be goes last.
+Answers the load of more jobs than can be in time: of an instance's items the
+one with the least left to do goes first, so that most are in time; of several
+instances the one whose first item has the least time to spare; items that
+can't be in time any more go last.
 """
 
 from collections.abc import Callable, Iterable
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -143,8 +143,7 @@
         busy = set(self._running) | self._held_back(now)
         waiting = due_items(mine, busy, self._need)
         if waiting:
-            late, left = waiting[0].rank
-            self.waiting = BatchWaiting(len(waiting), late, left)
+            self.waiting = BatchWaiting(len(waiting), waiting[0].spare)
             self._start_some(waiting, now)
         else:
             self.waiting = BatchWaiting()
--- a/gentiantrestle/gateway/gossip.py
+++ b/gentiantrestle/gateway/gossip.py
@@ -20,6 +20,7 @@
 DATAGRAM_RATE = 160
 MIN_GAP = 0.05  # seconds between two changes told
 MAX_GAP = 0.4  # seconds until the same is told again
+MS_PER_S = 1000
 MAX_HOSTS = 100  # hosts in one datagram
 
 
@@ -149,7 +150,7 @@
         }
         if pulse.instance != self._me.instance:
             batch = BatchWaiting(
-                pulse.batch_waiting, pulse.batch_late, pulse.batch_left
+                pulse.batch_waiting, pulse.batch_spare / MS_PER_S
             )
             self._board.hear(
                 pulse.instance, Told(now, loads, pulse.waiting, batch)
@@ -165,7 +166,9 @@
         now = self._now()
         near, far = self._fellows.split_hosts(self._me.zone, now)
         own = self._own()
-        state = (own, dict(self._board.own))
+        # The time to spare runs down all the while: that alone is no news.
+        told = own._replace(batch=BatchWaiting(own.batch.count))
+        state = (told, dict(self._board.own))
         for hosts, pace in ((near, self._near), (far, self._far)):
             if pace.is_due(state, len(hosts), now):
                 self._send(hosts, own)
@@ -198,8 +201,7 @@
             ended=list(own.ended),
             taken=list(own.taken),
             batch_waiting=own.batch.count,
-            batch_late=own.batch.late,
-            batch_left=own.batch.left,
+            batch_spare=int(own.batch.spare * MS_PER_S),
         )
         payload = encode(ttypes.Envelope(call=0, pulse=pulse))[LENGTH.size :]
         for host in hosts:
--- a/gentiantrestle/gateway/loads.py
+++ b/gentiantrestle/gateway/loads.py
@@ -19,16 +19,15 @@
 
 
 class BatchWaiting(NamedTuple):
-    """Batch items that wait at one instance; ``left`` is in tokens."""
+    """Batch items that wait at one instance; ``spare`` is in s."""
 
     count: int = 0
-    late: bool = False
-    left: int = 0
+    spare: float = 0
 
     @property
-    def rank(self) -> tuple[bool, int]:
+    def rank(self) -> tuple[bool, float]:
         """Order instances by their first item: which one goes first."""
-        return self.late, self.left
+        return self.spare < 0, self.spare
 
 
 class Told(NamedTuple):
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -104,11 +104,10 @@
   12: required list<string> ended,
   /* Runs of instances whose jobs the sender has taken over. */
   13: required list<string> taken,
-  /* Batch items that wait for a slot; of the first, whether it is too late
-     to be in time and the tokens it still has to make. */
+  /* Batch items that wait for a slot, and the time to spare of the first in
+     ms; below zero it can't be in time any more. */
   14: required i32 batch_waiting,
-  15: required bool batch_late,
-  16: required i64 batch_left,
+  15: required i64 batch_spare,
 }
 
 /* Asks the instance that runs a job for its results from a position on. */
--- a/gentiantrestle/wire/peer/ttypes.py
+++ b/gentiantrestle/wire/peer/ttypes.py
@@ -1300,8 +1300,7 @@
      - ended
      - taken
      - batch_waiting
-     - batch_late
-     - batch_left
+     - batch_spare
 
     """
 
@@ -1320,12 +1319,11 @@
         'ended',
         'taken',
         'batch_waiting',
-        'batch_late',
-        'batch_left',
+        'batch_spare',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, number=None, host=None, zone=None, state=None, config_version=None, store_reached=None, waiting=None, loads=None, hosts=None, ended=None, taken=None, batch_waiting=None, batch_late=None, batch_left=None,):
+    def __init__(self, instance=None, incarnation=None, number=None, host=None, zone=None, state=None, config_version=None, store_reached=None, waiting=None, loads=None, hosts=None, ended=None, taken=None, batch_waiting=None, batch_spare=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.number = number
@@ -1340,8 +1338,7 @@
         self.ended = ended
         self.taken = taken
         self.batch_waiting = batch_waiting
-        self.batch_late = batch_late
-        self.batch_left = batch_left
+        self.batch_spare = batch_spare
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1444,13 +1441,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
-                if ftype == TType.BOOL:
-                    self.batch_late = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 16:
                 if ftype == TType.I64:
-                    self.batch_left = iprot.readI64()
+                    self.batch_spare = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1531,13 +1523,9 @@
             oprot.writeFieldBegin('batch_waiting', TType.I32, 14)
             oprot.writeI32(self.batch_waiting)
             oprot.writeFieldEnd()
-        if self.batch_late is not None:
-            oprot.writeFieldBegin('batch_late', TType.BOOL, 15)
-            oprot.writeBool(self.batch_late)
-            oprot.writeFieldEnd()
-        if self.batch_left is not None:
-            oprot.writeFieldBegin('batch_left', TType.I64, 16)
-            oprot.writeI64(self.batch_left)
+        if self.batch_spare is not None:
+            oprot.writeFieldBegin('batch_spare', TType.I64, 15)
+            oprot.writeI64(self.batch_spare)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1569,10 +1557,8 @@
             raise TProtocolException(message='Required field taken is unset!')
         if self.batch_waiting is None:
             raise TProtocolException(message='Required field batch_waiting is unset!')
-        if self.batch_late is None:
-            raise TProtocolException(message='Required field batch_late is unset!')
-        if self.batch_left is None:
-            raise TProtocolException(message='Required field batch_left is unset!')
+        if self.batch_spare is None:
+            raise TProtocolException(message='Required field batch_spare is unset!')
         return
 
     def __repr__(self):
@@ -2210,8 +2196,7 @@
     (12, TType.LIST, 'ended', (TType.STRING, 'UTF8', False), None, ),  # 12
     (13, TType.LIST, 'taken', (TType.STRING, 'UTF8', False), None, ),  # 13
     (14, TType.I32, 'batch_waiting', None, None, ),  # 14
-    (15, TType.BOOL, 'batch_late', None, None, ),  # 15
-    (16, TType.I64, 'batch_left', None, None, ),  # 16
+    (15, TType.I64, 'batch_spare', None, None, ),  # 15
 )
 all_structs.append(ResultsRequest)
 ResultsRequest.thrift_spec = (
--- a/tests/gateway/test_batch.py
+++ b/tests/gateway/test_batch.py
@@ -168,9 +168,9 @@
 
 def test_instances_don_t_take_the_same_free_slot() -> None:
     board = LoadBoard()
-    mine = BatchWaiting(3, False, 100)
-    board.hear('tighter', Told(0, {}, 0, BatchWaiting(2, False, 50)))
-    board.hear('later', Told(0, {}, 0, BatchWaiting(9, True, 10)))
+    mine = BatchWaiting(3, 4.0)
+    board.hear('tighter', Told(0, {}, 0, BatchWaiting(2, 1.0)))
+    board.hear('later', Told(0, {}, 0, BatchWaiting(9, -1.0)))
     ahead = board.batch_ahead(mine, 0)
     assert ahead == 2
     assert startable(free=2, slots=8, ahead=ahead) == 0
