Processes of the gateway against stand-ins of the users' platform

Found by them: a route of requests that run once was repeated if it bore the mark of resumable streams (2 runs for 1 request); kind decides now.

--- a/gentiantrestle/gateway/model.py
+++ b/gentiantrestle/gateway/model.py
@@ -44,7 +44,9 @@
     @property
     def idempotent(self) -> bool:
         """Tell whether a request may run more than once."""
-        return self.kind is RouteKind.SAFE or self.resumable
+        if self.kind is RouteKind.STREAM:
+            return self.resumable
+        return self.kind is RouteKind.SAFE
 
 
 class Service(NamedTuple):
--- a/standins/core.py
+++ b/standins/core.py
@@ -11,11 +11,13 @@
 from gentiantrestle.http.messages import Request, Response
 from gentiantrestle.http.server import Server
 from standins.engine import EngineStandin
+from standins.objects import ObjectsStandin
 from standins.platform import PlatformStandin
 from standins.service import ServiceStandin
+from standins.upstream import UpstreamStandin
 
 HOST = '127.0.0.1'
-USAGE = 'usage: gentiantrestle-standin platform|engine|service PORT [K=V]\n'
+USAGE = 'usage: gentiantrestle-standin KIND PORT [KEY=VALUE]\n'
 FIRST_OPTION = 3
 IDLE_TIMEOUT = 600  # seconds
 
@@ -38,6 +40,8 @@
     'platform': PlatformStandin,
     'engine': EngineStandin,
     'service': ServiceStandin,
+    'objects': ObjectsStandin,
+    'upstream': UpstreamStandin,
 }
 
 
--- /dev/null
+++ b/standins/objects.py
@@ -0,0 +1,163 @@
+"""Stand-in for the users' object store: kinds, revisions, watches, faults."""
+
+import asyncio
+from collections import deque
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Any
+
+import msgspec
+
+from gentiantrestle.http.messages import Request, Response, answer_json
+
+ROOT = '/gentiantrestle/objects/'
+MAX_BODY = 2097152  # bytes
+STATUS = 'status'
+GONE = HTTPStatus.GONE
+CONFLICT = HTTPStatus.CONFLICT
+REFUSED = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+class ObjectsStandin:
+    """Objects by kind and name under one revision; ``/control`` harms it."""
+
+    def __init__(self) -> None:
+        """Start empty and sound."""
+        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._history: deque[tuple[int, str, dict[str, Any], bool]] = deque()
+        self._revision = 1
+        self._oldest = 1
+        self._changed = asyncio.Condition()
+        self._faults: dict[str, Any] = {}
+        self._calls: list[str] = []
+
+    @classmethod
+    def from_config(cls, cfg: Mapping[str, str]) -> 'ObjectsStandin':
+        """Build; there are no options."""
+        return cls()
+
+    async def run(self) -> None:
+        """Do nothing beside requests."""
+
+    async def handle(self, req: Request) -> Response:
+        """Answer one call."""
+        if req.path == '/control':
+            self._faults = await req.read_json(MAX_BODY)
+            if self._faults.pop('compact', False):
+                await self._compact()
+            return answer_json({})
+        if req.path == '/calls':
+            return answer_json(self._calls)
+        self._calls.append(f'{req.method} {req.path}')
+        if self._faults.get('down'):
+            return answer_json({}, REFUSED)
+        await asyncio.sleep(self._faults.get('slow', 0))
+        answer = await self._dispatch(req)
+        if req.method != 'GET' and self._faults.get('lose', 0) > 0:
+            self._faults['lose'] -= 1
+            await asyncio.sleep(self._faults.get('silence', 5))
+        return answer
+
+    async def _dispatch(self, req: Request) -> Response:
+        kind, _, rest = req.path.removeprefix(ROOT).partition('/')
+        name, _, part = rest.partition('/')
+        if req.method == 'GET' and name:
+            return self._answer((kind, name))
+        if req.method == 'GET':
+            return await self._list(kind, dict(req.query))
+        if req.method == 'DELETE':
+            return await self._delete((kind, name))
+        told = await req.read_json(MAX_BODY)
+        if req.method == 'POST':
+            return await self._create(kind, told)
+        return await self._put((kind, name), told, part == STATUS)
+
+    def _answer(self, key: tuple[str, str]) -> Response:
+        found = self._objects.get(key)
+        if found is None:
+            return answer_json({}, HTTPStatus.NOT_FOUND)
+        return answer_json(found)
+
+    async def _list(self, kind: str, query: dict[str, str]) -> Response:
+        if 'watch' in query:
+            return await self._watch(kind, query)
+        found = [
+            one for key, one in sorted(self._objects.items()) if key[0] == kind
+        ]
+        return answer_json(
+            {'items': found, 'has-more': False, 'as-of': self._revision},
+        )
+
+    async def _watch(self, kind: str, query: dict[str, str]) -> Response:
+        after = int(query['watch'])
+        if after < self._oldest:
+            return answer_json({}, GONE)
+        wait = int(query.get('wait-ms', 0)) / 1000
+        try:
+            async with asyncio.timeout(wait), self._changed:
+                await self._changed.wait_for(lambda: self._since(kind, after))
+        except TimeoutError:
+            return answer_json({'events': [], 'as-of': self._revision})
+        found = self._since(kind, after)
+        return answer_json({'events': found, 'as-of': self._revision})
+
+    def _since(self, kind: str, after: int) -> list[dict[str, Any]]:
+        return [
+            {'object': one, 'deleted': deleted}
+            for revision, changed, one, deleted in self._history
+            if revision > after and changed == kind
+        ]
+
+    async def _create(self, kind: str, told: dict[str, Any]) -> Response:
+        key = (kind, told['metadata']['name'])
+        if key in self._objects:
+            return answer_json(self._objects[key], CONFLICT)
+        fresh = {'metadata': {}, 'spec': told.get('spec'), STATUS: None}
+        await self._store(key, fresh)
+        return answer_json(self._objects[key], HTTPStatus.CREATED)
+
+    async def _put(
+        self, key: tuple[str, str], told: dict[str, Any], is_status: bool
+    ) -> Response:
+        found = self._objects.get(key)
+        if found is None:
+            return answer_json({}, HTTPStatus.NOT_FOUND)
+        wanted = told.get('metadata', {}).get('revision')
+        if wanted not in {None, found['metadata']['revision']}:
+            return answer_json(found, CONFLICT)
+        field = STATUS if is_status else 'spec'
+        if found[field] != told[field]:
+            await self._store(key, {**found, field: told[field]})
+        return answer_json(self._objects[key])
+
+    async def _delete(self, key: tuple[str, str]) -> Response:
+        found = self._objects.pop(key, None)
+        if found is not None:
+            await self._note(key, found, deleted=True)
+        return answer_json({})
+
+    async def _store(self, key: tuple[str, str], one: dict[str, Any]) -> None:
+        metadata = {
+            'name': key[1],
+            'revision': self._revision + 1,
+            'created': self._revision + 1,
+            'finalizers': [],
+            'deleting': False,
+        }
+        self._objects[key] = {**one, 'metadata': metadata}
+        await self._note(key, self._objects[key], deleted=False)
+
+    async def _note(
+        self, key: tuple[str, str], one: dict[str, Any], *, deleted: bool
+    ) -> None:
+        self._revision += 1
+        copy = msgspec.json.decode(msgspec.json.encode(one))
+        copy['metadata']['revision'] = self._revision
+        self._history.append((self._revision, key[0], copy, deleted))
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _compact(self) -> None:
+        self._history.clear()
+        self._revision += 1
+        self._oldest = self._revision
--- /dev/null
+++ b/tests/gateway/fleet.py
@@ -0,0 +1,325 @@
+"""Real processes: an object store, upstreams, and entries of the gateway."""
+
+import asyncio
+import os
+import signal
+import sys
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from gentiantrestle.http.client import LostError, NotSentError
+from gentiantrestle.models import Address
+from tests.utils.http import Reply, send, until
+from tests.utils.ports import HOST, free_ports
+
+ROUTE_HOST = 'shop.example'
+SERVICE = 'engines'
+UNREACHABLE = (NotSentError, LostError)
+SETTINGS = """
+node-name = "{name}"
+ip = "{host}"
+zone = "a1"
+serves = ["edge", "control_plane"]
+internal-ports = [{peer}, {peer}]
+seeds = [{seeds}]
+[zones]
+a1 = "a"
+[listen]
+front = "{host}:{front}"
+ready-addr = "{host}:{ready}"
+[bounds]
+grace-s = 6
+[platform]
+address = "{store}"
+"""
+
+
+class Child:
+    """One process that the test has started."""
+
+    def __init__(self, log: Path) -> None:
+        """Write what the process prints to ``log``."""
+        self.log = log
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self, *words: str, **environ: str) -> None:
+        """Start a module of the project."""
+        with self.log.open('ab') as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                *words,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, **environ},
+            )
+
+    async def end(self, signum: signal.Signals = signal.SIGKILL) -> int:
+        """End just this process; return its exit status."""
+        with suppress(ProcessLookupError):
+            self.process.send_signal(signum)
+        return await self.process.wait()
+
+    def lines(self) -> list[dict[str, Any]]:
+        """Read the structured lines that the process has printed."""
+        return [
+            msgspec.json.decode(line)
+            for line in self.log.read_bytes().splitlines()
+            if line.startswith(b'{')
+        ]
+
+
+class GatewayFleet:
+    """Entries on addresses of the loopback range, one port for all."""
+
+    def __init__(self, folder: Path, entries: int, upstreams: int) -> None:
+        """Give every process its address; nothing is started yet."""
+        self.folder = folder
+        ports = free_ports(upstreams + 4)
+        self.store = Address(HOST, ports[0])
+        self.front, self.ready, self.peer = ports[1:4]
+        block = self.front % 250
+        self.hosts = [f'127.7.{block}.{one + 1}' for one in range(entries)]
+        self.upstreams = [Address(HOST, port) for port in ports[4:]]
+        self.entries = [
+            Child(folder / f'entry{one}.log') for one in range(entries)
+        ]
+        self._standins: list[Child] = []
+        self.version = 0
+
+    def name(self, upstream: int) -> str:
+        """Return an upstream's id."""
+        return f'u-{upstream}'
+
+    async def start(self) -> None:
+        """Start everything, configure it, and wait until it is ready."""
+        await self._standin('objects', self.store)
+        for number, address in enumerate(self.upstreams):
+            await self._standin(
+                'upstream', address, f'name={self.name(number)}'
+            )
+        await until(self._store_answers)
+        for number, _ in enumerate(self.upstreams):
+            await self.register(number)
+        await self.configure(routes())
+        for number, _ in enumerate(self.entries):
+            await self.start_entry(number)
+        for number, _ in enumerate(self.entries):
+            await until(lambda one=number: self.is_ready(one))
+
+    async def start_entry(self, number: int) -> None:
+        """Start one entry."""
+        path = self.folder / f'entry{number}.toml'
+        seeds = ', '.join(f'"{host}:1"' for host in self.hosts[:3])
+        path.write_text(
+            SETTINGS.format(
+                name=f'entry-{number}',
+                host=self.hosts[number],
+                peer=self.peer,
+                seeds=seeds,
+                front=self.front,
+                ready=self.ready,
+                store=self.store,
+            ),
+        )
+        await self.entries[number].start(
+            'gentiantrestle.platform',
+            'entry',
+            GENTIANTRESTLE_SETTINGS=str(path),
+        )
+
+    async def stop(self) -> None:
+        """End every process that was started."""
+        for child in (*self.entries, *self._standins):
+            if child.process is not None and child.process.returncode is None:
+                await child.end()
+
+    def address(self, number: int) -> Address:
+        """Return where an entry takes callers."""
+        return Address(self.hosts[number], self.front)
+
+    async def is_ready(self, number: int) -> bool:
+        """Tell whether an entry says that callers may come."""
+        address = Address(self.hosts[number], self.ready)
+        try:
+            reply = await send(address, 'GET', '/gentiantrestle/readyz')
+        except UNREACHABLE:
+            return False
+        return reply.status == 200
+
+    async def ask(
+        self,
+        number: int,
+        request_id: str,
+        path: str = '/chat/1',
+        body: Any = None,
+        method: str = 'POST',
+        **headers: str,
+    ) -> Reply:
+        """Send one request to an entry as a caller does."""
+        fields = {
+            'Host': ROUTE_HOST,
+            'X-Attempt-Id': request_id,
+            'X-Deadline-Ms': '5000',
+        }
+        return await ask_raw(
+            self.address(number), method, path, body, {**fields, **headers}
+        )
+
+    async def harm_store(self, **faults: Any) -> None:
+        """Put faults of the store in force, in place of those before."""
+        await send(self.store, 'POST', '/control', faults)
+
+    async def harm(self, upstream: int, **faults: Any) -> None:
+        """Put faults of an upstream in force, in place of those before."""
+        await send(self.upstreams[upstream], 'POST', '/control', faults)
+
+    async def runs(self) -> list[dict[str, Any]]:
+        """Return what the upstreams have run."""
+        found = []
+        for address in self.upstreams:
+            found += (await send(address, 'GET', '/runs')).json()
+        return found
+
+    async def register(self, number: int, state: str = 'ready') -> None:
+        """Write an upstream's entry as it does itself."""
+        entry = {
+            'service': SERVICE,
+            'address': str(self.upstreams[number]),
+            'zone': 'a1',
+            'slots': 8,
+            'state': state,
+            'born': 1,
+        }
+        await self.write('servers', self.name(number), entry)
+
+    async def configure(self, listed: list[dict[str, Any]]) -> None:
+        """Write the next version of the configuration."""
+        self.version += 1
+        limits = {
+            'max-header-bytes': 16384,
+            'max-body-bytes': 1048576,
+            'header-timeout-ms': 1000,
+            'idle-timeout-ms': 5000,
+        }
+        config = {
+            'version': self.version,
+            'routes': listed,
+            'services': [{'name': SERVICE, 'engine': {}}],
+            'limits': limits,
+        }
+        await self.write('config', 'main', config)
+
+    async def write(self, kind: str, name: str, spec: Any) -> None:
+        """Create or replace an object as its writer does."""
+        root = f'/gentiantrestle/objects/{kind}'
+        document = {'metadata': {'name': name}, 'spec': spec}
+        reply = await send(self.store, 'POST', root, document)
+        if reply.status == 409:
+            await send(self.store, 'PUT', f'{root}/{name}', document)
+
+    async def _store_answers(self) -> bool:
+        try:
+            await send(self.store, 'GET', '/calls')
+            for address in self.upstreams:
+                await send(address, 'GET', '/runs')
+        except UNREACHABLE:
+            return False
+        return True
+
+    async def _standin(self, kind: str, address: Address, *words: str) -> None:
+        child = Child(self.folder / f'{kind}-{address.port}.log')
+        await child.start('standins.core', kind, str(address.port), *words)
+        self._standins.append(child)
+
+
+def route(**changes: Any) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
+    plain = {
+        'name': 'chat',
+        'hostname': ROUTE_HOST,
+        'path-prefix': '/chat/',
+        'route-kind': 'streaming',
+        'timeout-ms': 5000,
+        'latency-target-ms': 300,
+        'priority': 0,
+        'service': SERVICE,
+        'max-attempts': 2,
+        'resumable': True,
+    }
+    return plain | {
+        name.replace('_', '-'): told for name, told in changes.items()
+    }
+
+
+def routes() -> list[dict[str, Any]]:
+    """Return one route of each kind."""
+    return [
+        route(),
+        route(name='once', path_prefix='/once/', resumable=False),
+        route(name='get', path_prefix='/get/', route_kind='safe'),
+        route(name='pay', path_prefix='/pay/', route_kind='unsafe'),
+        route(
+            name='lists',
+            path_prefix='/lists/',
+            route_kind='batch',
+            max_attempts=3,
+            completion_target_ms=18000,
+            retention_s=60,
+            max_count=0,
+        ),
+    ]
+
+
+async def ask_raw(
+    address: Address,
+    method: str,
+    path: str,
+    body: Any,
+    headers: dict[str, str],
+) -> Reply:
+    """Send a request with exactly these fields; read the whole answer."""
+    payload = b'' if body is None else msgspec.json.encode(body)
+    lines = [f'{method} {path} HTTP/1.1']
+    lines += [f'{name}: {text}' for name, text in headers.items()]
+    lines += [f'Content-Length: {len(payload)}', 'Connection: close', '', '']
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        writer.write('\r\n'.join(lines).encode() + payload)
+        raw = await reader.read()
+    except ConnectionError as exc:
+        raise LostError(repr(exc)) from exc
+    finally:
+        writer.close()
+    return parse_reply(raw)
+
+
+def parse_reply(raw: bytes) -> Reply:
+    """Parse a whole answer; raise ``LostError`` where it was cut."""
+    head, separator, rest = raw.partition(b'\r\n\r\n')
+    if not separator:
+        raise LostError('no answer')
+    lines = head.decode('latin-1').split('\r\n')
+    fields = dict(line.lower().split(': ', 1) for line in lines[1:])
+    body = rest
+    if fields.get('transfer-encoding') == 'chunked':
+        body = _join_chunks(rest)
+    elif len(rest) < int(fields.get('content-length', '0')):
+        raise LostError('cut')
+    return Reply(int(lines[0].split()[1]), fields, body)
+
+
+def _join_chunks(rest: bytes) -> bytes:
+    parts = []
+    while True:
+        size, separator, rest = rest.partition(b'\r\n')
+        if not separator:
+            raise LostError('cut')
+        length = int(size, 16)
+        if not length:
+            return b''.join(parts)
+        parts.append(rest[:length])
+        rest = rest[length + 2 :]
