--- a/gentiantrestle/config.py
+++ b/gentiantrestle/config.py
@@ -60,12 +60,13 @@
         cls,
         given_flags: Mapping[str, str],
         environ: Mapping[str, str],
+        options: Sequence[Option] = OPTIONS,
     ) -> 'Settings | list[SettingProblem]':
         """Read and check all options; return every problem at once."""
         problems: list[SettingProblem] = []
         chosen = [
             _choose(option, given_flags, environ, problems)
-            for option in OPTIONS
+            for option in options
         ]
         if problems:
             return problems
@@ -84,9 +85,12 @@
         )
 
 
-def define_flags(flag_values: flags.FlagValues) -> None:
+def define_flags(
+    flag_values: flags.FlagValues,
+    options: Sequence[Option] = OPTIONS,
+) -> None:
     """Define one flag for each option; an unset flag is ``None``."""
-    for option in OPTIONS:
+    for option in options:
         flags.DEFINE_string(
             option.name,
             None,
--- /dev/null
+++ b/gentiantrestle/gateway/assembly.py
@@ -0,0 +1,62 @@
+"""Builds the parts of one instance that place and run work."""
+
+import random
+from typing import NamedTuple
+
+from gentiantrestle.gateway.batch.book import Book
+from gentiantrestle.gateway.batch.keeper import Keeper
+from gentiantrestle.gateway.batch.parts import Clock, Parts
+from gentiantrestle.gateway.batch.runner import Runner
+from gentiantrestle.gateway.gate import Gate
+from gentiantrestle.gateway.loads import LoadBoard
+from gentiantrestle.gateway.placement import Placement, Site
+from gentiantrestle.gateway.ports import Adapter
+from gentiantrestle.gateway.state import State
+from gentiantrestle.models import Address
+
+
+class Plan(NamedTuple):
+    """Where one instance stands and listens; ``grace`` is in s."""
+
+    instance: str
+    site: Site
+    host: str
+    callers: Address
+    peer_port: int
+    seeds: tuple[str, ...]
+    grace: float
+
+
+class Workplace(NamedTuple):
+    """What requests and items are placed and run with."""
+
+    parts: Parts
+    gate: Gate
+    runner: Runner
+
+
+def build_workplace(
+    site: Site,
+    adapter: Adapter,
+    state: State,
+    clock: Clock,
+    run: str,
+) -> Workplace:
+    """Build the parts of the run of an instance; nothing runs yet."""
+    rng = random.Random(run)
+    board = LoadBoard()
+    book = Book()
+    parts = Parts(
+        book,
+        Keeper(adapter.store, book, rng, clock.now),
+        state.router,
+        state.roster,
+        board,
+        Placement(site, board, rng.random),
+        adapter.dialect,
+        clock,
+    )
+    gate = Gate(state.roster, board, parts.placement, clock.now)
+    runner = Runner(parts, run)
+    gate.preempt = runner.table.preempt
+    return Workplace(parts, gate, runner)
--- a/gentiantrestle/gateway/batch/book.py
+++ b/gentiantrestle/gateway/batch/book.py
@@ -100,6 +100,12 @@
         """List the jobs whose items may still be run."""
         return [entry for entry in self.entries.values() if entry.open]
 
+    def end(self, job: str) -> None:
+        """Note that a caller has ended a job, if the job is known."""
+        entry = self.entries.get(job)
+        if entry is not None:
+            entry.end()
+
     def share(self, run: str) -> None:
         """Note that another instance runs the jobs that ``run`` accepted."""
         for entry in self.entries.values():
--- a/gentiantrestle/gateway/batch/desk.py
+++ b/gentiantrestle/gateway/batch/desk.py
@@ -1,7 +1,7 @@
 """Callers' calls on batch jobs: hand in, read, fetch a body, end."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import NamedTuple
 
 from gentiantrestle import events
@@ -13,12 +13,13 @@
     UPSTREAM_UNSURE,
     refuse,
 )
-from gentiantrestle.gateway.batch.book import Book, Entry
-from gentiantrestle.gateway.batch.keeper import Keeper, encoded_size
+from gentiantrestle.gateway.batch.book import Entry
+from gentiantrestle.gateway.batch.keeper import encoded_size
+from gentiantrestle.gateway.batch.knowledge import Knowledge
+from gentiantrestle.gateway.batch.parts import Parts
 from gentiantrestle.gateway.batch.runner import Runner
 from gentiantrestle.gateway.model import Call, Job, Route
 from gentiantrestle.gateway.ports import (
-    Dialect,
     EndJob,
     ReadBody,
     ReadResults,
@@ -48,28 +49,33 @@
     body: bytes
 
 
+class Terms(NamedTuple):
+    """When, in wall-clock s, and under which version a job is handed in."""
+
+    wall: float
+    version: int
+
+
 class Desk:
     """Answers calls on batch jobs at any instance."""
 
     def __init__(
         self,
-        book: Book,
-        keeper: Keeper,
+        parts: Parts,
         runner: Runner,
-        dialect: Dialect,
+        knowledge: Knowledge,
         instance: str,
     ) -> None:
-        """Accept jobs in the name of ``instance``."""
-        self._book = book
-        self._keeper = keeper
+        """Accept jobs in the name of ``instance``, a run's name."""
+        self._book = parts.book
+        self._keeper = parts.keeper
+        self._dialect = parts.dialect
         self._runner = runner
-        self._dialect = dialect
+        self._knowledge = knowledge
         self._instance = instance
-        self.is_sure: Callable[[Entry], bool] = _never
         self.on_end: Callable[[str], None] = _ignore
-        self.ask_runner: Callable[[Entry], Awaitable[bool]] = _ask_nobody
 
-    async def hand_in(self, call: Call, route: Route, wall: float) -> Answer:
+    async def hand_in(self, call: Call, route: Route, terms: Terms) -> Answer:
         """Accept a job once; the store's yes comes before ours."""
         if call.id in self._book.entries:
             return _accepted()
@@ -77,9 +83,10 @@
             call.id,
             call.host,
             call.target,
-            wall,
+            terms.wall,
             self._instance,
             self._dialect.read_items(call.body),
+            terms.version,
         )
         size = encoded_size(job)
         if size > MAX_JOB:
@@ -147,18 +154,15 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + wanted.wait
         while len(entry.results) <= wanted.after and not entry.complete:
-            own = self.is_sure(entry)
-            if not own:
-                await self._refresh(entry)
+            await self._look(entry)
             if len(entry.results) > wanted.after or loop.time() >= until:
                 return
-            await asyncio.sleep(WAIT_STEP if own else POLL_TIME)
+            sure = self._knowledge.is_sure(entry)
+            await asyncio.sleep(WAIT_STEP if sure else POLL_TIME)
 
-    async def _refresh(self, entry: Entry) -> None:
-        if await self.ask_runner(entry):
-            return
+    async def _look(self, entry: Entry) -> None:
         try:
-            await self._keeper.refresh(entry)
+            await self._knowledge.look(entry)
         except StoreUnavailableError as exc:
             raise refuse(STORE_UNAVAILABLE, str(exc), STORE_PAUSE) from exc
 
@@ -167,8 +171,7 @@
         if not route.max_tokens or self._fits(job, route):
             return
         for entry in self._book.open_entries():
-            if not self.is_sure(entry):
-                await self._refresh(entry)
+            await self._look(entry)
         if self._fits(job, route):
             return
         raise refuse(
@@ -184,13 +187,5 @@
     return Answer(ACCEPTED, JSON_HEADERS, b'{}')
 
 
-async def _ask_nobody(entry: Entry) -> bool:
-    return False
-
-
 def _ignore(job: str) -> None:
     """Tell nobody until somebody is set."""
-
-
-def _never(entry: Entry) -> bool:
-    return False
--- a/gentiantrestle/gateway/batch/duty.py
+++ b/gentiantrestle/gateway/batch/duty.py
@@ -19,6 +19,8 @@
 # One slot in so many stays free of batch: about what comes to all upstreams
 # while an item that gives way is cut.
 SLOTS_FOR_RESERVE = 24
+# Wall clocks may step by seconds; nothing is given up early for that.
+CLOCK_SLACK = 5.0  # seconds
 SMOOTHING = 0.1
 FIRST_PACE = 0.003  # seconds a token is assumed to take before any was made
 
@@ -26,8 +28,8 @@
 class Due(NamedTuple):
     """An item that waits for a slot, with its time to spare in s."""
 
-    spare: float
     left: int
+    spare: float
     entry: Entry
     spec: ItemSpec
 
@@ -108,16 +110,36 @@
     return spare < 0, spare
 
 
+def is_abandoned(
+    entry: Entry,
+    route: Route | None,
+    version: int,
+    wall: float,
+) -> bool:
+    """Tell whether nobody waits for a job's items any more.
+
+    That is so when its route is gone from a configuration at least as new as
+    the one it was accepted under, or when its retention is over on every
+    instance's clock.
+    """
+    if route is None:
+        return 0 < entry.job.version <= version
+    if not route.retention:
+        return False
+    return wall > entry.job.submitted + route.retention + CLOCK_SLACK
+
+
 def due_items(
-    entries: Iterable[tuple[Entry, Route]],
+    entries: Iterable[tuple[Entry, Route | None]],
     busy: set[str],
     need: Callable[[Entry, Route, ItemSpec], Need],
 ) -> list[Due]:
     """List the items that wait, in the order in which they are started."""
-    found = []
-    for entry, route in entries:
-        for spec in entry.unlisted():
-            if spec.id not in busy:
-                left, spare = need(entry, route, spec)
-                found.append(Due(spare, left, entry, spec))
+    found = [
+        Due(*need(entry, route, spec), entry, spec)
+        for entry, route in entries
+        if route is not None
+        for spec in entry.unlisted()
+        if spec.id not in busy
+    ]
     return sorted(found, key=lambda due: due.rank)
--- a/gentiantrestle/gateway/batch/keeper.py
+++ b/gentiantrestle/gateway/batch/keeper.py
@@ -119,18 +119,6 @@
             await self._read_chunks(entry)
             look.at = at
 
-    async def _read_chunks(self, entry: Entry) -> None:
-        while not entry.complete:
-            name = chunk_name(entry.job.id, entry.chunks)
-            stored = await self._store.get(RESULT_KIND, name)
-            # The own listing may have taken the same part in meanwhile.
-            if name != chunk_name(entry.job.id, entry.chunks):
-                continue
-            if stored is None:
-                break
-            entry.append(results_from_content(stored.content))
-        entry.learned = True
-
     async def list_results(
         self,
         entry: Entry,
@@ -157,6 +145,18 @@
                 )
                 await asyncio.sleep(backoff.next_pause())
 
+    async def _read_chunks(self, entry: Entry) -> None:
+        while not entry.complete:
+            name = chunk_name(entry.job.id, entry.chunks)
+            stored = await self._store.get(RESULT_KIND, name)
+            # The own listing may have taken the same part in meanwhile.
+            if name != chunk_name(entry.job.id, entry.chunks):
+                continue
+            if stored is None:
+                break
+            entry.append(results_from_content(stored.content))
+        entry.learned = True
+
     async def _write_chunk(
         self,
         entry: Entry,
@@ -172,18 +172,25 @@
         await self._read_chunks(entry)
 
     async def _set_state(self, job: str, state: str) -> bool:
-        while True:
+        """Write a state under the job's revision, until it stands."""
+        stored = await self._store.get(JOB_KIND, job)
+        while stored is not None and not self._has_ended(stored):
+            status = {'state': state}
+            if await self._store.put_status(JOB_KIND, stored, status):
+                break
             stored = await self._store.get(JOB_KIND, job)
-            if stored is None:
-                return False
-            entry = self.note(stored)
-            told = (stored.status or {}).get('state', '')
-            if told in {ENDED, DONE} or entry is None:
-                return True
-            if await self._store.put_status(JOB_KIND, stored, {'state': state}):
-                if state == ENDED:
-                    entry.end()
-                return True
+        if stored is not None and state == ENDED:
+            self._book.end(job)
+        return stored is not None
+
+    def _has_ended(self, stored: Stored) -> bool:
+        """Take a job in; tell whether its state is final."""
+        entry = self.note(stored)
+        return entry is None or entry.job.done or _state_of(stored) == ENDED
+
+
+def _state_of(stored: Stored) -> str:
+    return (stored.status or {}).get('state', '')
 
 
 def encoded_size(job: Job) -> int:
--- a/gentiantrestle/gateway/batch/records.py
+++ b/gentiantrestle/gateway/batch/records.py
@@ -21,7 +21,7 @@
 
 def chunk_name(job: str, index: int) -> str:
     """Name the part of a job's results with this index."""
-    return f'{job}.{index:04d}'
+    return f'{job}.{index}'
 
 
 def job_to_content(job: Job) -> dict[str, Any]:
@@ -31,6 +31,7 @@
         'path': job.path,
         'submitted': job.submitted,
         'acceptor': job.acceptor,
+        'version': job.version,
         'items': [
             [
                 spec.id,
@@ -54,16 +55,19 @@
         path=told['path'],
         submitted=told['submitted'],
         acceptor=told['acceptor'],
-        items=tuple(
-            ItemSpec(one[0], one[1], one[2], base64.b64decode(one[3]), one[4])
-            for one in told['items']
-        ),
+        items=tuple(_item_from_content(one) for one in told['items']),
+        version=told['version'],
         ended=state == ENDED,
         done=state == DONE,
     )
     return JobRecord(job, stored)
 
 
+def _item_from_content(told: list[Any]) -> ItemSpec:
+    spec = ItemSpec(*told)
+    return spec._replace(body=base64.b64decode(spec.body))
+
+
 def results_to_content(results: tuple[ItemResult, ...]) -> dict[str, Any]:
     """Write one part of a job's results."""
     return {'results': [list(one) for one in results]}
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -1,83 +1,49 @@
-"""Runs the items of the jobs that this instance is in charge of."""
+"""Looks after the jobs that this instance is in charge of."""
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Iterable
-from typing import NamedTuple
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import suppress
 
 from gentiantrestle import events
-from gentiantrestle.gateway.batch.book import Book, Entry
+from gentiantrestle.gateway.batch.book import Entry
 from gentiantrestle.gateway.batch.duty import (
     Due,
-    Need,
-    Pace,
     due_items,
-    may_yield,
+    is_abandoned,
     runs_here,
     startable,
-    yield_rank,
 )
-from gentiantrestle.gateway.batch.item import ItemRun
-from gentiantrestle.gateway.batch.keeper import Keeper
-from gentiantrestle.gateway.loads import BatchWaiting, LoadBoard
-from gentiantrestle.gateway.model import ItemResult, ItemSpec, Route, Upstream
-from gentiantrestle.gateway.placement import Placement
-from gentiantrestle.gateway.ports import Dialect
-from gentiantrestle.gateway.roster import Roster
-from gentiantrestle.gateway.routing import Router, choose_service
+from gentiantrestle.gateway.batch.item import Finished, ItemRun
+from gentiantrestle.gateway.batch.listing import Lister
+from gentiantrestle.gateway.batch.parts import Parts
+from gentiantrestle.gateway.batch.table import RunTable
+from gentiantrestle.gateway.loads import BatchWaiting
+from gentiantrestle.gateway.model import Route, Upstream
+from gentiantrestle.gateway.routing import choose_service
 from gentiantrestle.store.client import StoreUnavailableError
 
 # How often waiting items look for slots, besides when one is given back.
 ROUND_TIME = 0.1  # seconds
-# Results are listed together when they come within this time.
-LIST_PAUSE = 0.4  # seconds
 # An upstream that refused or lost an item is left alone by it for this long.
 ITEM_PAUSE = 0.3  # seconds
+# Runs of other instances that the others are told of with each datagram.
 TAKEN_TOLD = 8
 
 
-class Clock(NamedTuple):
-    """Steady time for pauses, wall-clock time for what is due."""
-
-    now: Callable[[], float]
-    wall: Callable[[], float]
-
-
-class Parts(NamedTuple):
-    """What the runner works with."""
-
-    book: Book
-    keeper: Keeper
-    router: Router
-    roster: Roster
-    board: LoadBoard
-    placement: Placement
-    dialect: Dialect
-    clock: Clock
-
-
-class _Running(NamedTuple):
-    upstream: Upstream
-    task: asyncio.Task[None]
-    since: float
-
-
 class Runner:
-    """Starts items on free slots, and gives slots back to online work."""
+    """Starts items on free slots and has their results listed."""
 
     def __init__(self, parts: Parts, instance: str) -> None:
-        """Run nothing yet; ``alive`` lists the living instances."""
-        self._p = parts
+        """Run nothing yet; ``alive`` lists the living runs of instances."""
+        self._parts = parts
         self._instance = instance
         self.alive: Callable[[], Iterable[str]] = tuple
-        self._runs: dict[str, ItemRun] = {}
-        self._running: dict[str, _Running] = {}
+        self.table = RunTable(parts, self._note_end)
+        self._lister = Lister(parts.keeper)
         self._paused: dict[str, float] = {}
-        self._outbox: dict[str, list[ItemResult]] = {}
-        self._listing: dict[str, asyncio.Task[None]] = {}
         self._learning: set[str] = set()
         self._woken = asyncio.Event()
-        self._pace = Pace()
         self.waiting = BatchWaiting()
         # Runs of instances whose jobs were taken over, told to the others.
         self.taken: deque[str] = deque(maxlen=TAKEN_TOLD)
@@ -85,14 +51,12 @@
 
     async def run(self) -> None:
         """Look for work until cancelled."""
-        while True:
+        while not self.stopping:
             self._round()
             self._woken.clear()
-            try:
+            with suppress(TimeoutError):
                 async with asyncio.timeout(ROUND_TIME):
                     await self._woken.wait()
-            except TimeoutError:
-                continue
 
     def wake(self) -> None:
         """Look for work now."""
@@ -102,67 +66,57 @@
         """Tell whether this instance runs a job."""
         return runs_here(entry, self._instance, self.alive())
 
-    def preempt(self, upstreams: Iterable[str]) -> str | None:
-        """Cut the item that can best wait on some upstreams; return which."""
-        wanted = set(upstreams)
-        spares = {
-            item_id: self._spare_of(item_id)
-            for item_id, running in self._running.items()
-            if running.upstream.id in wanted
-        }
-        fit = [one for one in spares if may_yield(spares[one])]
-        if not fit:
-            return None
-        item_id = max(fit, key=lambda one: yield_rank(spares[one]))
-        upstream = self._running[item_id].upstream.id
-        events.emit(
-            events.ITEM_PREEMPTED,
-            item=item_id,
-            upstream=upstream,
-            spare_ms=round(spares[item_id] * 1000),
-        )
-        self._cut(item_id)
-        return upstream
-
     async def stop(self) -> None:
         """Cut the items and list what is finished."""
         self.stopping = True
-        for item_id in tuple(self._running):
-            self._cut(item_id)
-        if self._listing:
-            await asyncio.wait(tuple(self._listing.values()), timeout=2)
+        for item_id in self.table.ids():
+            self.table.cut(item_id)
+        await self._lister.stop()
 
     def _round(self) -> None:
-        if self.stopping:
-            return
-        now = self._p.clock.now()
-        mine = self._own_entries()
-        self._cut_closed()
-        self.yield_overload()
-        self._give_up_late(mine)
-        busy = set(self._running) | self._held_back(now)
-        waiting = due_items(mine, busy, self._need)
+        now = self._parts.clock.now()
+        self.table.cut_closed()
+        self.table.yield_overload()
+        mine = list(self._own_entries())
+        self._give_up(mine)
+        busy = self.table.ids() | self._lister.held() | self._pausing(now)
+        waiting = due_items(mine, busy, self.table.need)
+        self.waiting = BatchWaiting()
         if waiting:
             self.waiting = BatchWaiting(len(waiting), waiting[0].spare)
             self._start_some(waiting, now)
-        else:
-            self.waiting = BatchWaiting()
 
     def _start_some(self, waiting: list[Due], now: float) -> None:
         """Start the first items, as far as each service has slots for them."""
-        ahead = self._p.board.batch_ahead(self.waiting, now)
+        ahead = self._parts.board.batch_ahead(self.waiting, now)
         budgets: dict[str, int] = {}
         for due in waiting:
-            route = self._p.router.match(due.entry.job.host, due.spec.path)
+            route = self._parts.router.match(due.entry.job.host, due.spec.path)
             if route is None:
                 continue
             service = choose_service(route, due.spec.id)
-            found = self._p.roster.of_service(service, now)
-            if service not in budgets:
-                budgets[service] = self._budget(found, ahead, now)
-            if budgets[service]:
-                budgets[service] -= 1
-                self._start(due, route, found)
+            found = self._parts.roster.of_service(service, now)
+            budget = budgets.get(service)
+            if budget is None:
+                budget = self._budget(found, ahead, now)
+            budgets[service] = budget - self._start(due, route, found, budget)
+
+    def _start(
+        self,
+        due: Due,
+        route: Route,
+        found: list[Upstream],
+        budget: int,
+    ) -> bool:
+        """Start an item if the budget and a free slot allow it."""
+        if not budget:
+            return False
+        now = self._parts.clock.now()
+        upstream = self._parts.placement.choose(found, now)
+        if upstream is None:
+            return False
+        self.table.start(due, route, upstream)
+        return True
 
     def _budget(
         self,
@@ -170,23 +124,23 @@
         ahead: int,
         now: float,
     ) -> int:
-        fit = self._p.placement.healthy(found, now)
-        free = sum(max(0, self._p.placement.free(one, now)) for one in fit)
+        placement = self._parts.placement
+        fit = placement.healthy(found, now)
+        free = sum(max(0, placement.free(one, now)) for one in fit)
         return startable(free, sum(one.slots for one in found), ahead)
 
-    def _own_entries(self) -> list[tuple[Entry, Route]]:
-        found = []
-        for entry in self._p.book.open_entries():
+    def _own_entries(self) -> Iterator[tuple[Entry, Route | None]]:
+        for entry in self._parts.book.open_entries():
             if not self.is_own(entry):
                 continue
             self._note_taken(entry)
             if not entry.learned:
                 self._learn(entry)
                 continue
-            route = self._p.router.match(entry.job.host, entry.job.path)
-            if route is not None:
-                found.append((entry, route))
-        return found
+            yield (
+                entry,
+                self._parts.router.match(entry.job.host, entry.job.path),
+            )
 
     def _note_taken(self, entry: Entry) -> None:
         run = entry.job.acceptor
@@ -202,171 +156,47 @@
 
     async def _read_listed(self, entry: Entry) -> None:
         try:
-            await self._p.keeper.refresh(entry)
+            await self._parts.keeper.refresh(entry)
         except StoreUnavailableError as exc:
             events.emit(events.WRITE_FAILED, name=entry.job.id, error=repr(exc))
             await asyncio.sleep(ITEM_PAUSE)
         finally:
             self._learning.discard(entry.job.id)
         if entry.complete:
-            await self._p.keeper.finish(entry.job.id)
+            await self._parts.keeper.finish(entry.job.id)
         self.wake()
 
-    def _held_back(self, now: float) -> set[str]:
-        """Return items that pause, and those that wait to be listed."""
+    def _pausing(self, now: float) -> set[str]:
+        """Return the items that were refused or lost just now."""
         self._paused = {
             item_id: until
             for item_id, until in self._paused.items()
             if until > now
         }
-        held = set(self._paused)
-        for results in self._outbox.values():
-            held.update(one.id for one in results)
-        return held
-
-    def _start(
-        self,
-        due: Due,
-        route: Route,
-        found: list[Upstream],
-    ) -> None:
-        now = self._p.clock.now()
-        upstream = self._p.placement.choose(found, now)
-        if upstream is None:
-            return
-        run = self._runs.get(due.spec.id)
-        if run is None:
-            run = ItemRun(due.entry, due.spec, route.max_attempts)
-            self._runs[due.spec.id] = run
-        events.emit(
-            events.ITEM_PLACED,
-            item=due.spec.id,
-            job=due.entry.job.id,
-            upstream=upstream.id,
-            spare_ms=round(due.spare * 1000),
-            roster=self._p.roster.revision,
-        )
-        self._p.board.add(upstream.id, batch=1)
-        task = asyncio.create_task(self._drive(run, upstream))
-        self._running[due.spec.id] = _Running(upstream, task, now)
+        return set(self._paused)
 
-    async def _drive(self, run: ItemRun, upstream: Upstream) -> None:
-        finished = None
-        try:
-            finished = await run.run(
-                upstream,
-                self._p.placement,
-                self._p.dialect,
-                self._p.clock.now,
-            )
-        finally:
-            self._release(run, upstream)
-        if finished.result is None:
-            self._paused[run.spec.id] = self._p.clock.now() + ITEM_PAUSE
+    def _note_end(self, run: ItemRun, ended: Finished) -> None:
+        item_id = run.spec.id
+        if ended.result is None:
+            self._paused[item_id] = self._parts.clock.now() + ITEM_PAUSE
             return
-        if finished.result.completed:
-            self._pace.note(run.spent, run.spec.tokens)
-        self._post(run.entry, finished.result)
+        self.table.forget(item_id)
+        self._lister.post(run.entry, ended.result)
         self.wake()
 
-    def _release(self, run: ItemRun, upstream: Upstream) -> None:
-        running = self._running.get(run.spec.id)
-        if running is not None and running.task is asyncio.current_task():
-            self._running.pop(run.spec.id)
-            self._p.board.add(upstream.id, batch=-1)
-
-    def _post(self, entry: Entry, one: ItemResult) -> None:
-        """Have a result listed, together with others that come soon."""
-        self._runs.pop(one.id, None)
-        job = entry.job.id
-        self._outbox.setdefault(job, []).append(one)
-        if job not in self._listing:
-            task = asyncio.create_task(self._list(entry))
-            self._listing[job] = task
-
-    async def _list(self, entry: Entry) -> None:
-        job = entry.job.id
-        try:
-            while self._outbox.get(job):
-                if not self.stopping:
-                    await asyncio.sleep(LIST_PAUSE)
-                results = tuple(self._outbox[job])
-                await self._p.keeper.list_results(entry, results)
-                self._outbox[job] = self._outbox[job][len(results) :]
-        finally:
-            self._listing.pop(job, None)
-        self._outbox.pop(job, None)
-        if entry.complete:
-            events.emit(events.JOB_FINISHED, job=job, state='done')
-            await self._p.keeper.finish(job)
-
-    def _cut(self, item_id: str) -> None:
-        """End a run at once; its slot is free for others now."""
-        running = self._running.pop(item_id)
-        self._p.board.add(running.upstream.id, batch=-1)
-        running.task.cancel()
-
-    def _cut_closed(self) -> None:
-        for item_id in tuple(self._running):
-            run = self._runs.get(item_id)
-            if run is not None and not run.entry.open:
-                self._cut(item_id)
-                self._runs.pop(item_id, None)
-
-    def yield_overload(self) -> None:
-        """Cut items where all instances together take over the slots.
-
-        Of several instances the one with the most batch there gives way.
-        """
-        now = self._p.clock.now()
-        for upstream in {one.upstream for one in self._running.values()}:
-            own = self._p.board.own[upstream.id].batch
-            if self._p.placement.free(upstream, now) >= 0:
-                continue
-            if own >= self._p.board.most_batch(upstream.id, now):
-                self.preempt((upstream.id,))
-
-    def _need(
-        self,
-        entry: Entry,
-        route: Route,
-        spec: ItemSpec,
-        running: float = 0,
-    ) -> Need:
-        """Say what an item needs; it has been ``running`` s this time."""
-        run = self._runs.get(spec.id)
-        spent = running + (run.spent if run is not None else 0)
-        left = self._pace.left(spec.tokens, spent)
-        due = entry.job.submitted + route.completion_target
-        spare = self._pace.spare(due, self._p.clock.wall(), left)
-        return Need(left, spare)
-
-    def _spare_of(self, item_id: str) -> float:
-        """Return a running item's time to spare, in s."""
-        run = self._runs[item_id]
-        job = run.entry.job
-        route = self._p.router.match(job.host, job.path)
-        if route is None:
-            return 0
-        running = self._p.clock.now() - self._running[item_id].since
-        return self._need(run.entry, route, run.spec, running).spare
-
-    def _give_up_late(self, mine: Iterable[tuple[Entry, Route]]) -> None:
-        """List items that nobody waits for any more."""
-        wall = self._p.clock.wall()
+    def _give_up(self, mine: list[tuple[Entry, Route | None]]) -> None:
+        """List items that nobody waits for, or that have no route any more."""
+        wall = self._parts.clock.wall()
+        version = self._parts.router.table.version
         for entry, route in mine:
-            if not route.retention:
-                continue
-            if wall < entry.job.submitted + route.retention:
-                continue
-            for spec in tuple(entry.unlisted()):
-                if spec.id in self._running:
-                    self._cut(spec.id)
-                if not self._is_posted(entry, spec.id):
-                    run = ItemRun(entry, spec, 0)
-                    self._post(entry, run.give_up('retention is over'))
-
-    def _is_posted(self, entry: Entry, item_id: str) -> bool:
-        return any(
-            one.id == item_id for one in self._outbox.get(entry.job.id, ())
-        )
+            if is_abandoned(entry, route, version, wall):
+                self._give_up_job(entry)
+
+    def _give_up_job(self, entry: Entry) -> None:
+        held = self._lister.held()
+        for spec in tuple(entry.unlisted()):
+            if spec.id in self.table.ids():
+                self.table.cut(spec.id)
+            if spec.id not in held:
+                run = ItemRun(entry, spec, 0)
+                self._lister.post(entry, run.give_up('nobody waits for it'))
--- a/gentiantrestle/gateway/entry.py
+++ b/gentiantrestle/gateway/entry.py
@@ -1,7 +1,6 @@
 """Answers callers: batch calls, and requests by way of the routes."""
 
 from collections.abc import Callable
-from typing import NamedTuple
 
 from gentiantrestle import events
 from gentiantrestle.errors import (
@@ -10,8 +9,8 @@
     RefusedError,
     refuse,
 )
-from gentiantrestle.gateway.batch.desk import Answer, Desk
-from gentiantrestle.gateway.batch.runner import Clock
+from gentiantrestle.gateway.batch.desk import Answer, Desk, Terms
+from gentiantrestle.gateway.batch.parts import Clock
 from gentiantrestle.gateway.callers import Exchange
 from gentiantrestle.gateway.forward import Forwarder
 from gentiantrestle.gateway.model import Call, Route, RouteKind
@@ -31,12 +30,6 @@
 POST = 'POST'
 
 
-class Measures(NamedTuple):
-    """Where the entry counts what it does."""
-
-    answered: Callable[[str, str, float], None]
-
-
 class Entry:
     """The callers' face of one instance."""
 
@@ -100,8 +93,8 @@
         exchange: Exchange,
     ) -> str:
         if route.kind is RouteKind.BATCH and call.method == POST:
-            wall = self._clock.wall()
-            answer = await self._desk.hand_in(call, route, wall)
+            terms = Terms(self._clock.wall(), self._router.table.version)
+            answer = await self._desk.hand_in(call, route, terms)
             await _respond(exchange, answer)
             return 'accepted'
         left = call.deadline - call.received
--- a/gentiantrestle/gateway/follow.py
+++ b/gentiantrestle/gateway/follow.py
@@ -90,19 +90,19 @@
         page = await self._store.watch(self._kind, self._revision, WATCH_WAIT)
         self._note_back()
         self._revision = page.revision
-        if page.objects:
-            self._sink.change(page.objects, page.revision)
+        if page.found:
+            self._sink.change(page.found, page.revision)
             await asyncio.sleep(self._rest)
 
     async def _list(self) -> None:
         found: list[Stored] = []
         page = await self._store.list_page(self._kind, '')
-        found.extend(page.objects)
+        found.extend(page.found)
         # The first page's revision: later changes are seen again, none lost.
         revision = page.revision
-        while page.more and page.objects:
+        while page.more and page.found:
             page = await self._store.list_page(self._kind, found[-1].name)
-            found.extend(page.objects)
+            found.extend(page.found)
         self._note_back()
         self._sink.replace(found, revision)
         self._revision = revision
--- a/gentiantrestle/gateway/forward.py
+++ b/gentiantrestle/gateway/forward.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple
 
 from gentiantrestle import events
 from gentiantrestle.errors import (
@@ -19,7 +20,7 @@
 from gentiantrestle.gateway.sending import Message, Sending, SendLostError
 from gentiantrestle.gateway.sse import EventSplitter, OrderError
 from gentiantrestle.gateway.steps import Outcome, Progress, Step, next_step
-from gentiantrestle.gateway.waiting import retry_after
+from gentiantrestle.gateway.waiting import MIN_RETRY_AFTER, retry_after
 from gentiantrestle.http.link import LinkRefusedError
 
 OK = 200
@@ -29,11 +30,26 @@
 # latency targets long goes elsewhere; callers leave after two seconds.
 STALL_TARGETS = 3.0
 MAX_STALL = 1.0  # seconds
-COME_BACK = 0.3  # seconds
 
 
-class Ended(Exception):
-    """Carries how an attempt ended up to the loop that decides."""
+class Means(NamedTuple):
+    """What requests are forwarded with."""
+
+    gate: Gate
+    placement: Placement
+    dialect: Dialect
+    now: Callable[[], float]
+
+
+class Failed(NamedTuple):
+    """An upstream's own answer that is not a success."""
+
+    reply: Reply
+    body: bytes
+
+
+class AttemptEndedError(Exception):
+    """An attempt came to nothing; carries how, to the loop that decides."""
 
     def __init__(self, outcome: Outcome, reason: str) -> None:
         """Keep the outcome; the reason goes to the log."""
@@ -45,18 +61,9 @@
 class Forwarder:
     """Answers requests by way of upstreams."""
 
-    def __init__(
-        self,
-        gate: Gate,
-        placement: Placement,
-        dialect: Dialect,
-        now: Callable[[], float],
-    ) -> None:
-        """Take slots from ``gate`` and speak as ``dialect`` says."""
-        self._gate = gate
-        self._placement = placement
-        self._dialect = dialect
-        self._now = now
+    def __init__(self, means: Means) -> None:
+        """Take slots from the gate and speak as the dialect says."""
+        self._means = means
 
     async def answer(
         self,
@@ -66,14 +73,14 @@
         exchange: Exchange,
     ) -> str:
         """Give the caller its one answer; return how it ended."""
-        run = _Run(self, call, route, exchange)
+        run = _Run(self._means, call, route, exchange)
         while True:
-            lease = await run.enter(self._gate, service)
+            lease = await run.enter(service)
             try:
                 outcome = await run.attempt(lease)
             finally:
-                self._gate.leave(lease)
-            left = call.deadline - self._now()
+                self._means.gate.leave(lease)
+            left = call.deadline - self._means.now()
             step = next_step(outcome, run.progress(), left)
             events.emit(
                 events.ATTEMPT_ENDED,
@@ -84,11 +91,9 @@
                 step=step.value,
                 left_ms=round(left * 1000),
             )
-            if step is Step.RETRY:
-                run.avoid(lease)
-                continue
-            await run.finish(step, outcome, self._now())
-            return outcome.value
+            if step is not Step.RETRY:
+                await run.finish(step, outcome)
+                return outcome.value
 
 
 class _Run:
@@ -96,115 +101,117 @@
 
     def __init__(
         self,
-        forwarder: Forwarder,
+        means: Means,
         call: Call,
         route: Route,
         exchange: Exchange,
     ) -> None:
-        self._f = forwarder
+        self._means = means
         self._call = call
         self._route = route
         self._exchange = exchange
-        self._excluded: frozenset[str] = frozenset()
-        self._runs = 0
-        self._refusals = 0
+        self._tried: frozenset[str] = frozenset()
+        self._counts = Progress(route.idempotent, route.max_attempts)
         self._splitter = EventSplitter(call.last_event)
-        self._failure: tuple[Reply, bytes] | None = None
+        self._failure: Failed | None = None
         self.reason = ''
 
     def progress(self) -> Progress:
-        return Progress(
-            self._route.idempotent,
-            self._route.max_attempts,
-            self._runs,
-            self._refusals,
-            self._exchange.begun,
-        )
-
-    def avoid(self, lease: Lease) -> None:
-        self._excluded |= {lease.upstream.id}
+        return self._counts._replace(begun=self._exchange.begun)
 
-    async def enter(self, gate: Gate, service: str) -> Lease:
-        wanted = Wanted(self._call, self._route, service, self._excluded)
+    async def enter(self, service: str) -> Lease:
+        """Take a slot on an upstream that was not tried yet."""
+        wanted = Wanted(self._call, self._route, service, self._tried)
         try:
-            return await gate.enter(wanted)
+            lease = await self._means.gate.enter(wanted)
         except RefusedError as exc:
-            if not self._runs:
+            if self._exchange.begun:
+                self._exchange.cut()
+            if not self._counts.runs:
                 raise
             raise refuse(UPSTREAM_UNSURE, exc.refusal.reason) from exc
+        self._tried |= {lease.upstream.id}
+        return lease
 
     async def attempt(self, lease: Lease) -> Outcome:
         """Try one upstream; note what it means for its health."""
-        health = self._f._placement.health(lease.upstream.id)
-        sending = Sending(self._f._dialect)
+        health = self._means.placement.health(lease.upstream.id)
+        outcome = await self._try(lease)
+        if outcome in {Outcome.LOST, Outcome.UNREACHED}:
+            health.fail(self._means.now(), 0)
+        elif outcome in {Outcome.DONE, Outcome.FAILED}:
+            health.succeed()
+        return outcome
+
+    async def finish(self, step: Step, outcome: Outcome) -> None:
+        """Give the final answer where the upstream's was none."""
+        if step is Step.CUT:
+            self._exchange.cut()
+        elif step is Step.PASS_ON and self._failure is not None:
+            reply, body = self._failure
+            await self._exchange.respond(reply.status, reply.headers, body)
+        elif step is not Step.FINISH:
+            raise self._refusal(step, outcome)
+
+    def _refusal(self, step: Step, outcome: Outcome) -> RefusedError:
+        if step is Step.REFUSE:
+            now = self._means.now()
+            pause = retry_after(MIN_RETRY_AFTER, self._call, now)
+            return refuse(NO_UPSTREAM, self.reason, pause)
+        if outcome is Outcome.EXPIRED:
+            return refuse(ANSWER_TIMEOUT, self.reason)
+        return refuse(UPSTREAM_UNSURE, self.reason)
+
+    async def _try(self, lease: Lease) -> Outcome:
+        sending = Sending(self._means.dialect)
+        left = self._call.deadline - self._means.now()
+        self.reason = ''
         try:
-            async with asyncio.timeout(self._call.deadline - self._f._now()):
+            async with asyncio.timeout(left):
                 await self._send(sending, lease)
-        except Ended as exc:
+        except AttemptEndedError as exc:
             self.reason = exc.reason
-            if exc.outcome is Outcome.LOST:
-                health.fail(self._f._now(), 0)
             return exc.outcome
         except TimeoutError:
             self.reason = 'deadline'
             return Outcome.EXPIRED
         finally:
             sending.close()
-        health.succeed()
-        self.reason = ''
         return Outcome.DONE
 
-    async def finish(self, step: Step, outcome: Outcome, now: float) -> None:
-        """Give the final answer where the upstream's was none."""
-        if step is Step.CUT:
-            self._exchange.cut()
-        elif step is Step.PASS_ON and self._failure is not None:
-            reply, body = self._failure
-            await self._exchange.respond(reply.status, reply.headers, body)
-        elif step is Step.REFUSE:
-            pause = retry_after(COME_BACK, self._call, now)
-            raise refuse(NO_UPSTREAM, self.reason, pause)
-        elif step is not Step.FINISH:
-            kind = UPSTREAM_UNSURE
-            if outcome is Outcome.EXPIRED:
-                kind = ANSWER_TIMEOUT
-            raise refuse(kind, self.reason)
-
     async def _send(self, sending: Sending, lease: Lease) -> None:
+        counts = self._counts
+        self._counts = counts._replace(refusals=counts.refusals + 1)
         try:
             await sending.open(lease.upstream)
         except LinkRefusedError as exc:
-            self._refusals += 1
-            self._f._placement.health(lease.upstream.id).fail(self._f._now(), 0)
-            raise Ended(Outcome.NOT_RUN, repr(exc)) from exc
-        self._runs += 1
+            raise AttemptEndedError(Outcome.UNREACHED, repr(exc)) from exc
+        # From here on it may have run, until the upstream says otherwise.
+        self._counts = counts._replace(runs=counts.runs + 1)
         try:
             async with asyncio.timeout(self._stall):
                 reply = await sending.start(self._message(lease))
-        except SendLostError as exc:
-            raise Ended(Outcome.LOST, repr(exc)) from exc
-        except TimeoutError as exc:
-            raise Ended(Outcome.LOST, 'no answer begun') from exc
+        except (SendLostError, TimeoutError) as exc:
+            raise AttemptEndedError(Outcome.LOST, repr(exc)) from exc
+        if reply.not_run:
+            self._counts = counts._replace(refusals=counts.refusals + 1)
+            raise AttemptEndedError(Outcome.NOT_RUN, f'status {reply.status}')
         await self._read(sending, reply)
 
     async def _read(self, sending: Sending, reply: Reply) -> None:
-        if reply.not_run or reply.wrong_instance:
-            self._runs -= 1
-            self._refusals += 1
-            raise Ended(Outcome.NOT_RUN, f'status {reply.status}')
         try:
             if self._route.kind is RouteKind.STREAM and reply.status == OK:
                 await self._stream(sending, reply)
             else:
                 await self._pass_whole(sending, reply)
         except (SendLostError, OrderError) as exc:
-            raise Ended(Outcome.LOST, repr(exc)) from exc
+            raise AttemptEndedError(Outcome.LOST, repr(exc)) from exc
 
     async def _pass_whole(self, sending: Sending, reply: Reply) -> None:
         body = await sending.read(self._stall)
         if reply.status >= SERVER_ERROR or self._exchange.begun:
-            self._failure = (reply, body)
-            raise Ended(Outcome.FAILED, f'status {reply.status}')
+            self._failure = Failed(reply, body)
+            raise AttemptEndedError(Outcome.FAILED, f'status {reply.status}')
         await self._exchange.respond(reply.status, reply.headers, body)
 
     async def _stream(self, sending: Sending, reply: Reply) -> None:
@@ -226,18 +233,11 @@
 
     def _message(self, lease: Lease) -> Message:
         call = self._call
-        return Message(
-            call.id,
-            call.method,
-            call.target,
-            self._f._dialect.upstream_headers(
-                call,
-                lease.upstream,
-                call.deadline - self._f._now(),
-                self._splitter.last,
-            ),
-            call.body,
+        left = call.deadline - self._means.now()
+        headers = self._means.dialect.upstream_headers(
+            call, lease.upstream, left, self._splitter.last
         )
+        return Message(call.id, call.method, call.target, headers, call.body)
 
     @property
     def _stall(self) -> float | None:
--- a/gentiantrestle/gateway/gate.py
+++ b/gentiantrestle/gateway/gate.py
@@ -58,6 +58,7 @@
         self._lines: dict[str, WaitingLine] = {}
         self._futures: dict[str, asyncio.Future[Upstream]] = {}
         self._holds: dict[str, HoldTime] = {}
+        # Has batch give a slot back on one of some upstreams; names it.
         self.preempt: Callable[[Iterable[str]], str | None] = _keep_batch
 
     @property
@@ -218,4 +219,3 @@
 
 def _keep_batch(upstreams: Iterable[str]) -> str | None:
     """Yield nothing: no batch work runs here yet."""
-    return None
--- a/gentiantrestle/gateway/gossip.py
+++ b/gentiantrestle/gateway/gossip.py
@@ -70,7 +70,8 @@
             return False
         if state == self._state and since < MAX_GAP:
             return False
-        self._state, self._at = state, now
+        self._state = state
+        self._at = now
         return True
 
 
@@ -100,9 +101,10 @@
     async def run(self) -> None:
         """Tell and sweep until cancelled."""
         loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
+        endpoint = await loop.create_datagram_endpoint(
             lambda: self, local_addr=(self._me.host, self._me.port)
         )
+        self._transport = endpoint[0]
         try:
             while True:
                 self._tell()
--- a/gentiantrestle/gateway/headers.py
+++ b/gentiantrestle/gateway/headers.py
@@ -19,11 +19,12 @@
     ),
 )
 CONNECTION = b'connection'
+NONE_DROPPED: frozenset[bytes] = frozenset()
 
 
 def forwardable(
     pairs: Iterable[tuple[bytes, bytes]],
-    dropped: frozenset[bytes] = frozenset(),
+    dropped: frozenset[bytes] = NONE_DROPPED,
 ) -> HeaderPairs:
     """Leave out fields of one connection, and those in ``dropped``."""
     every = [(name.lower(), text) for name, text in pairs]
--- /dev/null
+++ b/gentiantrestle/gateway/listener.py
@@ -0,0 +1,21 @@
+"""A listener of its own for those who watch the instance."""
+
+from gentiantrestle.errors import Refusal
+from gentiantrestle.gateway.callers import Callers, Handle
+from gentiantrestle.gateway.model import CallerLimits
+from gentiantrestle.http.link import HeaderPairs
+from gentiantrestle.models import Address
+
+
+async def listen(handle: Handle, address: Address) -> Callers:
+    """Answer at ``address``, apart from callers and their limits.
+
+    Callers that fill their own port can't hide whether the instance serves.
+    """
+    callers = Callers(handle, _refuse, CallerLimits)
+    await callers.start(address.host, address.port)
+    return callers
+
+
+def _refuse(refusal: Refusal) -> tuple[int, HeaderPairs, bytes]:
+    return refusal.kind.status, [], b''
--- /dev/null
+++ b/gentiantrestle/gateway/measures.py
@@ -0,0 +1,70 @@
+"""Counters and latency histograms of the gateway."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from gentiantrestle.gateway.callers import Exchange
+
+PATH = b'/metrics'
+OK = 200
+NOT_FOUND = 404
+# Bounds in s: around the latency targets, and up to the longest timeouts.
+BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.5, 5.0, 15.0)
+
+
+class Shown(NamedTuple):
+    """A gauge, and what it shows at each question."""
+
+    gauge: Gauge
+    read: Callable[[], float]
+
+
+class Measures:
+    """All metrics of one instance of the gateway."""
+
+    def __init__(self, instance: str, zone: str) -> None:
+        """Register every metric under the instance's labels."""
+        self._registry = Registry()
+        self._labels = {'instance': instance, 'zone': zone}
+        self._requests = Counter(
+            'gentiantrestle_gateway_requests_total',
+            "Callers' requests by route and outcome.",
+            self._labels,
+            registry=self._registry,
+        )
+        self._latency = Histogram(
+            'gentiantrestle_gateway_request_seconds',
+            'Time from a request to the end of its answer, by route.',
+            self._labels,
+            registry=self._registry,
+            buckets=BUCKETS,
+        )
+        self._gauges: list[Shown] = []
+
+    def note_answer(self, route: str, outcome: str, seconds: float) -> None:
+        """Count one request and the time it took."""
+        self._requests.inc({'route': route, 'outcome': outcome})
+        self._latency.observe({'route': route}, seconds)
+
+    def watch(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Show what ``read`` returns at each question."""
+        gauge = Gauge(
+            f'gentiantrestle_gateway_{name}',
+            text,
+            self._labels,
+            registry=self._registry,
+        )
+        self._gauges.append(Shown(gauge, read))
+
+    async def answer(self, exchange: Exchange) -> None:
+        """Answer a collector of metrics."""
+        if exchange.head.target.partition(b'?')[0] != PATH:
+            await exchange.respond(NOT_FOUND, [])
+            return
+        for gauge, read in self._gauges:
+            gauge.set({}, read())
+        body, headers = render(self._registry, ['text/plain'])
+        kind = headers['Content-Type'].encode()
+        await exchange.respond(OK, [(b'content-type', kind)], body)
--- a/gentiantrestle/gateway/model.py
+++ b/gentiantrestle/gateway/model.py
@@ -115,7 +115,10 @@
 
 
 class Job(NamedTuple):
-    """An accepted batch job; ``submitted`` is a wall-clock time in s."""
+    """An accepted batch job; ``submitted`` is a wall-clock time in s.
+
+    ``version`` is that of the configuration that it was accepted under.
+    """
 
     id: str
     host: str
@@ -123,6 +126,7 @@
     submitted: float
     acceptor: str
     items: tuple[ItemSpec, ...]  # noqa: WPS110 (batch's word)
+    version: int = 0
     ended: bool = False
     done: bool = False
 
--- /dev/null
+++ b/gentiantrestle/gateway/peering.py
@@ -0,0 +1,94 @@
+"""How one instance and the others know of each other."""
+
+from collections import deque
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from gentiantrestle.gateway.batch.book import Book
+from gentiantrestle.gateway.batch.knowledge import Knowledge
+from gentiantrestle.gateway.batch.runner import Runner
+from gentiantrestle.gateway.fellows import Fellows
+from gentiantrestle.gateway.gate import Gate
+from gentiantrestle.gateway.gossip import Gossip, Heard, Identity, Own
+from gentiantrestle.gateway.loads import LoadBoard
+from gentiantrestle.gateway.relay import Reach, Relay
+from gentiantrestle.gateway.state import State
+from gentiantrestle.supervisor import Child
+
+# Jobs ended here that the others are told of with each datagram.
+ENDED_TOLD = 8
+
+
+class Work(NamedTuple):
+    """The parts that the others' news are for."""
+
+    state: State
+    board: LoadBoard
+    gate: Gate
+    book: Book
+    runner: Runner
+    knowledge: Knowledge
+
+
+class Peering:
+    """Gossip and calls between this instance and the others."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        fellows: Fellows,
+        work: Work,
+        connected: Callable[[], bool],
+        now: Callable[[], float],
+    ) -> None:
+        """Tell the others of ``work``; nothing is sent yet."""
+        self._identity = identity
+        self._work = work
+        self._connected = connected
+        self._now = now
+        self._ended: deque[str] = deque(maxlen=ENDED_TOLD)
+        self._leaving = False
+        self._gossip = Gossip(identity, fellows, work.board, self._own, now)
+        self._gossip.on_heard = self._hear
+        reach = Reach(
+            lambda: work.state.version, lambda: work.state.revision, connected
+        )
+        self._relay = Relay(
+            work.state, fellows, work.book, reach, identity.port
+        )
+        self._relay.make_sure = work.knowledge.make_sure
+        work.knowledge.ask = self._relay.results
+
+    def children(self) -> Iterator[Child]:
+        """Pass on what the supervisor runs."""
+        yield Child('gossip', self._gossip.run)
+        yield Child('peers', lambda: self._relay.serve(self._identity.host))
+        yield Child('relay', lambda: self._relay.run(self._now))
+
+    def leave(self) -> None:
+        """Tell the others that this instance takes no work on any more."""
+        self._leaving = True
+        self._gossip.announce()
+
+    def note_ended(self, job: str) -> None:
+        """Tell the others that a caller has ended a job."""
+        self._ended.append(job)
+
+    def _own(self) -> Own:
+        return Own(
+            self._leaving,
+            self._work.state.version,
+            self._connected(),
+            self._work.gate.waiting,
+            tuple(self._ended),
+            tuple(self._work.runner.taken),
+            self._work.runner.waiting,
+        )
+
+    def _hear(self, heard: Heard) -> None:
+        for run in heard.taken:
+            self._work.book.share(run)
+        for job in heard.ended:
+            self._work.book.end(job)
+        self._work.runner.table.yield_overload()
+        self._work.gate.dispatch()
--- a/gentiantrestle/gateway/placement.py
+++ b/gentiantrestle/gateway/placement.py
@@ -24,6 +24,7 @@
 SPREAD = 0.25
 # Failures after which an upstream rests: a refused connection is a sure sign.
 FAILURES_TO_REST = 2
+NONE_EXCLUDED: frozenset[str] = frozenset()
 SLOT_WEIGHT = 0.001  # breaks ties between equally loaded upstreams
 
 
@@ -74,7 +75,7 @@
         now: float,
         *,
         reserve: int = 0,
-        excluded: frozenset[str] = frozenset(),
+        excluded: frozenset[str] = NONE_EXCLUDED,
     ) -> Upstream | None:
         """Return the cheapest healthy upstream with over ``reserve`` free."""
         fit = [
@@ -90,7 +91,7 @@
         upstreams: Iterable[Upstream],
         now: float,
         *,
-        excluded: frozenset[str] = frozenset(),
+        excluded: frozenset[str] = NONE_EXCLUDED,
     ) -> Upstream | None:
         """Return an upstream where batch will give way to a request."""
         fit = [
@@ -100,11 +101,6 @@
         ]
         return min(fit, key=lambda one: self._cost(one, now), default=None)
 
-    def _may_overbook(self, upstream: Upstream, now: float) -> bool:
-        load = self._board.of(upstream.id, now)
-        over = load.total - upstream.slots
-        return over < min(OVERBOOKING, load.batch)
-
     def healthy(
         self,
         upstreams: Iterable[Upstream],
@@ -115,6 +111,11 @@
         usable = [one for one in every if self.health(one.id).usable(now)]
         return usable or every
 
+    def _may_overbook(self, upstream: Upstream, now: float) -> bool:
+        load = self._board.of(upstream.id, now)
+        over = load.total - upstream.slots
+        return over < min(OVERBOOKING, load.batch)
+
     def _cost(self, upstream: Upstream, now: float) -> float:
         load = self._board.of(upstream.id, now).total
         share = load / max(1, upstream.slots)
--- a/gentiantrestle/gateway/ports.py
+++ b/gentiantrestle/gateway/ports.py
@@ -33,7 +33,7 @@
 class Page(NamedTuple):
     """Part of a list, or the changes since a revision."""
 
-    objects: tuple[Stored, ...]
+    found: tuple[Stored, ...]
     revision: int
     more: bool = False
 
@@ -143,3 +143,20 @@
 
     def read_upstream(self, stored: Stored) -> Upstream | None:
         """Decode an upstream's entry; None where it can't be used."""
+
+
+class Kinds(NamedTuple):
+    """Names of what others write into the store."""
+
+    config: str
+    config_name: str
+    upstreams: str
+
+
+class Adapter(NamedTuple):
+    """All that ties the gateway to one platform."""
+
+    store: ObjectStore
+    documents: Documents
+    dialect: Dialect
+    kinds: Kinds
--- a/gentiantrestle/gateway/routing.py
+++ b/gentiantrestle/gateway/routing.py
@@ -4,7 +4,7 @@
 
 from gentiantrestle.gateway.model import NO_TABLE, Route, Table
 
-HASH_SPAN = 1 << 32
+HASH_SPAN = 0x100000000
 
 
 class Router:
@@ -25,11 +25,12 @@
         if table.version <= self.table.version:
             return False
         hosts: dict[str, list[Route]] = {}
-        for route in table.routes:
-            hosts.setdefault(route.host, []).append(route)
+        for listed in table.routes:
+            hosts.setdefault(listed.host, []).append(listed)
         for routes in hosts.values():
-            routes.sort(key=lambda route: len(route.prefix), reverse=True)
-        self.table, self._hosts = table, hosts
+            routes.sort(key=_prefix_length, reverse=True)
+        self.table = table
+        self._hosts = hosts
         return True
 
     def match(self, host: str, target: str) -> Route | None:
@@ -41,6 +42,10 @@
         return None
 
 
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
+
+
 def bare_host(host: str) -> str:
     """Strip a port and the case from a Host field."""
     return host.partition(':')[0].lower()
--- a/gentiantrestle/gateway/sending.py
+++ b/gentiantrestle/gateway/sending.py
@@ -66,10 +66,11 @@
             reply = await self._read_head()
         except (LinkLostError, h11.ProtocolError) as exc:
             raise SendLostError(repr(exc)) from exc
-        if reply.request_id and reply.request_id != message.request_id:
-            raise SendLostError('the answer belongs to another request')
-        if not reply.genuine:
-            raise SendLostError('the answer is not genuine')
+        if not reply.genuine or reply.request_id not in {
+            '',
+            message.request_id,
+        }:
+            raise SendLostError('not the answer to this request')
         return reply
 
     async def parts(self, stall: float | None) -> AsyncIterator[bytes]:
@@ -77,19 +78,10 @@
 
         ``stall`` is the longest silence in s; None waits for ever.
         """
-        while True:
-            try:
-                async with asyncio.timeout(stall):
-                    event = await self._link.event()
-            except (LinkLostError, h11.ProtocolError) as exc:
-                raise SendLostError(repr(exc)) from exc
-            except TimeoutError as exc:
-                raise SendLostError('silent') from exc
-            if isinstance(event, h11.EndOfMessage):
-                return
-            if not isinstance(event, h11.Data):
-                raise SendLostError('closed early')
+        event = await self._next(stall)
+        while not isinstance(event, h11.EndOfMessage):
             yield bytes(event.data)
+            event = await self._next(stall)
 
     async def read(self, stall: float | None) -> bytes:
         """Collect the whole body."""
@@ -100,6 +92,16 @@
         if self._link is not None:
             self._link.abort()
 
+    async def _next(self, stall: float | None) -> h11.Data | h11.EndOfMessage:
+        try:
+            async with asyncio.timeout(stall):
+                event = await self._link.event()
+        except (LinkLostError, h11.ProtocolError, TimeoutError) as exc:
+            raise SendLostError(repr(exc)) from exc
+        if isinstance(event, h11.Data | h11.EndOfMessage):
+            return event
+        raise SendLostError('closed early')
+
     async def _read_head(self) -> Reply:
         while True:
             event = await self._link.event()
--- a/gentiantrestle/gateway/state.py
+++ b/gentiantrestle/gateway/state.py
@@ -14,15 +14,13 @@
 
     def __init__(
         self,
-        router: Router,
-        roster: Roster,
         documents: Documents,
         config_name: str,
         now: Callable[[], float],
     ) -> None:
         """Decode with ``documents``; nothing is known yet."""
-        self._router = router
-        self._roster = roster
+        self.router = Router()
+        self.roster = Roster()
         self._documents = documents
         self._config_name = config_name
         self._now = now
@@ -30,6 +28,16 @@
         self.upstreams: dict[str, Stored] = {}
         self.on_change: Callable[[], None] = _nothing
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force."""
+        return self.router.table.version
+
+    @property
+    def revision(self) -> int:
+        """Revision of the store that the upstreams' entries are from."""
+        return self.roster.revision
+
     def config_sink(self) -> Sink:
         """Return what a follower of the configuration does."""
         return Sink(self._take_config, self._take_config, _nothing)
@@ -40,15 +48,10 @@
             self.replace_upstreams, self.change_upstreams, self._note_outage
         )
 
-    def _take_config(self, found: Iterable[Stored], revision: int) -> None:
-        for stored in found:
-            if stored.name == self._config_name and not stored.deleted:
-                self.apply_config(stored)
-
     def apply_config(self, stored: Stored) -> None:
         """Put a configuration in force if it is newer."""
         table = self._documents.read_table(stored)
-        if table is None or not self._router.apply(table):
+        if table is None or not self.router.apply(table):
             return
         self.config = stored
         events.emit(
@@ -87,6 +90,11 @@
                 self._put(stored, now)
         self._note(revision)
 
+    def _take_config(self, found: Iterable[Stored], revision: int) -> None:
+        for stored in found:
+            if stored.name == self._config_name and not stored.deleted:
+                self.apply_config(stored)
+
     def _put(self, stored: Stored, now: float) -> None:
         known = self.upstreams.get(stored.name)
         if known is not None and known.revision >= stored.revision:
@@ -94,20 +102,20 @@
         self.upstreams[stored.name] = stored
         upstream = self._documents.read_upstream(stored)
         if upstream is None:
-            self._roster.remove(stored.name, now)
+            self.roster.remove(stored.name, now)
         else:
-            self._roster.put(upstream)
+            self.roster.put(upstream)
 
     def _remove(self, name: str, now: float) -> None:
         self.upstreams.pop(name, None)
-        self._roster.remove(name, now)
+        self.roster.remove(name, now)
 
     def _note_outage(self) -> None:
-        self._roster.note_outage(self._now())
+        self.roster.note_outage(self._now())
 
     def _note(self, revision: int) -> None:
-        self._roster.revision = revision
-        entries = self._roster.entries()
+        self.roster.revision = revision
+        entries = self.roster.entries()
         draining = sum(one.draining for one in entries)
         events.emit(
             events.ROSTER_CHANGED,
--- a/gentiantrestle/gateway/steps.py
+++ b/gentiantrestle/gateway/steps.py
@@ -14,6 +14,7 @@
 
     DONE = 'done'
     NOT_RUN = 'not run'
+    UNREACHED = 'unreached'
     FAILED = 'failed'
     LOST = 'lost'
     EXPIRED = 'expired'
@@ -62,7 +63,7 @@
 def _may_retry(outcome: Outcome, so_far: Progress, left: float) -> bool:
     if outcome is Outcome.EXPIRED or left < MIN_TIME_LEFT:
         return False
-    if outcome is Outcome.NOT_RUN:
+    if outcome in {Outcome.NOT_RUN, Outcome.UNREACHED}:
         return so_far.refusals < MAX_REFUSALS and (
             so_far.idempotent or not so_far.runs
         )
--- a/gentiantrestle/logsink.py
+++ b/gentiantrestle/logsink.py
@@ -52,7 +52,8 @@
             self._rest = self._rest[written:]
         self._stop_waiting()
         if self.dropped:
-            count, self.dropped = self.dropped, 0
+            count = self.dropped
+            self.dropped = 0
             events.emit(events.LINES_DROPPED, count=count)
 
     def _next_batch(self) -> bytes:
@@ -88,4 +89,4 @@
         'message': record['message'],
         **record['extra'],
     }
-    return msgspec.json.encode(line, enc_hook=str) + b'\n'
+    return msgspec.json.Encoder(enc_hook=str).encode_lines([line])
--- a/gentiantrestle/platform/dialect.py
+++ b/gentiantrestle/platform/dialect.py
@@ -19,6 +19,7 @@
     ReadResults,
     Reply,
 )
+from gentiantrestle.http.link import HeaderPairs
 from gentiantrestle.http.messages import error_document
 
 HOST = b'host'
@@ -37,16 +38,17 @@
 REPLACED = frozenset((TIME_LEFT, EXPECTED_UPSTREAM, LAST_EVENT, LENGTH))
 REPLACED_FOR_ITEMS = REPLACED | {HOST, REQUEST_ID}
 MISDIRECTED = 421
-SUCCESSES = range(200, 300)
+FIRST_FAILURE = 300
 MAX_WAIT = 1.0  # seconds a read of results may be kept waiting
 MAX_DEADLINE = 60.0  # seconds, for requests that tell no deadline
-MAX_ITEMS = 200
+MAX_ITEMS = 200  # items in one job
 MS = 0.001  # seconds
 ID = re.compile(r'[\w.-]{1,128}')
 RESULTS_PATH = re.compile(r'/gentiantrestle/lots/([\w.-]{1,128})')
 BODY_PATH = re.compile(r'/gentiantrestle/items/([\w.-]{1,128})')
 COMPLETED = 'completed'
 GIVEN_UP = 'dead_lettered'
+# A decoding error is a ValueError too.
 UNFIT = (LookupError, TypeError, ValueError, AttributeError)
 
 
@@ -94,7 +96,7 @@
         try:
             listed = msgspec.json.decode(body)['items']
             found = tuple(_item(one) for one in listed)
-        except (*UNFIT, msgspec.DecodeError) as exc:
+        except UNFIT as exc:
             raise refuse(BAD_REQUEST, f'Not a batch job: {exc!r}') from exc
         if not 0 < len(found) <= MAX_ITEMS:
             raise refuse(BAD_REQUEST, f'A job has 1 to {MAX_ITEMS} items')
@@ -144,7 +146,7 @@
             head.status_code,
             forwardable(head.headers),
             fields.get(REQUEST_ID, b'').decode('latin-1'),
-            genuine=whole or head.status_code not in SUCCESSES,
+            genuine=whole or head.status_code >= FIRST_FAILURE,
             not_run=refused,
             wrong_instance=head.status_code == MISDIRECTED,
         )
@@ -152,11 +154,11 @@
     def write_refusal(
         self,
         refusal: Refusal,
-    ) -> tuple[int, list[tuple[bytes, bytes]], bytes]:
+    ) -> tuple[int, HeaderPairs, bytes]:
         """Encode a refusal: status, header, body."""
         headers = [(b'content-type', b'application/json')]
         if refusal.retry_after is not None:
-            pause = f'{refusal.retry_after:g}'
+            pause = str(round(refusal.retry_after, 2))
             headers.append((b'retry-after', pause.encode()))
         body = msgspec.json.encode(error_document(refusal))
         return refusal.kind.status, headers, body
--- a/gentiantrestle/platform/objects.py
+++ b/gentiantrestle/platform/objects.py
@@ -19,6 +19,7 @@
 POOL_SIZE = 32
 # The store answers in 4 ms; on slow days some 60 times later.
 CALL_TIMEOUT = 1.5  # seconds
+MAX_SHOWN = 200  # bytes of an odd answer in the log
 WATCH_SLACK = 1.5  # seconds beyond a watch's own wait
 OK = 200
 CREATED = 201
@@ -29,7 +30,7 @@
 ENDED = frozenset((OK, CREATED, 204, NOT_FOUND, CONFLICT, GONE))
 
 
-class Objects:
+class ObjectClient:
     """Client of the object store; one connection a watch."""
 
     def __init__(self, address: Address) -> None:
@@ -117,17 +118,16 @@
             raise StoreUnavailableError(str(exc)) from exc
         except (LostError, TimeoutError) as exc:
             raise _lost(method, exc) from exc
-        if answer.status in NOT_DONE:
-            raise StoreUnavailableError(f'status {answer.status}')
-        if answer.status not in ENDED:
+        if answer.status in ENDED:
+            return answer.status, msgspec.json.decode(received or b'null')
+        if answer.status not in NOT_DONE:
             events.emit(
                 events.STORE_ODD,
                 status=answer.status,
                 call=f'{method} {path}',
-                answer=received[:200].decode(errors='replace'),
+                answer=received[:MAX_SHOWN].decode(errors='replace'),
             )
-            raise StoreUnavailableError(f'status {answer.status}')
-        return answer.status, msgspec.json.decode(received or b'null')
+        raise StoreUnavailableError(f'status {answer.status}')
 
 
 def _lost(method: str, exc: Exception) -> Exception:
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -18,13 +18,18 @@
 REFUSED = HTTPStatus.SERVICE_UNAVAILABLE
 
 
+Key = tuple[str, str]
+Document = dict[str, Any]
+Change = tuple[int, str, Document, bool]
+
+
 class ObjectsStandin:
     """Objects by kind and name under one revision; ``/control`` harms it."""
 
     def __init__(self) -> None:
         """Start empty and sound."""
-        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
-        self._history: deque[tuple[int, str, dict[str, Any], bool]] = deque()
+        self._found: dict[Key, Document] = {}
+        self._history: deque[Change] = deque()
         self._revision = 1
         self._oldest = 1
         self._changed = asyncio.Condition()
@@ -73,7 +78,7 @@
         return await self._put((kind, name), told, part == STATUS)
 
     def _answer(self, key: tuple[str, str]) -> Response:
-        found = self._objects.get(key)
+        found = self._found.get(key)
         if found is None:
             return answer_json({}, HTTPStatus.NOT_FOUND)
         return answer_json(found)
@@ -82,7 +87,7 @@
         if 'watch' in query:
             return await self._watch(kind, query)
         found = [
-            one for key, one in sorted(self._objects.items()) if key[0] == kind
+            one for key, one in sorted(self._found.items()) if key[0] == kind
         ]
         return answer_json(
             {'items': found, 'has-more': False, 'as-of': self._revision},
@@ -110,16 +115,17 @@
 
     async def _create(self, kind: str, told: dict[str, Any]) -> Response:
         key = (kind, told['metadata']['name'])
-        if key in self._objects:
-            return answer_json(self._objects[key], CONFLICT)
+        known = self._found.get(key)
+        if known is not None:
+            return answer_json(known, CONFLICT)
         fresh = {'metadata': {}, 'spec': told.get('spec'), STATUS: None}
         await self._store(key, fresh)
-        return answer_json(self._objects[key], HTTPStatus.CREATED)
+        return answer_json(self._found[key], HTTPStatus.CREATED)
 
     async def _put(
         self, key: tuple[str, str], told: dict[str, Any], is_status: bool
     ) -> Response:
-        found = self._objects.get(key)
+        found = self._found.get(key)
         if found is None:
             return answer_json({}, HTTPStatus.NOT_FOUND)
         wanted = told.get('metadata', {}).get('revision')
@@ -128,10 +134,10 @@
         field = STATUS if is_status else 'spec'
         if found[field] != told[field]:
             await self._store(key, {**found, field: told[field]})
-        return answer_json(self._objects[key])
+        return answer_json(self._found[key])
 
     async def _delete(self, key: tuple[str, str]) -> Response:
-        found = self._objects.pop(key, None)
+        found = self._found.pop(key, None)
         if found is not None:
             await self._note(key, found, deleted=True)
         return answer_json({})
@@ -144,8 +150,8 @@
             'finalizers': [],
             'deleting': False,
         }
-        self._objects[key] = {**one, 'metadata': metadata}
-        await self._note(key, self._objects[key], deleted=False)
+        self._found[key] = {**one, 'metadata': metadata}
+        await self._note(key, self._found[key], deleted=False)
 
     async def _note(
         self, key: tuple[str, str], one: dict[str, Any], *, deleted: bool
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -16,6 +16,7 @@
 
 MAX_BODY = 2097152  # bytes
 POISON = 'poison'
+PAUSE = 0.01  # seconds between events
 
 
 class UpstreamStandin:
@@ -89,7 +90,7 @@
         cut = self._faults.get('cut_after')
         try:
             for number in range(run['last'] + 1, told['events'] + 1):
-                await asyncio.sleep(told.get('pause', 0.01))
+                await asyncio.sleep(told.get('pause', PAUSE))
                 if cut is not None and number > run['last'] + cut:
                     raise ConnectionResetError('cut as asked')
                 yield event(run['id'], number)
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -13,7 +13,7 @@
 from gentiantrestle.http.client import LostError, NotSentError
 from gentiantrestle.models import Address
 from tests.utils.http import Reply, send, until
-from tests.utils.ports import HOST, free_ports
+from tests.utils.ports import HOST, free_ports, worker_number
 
 ROUTE_HOST = 'shop.example'
 SERVICE = 'engines'
@@ -81,8 +81,9 @@
         ports = free_ports(upstreams + 4)
         self.store = Address(HOST, ports[0])
         self.front, self.ready, self.peer = ports[1:4]
-        block = self.front % 250
-        self.hosts = [f'127.7.{block}.{one + 1}' for one in range(entries)]
+        # Each worker has a block of loopback addresses of its own.
+        block = f'127.{worker_number() + 7}.{self.front % 250}'
+        self.hosts = [f'{block}.{one + 1}' for one in range(entries)]
         self.upstreams = [Address(HOST, port) for port in ports[4:]]
         self.entries = [
             Child(folder / f'entry{one}.log') for one in range(entries)
--- a/tests/gateway/test_batch.py
+++ b/tests/gateway/test_batch.py
@@ -8,6 +8,7 @@
 from gentiantrestle.gateway.batch.duty import (
     Need,
     due_items,
+    is_abandoned,
     may_yield,
     runner_of,
     startable,
@@ -183,3 +184,24 @@
     assert not may_yield(0.5)
     assert may_yield(-1)
     assert yield_rank(-1) > yield_rank(9) > yield_rank(5)
+
+
+@pytest.mark.parametrize(
+    ('accepted', 'known', 'abandoned'),
+    [(3, 3, True), (3, 4, True), (3, 2, False), (3, 0, False)],
+)
+def test_a_job_without_route_waits_for_a_configuration_as_new(
+    accepted: int, known: int, abandoned: bool
+) -> None:
+    book = Book()
+    one = job(version=accepted)
+    entry = book.put(JobRecord(one, Stored('job1', 1, {})))
+    assert is_abandoned(entry, None, known, 1) == abandoned
+
+
+def test_retention_is_over_on_every_clock_before_items_are_given_up() -> None:
+    book = Book()
+    entry = book.put(JobRecord(job(submitted=100), Stored('job1', 1, {})))
+    kept = batch_route(retention=60)
+    assert not is_abandoned(entry, kept, 1, 162)
+    assert is_abandoned(entry, kept, 1, 166)
--- a/tests/utils/ports.py
+++ b/tests/utils/ports.py
@@ -12,11 +12,15 @@
 WORKERS = 8
 
 
+def worker_number() -> int:
+    """Number the test worker that this process is."""
+    name = os.environ.get('PYTEST_XDIST_WORKER', 'gw0')
+    return int(name.removeprefix('gw')) % WORKERS
+
+
 def _candidates() -> Iterator[int]:
     """Go round ports below those that outgoing connections are given."""
-    name = os.environ.get('PYTEST_XDIST_WORKER', 'gw0')
-    worker = int(name.removeprefix('gw')) % WORKERS
-    first = FIRST_PORT + worker * PORTS_PER_WORKER
+    first = FIRST_PORT + worker_number() * PORTS_PER_WORKER
     ports = range(first, first + PORTS_PER_WORKER)
     start = os.getpid() % PORTS_PER_WORKER
     return islice(cycle(ports), start, None)
