--- a/gentiantrestle/gateway/placement.py
+++ b/gentiantrestle/gateway/placement.py
@@ -20,8 +20,9 @@
 # instance that runs the batch sees it within one datagram.
 OVERBOOKING = 2
 # Chance in a choice, as a share of slots: several instances with the same late
-# news must not all take the same upstream.
-SPREAD = 0.25
+# news must not all take the same upstream. As large as the range of loads:
+# tests/gateway/test_load.py plays it against none.
+SPREAD = 1.0
 # Failures after which an upstream rests: a refused connection is a sure sign.
 FAILURES_TO_REST = 2
 NONE_EXCLUDED: frozenset[str] = frozenset()
