--- /dev/null
+++ b/tests/gateway/test_adapter.py
@@ -0,0 +1,224 @@
+"""The adapter: settings, foreign entries, malformed jobs, header fields."""
+
+from typing import Any
+
+import h11
+import pytest
+
+from gentiantrestle.errors import OVERLOADED, Refusal, RefusedError
+from gentiantrestle.gateway.model import RouteKind
+from gentiantrestle.gateway.ports import (
+    EndJob,
+    ReadBody,
+    ReadResults,
+    Stored,
+)
+from gentiantrestle.models import Address
+from gentiantrestle.platform.dialect import PlatformDialect
+from gentiantrestle.platform.documents import StoreDocuments
+from gentiantrestle.platform.settings import NodeSettings, SettingsError
+from tests.gateway.fleet import routes
+from tests.gateway.samples import call, upstream
+
+SETTINGS = {
+    'node-name': 'edge-1',
+    'zone': 'a1',
+    'zones': {'a1': 'a'},
+    'ip': '10.1.0.35',
+    'internal-ports': [7660, 7675],
+    'seeds': ['10.1.0.36:8146'],
+    'serves': ['edge'],
+    'listen': {'front': '10.1.0.35:8144', 'ready-addr': '10.1.0.35:8140'},
+    'bounds': {'grace-s': 8},
+    'platform': {'address': '10.200.1.7:8142'},
+    'a-new-field': [1],
+}
+ENTRY = {
+    'service': 'engines',
+    'address': '10.128.0.9:8080',
+    'zone': 'a1',
+    'slots': 8,
+    'state': 'ready',
+    'born': 1700000000000,
+}
+CONFIG = {
+    'version': 7,
+    'routes': routes(),
+    'services': [{'name': 'engines', 'engine': {}}],
+    'limits': {
+        'max-header-bytes': 16384,
+        'max-body-bytes': 4194304,
+        'header-timeout-ms': 3000,
+        'idle-timeout-ms': 15000,
+    },
+}
+
+
+def test_settings_are_typed_and_unknown_fields_ignored() -> None:
+    node = NodeSettings.from_config(SETTINGS)
+    assert node.callers == Address('10.1.0.35', 8144)
+    assert node.seeds == ('10.1.0.36',)
+    assert node.peer_port == 7660
+
+
+@pytest.mark.parametrize('field', ['node-name', 'zones', 'platform', 'bounds'])
+def test_a_missing_setting_is_named_with_a_remedy(field: str) -> None:
+    told = {name: one for name, one in SETTINGS.items() if name != field}
+    with pytest.raises(SettingsError, match=f'{field}.*settings file anew'):
+        NodeSettings.from_config(told)
+
+
+def test_a_file_that_can_t_be_read_is_named() -> None:
+    with pytest.raises(SettingsError, match=r'/none\.toml'):
+        NodeSettings.from_file('/none.toml')
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'state': 'sleeping'},
+        {'slots': 'eight'},
+        {'slots': True},
+        {'address': 7},
+        {'address': 'nowhere'},
+        {'service': None},
+        {'born': 1.5},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_upstream(
+    changes: dict[str, Any],
+) -> None:
+    stored = Stored('u1', 3, {**ENTRY, **changes})
+    assert StoreDocuments().read_upstream(stored) is None
+
+
+@pytest.mark.parametrize('content', [None, 7, 'text', [], {}])
+def test_what_is_no_entry_at_all_is_passed_over(content: Any) -> None:
+    stored = Stored('u1', 3, content)
+    assert StoreDocuments().read_upstream(stored) is None
+    assert StoreDocuments().read_table(stored) is None
+
+
+def test_an_entry_is_decoded() -> None:
+    found = StoreDocuments().read_upstream(Stored('u1', 3, ENTRY))
+    assert found is not None
+    assert (found.id, found.slots, found.draining) == ('u1', 8, False)
+
+
+def test_a_configuration_is_decoded_into_s() -> None:
+    found = StoreDocuments().read_table(Stored('main', 3, CONFIG))
+    assert found is not None
+    kinds = {one.name: one.kind for one in found.routes}
+    assert kinds['chat'] is RouteKind.STREAM
+    assert found.routes[0].target == pytest.approx(0.3)
+    assert found.limits.idle_timeout == pytest.approx(15)
+    assert not next(one for one in found.routes if one.name == 'pay').idempotent
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'[]',
+        b'{"items":[]}',
+        b'{"items":[{"id":"a"}]}',
+        b'{"items":[{"id":"a b","path":"/x","body":""}]}',
+        b'{"items":[{"id":"a","path":"/x","body":"%%%"}]}',
+        b'{"items":[{"id":"a","path":"/x"},{"id":"a","path":"/x"}]}',
+    ],
+)
+def test_a_malformed_job_is_refused_with_a_reason(body: bytes) -> None:
+    with pytest.raises(RefusedError) as caught:
+        PlatformDialect().read_items(body)
+    assert caught.value.refusal.kind.status == 400
+
+
+def _head(method: str, target: str, *fields: tuple[str, str]) -> h11.Request:
+    return h11.Request(
+        method=method, target=target, headers=[('Host', 'x'), *fields]
+    )
+
+
+@pytest.mark.parametrize(
+    ('method', 'target', 'wanted'),
+    [
+        (
+            'GET',
+            '/gentiantrestle/lots/j1?after=3',
+            ReadResults('j1', 3, 1.0),
+        ),
+        ('GET', '/gentiantrestle/items/j1?id=i2', ReadBody('j1', 'i2')),
+        ('DELETE', '/gentiantrestle/lots/j1', EndJob('j1')),
+        ('GET', '/gentiantrestle/lots/', None),
+        ('POST', '/gentiantrestle/lots/j1', None),
+    ],
+)
+def test_calls_on_jobs_are_told_from_requests(
+    method: str, target: str, wanted: object
+) -> None:
+    head = _head(method, target, ('X-Wait-Ms', '1000'))
+    assert PlatformDialect().read_operation(head) == wanted
+
+
+def test_fields_of_one_connection_are_not_passed_on() -> None:
+    head = _head(
+        'POST',
+        '/chat/1',
+        ('X-Attempt-Id', 'r1'),
+        ('X-Deadline-Ms', '5000'),
+        ('Connection', 'X-Private, keep-alive'),
+        ('X-Private', '1'),
+        ('X-Model', 'm'),
+    )
+    one = PlatformDialect().read_call(head, b'', 100)
+    assert one.deadline == pytest.approx(105)
+    sent = PlatformDialect().upstream_headers(one, upstream('u1'), 2.5, 4)
+    assert dict(sent) == {
+        b'host': b'x',
+        b'x-attempt-id': b'r1',
+        b'x-model': b'm',
+        b'x-deadline-ms': b'2500',
+        b'x-expect-instance': b'u1',
+        b'last-event-id': b'4',
+    }
+
+
+def test_a_request_without_id_is_refused() -> None:
+    with pytest.raises(RefusedError):
+        PlatformDialect().read_call(_head('GET', '/'), b'', 0)
+    assert call('r1').id == 'r1'
+
+
+@pytest.mark.parametrize(
+    ('status', 'fields', 'genuine', 'not_run'),
+    [
+        (200, [('X-Server-Stamp', 's')], True, False),
+        (200, [], False, False),
+        (
+            200,
+            [('X-Server-Stamp', 's'), ('Content-Encoding', 'gzip')],
+            False,
+            False,
+        ),
+        (503, [('X-Not-Executed', '1')], True, True),
+        (503, [], True, False),
+        (421, [], True, True),
+        (500, [('X-Server-Stamp', 's')], True, False),
+    ],
+)
+def test_only_a_genuine_success_is_passed_on(
+    status: int,
+    fields: list[tuple[str, str]],
+    genuine: bool,
+    not_run: bool,
+) -> None:
+    head = h11.Response(status_code=status, headers=fields)
+    reply = PlatformDialect().read_reply(head)
+    assert (reply.genuine, reply.not_run) == (genuine, not_run)
+
+
+def test_a_refusal_says_when_to_come_back() -> None:
+    refusal = Refusal(OVERLOADED, 'full', 0.25)
+    status, headers, body = PlatformDialect().write_refusal(refusal)
+    assert (status, dict(headers)[b'retry-after']) == (429, b'0.25')
+    assert b'"run":"not run"' in body
--- /dev/null
+++ b/tests/gateway/test_logsink.py
@@ -0,0 +1,53 @@
+"""A log that nobody reads never blocks, and says what it dropped."""
+
+import asyncio
+import os
+from datetime import UTC, datetime
+from typing import Any
+
+import msgspec
+
+from gentiantrestle.logsink import MAX_BUFFER, LineSink
+
+LINE = 'x' * 1000
+LINES = 3 * MAX_BUFFER // len(LINE)
+
+
+class _Level:
+    name = 'INFO'
+
+
+class _Message:
+    def __init__(self, text: str) -> None:
+        self.record: dict[str, Any] = {
+            'time': datetime.now(UTC),
+            'level': _Level,
+            'message': text,
+            'extra': {'request': 'r1'},
+        }
+
+
+async def test_an_unread_pipe_costs_lines_and_not_time() -> None:
+    reader, writer = os.pipe()
+    sink = LineSink(writer)
+    for _ in range(LINES):
+        sink(_Message(LINE))
+    assert sink.dropped > 0
+    os.set_blocking(reader, False)
+    raw = bytearray()
+    while sink.dropped:
+        raw += _read(reader)
+        await asyncio.sleep(0)
+    raw += _read(reader)
+    first = msgspec.json.decode(raw.splitlines()[0])
+    assert (first['message'], first['request']) == (LINE, 'r1')
+    asyncio.get_running_loop().remove_writer(writer)
+    os.close(reader)
+    os.close(writer)
+
+
+def _read(reader: int) -> bytes:
+    try:
+        return os.read(reader, 1 << 20)
+    except BlockingIOError:
+        return b''
--- a/tests/gateway/test_processes.py
+++ b/tests/gateway/test_processes.py
@@ -10,6 +10,7 @@
 import pytest
 
 from gentiantrestle.http.client import LostError
+from gentiantrestle.models import Address
 from standins.upstream import event
 from tests.gateway.fleet import GatewayFleet, route, routes
 from tests.utils.http import send, send_raw, until
@@ -353,3 +354,30 @@
     assert lines[1]['step'] == 'cut'
     assert lines[1]['upstream'] in {'u-0', 'u-1'}
     assert lines[2]['version'] == 1
+
+
+async def test_metrics_count_requests_and_their_time(
+    fleet: GatewayFleet,
+) -> None:
+    await fleet.ask(0, 'r1', '/get/1', method='GET')
+    page = await send(Address(fleet.hosts[0], 9464), 'GET', '/metrics')
+    text = page.body.decode()
+    assert 'gateway_requests_total{' in text
+    assert 'outcome="done"' in text
+    assert 'gateway_request_seconds_bucket' in text
+    assert 'gentiantrestle_gateway_store_connected' in text
+
+
+async def test_a_stopped_instance_is_not_ready_while_it_serves(
+    fleet: GatewayFleet,
+) -> None:
+    assert await fleet.is_ready(0)
+    stopped = asyncio.create_task(fleet.entries[0].end(signal.SIGTERM))
+    await until(lambda: not_ready(fleet, 0))
+    assert (await fleet.ask(0, 'r1', '/get/1', method='GET')).status == 200
+    assert await stopped == 0
+
+
+async def not_ready(fleet: GatewayFleet, entry: int) -> bool:
+    """Tell whether an entry says that callers may not come."""
+    return not await fleet.is_ready(entry)
