--- a/tests/gateway/test_processes.py
+++ b/tests/gateway/test_processes.py
@@ -381,3 +381,20 @@
 async def not_ready(fleet: GatewayFleet, entry: int) -> bool:
     """Tell whether an entry says that callers may not come."""
     return not await fleet.is_ready(entry)
+
+
+async def test_a_caller_that_leaves_before_the_answer_is_noticed(
+    fleet: GatewayFleet,
+) -> None:
+    for number in range(UPSTREAMS):
+        await fleet.harm(number, silent=20)
+    _, writer = await asyncio.open_connection(*fleet.address(0))
+    writer.write(
+        b'POST /once/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: r1\r\n'
+        b'Content-Length: 2\r\n\r\n{}'
+    )
+    await until(fleet.runs)
+    writer.close()
+    # Far below the deadline of 5 s, at which the request would end anyway.
+    lines = await until(lambda: ended(fleet, 0, 'r1'), timeout=2)
+    assert [line['outcome'] for line in lines] == ['left']
