An instance that has just started takes no job of others for abandoned

Its logs show the cause: the third entry had started 80 ms before and had heard of nobody, so it took the acceptor for dead (6103) and ran the item too. Ruled out: load (the acceptor's news came in time; the entry had not heard any yet). Change: others' jobs are left alone for the time in which a living instance is heard. The new test fails without it.

--- a/gentiantrestle/gateway/batch/duty.py
+++ b/gentiantrestle/gateway/batch/duty.py
@@ -11,6 +11,7 @@
 
 from gentiantrestle.daemon.membership.rendezvous import owner
 from gentiantrestle.gateway.batch.book import Entry
+from gentiantrestle.gateway.fellows import SILENCE
 from gentiantrestle.gateway.model import ItemSpec, Route
 
 # An item with less time to spare than this is not cut for a request: the
@@ -82,8 +83,21 @@
     return owner(entry.job.id, alive)
 
 
-def runs_here(entry: Entry, instance: str, alive: Iterable[str]) -> bool:
-    """Tell whether this instance runs a job."""
+def runs_here(
+    entry: Entry,
+    instance: str,
+    alive: Iterable[str],
+    age: float,
+) -> bool:
+    """Tell whether this instance, started ``age`` s ago, runs a job.
+
+    One that has just started has not heard of the others yet, and takes none
+    of their jobs for abandoned.
+    """
+    if entry.job.acceptor == instance:
+        return True
+    if age < SILENCE:
+        return False
     return runner_of(entry, (*alive, instance)) == instance
 
 
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -38,6 +38,7 @@
         """Run nothing yet; ``alive`` lists the living runs of instances."""
         self._parts = parts
         self._instance = instance
+        self._began = parts.clock.now()
         self.alive: Callable[[], Iterable[str]] = tuple
         self.table = RunTable(parts, self._note_end)
         self._lister = Lister(parts.keeper)
@@ -64,7 +65,8 @@
 
     def is_own(self, entry: Entry) -> bool:
         """Tell whether this instance runs a job."""
-        return runs_here(entry, self._instance, self.alive())
+        age = self._parts.clock.now() - self._began
+        return runs_here(entry, self._instance, self.alive(), age)
 
     async def stop(self) -> None:
         """Cut the items and list what is finished."""
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -12,11 +12,14 @@
 
 from gentiantrestle.http.client import LostError, NotSentError
 from gentiantrestle.models import Address
+from tests.gateway.wire import ask_raw
+from tests.gateway.written import ROUTE_HOST, SERVICE, routes
 from tests.utils.http import Reply, send, until
 from tests.utils.ports import HOST, free_ports, worker_number
 
-ROUTE_HOST = 'shop.example'
-SERVICE = 'engines'
+ENTRIES = 3
+ENDED = 5104  # the event that ends a request
+UPSTREAMS = 2
 UNREACHABLE = (NotSentError, LostError)
 SETTINGS = """
 node-name = "{name}"
@@ -185,6 +188,14 @@
             found += (await send(address, 'GET', '/runs')).json()
         return found
 
+    def ended(self, entry: int, request_id: str) -> list[dict[str, Any]]:
+        """Return the lines in which an entry says how a request ended."""
+        return [
+            line
+            for line in self.entries[entry].lines()
+            if line.get('request') == request_id and line['code'] == ENDED
+        ]
+
     async def register(self, number: int, state: str = 'ready') -> None:
         """Write an upstream's entry as it does itself."""
         entry = {
@@ -235,92 +246,3 @@
         child = Child(self.folder / f'{kind}-{address.port}.log')
         await child.start('standins.core', kind, str(address.port), *words)
         self._standins.append(child)
-
-
-def route(**changes: Any) -> dict[str, Any]:
-    """Return a route as the operator writes it."""
-    plain = {
-        'name': 'chat',
-        'hostname': ROUTE_HOST,
-        'path-prefix': '/chat/',
-        'route-kind': 'streaming',
-        'timeout-ms': 5000,
-        'latency-target-ms': 300,
-        'priority': 0,
-        'service': SERVICE,
-        'max-attempts': 2,
-        'resumable': True,
-    }
-    return plain | {
-        name.replace('_', '-'): told for name, told in changes.items()
-    }
-
-
-def routes() -> list[dict[str, Any]]:
-    """Return one route of each kind."""
-    return [
-        route(),
-        route(name='once', path_prefix='/once/', resumable=False),
-        route(name='get', path_prefix='/get/', route_kind='safe'),
-        route(name='pay', path_prefix='/pay/', route_kind='unsafe'),
-        route(
-            name='lists',
-            path_prefix='/lists/',
-            route_kind='batch',
-            max_attempts=3,
-            completion_target_ms=18000,
-            retention_s=60,
-            max_count=0,
-        ),
-    ]
-
-
-async def ask_raw(
-    address: Address,
-    method: str,
-    path: str,
-    body: Any,
-    headers: dict[str, str],
-) -> Reply:
-    """Send a request with exactly these fields; read the whole answer."""
-    payload = b'' if body is None else msgspec.json.encode(body)
-    lines = [f'{method} {path} HTTP/1.1']
-    lines += [f'{name}: {text}' for name, text in headers.items()]
-    lines += [f'Content-Length: {len(payload)}', 'Connection: close', '', '']
-    reader, writer = await asyncio.open_connection(*address)
-    try:
-        writer.write('\r\n'.join(lines).encode() + payload)
-        raw = await reader.read()
-    except ConnectionError as exc:
-        raise LostError(repr(exc)) from exc
-    finally:
-        writer.close()
-    return parse_reply(raw)
-
-
-def parse_reply(raw: bytes) -> Reply:
-    """Parse a whole answer; raise ``LostError`` where it was cut."""
-    head, separator, rest = raw.partition(b'\r\n\r\n')
-    if not separator:
-        raise LostError('no answer')
-    lines = head.decode('latin-1').split('\r\n')
-    fields = dict(line.lower().split(': ', 1) for line in lines[1:])
-    body = rest
-    if fields.get('transfer-encoding') == 'chunked':
-        body = _join_chunks(rest)
-    elif len(rest) < int(fields.get('content-length', '0')):
-        raise LostError('cut')
-    return Reply(int(lines[0].split()[1]), fields, body)
-
-
-def _join_chunks(rest: bytes) -> bytes:
-    parts = []
-    while True:
-        size, separator, rest = rest.partition(b'\r\n')
-        if not separator:
-            raise LostError('cut')
-        length = int(size, 16)
-        if not length:
-            return b''.join(parts)
-        parts.append(rest[:length])
-        rest = rest[length + 2 :]
--- a/tests/gateway/test_adapter.py
+++ b/tests/gateway/test_adapter.py
@@ -17,8 +17,8 @@
 from gentiantrestle.platform.dialect import PlatformDialect
 from gentiantrestle.platform.documents import StoreDocuments
 from gentiantrestle.platform.settings import NodeSettings, SettingsError
-from tests.gateway.fleet import routes
 from tests.gateway.samples import call, upstream
+from tests.gateway.written import routes
 
 SETTINGS = {
     'node-name': 'edge-1',
--- a/tests/gateway/test_batch.py
+++ b/tests/gateway/test_batch.py
@@ -11,6 +11,7 @@
     is_abandoned,
     may_yield,
     runner_of,
+    runs_here,
     startable,
     yield_rank,
 )
@@ -25,6 +26,7 @@
     job_to_content,
     with_bodies,
 )
+from gentiantrestle.gateway.fellows import SILENCE
 from gentiantrestle.gateway.loads import BatchWaiting, LoadBoard, Told
 from gentiantrestle.gateway.model import ItemResult
 from gentiantrestle.gateway.ports import Stored
@@ -165,6 +167,15 @@
     assert runner_of(entry, ['three/1', 'one/2', 'two/1']) == chosen
 
 
+def test_one_that_has_just_started_takes_no_job_of_others() -> None:
+    book = Book()
+    entry = book.put(JobRecord(job(), Stored('job1', 1, {})))
+    assert runs_here(entry, 'one/1', [], 0)
+    assert not runs_here(entry, 'two/1', [], SILENCE / 2)
+    assert runs_here(entry, 'two/1', [], SILENCE)
+    assert not runs_here(entry, 'two/1', ['one/1'], SILENCE)
+
+
 def test_the_shortest_item_that_can_be_in_time_goes_first() -> None:
     book = Book()
     long = book.put(JobRecord(job('long'), Stored('long', 1, {})))
--- /dev/null
+++ b/tests/gateway/test_process_operations.py
@@ -0,0 +1,115 @@
+"""Configuration, discovery, planned stops, logs and metrics."""
+
+import asyncio
+import signal
+
+import pytest
+
+from gentiantrestle.http.client import LostError
+from gentiantrestle.models import Address
+from tests.gateway.fleet import ENTRIES, GatewayFleet
+from tests.gateway.written import route, routes, whole
+from tests.utils.http import send, until
+
+
+async def test_a_configuration_is_in_force_everywhere_and_stays(
+    fleet: GatewayFleet,
+) -> None:
+    await fleet.configure([*routes(), route(name='new', path_prefix='/new/')])
+    for number in range(ENTRIES):
+        await until(lambda one=number: serves(fleet, one, '/new/'))
+    await fleet.harm_store(down=True)
+    await fleet.entries[0].end()
+    await fleet.start_entry(0)
+    await until(lambda: fleet.is_ready(0))
+    assert await serves(fleet, 0, '/new/')
+
+
+async def serves(fleet: GatewayFleet, entry: int, path: str) -> bool:
+    """Tell whether an entry serves a path."""
+    reply = await fleet.ask(entry, f'r-{entry}', path, {'events': 1})
+    return reply.status == 200
+
+
+def heard_draining(fleet: GatewayFleet, entry: int) -> bool:
+    """Tell whether an entry has heard of an upstream that leaves."""
+    return any(
+        line.get('draining') == 1 for line in fleet.entries[entry].lines()
+    )
+
+
+async def test_a_leaving_upstream_gets_no_new_work(
+    fleet: GatewayFleet,
+) -> None:
+    await fleet.register(0, 'draining')
+    await until(lambda: heard_draining(fleet, 0))
+    for number in range(6):
+        await fleet.ask(0, f'r{number}', '/get/1', method='GET')
+    runs = (await send(fleet.upstreams[0], 'GET', '/runs')).json()
+    assert runs == []
+
+
+async def test_a_planned_stop_cuts_nothing(fleet: GatewayFleet) -> None:
+    stream = asyncio.create_task(
+        fleet.ask(0, 'r1', body={'events': 60, 'pause': 0.05})
+    )
+    await until(fleet.runs)
+    stopped = asyncio.create_task(fleet.entries[0].end(signal.SIGTERM))
+    late = await fleet.ask(0, 'r2', body={'events': 3})
+    assert late.body == whole('r2', 3)
+    assert (await stream).body == whole('r1', 60)
+    assert await stopped == 0
+
+
+async def test_a_dropped_history_loses_no_change(fleet: GatewayFleet) -> None:
+    await fleet.harm_store(compact=True)
+    await fleet.configure([*routes(), route(name='new', path_prefix='/new/')])
+    for number in range(ENTRIES):
+        await until(lambda one=number: serves(fleet, one, '/new/'))
+
+
+async def test_a_request_can_be_followed_through_the_log(
+    fleet: GatewayFleet,
+) -> None:
+    await fleet.harm(0, cut_after=2)
+    await fleet.harm(1, cut_after=2)
+    with pytest.raises(LostError):
+        await fleet.ask(0, 'r1', '/once/1', {'events': 9})
+    lines = await until(
+        lambda: [
+            line
+            for line in fleet.entries[0].lines()
+            if line.get('request') == 'r1' and fleet.ended(0, 'r1')
+        ]
+    )
+    assert [line['code'] for line in lines] == [5101, 5103, 5104]
+    assert lines[1]['step'] == 'cut'
+    assert lines[1]['upstream'] in {'u-0', 'u-1'}
+    assert lines[2]['version'] == 1
+
+
+async def test_metrics_count_requests_and_their_time(
+    fleet: GatewayFleet,
+) -> None:
+    await fleet.ask(0, 'r1', '/get/1', method='GET')
+    page = await send(Address(fleet.hosts[0], 9464), 'GET', '/metrics')
+    text = page.body.decode()
+    assert 'gateway_requests_total{' in text
+    assert 'outcome="done"' in text
+    assert 'gateway_request_seconds_bucket' in text
+    assert 'gentiantrestle_gateway_store_connected' in text
+
+
+async def test_a_stopped_instance_is_not_ready_while_it_serves(
+    fleet: GatewayFleet,
+) -> None:
+    assert await fleet.is_ready(0)
+    stopped = asyncio.create_task(fleet.entries[0].end(signal.SIGTERM))
+    await until(lambda: not_ready(fleet, 0))
+    assert (await fleet.ask(0, 'r1', '/get/1', method='GET')).status == 200
+    assert await stopped == 0
+
+
+async def not_ready(fleet: GatewayFleet, entry: int) -> bool:
+    """Tell whether an entry says that callers may not come."""
+    return not await fleet.is_ready(entry)
--- /dev/null
+++ b/tests/gateway/test_process_requests.py
@@ -0,0 +1,134 @@
+"""What callers get of real processes, with faults of the upstreams."""
+
+import asyncio
+
+import pytest
+
+from gentiantrestle.http.client import LostError
+from tests.gateway.fleet import UPSTREAMS, GatewayFleet
+from tests.gateway.written import whole
+from tests.utils.http import send_raw, until
+
+
+async def test_each_kind_of_request_is_served_whole(
+    fleet: GatewayFleet,
+) -> None:
+    stream = await fleet.ask(0, 'r1', body={'events': 20})
+    assert (stream.status, stream.body) == (200, whole('r1', 20))
+    assert stream.headers['x-server-stamp'] == 'stamp'
+    plain = await fleet.ask(1, 'r2', '/get/a?b=c', method='GET')
+    assert (plain.status, plain.body) == (200, b'plain')
+    unknown = await fleet.ask(2, 'r3', '/none/')
+    assert unknown.status == 404
+    assert {run['id'] for run in await fleet.runs()} == {'r1', 'r2'}
+
+
+async def test_a_cut_stream_goes_on_elsewhere_without_a_seam(
+    fleet: GatewayFleet,
+) -> None:
+    for number in range(UPSTREAMS):
+        await fleet.harm(number, cut_after=7)
+    reply = await fleet.ask(0, 'r1', body={'events': 14})
+    assert reply.body == whole('r1', 14)
+    runs = await fleet.runs()
+    assert sorted(run['last'] for run in runs) == [0, 7]
+
+
+async def test_a_stream_that_runs_once_is_cut_and_not_run_again(
+    fleet: GatewayFleet,
+) -> None:
+    for number in range(UPSTREAMS):
+        await fleet.harm(number, cut_after=3)
+    with pytest.raises(LostError):
+        await fleet.ask(0, 'r1', '/once/1', {'events': 9})
+    assert len(await fleet.runs()) == 1
+
+
+async def test_an_answer_of_another_request_is_not_passed_on(
+    fleet: GatewayFleet,
+) -> None:
+    for number in range(UPSTREAMS):
+        await fleet.harm(number, answer_as='other')
+    reply = await fleet.ask(0, 'r1', '/pay/1', {})
+    assert reply.status == 502
+    assert len(await fleet.runs()) == 1
+
+
+async def test_a_refusal_says_not_run_only_if_it_was_not(
+    fleet: GatewayFleet,
+) -> None:
+    for number in range(UPSTREAMS):
+        await fleet.harm(number, shed=True)
+    reply = await fleet.ask(0, 'r1', '/pay/1', {})
+    assert reply.status in {429, 503}
+    assert float(reply.headers['retry-after']) > 0
+    assert await fleet.runs() == []
+
+
+async def test_a_caller_that_leaves_ends_the_run(fleet: GatewayFleet) -> None:
+    _, writer = await asyncio.open_connection(*fleet.address(0))
+    writer.write(
+        b'POST /chat/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: r1\r\n'
+        b'Content-Length: 28\r\n\r\n{"events":500,"pause": 0.05}'
+    )
+    await until(fleet.runs)
+    writer.close()
+    placed = [
+        line
+        for line in await until(lambda: fleet.ended(0, 'r1'))
+        if line['outcome'] == 'left'
+    ]
+    assert len(placed) == 1
+    assert not (await fleet.runs())[0]['done']
+
+
+TWO_LENGTHS = b"""GET /get/1 HTTP/1.1\r
+Host: shop.example\r
+Content-Length: 3\r
+Transfer-Encoding: chunked\r
+\r
+0\r
+\r
+GET /get/2 HTTP/1.1\r
+"""
+
+
+NEGATIVE_LENGTH = b"""GET /get/1 HTTP/1.1\r
+Host: shop.example\r
+Content-Length: -3\r
+\r
+"""
+
+
+@pytest.mark.parametrize(
+    'raw', [TWO_LENGTHS, NEGATIVE_LENGTH, b'no http at all\r\n\r\n']
+)
+async def test_what_is_not_one_request_is_refused_and_closed(
+    fleet: GatewayFleet, raw: bytes
+) -> None:
+    answer = await send_raw(fleet.address(0), raw)
+    assert answer.startswith(b'HTTP/1.1 400')
+    assert answer.count(b'HTTP/1.1') == 1
+    assert await fleet.runs() == []
+
+
+async def test_a_slow_header_is_refused_in_time(fleet: GatewayFleet) -> None:
+    answer = await send_raw(fleet.address(0), b'GET /get/1 HTTP/1.1\r\nHo')
+    assert answer.startswith(b'HTTP/1.1 408')
+
+
+async def test_a_caller_that_leaves_before_the_answer_is_noticed(
+    fleet: GatewayFleet,
+) -> None:
+    for number in range(UPSTREAMS):
+        await fleet.harm(number, silent=20)
+    _, writer = await asyncio.open_connection(*fleet.address(0))
+    writer.write(
+        b'POST /once/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: r1\r\n'
+        b'Content-Length: 2\r\n\r\n{}'
+    )
+    await until(fleet.runs)
+    writer.close()
+    # Far below the deadline of 5 s, at which the request would end anyway.
+    lines = await until(lambda: fleet.ended(0, 'r1'), timeout=2)
+    assert [line['outcome'] for line in lines] == ['left']
--- /dev/null
+++ b/tests/gateway/wire.py
@@ -0,0 +1,61 @@
+"""Requests with exactly the bytes that a caller sends."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+
+from gentiantrestle.http.client import LostError
+from gentiantrestle.models import Address
+from tests.utils.http import Reply
+
+
+async def ask_raw(
+    address: Address,
+    method: str,
+    path: str,
+    body: Any,
+    headers: dict[str, str],
+) -> Reply:
+    """Send a request with exactly these fields; read the whole answer."""
+    payload = b'' if body is None else msgspec.json.encode(body)
+    lines = [f'{method} {path} HTTP/1.1']
+    lines += [f'{name}: {text}' for name, text in headers.items()]
+    lines += [f'Content-Length: {len(payload)}', 'Connection: close', '', '']
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        writer.write('\r\n'.join(lines).encode() + payload)
+        raw = await reader.read()
+    except ConnectionError as exc:
+        raise LostError(repr(exc)) from exc
+    finally:
+        writer.close()
+    return parse_reply(raw)
+
+
+def parse_reply(raw: bytes) -> Reply:
+    """Parse a whole answer; raise ``LostError`` where it was cut."""
+    head, separator, rest = raw.partition(b'\r\n\r\n')
+    if not separator:
+        raise LostError('no answer')
+    lines = head.decode('latin-1').split('\r\n')
+    fields = dict(line.lower().split(': ', 1) for line in lines[1:])
+    body = rest
+    if fields.get('transfer-encoding') == 'chunked':
+        body = _join_chunks(rest)
+    elif len(rest) < int(fields.get('content-length', '0')):
+        raise LostError('cut')
+    return Reply(int(lines[0].split()[1]), fields, body)
+
+
+def _join_chunks(rest: bytes) -> bytes:
+    parts = []
+    while True:
+        size, separator, rest = rest.partition(b'\r\n')
+        if not separator:
+            raise LostError('cut')
+        length = int(size, 16)
+        if not length:
+            return b''.join(parts)
+        parts.append(rest[:length])
+        rest = rest[length + 2 :]
