--- a/gentiantrestle/gateway/gate.py
+++ b/gentiantrestle/gateway/admission.py
@@ -9,14 +9,14 @@
 from gentiantrestle.gateway.loads import LoadBoard
 from gentiantrestle.gateway.model import Call, Route, Upstream
 from gentiantrestle.gateway.placement import Placement
-from gentiantrestle.gateway.roster import Roster
-from gentiantrestle.gateway.waiting import (
+from gentiantrestle.gateway.queueing import (
+    AdmissionQueue,
     HoldTime,
     Ticket,
-    WaitingLine,
-    patience,
     retry_after,
+    wait_rule,
 )
+from gentiantrestle.gateway.roster import Roster
 
 # Plain services queue well on their own; an entry adds this much per slot.
 PLAIN_QUEUE_FACTOR = 2
@@ -40,8 +40,8 @@
     excluded: frozenset[str] = frozenset()
 
 
-class Gate:
-    """Slots of all upstreams, and a waiting line before each service."""
+class Admission:
+    """Slots of all upstreams, and a waiting queue before each service."""
 
     def __init__(
         self,
@@ -50,12 +50,12 @@
         placement: Placement,
         now: Callable[[], float],
     ) -> None:
-        """Start with empty lines; batch work yields through ``preempt``."""
+        """Start with empty queues; batch work yields through ``preempt``."""
         self._roster = roster
         self._board = board
         self._placement = placement
         self._now = now
-        self._lines: dict[str, WaitingLine] = {}
+        self._queues: dict[str, AdmissionQueue] = {}
         self._futures: dict[str, asyncio.Future[Upstream]] = {}
         self._holds: dict[str, HoldTime] = {}
         # Has batch give a slot back on one of some upstreams; names it.
@@ -64,19 +64,19 @@
     @property
     def waiting(self) -> int:
         """Count the requests that wait here."""
-        return sum(len(line) for line in self._lines.values())
+        return sum(len(queue) for queue in self._queues.values())
 
     async def enter(self, wanted: Wanted) -> Lease:
         """Take a slot, waiting a little; raises ``RefusedError``."""
         now = self._now()
-        line = self._lines.setdefault(wanted.service, WaitingLine())
+        queue = self._queues.setdefault(wanted.service, AdmissionQueue())
         upstream = (
             None
-            if len(line)
+            if len(queue)
             else self._find(wanted.service, wanted.excluded, now)
         )
         if upstream is None:
-            upstream = await self._wait(wanted, line, now)
+            upstream = await self._wait(wanted, queue, now)
         self._board.add(upstream.id, online=1)
         self._log_placed(wanted, upstream, now)
         return Lease(upstream, self._now())
@@ -91,11 +91,11 @@
     def dispatch(self) -> None:
         """Hand free slots to waiting requests."""
         now = self._now()
-        for service, line in self._lines.items():
-            ticket = line.peek()
+        for service, queue in self._queues.items():
+            ticket = queue.peek()
             while ticket is not None and self._serve(service, ticket, now):
-                line.pop()
-                ticket = line.peek()
+                queue.pop()
+                ticket = queue.peek()
 
     def _serve(self, service: str, ticket: Ticket, now: float) -> bool:
         """Give a waiting request a slot; tell whether the next may try."""
@@ -132,14 +132,14 @@
     async def _wait(
         self,
         wanted: Wanted,
-        line: WaitingLine,
+        queue: AdmissionQueue,
         now: float,
     ) -> Upstream:
-        rule = patience(wanted.call, wanted.route, now)
-        expected = self._expected_wait(wanted.service, line, now)
+        rule = wait_rule(wanted.call, wanted.route, now)
+        expected = self._expected_wait(wanted.service, queue, now)
         if expected > rule.seconds:
             raise self._refusal(wanted, expected, now)
-        ticket = line.add(wanted.call, rule, wanted.route.priority, now)
+        ticket = queue.add(wanted.call, rule, wanted.route.priority, now)
         fut = asyncio.get_running_loop().create_future()
         self._futures[wanted.call.id] = fut
         try:
@@ -152,7 +152,7 @@
             raise
         finally:
             self._futures.pop(wanted.call.id, None)
-            line.remove(ticket)
+            queue.remove(ticket)
         self._board.add(upstream.id, online=-1)
         return upstream
 
@@ -165,14 +165,14 @@
     def _expected_wait(
         self,
         service: str,
-        line: WaitingLine,
+        queue: AdmissionQueue,
         now: float,
     ) -> float:
         found = self._roster.of_service(service, now)
         if not found:
             return NO_UPSTREAM_PAUSE
         slots = sum(upstream.slots for upstream in found)
-        ahead = len(line) + self._board.waiting(now)
+        ahead = len(queue) + self._board.waiting(now)
         return self._hold(service).expected_wait(ahead, slots)
 
     def _refusal(
--- a/gentiantrestle/gateway/assembly.py
+++ b/gentiantrestle/gateway/assembly.py
@@ -3,11 +3,11 @@
 import random
 from typing import NamedTuple
 
-from gentiantrestle.gateway.batch.book import Book
-from gentiantrestle.gateway.batch.keeper import Keeper
+from gentiantrestle.gateway.admission import Admission
+from gentiantrestle.gateway.batch.index import JobIndex
+from gentiantrestle.gateway.batch.job_store import JobStore
 from gentiantrestle.gateway.batch.parts import Clock, Parts
 from gentiantrestle.gateway.batch.runner import Runner
-from gentiantrestle.gateway.gate import Gate
 from gentiantrestle.gateway.loads import LoadBoard
 from gentiantrestle.gateway.placement import Placement, Site
 from gentiantrestle.gateway.ports import Adapter
@@ -31,7 +31,7 @@
     """What requests and items are placed and run with."""
 
     parts: Parts
-    gate: Gate
+    admission: Admission
     runner: Runner
 
 
@@ -45,10 +45,10 @@
     """Build the parts of the run of an instance; nothing runs yet."""
     rng = random.Random(run)
     board = LoadBoard()
-    book = Book()
+    index = JobIndex()
     parts = Parts(
-        book,
-        Keeper(adapter.store, book, rng, clock.now),
+        index,
+        JobStore(adapter.store, index, rng, clock.now),
         state.router,
         state.roster,
         board,
@@ -56,7 +56,7 @@
         adapter.dialect,
         clock,
     )
-    gate = Gate(state.roster, board, parts.placement, clock.now)
+    admission = Admission(state.roster, board, parts.placement, clock.now)
     runner = Runner(parts, run)
-    gate.preempt = runner.table.preempt
-    return Workplace(parts, gate, runner)
+    admission.preempt = runner.table.preempt
+    return Workplace(parts, admission, runner)
--- a/gentiantrestle/gateway/batch/desk.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -13,10 +13,10 @@
     UPSTREAM_UNSURE,
     refuse,
 )
-from gentiantrestle.gateway.batch.book import Entry
-from gentiantrestle.gateway.batch.keeper import encoded_size
-from gentiantrestle.gateway.batch.knowledge import Knowledge
+from gentiantrestle.gateway.batch.index import JobEntry
+from gentiantrestle.gateway.batch.job_store import encoded_size
 from gentiantrestle.gateway.batch.parts import Parts
+from gentiantrestle.gateway.batch.reader import ResultReader
 from gentiantrestle.gateway.batch.runner import Runner
 from gentiantrestle.gateway.model import Call, Job, Route
 from gentiantrestle.gateway.ports import (
@@ -58,28 +58,28 @@
     version: int
 
 
-class Desk:
+class JobApi:
     """Answers calls on batch jobs at any instance."""
 
     def __init__(
         self,
         parts: Parts,
         runner: Runner,
-        knowledge: Knowledge,
+        reader: ResultReader,
         instance: str,
     ) -> None:
         """Accept jobs in the name of ``instance``, a run's name."""
-        self._book = parts.book
-        self._keeper = parts.keeper
+        self._index = parts.index
+        self._job_store = parts.job_store
         self._dialect = parts.dialect
         self._runner = runner
-        self._knowledge = knowledge
+        self._reader = reader
         self._instance = instance
         self.on_end: Callable[[str], None] = _ignore
 
     async def hand_in(self, call: Call, route: Route, terms: Terms) -> Answer:
         """Accept a job once; the store's yes comes before ours."""
-        if call.id in self._book.entries:
+        if call.id in self._index.entries:
             return _accepted()
         job = Job(
             call.id,
@@ -95,7 +95,7 @@
             raise refuse(TOO_LARGE, f'The job takes {size} bytes')
         await self._check_quota(job, route)
         try:
-            new = await self._keeper.accept(job)
+            new = await self._job_store.accept(job)
         except StoreUnavailableError as exc:
             raise refuse(STORE_UNAVAILABLE, str(exc), STORE_PAUSE) from exc
         except StoreUnsureError as exc:
@@ -132,7 +132,7 @@
     async def end(self, wanted: EndJob) -> Answer:
         """End a job for good."""
         try:
-            known = await self._keeper.end(wanted.job)
+            known = await self._job_store.end(wanted.job)
         except (StoreUnavailableError, StoreUnsureError) as exc:
             raise refuse(STORE_UNAVAILABLE, str(exc), STORE_PAUSE) from exc
         if not known:
@@ -142,20 +142,20 @@
         self._runner.wake()
         return Answer(OK, JSON_HEADERS, b'{}')
 
-    async def _find(self, job: str) -> Entry:
+    async def _find(self, job: str) -> JobEntry:
         try:
-            entry = await self._keeper.find(job)
+            entry = await self._job_store.find(job)
         except StoreUnavailableError as exc:
             raise refuse(STORE_UNAVAILABLE, str(exc), STORE_PAUSE) from exc
         if entry is None:
             raise refuse(NOT_FOUND, 'No such job')
         return entry
 
-    async def _body(self, entry: Entry, wanted: str) -> bytes | None:
+    async def _body(self, entry: JobEntry, wanted: str) -> bytes | None:
         """Return an item's body; the store keeps those not needed here."""
         kept = entry.has_bodies
         try:
-            await self._keeper.load(entry)
+            await self._job_store.load(entry)
         except StoreUnavailableError as exc:
             raise refuse(STORE_UNAVAILABLE, str(exc), STORE_PAUSE) from exc
         found = entry.body(wanted)
@@ -163,7 +163,9 @@
             entry.drop_bodies()
         return found
 
-    async def _await_results(self, entry: Entry, wanted: ReadResults) -> None:
+    async def _await_results(
+        self, entry: JobEntry, wanted: ReadResults
+    ) -> None:
         """Wait until a result is known after the position, or time is up."""
         loop = asyncio.get_running_loop()
         until = loop.time() + wanted.wait
@@ -171,12 +173,12 @@
             await self._look(entry)
             if len(entry.results) > wanted.after or loop.time() >= until:
                 return
-            sure = self._knowledge.is_sure(entry)
+            sure = self._reader.is_sure(entry)
             await asyncio.sleep(WAIT_STEP if sure else POLL_TIME)
 
-    async def _look(self, entry: Entry) -> None:
+    async def _look(self, entry: JobEntry) -> None:
         try:
-            await self._knowledge.look(entry)
+            await self._reader.look(entry)
         except StoreUnavailableError as exc:
             raise refuse(STORE_UNAVAILABLE, str(exc), STORE_PAUSE) from exc
 
@@ -193,7 +195,7 @@
         await self._relist()
         if self._fits(job, route):
             return
-        for entry in self._book.open_entries():
+        for entry in self._index.open_entries():
             await self._look(entry)
         if self._fits(job, route):
             return
@@ -203,12 +205,12 @@
 
     async def _relist(self) -> None:
         try:
-            await self._keeper.relist()
+            await self._job_store.relist()
         except StoreUnavailableError as exc:
             raise refuse(STORE_UNAVAILABLE, str(exc), STORE_PAUSE) from exc
 
     def _fits(self, job: Job, route: Route, share: float = 1.0) -> bool:
-        waiting = self._book.waiting_tokens(job.host, route.prefix)
+        waiting = self._index.waiting_tokens(job.host, route.prefix)
         return waiting + job.tokens <= route.max_tokens * share
 
 
--- a/gentiantrestle/gateway/batch/book.py
+++ b/gentiantrestle/gateway/batch/index.py
@@ -6,7 +6,7 @@
 from gentiantrestle.gateway.model import ItemResult, ItemSpec, Job
 
 
-class Entry:
+class JobEntry:
     """One job and the parts of its results that the store holds."""
 
     def __init__(self, record: JobRecord) -> None:
@@ -96,25 +96,25 @@
         return sum(spec.tokens for spec in self.unlisted())
 
 
-class Book:
+class JobIndex:
     """All jobs by id."""
 
     def __init__(self) -> None:
         """Start empty."""
-        self.entries: dict[str, Entry] = {}
+        self.entries: dict[str, JobEntry] = {}
 
-    def put(self, record: JobRecord) -> Entry:
+    def put(self, record: JobRecord) -> JobEntry:
         """Take in a job as the store holds it."""
         entry = self.entries.get(record.job.id)
         if entry is None:
-            entry = Entry(record)
+            entry = JobEntry(record)
             self.entries[record.job.id] = entry
             return entry
         if record.stored.revision >= entry.stored.revision:
             entry.update(record)
         return entry
 
-    def open_entries(self) -> list[Entry]:
+    def open_entries(self) -> list[JobEntry]:
         """List the jobs whose items may still be run."""
         return [entry for entry in self.entries.values() if entry.open]
 
--- a/gentiantrestle/gateway/batch/item.py
+++ b/gentiantrestle/gateway/batch/item.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from gentiantrestle import events
-from gentiantrestle.gateway.batch.book import Entry
+from gentiantrestle.gateway.batch.index import JobEntry
 from gentiantrestle.gateway.model import ItemResult, ItemSpec, Upstream
 from gentiantrestle.gateway.placement import Placement
 from gentiantrestle.gateway.ports import Dialect, Reply
@@ -31,7 +31,7 @@
 class ItemRun:
     """An item's text so far; it outlives the runs that are cut."""
 
-    def __init__(self, entry: Entry, spec: ItemSpec, attempts: int) -> None:
+    def __init__(self, entry: JobEntry, spec: ItemSpec, attempts: int) -> None:
         """Allow ``attempts`` answers that say the run failed."""
         self.entry = entry
         self.spec = spec
--- a/gentiantrestle/gateway/batch/keeper.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from gentiantrestle import events
-from gentiantrestle.gateway.batch.book import Book, Entry
+from gentiantrestle.gateway.batch.index import JobEntry, JobIndex
 from gentiantrestle.gateway.batch.records import (
     BODY_KIND,
     DONE,
@@ -43,30 +43,30 @@
         self.at = float('-inf')
 
 
-class Keeper:
-    """Reads and writes jobs; the book holds what the store has."""
+class JobStore:
+    """Reads and writes jobs; the index holds what the store has."""
 
     def __init__(
         self,
         store: ObjectStore,
-        book: Book,
+        index: JobIndex,
         rng: random.Random,
         now: Callable[[], float],
     ) -> None:
-        """Write through ``store``; note in ``book`` what was settled."""
+        """Write through ``store``; note in ``index`` what was settled."""
         self._now = now
         self._looks: dict[str, _Look] = {}
         self._store = store
-        self._book = book
+        self._index = index
         self._rng = rng
 
-    def note(self, stored: Stored) -> Entry | None:
+    def note(self, stored: Stored) -> JobEntry | None:
         """Take in a job's object; nothing where it can't be read."""
         if stored.deleted:
-            self._book.entries.pop(stored.name, None)
+            self._index.entries.pop(stored.name, None)
             return None
         try:
-            return self._book.put(job_from_stored(stored))
+            return self._index.put(job_from_stored(stored))
         except UNREADABLE as exc:
             events.emit(
                 events.ENTRY_UNREADABLE, name=stored.name, error=repr(exc)
@@ -91,7 +91,7 @@
             entry.sole = True
         return new
 
-    async def load(self, entry: Entry) -> None:
+    async def load(self, entry: JobEntry) -> None:
         """Read a job's bodies, if they aren't known here."""
         if entry.has_bodies:
             return
@@ -115,9 +115,9 @@
         for stored in found:
             self.note(stored)
 
-    async def find(self, job: str) -> Entry | None:
+    async def find(self, job: str) -> JobEntry | None:
         """Return a job, from the store where it isn't known yet."""
-        known = self._book.entries.get(job)
+        known = self._index.entries.get(job)
         if known is not None:
             return known
         stored = await self._store.get(JOB_KIND, job)
@@ -137,7 +137,7 @@
         except (StoreUnavailableError, StoreUnsureError) as exc:
             events.emit(events.WRITE_FAILED, name=job, error=repr(exc))
 
-    async def refresh(self, entry: Entry) -> None:
+    async def refresh(self, entry: JobEntry) -> None:
         """Read the parts of a job's results that are new.
 
         Looks that come together, or soon after one another, are one.
@@ -152,7 +152,7 @@
 
     async def list_results(
         self,
-        entry: Entry,
+        entry: JobEntry,
         results: tuple[ItemResult, ...],
     ) -> None:
         """Give results the next positions, whatever it takes.
@@ -176,7 +176,7 @@
                 )
                 await asyncio.sleep(backoff.next_pause())
 
-    async def _read_chunks(self, entry: Entry) -> None:
+    async def _read_chunks(self, entry: JobEntry) -> None:
         while not entry.complete:
             name = chunk_name(entry.job.id, entry.chunks)
             stored = await self._store.get(RESULT_KIND, name)
@@ -190,14 +190,14 @@
 
     async def _write_chunk(
         self,
-        entry: Entry,
+        entry: JobEntry,
         results: tuple[ItemResult, ...],
     ) -> None:
-        index = entry.chunks
+        number = entry.chunks
         content = results_to_content(results)
-        name = chunk_name(entry.job.id, index)
+        name = chunk_name(entry.job.id, number)
         if await self._store.create(RESULT_KIND, name, content):
-            if entry.chunks == index:
+            if entry.chunks == number:
                 entry.append(results)
             return
         await self._read_chunks(entry)
@@ -211,7 +211,7 @@
                 break
             stored = await self._store.get(JOB_KIND, job)
         if stored is not None and state == ENDED:
-            self._book.end(job)
+            self._index.end(job)
         return stored is not None
 
     def _has_ended(self, stored: Stored) -> bool:
--- a/gentiantrestle/gateway/batch/parts.py
+++ b/gentiantrestle/gateway/batch/parts.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from gentiantrestle.gateway.batch.book import Book
-from gentiantrestle.gateway.batch.keeper import Keeper
+from gentiantrestle.gateway.batch.index import JobIndex
+from gentiantrestle.gateway.batch.job_store import JobStore
 from gentiantrestle.gateway.loads import LoadBoard
 from gentiantrestle.gateway.placement import Placement
 from gentiantrestle.gateway.ports import Dialect
@@ -22,8 +22,8 @@
 class Parts(NamedTuple):
     """What batch work is run with."""
 
-    book: Book
-    keeper: Keeper
+    index: JobIndex
+    job_store: JobStore
     router: Router
     roster: Roster
     board: LoadBoard
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -6,18 +6,18 @@
 from contextlib import suppress
 
 from gentiantrestle import events
-from gentiantrestle.gateway.batch.book import Entry
-from gentiantrestle.gateway.batch.duty import (
+from gentiantrestle.gateway.batch.index import JobEntry
+from gentiantrestle.gateway.batch.item import Finished, ItemRun
+from gentiantrestle.gateway.batch.parts import Parts
+from gentiantrestle.gateway.batch.scheduling import (
     Due,
     due_items,
     is_abandoned,
     runs_here,
     startable,
 )
-from gentiantrestle.gateway.batch.item import Finished, ItemRun
-from gentiantrestle.gateway.batch.listing import Lister
-from gentiantrestle.gateway.batch.parts import Parts
 from gentiantrestle.gateway.batch.table import RunTable
+from gentiantrestle.gateway.batch.writer import ResultWriter
 from gentiantrestle.gateway.loads import BatchWaiting
 from gentiantrestle.gateway.model import Route, Upstream
 from gentiantrestle.gateway.routing import choose_service
@@ -41,7 +41,7 @@
         self._began = parts.clock.now()
         self.alive: Callable[[], Iterable[str]] = tuple
         self.table = RunTable(parts, self._note_end)
-        self._lister = Lister(parts.keeper)
+        self._writer = ResultWriter(parts.job_store)
         self._paused: dict[str, float] = {}
         self._learning: set[str] = set()
         self._woken = asyncio.Event()
@@ -63,7 +63,7 @@
         """Look for work now."""
         self._woken.set()
 
-    def is_own(self, entry: Entry) -> bool:
+    def is_own(self, entry: JobEntry) -> bool:
         """Tell whether this instance runs a job."""
         age = self._parts.clock.now() - self._began
         return runs_here(entry, self._instance, self.alive(), age)
@@ -73,7 +73,7 @@
         self.stopping = True
         for item_id in self.table.ids():
             self.table.cut(item_id)
-        await self._lister.stop()
+        await self._writer.stop()
 
     def _round(self) -> None:
         now = self._parts.clock.now()
@@ -81,7 +81,7 @@
         self.table.yield_overload()
         mine = list(self._own_entries())
         self._give_up(mine)
-        busy = self.table.ids() | self._lister.held() | self._pausing(now)
+        busy = self.table.ids() | self._writer.held() | self._pausing(now)
         waiting = due_items(mine, busy, self.table.need)
         self.waiting = BatchWaiting()
         if waiting:
@@ -131,8 +131,8 @@
         free = sum(max(0, placement.free(one, now)) for one in fit)
         return startable(free, sum(one.slots for one in found), ahead)
 
-    def _own_entries(self) -> Iterator[tuple[Entry, Route | None]]:
-        for entry in self._parts.book.open_entries():
+    def _own_entries(self) -> Iterator[tuple[JobEntry, Route | None]]:
+        for entry in self._parts.index.open_entries():
             if not self.is_own(entry):
                 continue
             self._note_taken(entry)
@@ -144,30 +144,30 @@
                 self._parts.router.match(entry.job.host, entry.job.path),
             )
 
-    def _note_taken(self, entry: Entry) -> None:
+    def _note_taken(self, entry: JobEntry) -> None:
         run = entry.job.acceptor
         if run != self._instance and run not in self.taken:
             events.emit(events.JOBS_TAKEN, run=run)
             self.taken.append(run)
 
-    def _learn(self, entry: Entry) -> None:
+    def _learn(self, entry: JobEntry) -> None:
         """Read what others have listed before running another's job."""
         if entry.job.id not in self._learning:
             self._learning.add(entry.job.id)
             asyncio.create_task(self._read_listed(entry))
 
-    async def _read_listed(self, entry: Entry) -> None:
+    async def _read_listed(self, entry: JobEntry) -> None:
         try:
-            await self._parts.keeper.refresh(entry)
+            await self._parts.job_store.refresh(entry)
             if entry.open:
-                await self._parts.keeper.load(entry)
+                await self._parts.job_store.load(entry)
         except StoreUnavailableError as exc:
             events.emit(events.WRITE_FAILED, name=entry.job.id, error=repr(exc))
             await asyncio.sleep(ITEM_PAUSE)
         finally:
             self._learning.discard(entry.job.id)
         if entry.complete:
-            await self._parts.keeper.finish(entry.job.id)
+            await self._parts.job_store.finish(entry.job.id)
         self.wake()
 
     def _pausing(self, now: float) -> set[str]:
@@ -185,10 +185,10 @@
             self._paused[item_id] = self._parts.clock.now() + ITEM_PAUSE
             return
         self.table.forget(item_id)
-        self._lister.post(run.entry, ended.result)
+        self._writer.post(run.entry, ended.result)
         self.wake()
 
-    def _give_up(self, mine: list[tuple[Entry, Route | None]]) -> None:
+    def _give_up(self, mine: list[tuple[JobEntry, Route | None]]) -> None:
         """List items that nobody waits for, or that have no route any more."""
         wall = self._parts.clock.wall()
         version = self._parts.router.table.version
@@ -196,11 +196,11 @@
             if is_abandoned(entry, route, version, wall):
                 self._give_up_job(entry)
 
-    def _give_up_job(self, entry: Entry) -> None:
-        held = self._lister.held()
+    def _give_up_job(self, entry: JobEntry) -> None:
+        held = self._writer.held()
         for spec in tuple(entry.unlisted()):
             if spec.id in self.table.ids():
                 self.table.cut(spec.id)
             if spec.id not in held:
                 run = ItemRun(entry, spec, 0)
-                self._lister.post(entry, run.give_up('nobody waits for it'))
+                self._writer.post(entry, run.give_up('nobody waits for it'))
--- a/gentiantrestle/gateway/batch/duty.py
+++ b/gentiantrestle/gateway/batch/scheduling.py
@@ -10,9 +10,9 @@
 from typing import NamedTuple
 
 from gentiantrestle.daemon.membership.rendezvous import owner
-from gentiantrestle.gateway.batch.book import Entry
-from gentiantrestle.gateway.fellows import SILENCE
+from gentiantrestle.gateway.batch.index import JobEntry
 from gentiantrestle.gateway.model import ItemSpec, Route
+from gentiantrestle.gateway.peers import SILENCE
 
 # An item with less time to spare than this is not cut for a request: the
 # request would take about as long as the item has left.
@@ -31,7 +31,7 @@
 
     left: int
     spare: float
-    entry: Entry
+    entry: JobEntry
     spec: ItemSpec
 
     @property
@@ -71,7 +71,7 @@
         return max(0, int(tokens - spent / self.mean))
 
 
-def runner_of(entry: Entry, names: Iterable[str]) -> str | None:
+def runner_of(entry: JobEntry, names: Iterable[str]) -> str | None:
     """Name the instance that runs a job.
 
     The acceptor does while it lives; after it any instance may be chosen.
@@ -84,7 +84,7 @@
 
 
 def runs_here(
-    entry: Entry,
+    entry: JobEntry,
     instance: str,
     alive: Iterable[str],
     age: float,
@@ -125,7 +125,7 @@
 
 
 def is_abandoned(
-    entry: Entry,
+    entry: JobEntry,
     route: Route | None,
     version: int,
     wall: float,
@@ -144,9 +144,9 @@
 
 
 def due_items(
-    entries: Iterable[tuple[Entry, Route | None]],
+    entries: Iterable[tuple[JobEntry, Route | None]],
     busy: set[str],
-    need: Callable[[Entry, Route, ItemSpec], Need],
+    need: Callable[[JobEntry, Route, ItemSpec], Need],
 ) -> list[Due]:
     """List the items that wait, in the order in which they are started."""
     found = [
--- a/gentiantrestle/gateway/batch/table.py
+++ b/gentiantrestle/gateway/batch/table.py
@@ -5,16 +5,16 @@
 from typing import NamedTuple
 
 from gentiantrestle import events
-from gentiantrestle.gateway.batch.book import Entry
-from gentiantrestle.gateway.batch.duty import (
+from gentiantrestle.gateway.batch.index import JobEntry
+from gentiantrestle.gateway.batch.item import Finished, ItemRun
+from gentiantrestle.gateway.batch.parts import Parts
+from gentiantrestle.gateway.batch.scheduling import (
     Due,
     Need,
     Pace,
     may_yield,
     yield_rank,
 )
-from gentiantrestle.gateway.batch.item import Finished, ItemRun
-from gentiantrestle.gateway.batch.parts import Parts
 from gentiantrestle.gateway.model import ItemSpec, Route, Upstream
 
 
@@ -119,7 +119,7 @@
 
     def need(
         self,
-        entry: Entry,
+        entry: JobEntry,
         route: Route,
         spec: ItemSpec,
         running: float = 0,
--- a/gentiantrestle/gateway/entry.py
+++ b/gentiantrestle/gateway/entry.py
@@ -9,7 +9,7 @@
     RefusedError,
     refuse,
 )
-from gentiantrestle.gateway.batch.desk import Answer, Desk, Terms
+from gentiantrestle.gateway.batch.api import Answer, JobApi, Terms
 from gentiantrestle.gateway.batch.parts import Clock
 from gentiantrestle.gateway.callers import Exchange
 from gentiantrestle.gateway.forward import Forwarder
@@ -37,14 +37,14 @@
         self,
         router: Router,
         forwarder: Forwarder,
-        desk: Desk,
+        api: JobApi,
         dialect: Dialect,
         clock: Clock,
     ) -> None:
         """Answer by the configuration that ``router`` has in force."""
         self._router = router
         self._forwarder = forwarder
-        self._desk = desk
+        self._api = api
         self._dialect = dialect
         self._clock = clock
         self.measure: Callable[[str, str, float], None] = _ignore
@@ -71,10 +71,10 @@
 
     async def _operate(self, operation: Operation) -> Answer:
         if isinstance(operation, EndJob):
-            return await self._desk.end(operation)
+            return await self._api.end(operation)
         if isinstance(operation, ReadBody):
-            return await self._desk.body(operation)
-        return await self._desk.read(operation)
+            return await self._api.body(operation)
+        return await self._api.read(operation)
 
     def _find_route(self, call: Call) -> Route:
         if not self._router.known:
@@ -94,7 +94,7 @@
     ) -> str:
         if route.kind is RouteKind.BATCH and call.method == POST:
             terms = Terms(self._clock.wall(), self._router.table.version)
-            answer = await self._desk.hand_in(call, route, terms)
+            answer = await self._api.hand_in(call, route, terms)
             await _respond(exchange, answer)
             return 'accepted'
         left = call.deadline - call.received
--- a/gentiantrestle/gateway/forward.py
+++ b/gentiantrestle/gateway/forward.py
@@ -12,15 +12,15 @@
     RefusedError,
     refuse,
 )
+from gentiantrestle.gateway.admission import Admission, Lease, Wanted
 from gentiantrestle.gateway.callers import Exchange
-from gentiantrestle.gateway.gate import Gate, Lease, Wanted
 from gentiantrestle.gateway.model import Call, Route, RouteKind
 from gentiantrestle.gateway.placement import Placement
 from gentiantrestle.gateway.ports import Dialect, Reply
+from gentiantrestle.gateway.queueing import MIN_RETRY_AFTER, retry_after
 from gentiantrestle.gateway.sending import Message, Sending, SendLostError
 from gentiantrestle.gateway.sse import EventSplitter, OrderError
 from gentiantrestle.gateway.steps import Outcome, Progress, Step, next_step
-from gentiantrestle.gateway.waiting import MIN_RETRY_AFTER, retry_after
 from gentiantrestle.http.link import LinkRefusedError
 
 OK = 200
@@ -35,7 +35,7 @@
 class Means(NamedTuple):
     """What requests are forwarded with."""
 
-    gate: Gate
+    admission: Admission
     placement: Placement
     dialect: Dialect
     now: Callable[[], float]
@@ -62,7 +62,7 @@
     """Answers requests by way of upstreams."""
 
     def __init__(self, means: Means) -> None:
-        """Take slots from the gate and speak as the dialect says."""
+        """Take slots from the admission and speak as the dialect says."""
         self._means = means
 
     async def answer(
@@ -79,7 +79,7 @@
             try:
                 outcome = await run.attempt(lease)
             finally:
-                self._means.gate.leave(lease)
+                self._means.admission.leave(lease)
             left = call.deadline - self._means.now()
             step = next_step(outcome, run.progress(), left)
             events.emit(
@@ -123,7 +123,7 @@
         """Take a slot on an upstream that was not tried yet."""
         wanted = Wanted(self._call, self._route, service, self._tried)
         try:
-            lease = await self._means.gate.enter(wanted)
+            lease = await self._means.admission.enter(wanted)
         except RefusedError as exc:
             if self._exchange.begun:
                 self._exchange.cut()
--- a/gentiantrestle/gateway/gossip.py
+++ b/gentiantrestle/gateway/gossip.py
@@ -11,8 +11,8 @@
     decode,
     encode,
 )
-from gentiantrestle.gateway.fellows import Fellow, Fellows
 from gentiantrestle.gateway.loads import BatchWaiting, Load, LoadBoard, Told
+from gentiantrestle.gateway.peers import Peer, PeerList
 from gentiantrestle.models import Address
 from gentiantrestle.wire.peer import ttypes
 
@@ -81,14 +81,14 @@
     def __init__(
         self,
         identity: Identity,
-        fellows: Fellows,
+        peers: PeerList,
         board: LoadBoard,
         own: Callable[[], Own],
         now: Callable[[], float],
     ) -> None:
         """Tell what ``own`` returns; note others' loads on ``board``."""
         self._me = identity
-        self._fellows = fellows
+        self._peers = peers
         self._board = board
         self._own = own
         self._now = now
@@ -130,11 +130,11 @@
     def announce(self) -> None:
         """Tell the others now."""
         if self._transport is not None:
-            self._send(self._fellows.hosts(self._now()), self._own())
+            self._send(self._peers.hosts(self._now()), self._own())
 
     def _hear(self, pulse: ttypes.Pulse) -> None:
         now = self._now()
-        fellow = Fellow(
+        peer = Peer(
             pulse.instance,
             pulse.incarnation,
             pulse.number,
@@ -145,8 +145,8 @@
             pulse.store_reached,
             now,
         )
-        newcomer = self._fellows.hear(fellow)
-        self._fellows.learn_hosts(pulse.hosts or (), now)
+        newcomer = self._peers.hear(peer)
+        self._peers.learn_hosts(pulse.hosts or (), now)
         loads = {
             one.upstream: Load(one.online, one.batch) for one in pulse.loads
         }
@@ -159,14 +159,14 @@
             )
         if newcomer:
             events.emit(events.MEMBER_ALIVE, instance=pulse.instance)
-            hosts = self._fellows.hosts(now)[:MAX_HOSTS]
+            hosts = self._peers.hosts(now)[:MAX_HOSTS]
             self._send([pulse.host], self._own(), hosts)
         self.on_heard(Heard(tuple(pulse.ended), tuple(pulse.taken)))
 
     def _tell(self) -> None:
         """Tell the others what is new, those near more often."""
         now = self._now()
-        near, far = self._fellows.split_hosts(self._me.zone, now)
+        near, far = self._peers.split_hosts(self._me.zone, now)
         own = self._own()
         # The time to spare runs down all the while: that alone is no news.
         told = own._replace(batch=BatchWaiting(own.batch.count))
@@ -210,7 +210,7 @@
             self._transport.sendto(payload, (host, self._me.port))
 
     def _sweep(self) -> None:
-        for gone in self._fellows.sweep(self._now()):
+        for gone in self._peers.sweep(self._now()):
             events.emit(events.MEMBER_LOST, instance=gone.instance)
             self._board.forget(gone.instance)
 
@@ -219,6 +219,6 @@
     """Do nothing until something is set."""
 
 
-def peer_address(fellow: Fellow, port: int) -> Address:
+def peer_address(peer: Peer, port: int) -> Address:
     """Return where an instance answers calls; ports are the same on all."""
-    return Address(fellow.host, port)
+    return Address(peer.host, port)
--- a/gentiantrestle/gateway/peering.py
+++ b/gentiantrestle/gateway/peering.py
@@ -4,13 +4,13 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from gentiantrestle.gateway.batch.book import Book
-from gentiantrestle.gateway.batch.knowledge import Knowledge
+from gentiantrestle.gateway.admission import Admission
+from gentiantrestle.gateway.batch.index import JobIndex
+from gentiantrestle.gateway.batch.reader import ResultReader
 from gentiantrestle.gateway.batch.runner import Runner
-from gentiantrestle.gateway.fellows import Fellows
-from gentiantrestle.gateway.gate import Gate
 from gentiantrestle.gateway.gossip import Gossip, Heard, Identity, Own
 from gentiantrestle.gateway.loads import LoadBoard
+from gentiantrestle.gateway.peers import PeerList
 from gentiantrestle.gateway.relay import Reach, Relay
 from gentiantrestle.gateway.state import State
 from gentiantrestle.supervisor import Child
@@ -24,10 +24,10 @@
 
     state: State
     board: LoadBoard
-    gate: Gate
-    book: Book
+    admission: Admission
+    index: JobIndex
     runner: Runner
-    knowledge: Knowledge
+    reader: ResultReader
 
 
 class Peering:
@@ -36,7 +36,7 @@
     def __init__(
         self,
         identity: Identity,
-        fellows: Fellows,
+        peers: PeerList,
         work: Work,
         connected: Callable[[], bool],
         now: Callable[[], float],
@@ -48,16 +48,14 @@
         self._now = now
         self._ended: deque[str] = deque(maxlen=ENDED_TOLD)
         self._leaving = False
-        self._gossip = Gossip(identity, fellows, work.board, self._own, now)
+        self._gossip = Gossip(identity, peers, work.board, self._own, now)
         self._gossip.on_heard = self._hear
         reach = Reach(
             lambda: work.state.version, lambda: work.state.revision, connected
         )
-        self._relay = Relay(
-            work.state, fellows, work.book, reach, identity.port
-        )
-        self._relay.make_sure = work.knowledge.make_sure
-        work.knowledge.ask = self._relay.results
+        self._relay = Relay(work.state, peers, work.index, reach, identity.port)
+        self._relay.make_sure = work.reader.make_sure
+        work.reader.ask = self._relay.results
 
     def children(self) -> Iterator[Child]:
         """Pass on what the supervisor runs."""
@@ -79,7 +77,7 @@
             self._leaving,
             self._work.state.version,
             self._connected(),
-            self._work.gate.waiting,
+            self._work.admission.waiting,
             tuple(self._ended),
             tuple(self._work.runner.taken),
             self._work.runner.waiting,
@@ -87,8 +85,8 @@
 
     def _hear(self, heard: Heard) -> None:
         for run in heard.taken:
-            self._work.book.share(run)
+            self._work.index.share(run)
         for job in heard.ended:
-            self._work.book.end(job)
+            self._work.index.end(job)
         self._work.runner.table.yield_overload()
-        self._work.gate.dispatch()
+        self._work.admission.dispatch()
--- a/gentiantrestle/gateway/fellows.py
+++ b/gentiantrestle/gateway/peers.py
@@ -14,7 +14,7 @@
 SETTLE_TIME = 60.0  # seconds
 
 
-class Fellow(NamedTuple):
+class Peer(NamedTuple):
     """What one instance said of itself last, and when it was heard."""
 
     instance: str
@@ -37,19 +37,19 @@
         return now - self.heard < SILENCE
 
 
-class Fellows:
+class PeerList:
     """The other instances by name, and the hosts to tell."""
 
     def __init__(self, instance: str, host: str, seeds: Iterable[str]) -> None:
         """Know the seeds' hosts only."""
         self._instance = instance
         self._own_host = host
-        self._by_name: dict[str, Fellow] = {}
+        self._by_name: dict[str, Peer] = {}
         self._seeds = frozenset(seeds) - {host}
         self._hosts: dict[str, float] = {}
         self._lost: dict[str, float] = {}
 
-    def hear(self, told: Fellow) -> bool:
+    def hear(self, told: Peer) -> bool:
         """Take in what an instance says; tell whether it is a newcomer."""
         if told.instance == self._instance:
             return False
@@ -87,7 +87,7 @@
             [host for host in hosts if host not in near],
         )
 
-    def sweep(self, now: float) -> list[Fellow]:
+    def sweep(self, now: float) -> list[Peer]:
         """Drop and return the instances that have fallen silent."""
         silent = [one for one in self._by_name.values() if not one.fresh(now)]
         for one in silent:
@@ -108,13 +108,13 @@
             if one.fresh(now) and not one.leaving
         )
 
-    def find(self, run: str) -> Fellow | None:
+    def find(self, run: str) -> Peer | None:
         """Return a living instance by the name of its run."""
         return next(
             (one for one in self._by_name.values() if one.run == run), None
         )
 
-    def ahead(self, version: int, now: float) -> Fellow | None:
+    def ahead(self, version: int, now: float) -> Peer | None:
         """Return an instance with a newer configuration than ``version``."""
         newest = max(
             self._fresh(now),
@@ -125,11 +125,11 @@
             return None
         return newest
 
-    def with_store(self, now: float) -> list[Fellow]:
+    def with_store(self, now: float) -> list[Peer]:
         """List the instances that reach the store."""
         return [one for one in self._fresh(now) if one.store_reached]
 
-    def _fresh(self, now: float) -> list[Fellow]:
+    def _fresh(self, now: float) -> list[Peer]:
         return [one for one in self._by_name.values() if one.fresh(now)]
 
 
--- a/gentiantrestle/gateway/waiting.py
+++ b/gentiantrestle/gateway/queueing.py
@@ -24,21 +24,21 @@
 FIRST_HOLD = 0.5  # seconds a slot is assumed to be held before any was
 
 
-class Patience(NamedTuple):
+class WaitRule(NamedTuple):
     """How long one request may wait, and whether it came back."""
 
     seconds: float
     returned: bool
 
 
-def patience(call: Call, route: Route, now: float) -> Patience:
+def wait_rule(call: Call, route: Route, now: float) -> WaitRule:
     """Return how long a request may wait for a slot, in s."""
     left = call.deadline - now
     if call.returned:
-        return Patience(max(0, min(RETURNED_WAIT, left / 2)), returned=True)
+        return WaitRule(max(0, min(RETURNED_WAIT, left / 2)), returned=True)
     waited = now - call.received
     own = route.target * WAIT_SHARE - waited
-    return Patience(max(0, min(own, left / 2)), returned=False)
+    return WaitRule(max(0, min(own, left / 2)), returned=False)
 
 
 def retry_after(expected: float, call: Call, now: float) -> float:
@@ -71,7 +71,7 @@
     give_up: float
 
 
-class WaitingLine:
+class AdmissionQueue:
     """Requests that wait for one service, first those that came back."""
 
     def __init__(self) -> None:
@@ -85,7 +85,7 @@
         return len(self._heap) - len(self._left)
 
     def add(
-        self, call: Call, rule: Patience, priority: int, now: float
+        self, call: Call, rule: WaitRule, priority: int, now: float
     ) -> Ticket:
         """Queue a request behind those of its rank."""
         order = (int(not rule.returned), priority, next(self._numbers))
--- a/gentiantrestle/gateway/relay.py
+++ b/gentiantrestle/gateway/relay.py
@@ -13,10 +13,10 @@
     PeerError,
     PeerServer,
 )
-from gentiantrestle.gateway.batch.book import Book, Entry
-from gentiantrestle.gateway.fellows import Fellow, Fellows
+from gentiantrestle.gateway.batch.index import JobEntry, JobIndex
 from gentiantrestle.gateway.gossip import peer_address
 from gentiantrestle.gateway.model import ItemResult
+from gentiantrestle.gateway.peers import Peer, PeerList
 from gentiantrestle.gateway.ports import Stored
 from gentiantrestle.gateway.state import State
 from gentiantrestle.models import Address
@@ -45,22 +45,22 @@
     def __init__(
         self,
         state: State,
-        fellows: Fellows,
-        book: Book,
+        peers: PeerList,
+        index: JobIndex,
         reach: Reach,
         port: int,
     ) -> None:
         """Call the others at ``port``, which is the same on all hosts."""
         self._state = state
-        self._fellows = fellows
-        self._book = book
+        self._peers = peers
+        self._index = index
         self._reach = reach
         self._port = port
         self._client = PeerClient()
         self._server = PeerServer(self._answer)
         self._behind_since: float | None = None
         self._copied_at = float(0)
-        self.make_sure: Callable[[Entry], Awaitable[bool]] = _never
+        self.make_sure: Callable[[JobEntry], Awaitable[bool]] = _never
 
     async def serve(self, host: str) -> None:
         """Answer the other instances until cancelled."""
@@ -69,19 +69,19 @@
     async def run(self, now: Callable[[], float]) -> None:
         """Keep up with the others while the store is out of reach."""
         while True:
-            fellow = self._choose(now())
-            if fellow is not None:
-                await self._copy(fellow)
+            peer = self._choose(now())
+            if peer is not None:
+                await self._copy(peer)
             await asyncio.sleep(ROUND_TIME)
 
-    async def results(self, fellow: Fellow, entry: Entry) -> bool:
+    async def results(self, peer: Peer, entry: JobEntry) -> bool:
         """Read a job's new results from its runner; False if it can't say."""
         asked = ttypes.ResultsRequest(entry.job.id, len(entry.results))
         try:
-            told = (await self._call(fellow, results_request=asked)).results
+            told = (await self._call(peer, results_request=asked)).results
         except PeerError as exc:
             events.emit(
-                events.PEER_FAILED, instance=fellow.instance, error=repr(exc)
+                events.PEER_FAILED, instance=peer.instance, error=repr(exc)
             )
             return False
         if told is None or not told.known:
@@ -94,9 +94,9 @@
             entry.take_over(rows, told.chunks)
         return True
 
-    def _choose(self, now: float) -> Fellow | None:
+    def _choose(self, now: float) -> Peer | None:
         """Decide whom to copy from, if this instance has fallen behind."""
-        ahead = self._fellows.ahead(self._reach.version(), now)
+        ahead = self._peers.ahead(self._reach.version(), now)
         if ahead is None:
             self._behind_since = None
         elif self._behind_since is None:
@@ -106,22 +106,22 @@
         if self._reach.connected() or now - self._copied_at < COPY_GAP:
             return None
         self._copied_at = now
-        reachable = self._fellows.with_store(now)
+        reachable = self._peers.with_store(now)
         return random.choice(reachable) if reachable else None
 
-    async def _copy(self, fellow: Fellow) -> None:
+    async def _copy(self, peer: Peer) -> None:
         asked = ttypes.ChangesRequest(after=self._reach.revision())
         try:
-            told = (await self._call(fellow, changes_request=asked)).changes
+            told = (await self._call(peer, changes_request=asked)).changes
         except PeerError as exc:
             events.emit(
-                events.PEER_FAILED, instance=fellow.instance, error=repr(exc)
+                events.PEER_FAILED, instance=peer.instance, error=repr(exc)
             )
             return
         if told is not None:
-            self._apply(told, fellow)
+            self._apply(told, peer)
 
-    def _apply(self, told: ttypes.Changes, fellow: Fellow) -> None:
+    def _apply(self, told: ttypes.Changes, peer: Peer) -> None:
         upstreams = []
         for change in told.changes:
             stored = _unpack(change)
@@ -133,13 +133,13 @@
             self._state.replace_upstreams(upstreams, told.revision)
         events.emit(
             events.STATE_COPIED,
-            instance=fellow.instance,
+            instance=peer.instance,
             version=self._reach.version(),
             revision=told.revision,
         )
 
-    async def _call(self, fellow: Fellow, **call: object) -> ttypes.Envelope:
-        address = peer_address(fellow, self._port)
+    async def _call(self, peer: Peer, **call: object) -> ttypes.Envelope:
+        address = peer_address(peer, self._port)
         envelope = ttypes.Envelope(call=0, **call)
         return await self._client.call(address, envelope)
 
@@ -163,7 +163,7 @@
         )
 
     async def _results(self, asked: ttypes.ResultsRequest) -> ttypes.Results:
-        entry = self._book.entries.get(asked.job)
+        entry = self._index.entries.get(asked.job)
         if entry is None or not await self.make_sure(entry):
             return ttypes.Results(
                 known=False, complete=False, rows=[], chunks=0
@@ -187,5 +187,5 @@
     return Stored(name, change.version, content)
 
 
-async def _never(entry: Entry) -> bool:
+async def _never(entry: JobEntry) -> bool:
     return False
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -6,18 +6,18 @@
 from collections.abc import Iterable
 
 from gentiantrestle.gateway.assembly import Plan, build_workplace
-from gentiantrestle.gateway.batch.desk import Desk
-from gentiantrestle.gateway.batch.knowledge import Knowledge
+from gentiantrestle.gateway.batch.api import JobApi
 from gentiantrestle.gateway.batch.parts import Clock
+from gentiantrestle.gateway.batch.reader import ResultReader
 from gentiantrestle.gateway.batch.records import JOB_KIND
 from gentiantrestle.gateway.callers import Callers
 from gentiantrestle.gateway.entry import Entry
-from gentiantrestle.gateway.fellows import Fellows, run_name
 from gentiantrestle.gateway.follow import Follower, Sink
 from gentiantrestle.gateway.forward import Forwarder, Means
 from gentiantrestle.gateway.gossip import Identity
 from gentiantrestle.gateway.measures import Measures
 from gentiantrestle.gateway.peering import Peering, Work
+from gentiantrestle.gateway.peers import PeerList, run_name
 from gentiantrestle.gateway.ports import Adapter, Stored
 from gentiantrestle.gateway.state import State
 from gentiantrestle.supervisor import Child, Supervisor
@@ -59,7 +59,7 @@
             plan.site, adapter, self._state, self._clock, self._run_name
         )
         self._parts = workplace.parts
-        self._gate = workplace.gate
+        self._admission = workplace.admission
         self._runner = workplace.runner
         self._followers = dict(self._build_followers())
         self._peering = self._build_peering()
@@ -120,22 +120,22 @@
 
     def _build_peering(self) -> Peering:
         plan = self._plan
-        fellows = Fellows(plan.instance, plan.host, plan.seeds)
-        self._runner.alive = lambda: fellows.workers(self._clock.now())
-        knowledge = Knowledge(
-            self._parts.keeper, self._runner, fellows, self._clock.now
+        peers = PeerList(plan.instance, plan.host, plan.seeds)
+        self._runner.alive = lambda: peers.workers(self._clock.now())
+        reader = ResultReader(
+            self._parts.job_store, self._runner, peers, self._clock.now
         )
-        self._knowledge = knowledge
+        self._reader = reader
         work = Work(
             self._state,
             self._parts.board,
-            self._gate,
-            self._parts.book,
+            self._admission,
+            self._parts.index,
             self._runner,
-            knowledge,
+            reader,
         )
         return Peering(
-            self._identity, fellows, work, self._is_connected, self._clock.now
+            self._identity, peers, work, self._is_connected, self._clock.now
         )
 
     def _is_connected(self) -> bool:
@@ -144,12 +144,12 @@
     def _build_callers(self) -> Callers:
         dialect = self._adapter.dialect
         means = Means(
-            self._gate, self._parts.placement, dialect, self._clock.now
+            self._admission, self._parts.placement, dialect, self._clock.now
         )
-        desk = Desk(self._parts, self._runner, self._knowledge, self._run_name)
-        desk.on_end = self._peering.note_ended
+        api = JobApi(self._parts, self._runner, self._reader, self._run_name)
+        api.on_end = self._peering.note_ended
         entry = Entry(
-            self._state.router, Forwarder(means), desk, dialect, self._clock
+            self._state.router, Forwarder(means), api, dialect, self._clock
         )
         entry.measure = self.measures.note_answer
         return Callers(
@@ -173,7 +173,7 @@
         return self.callers.active
 
     def _count_waiting(self) -> int:
-        return self._gate.waiting
+        return self._admission.waiting
 
     def _tell_version(self) -> int:
         return self._state.version
@@ -183,11 +183,11 @@
 
     def _take_jobs(self, found: Iterable[Stored], revision: int) -> None:
         for stored in found:
-            self._parts.keeper.note(stored)
+            self._parts.job_store.note(stored)
         self._runner.wake()
 
     def _wake(self) -> None:
-        self._gate.dispatch()
+        self._admission.dispatch()
         self._runner.wake()
 
 
--- a/tests/gateway/test_batch.py
+++ b/tests/gateway/test_batch.py
@@ -4,18 +4,8 @@
 
 import pytest
 
-from gentiantrestle.gateway.batch.book import Book
-from gentiantrestle.gateway.batch.duty import (
-    Need,
-    due_items,
-    is_abandoned,
-    may_yield,
-    runner_of,
-    runs_here,
-    startable,
-    yield_rank,
-)
-from gentiantrestle.gateway.batch.keeper import Keeper
+from gentiantrestle.gateway.batch.index import JobIndex
+from gentiantrestle.gateway.batch.job_store import JobStore
 from gentiantrestle.gateway.batch.records import (
     JOB_KIND,
     RESULT_KIND,
@@ -26,9 +16,19 @@
     job_to_content,
     with_bodies,
 )
-from gentiantrestle.gateway.fellows import SILENCE
+from gentiantrestle.gateway.batch.scheduling import (
+    Need,
+    due_items,
+    is_abandoned,
+    may_yield,
+    runner_of,
+    runs_here,
+    startable,
+    yield_rank,
+)
 from gentiantrestle.gateway.loads import BatchWaiting, LoadBoard, Told
 from gentiantrestle.gateway.model import ItemResult
+from gentiantrestle.gateway.peers import SILENCE
 from gentiantrestle.gateway.ports import Stored
 from gentiantrestle.store.client import (
     StoreUnavailableError,
@@ -39,9 +39,9 @@
 from tests.utils.virtual import play
 
 
-def _instance(store: MemoryStore) -> tuple[Keeper, Book]:
-    book = Book()
-    return Keeper(store, book, random.Random(1), lambda: 0), book
+def _instance(store: MemoryStore) -> tuple[JobStore, JobIndex]:
+    index = JobIndex()
+    return JobStore(store, index, random.Random(1), lambda: 0), index
 
 
 def _result(number: int, output: str = 'text') -> ItemResult:
@@ -59,8 +59,8 @@
 
 async def test_who_takes_a_job_over_reads_its_bodies() -> None:
     store = MemoryStore()
-    keeper, _ = _instance(store)
-    await keeper.accept(job())
+    job_store, _ = _instance(store)
+    await job_store.accept(job())
     other, _ = _instance(store)
     entry = await other.find('job1')
     assert entry is not None
@@ -79,36 +79,36 @@
 
 async def test_a_lost_answer_is_not_called_not_accepted() -> None:
     store = MemoryStore()
-    keeper, _ = _instance(store)
+    job_store, _ = _instance(store)
     store.lose_answers = 2
     for _ in range(2):
         with pytest.raises(StoreUnsureError):
-            await keeper.accept(job())
-    assert not await keeper.accept(job())
+            await job_store.accept(job())
+    assert not await job_store.accept(job())
 
 
 async def test_positions_are_fixed_when_two_run_the_same_job() -> None:
     store = MemoryStore()
-    one, one_book = _instance(store)
-    two, two_book = _instance(store)
+    one, one_index = _instance(store)
+    two, two_index = _instance(store)
     await one.accept(job())
     await two.find('job1')
-    await one.list_results(one_book.entries['job1'], (_result(0, 'mine'),))
+    await one.list_results(one_index.entries['job1'], (_result(0, 'mine'),))
     both = (_result(0, 'other'), _result(1))
-    await two.list_results(two_book.entries['job1'], both)
+    await two.list_results(two_index.entries['job1'], both)
     wanted = [_result(0, 'mine'), _result(1)]
-    assert two_book.entries['job1'].results == wanted
-    await one.refresh(one_book.entries['job1'])
-    assert one_book.entries['job1'].results == wanted
+    assert two_index.entries['job1'].results == wanted
+    await one.refresh(one_index.entries['job1'])
+    assert one_index.entries['job1'].results == wanted
 
 
 def test_results_wait_for_an_absent_store_and_are_listed_once() -> None:
     async def run() -> MemoryStore:
         store = MemoryStore()
-        keeper, book = _instance(store)
-        await keeper.accept(job())
+        job_store, index = _instance(store)
+        await job_store.accept(job())
         store.lose_answers = 1
-        await keeper.list_results(book.entries['job1'], (_result(0),))
+        await job_store.list_results(index.entries['job1'], (_result(0),))
         return store
 
     store = play(run())
@@ -117,9 +117,9 @@
 
 async def test_only_the_acceptor_of_this_very_run_knows_without_store() -> None:
     store = MemoryStore()
-    keeper, book = _instance(store)
-    await keeper.accept(job())
-    assert book.entries['job1'].sole
+    job_store, index = _instance(store)
+    await job_store.accept(job())
+    assert index.entries['job1'].sole
     restarted, _ = _instance(store)
     entry = await restarted.find('job1')
     assert entry is not None
@@ -127,40 +127,40 @@
     await restarted.refresh(entry)
     assert entry.learned
     assert not entry.sole
-    book.share('one/1')
-    assert not book.entries['job1'].sole
+    index.share('one/1')
+    assert not index.entries['job1'].sole
 
 
 async def test_an_end_holds_and_what_is_listed_stays() -> None:
     store = MemoryStore()
-    keeper, book = _instance(store)
-    await keeper.accept(job())
-    await keeper.list_results(book.entries['job1'], (_result(0),))
-    assert await keeper.end('job1')
-    assert await keeper.end('job1')
-    assert not book.entries['job1'].open
-    assert book.entries['job1'].results == [_result(0)]
-    assert not await keeper.end('unknown')
+    job_store, index = _instance(store)
+    await job_store.accept(job())
+    await job_store.list_results(index.entries['job1'], (_result(0),))
+    assert await job_store.end('job1')
+    assert await job_store.end('job1')
+    assert not index.entries['job1'].open
+    assert index.entries['job1'].results == [_result(0)]
+    assert not await job_store.end('unknown')
 
 
 async def test_an_end_without_store_is_refused() -> None:
     store = MemoryStore()
-    keeper, _ = _instance(store)
+    job_store, _ = _instance(store)
     store.down = True
     with pytest.raises(StoreUnavailableError):
-        await keeper.end('job1')
+        await job_store.end('job1')
 
 
 async def test_an_unreadable_job_is_passed_over() -> None:
     store = MemoryStore()
-    keeper, _ = _instance(store)
+    job_store, _ = _instance(store)
     store.write(JOB_KIND, Stored('odd', 0, {'items': 7}))
-    assert await keeper.find('odd') is None
+    assert await job_store.find('odd') is None
 
 
 def test_a_run_that_died_is_replaced_by_one_that_lives() -> None:
-    book = Book()
-    entry = book.put(JobRecord(job(), Stored('job1', 1, {})))
+    index = JobIndex()
+    entry = index.put(JobRecord(job(), Stored('job1', 1, {})))
     assert runner_of(entry, ['one/1', 'two/1']) == 'one/1'
     chosen = runner_of(entry, ['two/1', 'one/2', 'three/1'])
     assert chosen in {'two/1', 'one/2', 'three/1'}
@@ -168,8 +168,8 @@
 
 
 def test_one_that_has_just_started_takes_no_job_of_others() -> None:
-    book = Book()
-    entry = book.put(JobRecord(job(), Stored('job1', 1, {})))
+    index = JobIndex()
+    entry = index.put(JobRecord(job(), Stored('job1', 1, {})))
     assert runs_here(entry, 'one/1', [], 0)
     assert not runs_here(entry, 'two/1', [], SILENCE / 2)
     assert runs_here(entry, 'two/1', [], SILENCE)
@@ -177,10 +177,10 @@
 
 
 def test_the_shortest_item_that_can_be_in_time_goes_first() -> None:
-    book = Book()
-    long = book.put(JobRecord(job('long'), Stored('long', 1, {})))
-    short = book.put(JobRecord(job('short'), Stored('short', 1, {})))
-    lost = book.put(JobRecord(job('lost'), Stored('lost', 1, {})))
+    index = JobIndex()
+    long = index.put(JobRecord(job('long'), Stored('long', 1, {})))
+    short = index.put(JobRecord(job('short'), Stored('short', 1, {})))
+    lost = index.put(JobRecord(job('lost'), Stored('lost', 1, {})))
     pairs = [(one, batch_route()) for one in (long, lost, short)]
     needs = {
         'long': Need(900, 2),
@@ -222,15 +222,15 @@
 def test_a_job_without_route_waits_for_a_configuration_as_new(
     accepted: int, known: int, abandoned: bool
 ) -> None:
-    book = Book()
+    index = JobIndex()
     one = job(version=accepted)
-    entry = book.put(JobRecord(one, Stored('job1', 1, {})))
+    entry = index.put(JobRecord(one, Stored('job1', 1, {})))
     assert is_abandoned(entry, None, known, 1) == abandoned
 
 
 def test_retention_is_over_on_every_clock_before_items_are_given_up() -> None:
-    book = Book()
-    entry = book.put(JobRecord(job(submitted=100), Stored('job1', 1, {})))
+    index = JobIndex()
+    entry = index.put(JobRecord(job(submitted=100), Stored('job1', 1, {})))
     kept = batch_route(retention=60)
     assert not is_abandoned(entry, kept, 1, 162)
     assert is_abandoned(entry, kept, 1, 166)
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -2,16 +2,20 @@
 
 import pytest
 
-from gentiantrestle.gateway.fellows import SILENCE, Fellow, Fellows
 from gentiantrestle.gateway.gossip import MAX_GAP, Rhythm
 from gentiantrestle.gateway.loads import STALE_AFTER, Load, LoadBoard, Told
 from gentiantrestle.gateway.model import Share
+from gentiantrestle.gateway.peers import SILENCE, Peer, PeerList
 from gentiantrestle.gateway.placement import Placement, Site
+from gentiantrestle.gateway.queueing import (
+    AdmissionQueue,
+    retry_after,
+    wait_rule,
+)
 from gentiantrestle.gateway.roster import LAPSE_GRACE, Roster
 from gentiantrestle.gateway.routing import Router, choose_service
 from gentiantrestle.gateway.sse import EventSplitter, OrderError
 from gentiantrestle.gateway.steps import Outcome, Progress, Step, next_step
-from gentiantrestle.gateway.waiting import WaitingLine, patience, retry_after
 from tests.gateway.samples import (
     ENGINES,
     HOST,
@@ -143,10 +147,10 @@
 
 
 def test_those_that_came_back_go_first() -> None:
-    line = WaitingLine()
+    line = AdmissionQueue()
     for name, returned in (('new', False), ('back', True)):
         one = call(name, returned=returned)
-        line.add(one, patience(one, route(), 0), 0, 0)
+        line.add(one, wait_rule(one, route(), 0), 0, 0)
     gone = line.peek()
     assert gone is not None
     assert gone.call.id == 'back'
@@ -155,8 +159,8 @@
 
 
 def test_a_new_request_waits_within_its_target_and_no_longer() -> None:
-    assert 0 < patience(call('c'), route(), 0).seconds < 0.3
-    back = patience(call('c', returned=True), route(), 0)
+    assert 0 < wait_rule(call('c'), route(), 0).seconds < 0.3
+    back = wait_rule(call('c', returned=True), route(), 0)
     assert 0.3 < back.seconds < 2
 
 
@@ -180,37 +184,37 @@
         splitter.feed(b'id: 4\ndata: a\n\n')
 
 
-def _fellow(name: str, **changes: object) -> Fellow:
-    plain = Fellow(name, 1, 1, f'10.0.0.{name}', 'a1', False, 3, True, 0)
+def _peer(name: str, **changes: object) -> Peer:
+    plain = Peer(name, 1, 1, f'10.0.0.{name}', 'a1', False, 3, True, 0)
     return plain._replace(**changes)
 
 
 def test_silence_ends_a_run_and_a_restart_is_another_run() -> None:
-    fellows = Fellows('me', '10.0.0.9', ())
-    assert fellows.hear(_fellow('1'))
-    assert not fellows.hear(_fellow('1', number=1))
-    assert fellows.workers(0) == ('1/1',)
-    assert fellows.hear(_fellow('1', incarnation=2, number=1))
-    assert fellows.workers(0) == ('1/2',)
-    assert fellows.sweep(SILENCE + 1)
-    assert fellows.workers(SILENCE + 1) == ()
+    peers = PeerList('me', '10.0.0.9', ())
+    assert peers.hear(_peer('1'))
+    assert not peers.hear(_peer('1', number=1))
+    assert peers.workers(0) == ('1/1',)
+    assert peers.hear(_peer('1', incarnation=2, number=1))
+    assert peers.workers(0) == ('1/2',)
+    assert peers.sweep(SILENCE + 1)
+    assert peers.workers(SILENCE + 1) == ()
 
 
 def test_a_lost_instance_leaves_doubt_until_it_is_back() -> None:
-    fellows = Fellows('me', '10.0.0.9', ())
-    fellows.hear(_fellow('1'))
-    fellows.sweep(SILENCE + 1)
-    assert not fellows.settled(10)
-    fellows.hear(_fellow('1', incarnation=2, heard=11))
-    assert fellows.settled(11)
+    peers = PeerList('me', '10.0.0.9', ())
+    peers.hear(_peer('1'))
+    peers.sweep(SILENCE + 1)
+    assert not peers.settled(10)
+    peers.hear(_peer('1', incarnation=2, heard=11))
+    assert peers.settled(11)
 
 
 def test_one_that_leaves_on_purpose_leaves_no_doubt() -> None:
-    fellows = Fellows('me', '10.0.0.9', ())
-    fellows.hear(_fellow('1', leaving=True))
-    assert fellows.workers(0) == ()
-    fellows.sweep(SILENCE + 1)
-    assert fellows.settled(10)
+    peers = PeerList('me', '10.0.0.9', ())
+    peers.hear(_peer('1', leaving=True))
+    assert peers.workers(0) == ()
+    peers.sweep(SILENCE + 1)
+    assert peers.settled(10)
 
 
 def test_news_goes_out_when_it_is_due_and_is_repeated() -> None:
--- a/tests/gateway/test_load.py
+++ b/tests/gateway/test_load.py
@@ -9,8 +9,8 @@
 import pytest
 
 from gentiantrestle.errors import RefusedError
-from gentiantrestle.gateway.batch.duty import startable
-from gentiantrestle.gateway.gate import Gate, Lease, Wanted
+from gentiantrestle.gateway.admission import Admission, Lease, Wanted
+from gentiantrestle.gateway.batch.scheduling import startable
 from gentiantrestle.gateway.loads import BatchWaiting, LoadBoard, Told
 from gentiantrestle.gateway.placement import Placement, Site
 from gentiantrestle.gateway.roster import Roster
@@ -58,48 +58,54 @@
         self.engines = {f'e{one}': Engine() for one in range(ENGINE_COUNT)}
         self._lag = lag
         self._boards = [LoadBoard() for _ in range(INSTANCES)]
-        self.gates = [self._gate(board, chance) for board in self._boards]
+        self.admissions = [
+            self._admission(board, chance) for board in self._boards
+        ]
 
     async def gossip(self) -> None:
         """Tell every board what the others run, again and again."""
         while True:
             for teller in range(INSTANCES):
                 self._tell(teller)
-            for gate in self.gates:
-                gate.dispatch()
+            for admission in self.admissions:
+                admission.dispatch()
             await asyncio.sleep(self._lag)
 
     async def ask(self, instance: int, name: str) -> Outcome:
         """Send one request by way of an instance."""
         came = virtual_now()
-        gate = self.gates[instance]
+        admission = self.admissions[instance]
         wanted = Wanted(call(name, came), route(), ENGINES)
         try:
-            lease = await gate.enter(wanted)
+            lease = await admission.enter(wanted)
         except RefusedError as exc:
             assert exc.refusal.retry_after
             return Outcome(False, virtual_now() - came)
-        return await self._run(gate, lease, came)
+        return await self._run(admission, lease, came)
 
-    async def _run(self, gate: Gate, lease: Lease, came: float) -> Outcome:
+    async def _run(
+        self, admission: Admission, lease: Lease, came: float
+    ) -> Outcome:
         began = await self.engines[lease.upstream.id].run()
-        gate.leave(lease)
+        admission.leave(lease)
         return Outcome(True, began - came)
 
     def _tell(self, teller: int) -> None:
         own = self._boards[teller]
-        waiting = self.gates[teller].waiting
+        waiting = self.admissions[teller].waiting
         told = Told(virtual_now(), dict(own.own), waiting)
         for hearer in self._boards:
             if hearer is not own:
                 hearer.hear(f'i{teller}', told)
 
-    def _gate(self, board: LoadBoard, chance: Callable[[], float]) -> Gate:
+    def _admission(
+        self, board: LoadBoard, chance: Callable[[], float]
+    ) -> Admission:
         roster = Roster()
         for name in self.engines:
             roster.put(upstream(name, slots=SLOTS))
         placement = Placement(Site('a1', ZONES), board, chance)
-        return Gate(roster, board, placement, virtual_now)
+        return Admission(roster, board, placement, virtual_now)
 
 
 def play_load(
