--- a/gentiantrestle/gateway/admission.py
+++ b/gentiantrestle/gateway/admission.py
@@ -18,8 +18,6 @@
 )
 from gentiantrestle.gateway.roster import Roster
 
-# Plain services queue well on their own; an entry adds this much per slot.
-PLAIN_QUEUE_FACTOR = 2
 # Without any upstream a caller is sent away for about one discovery update.
 NO_UPSTREAM_PAUSE = 0.5  # seconds
 
--- a/gentiantrestle/gateway/relay.py
+++ b/gentiantrestle/gateway/relay.py
@@ -28,7 +28,6 @@
 COPY_GAP = 1.0  # seconds between two copies of the upstreams' list
 CONFIG = 'config'
 UPSTREAM = 'upstream/'
-MAX_ROWS = 64
 
 
 class Reach(NamedTuple):
