--- a/gentiantrestle/gateway/assembly.py
+++ b/gentiantrestle/gateway/assembly.py
@@ -11,6 +11,7 @@
 from gentiantrestle.gateway.loads import LoadBoard
 from gentiantrestle.gateway.placement import Placement, Site
 from gentiantrestle.gateway.ports import Adapter
+from gentiantrestle.gateway.settling import SettlingStore
 from gentiantrestle.gateway.state import State
 from gentiantrestle.models import Address
 
@@ -46,9 +47,10 @@
     rng = random.Random(run)
     board = LoadBoard()
     index = JobIndex()
+    store = SettlingStore(adapter.store, clock.now)
     parts = Parts(
         index,
-        JobStore(adapter.store, index, rng, clock.now),
+        JobStore(store, index, rng, clock.now),
         state.router,
         state.roster,
         board,
--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -89,6 +89,8 @@
             entry.load(job.items)
             entry.learned = True
             entry.sole = True
+        else:
+            await self._adopt(job)
         return new
 
     async def load(self, entry: JobEntry) -> None:
@@ -176,6 +178,16 @@
                 )
                 await asyncio.sleep(backoff.next_pause())
 
+    async def _adopt(self, job: Job) -> None:
+        """Take a job in that this very run accepted with a lost answer."""
+        try:
+            entry = await self.find(job.id)
+        except StoreUnavailableError as exc:
+            events.emit(events.WRITE_FAILED, name=job.id, error=repr(exc))
+            return
+        if entry is not None and entry.job.acceptor == job.acceptor:
+            entry.load(job.items)
+
     async def _read_chunks(self, entry: JobEntry) -> None:
         while not entry.complete:
             name = chunk_name(entry.job.id, entry.chunks)
--- a/tests/gateway/test_process_jobs.py
+++ b/tests/gateway/test_process_jobs.py
@@ -113,12 +113,24 @@
     assert page.status == 503
 
 
+async def test_a_job_is_accepted_though_answers_of_the_store_are_lost(
+    fleet: GatewayFleet,
+) -> None:
+    await fleet.harm_store(lose=3, silence=30)
+    reply = await fleet.ask(0, 'job1', '/lists/j', job('job1', 1, 4))
+    assert reply.status == 202
+    await fleet.harm_store()
+    assert await read_all(fleet, 1, 'job1') == {'job1-0': output('job1-0', 4)}
+    assert len(await fleet.runs()) == 1
+
+
 async def test_a_lost_answer_of_the_store_is_not_called_refused(
     fleet: GatewayFleet,
 ) -> None:
-    await fleet.harm_store(lose=1, silence=3)
+    await fleet.harm_store(lose=99, silence=30)
     reply = await fleet.ask(0, 'job1', '/lists/j', job('job1', 1, 4))
     assert reply.status == 502
+    await fleet.harm_store()
     again = await fleet.ask(1, 'job1', '/lists/j', job('job1', 1, 4))
     assert again.status == 202
     assert await read_all(fleet, 1, 'job1') == {'job1-0': output('job1-0', 4)}
