--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -102,7 +102,11 @@
 STATE_COPIED = _define(
     3006,
     LEVEL_INFO,
-    'copied from {instance}: configuration {version}, upstreams {revision}',
+    'copied from {instance}: configuration {version}, upstreams {revision}, '
+    'jobs {jobs}',
+)
+DUTY_CHANGED = _define(
+    3010, LEVEL_INFO, 'this instance watches the store for its zone: {held}'
 )
 PEER_FAILED = _define(3007, LEVEL_WARNING, 'call to {instance}: {error}')
 PULSE_UNREADABLE = _define(3008, LEVEL_WARNING, 'datagram not read: {error}')
--- a/gentiantrestle/gateway/batch/index.py
+++ b/gentiantrestle/gateway/batch/index.py
@@ -102,6 +102,8 @@
     def __init__(self) -> None:
         """Start empty."""
         self.entries: dict[str, JobEntry] = {}
+        # Of the store: all changes of jobs up to it are known.
+        self.revision = 0
 
     def put(self, record: JobRecord) -> JobEntry:
         """Take in a job as the store holds it."""
--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -57,22 +57,28 @@
         self._now = now
         self._looks: dict[str, _Look] = {}
         self._store = store
-        self._index = index
+        self.index = index
         self._rng = rng
 
     def note(self, stored: Stored) -> JobEntry | None:
         """Take in a job's object; nothing where it can't be read."""
         if stored.deleted:
-            self._index.entries.pop(stored.name, None)
+            self.index.entries.pop(stored.name, None)
             return None
         try:
-            return self._index.put(job_from_stored(stored))
+            return self.index.put(job_from_stored(stored))
         except UNREADABLE as exc:
             events.emit(
                 events.ENTRY_UNREADABLE, name=stored.name, error=repr(exc)
             )
             return None
 
+    def take_in(self, found: Iterable[Stored], revision: int) -> None:
+        """Take in jobs that are new as of a revision of the store."""
+        for stored in found:
+            self.note(stored)
+        self.index.revision = max(self.index.revision, revision)
+
     async def accept(self, job: Job) -> bool:
         """Create a job once; False where it was accepted before.
 
@@ -119,7 +125,7 @@
 
     async def find(self, job: str) -> JobEntry | None:
         """Return a job, from the store where it isn't known yet."""
-        known = self._index.entries.get(job)
+        known = self.index.entries.get(job)
         if known is not None:
             return known
         stored = await self._store.get(JOB_KIND, job)
@@ -223,7 +229,7 @@
                 break
             stored = await self._store.get(JOB_KIND, job)
         if stored is not None and state == ENDED:
-            self._index.end(job)
+            self.index.end(job)
         return stored is not None
 
     def _has_ended(self, stored: Stored) -> bool:
--- a/gentiantrestle/gateway/follow.py
+++ b/gentiantrestle/gateway/follow.py
@@ -13,12 +13,21 @@
 )
 from gentiantrestle.store.client import StoreUnavailableError
 
-# A waiting watch is one call, however long it waits.
-WATCH_WAIT = 20.0  # seconds
+# A waiting watch is one call, however long it waits; one that has gone silent
+# must be found out within the 4 s in which nothing is asked of an instance.
+WATCH_WAIT = 2.5  # seconds
+FIRST_WAIT = 0.05  # seconds: the first watch is to show that the store answers
+IDLE_STEP = 0.1  # seconds between looks whether to watch
 FIRST_BACKOFF = 0.1  # seconds
 MAX_BACKOFF = 1.0  # seconds
 # Lists after a dropped history are spread over this time.
 RELIST_SPREAD = 0.3  # seconds
+LIST_ANEW = 0  # no revision of the store
+
+
+def always() -> bool:
+    """Have the store asked all the time."""
+    return True
 
 
 class Sink(NamedTuple):
@@ -27,6 +36,16 @@
     replace: Callable[[Iterable[Stored], int], None]
     change: Callable[[Iterable[Stored], int], None]
     lost: Callable[[], None]
+    # Up to which revision all changes are known, from whomever; 0 for none.
+    known: Callable[[], int]
+
+
+class Subject(NamedTuple):
+    """What is followed; after changes a rest makes a series one call."""
+
+    kind: str
+    rest: float  # seconds
+    wait: float = WATCH_WAIT  # seconds
 
 
 class Backoff:
@@ -54,18 +73,18 @@
     def __init__(
         self,
         store: ObjectStore,
-        kind: str,
+        subject: Subject,
         sink: Sink,
         rng: random.Random,
-        *,
-        rest: float,
+        on_duty: Callable[[], bool] = always,
     ) -> None:
-        """Rest ``rest`` s after changes, so that a series is one call."""
+        """Ask nothing of the store while ``on_duty`` says no."""
         self._store = store
-        self._kind = kind
+        self._kind = subject.kind
+        self._subject = subject
         self._sink = sink
         self._rng = rng
-        self._rest = rest
+        self._on_duty = on_duty
         self._backoff = Backoff(rng)
         self._revision: int | None = None
         self.connected = False
@@ -73,6 +92,10 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
+            if not self._on_duty():
+                self._forget()
+                await asyncio.sleep(IDLE_STEP)
+                continue
             try:
                 await self._step()
             except StoreUnavailableError as exc:
@@ -80,19 +103,22 @@
                 await asyncio.sleep(self._backoff.next_pause())
             except HistoryGoneError:
                 events.emit(events.HISTORY_GONE, kind=self._kind)
-                self._revision = None
+                self._revision = LIST_ANEW
                 await asyncio.sleep(self._rng.random() * RELIST_SPREAD)
 
     async def _step(self) -> None:
         if self._revision is None:
+            self._revision = self._sink.known()
+        if self._revision == LIST_ANEW:
             await self._list()
             return
-        page = await self._store.watch(self._kind, self._revision, WATCH_WAIT)
+        wait = self._subject.wait if self.connected else FIRST_WAIT
+        page = await self._store.watch(self._kind, self._revision, wait)
         self._note_back()
         self._revision = page.revision
         if page.found:
             self._sink.change(page.found, page.revision)
-            await asyncio.sleep(self._rest)
+            await asyncio.sleep(self._subject.rest)
 
     async def _list(self) -> None:
         found: list[Stored] = []
@@ -107,6 +133,11 @@
         self._sink.replace(found, revision)
         self._revision = revision
 
+    def _forget(self) -> None:
+        """Go on at what is known by then when there is duty again."""
+        self._revision = None
+        self.connected = False
+
     def _note_lost(self, exc: Exception) -> None:
         if self.connected:
             events.emit(events.FOLLOW_LOST, kind=self._kind, error=repr(exc))
--- a/gentiantrestle/gateway/gossip.py
+++ b/gentiantrestle/gateway/gossip.py
@@ -34,6 +34,8 @@
     ended: tuple[str, ...]
     taken: tuple[str, ...]
     batch: BatchWaiting
+    upstreams_revision: int
+    jobs_revision: int
 
 
 class Heard(NamedTuple):
@@ -144,6 +146,8 @@
             pulse.config_version,
             pulse.store_reached,
             now,
+            pulse.upstreams_revision,
+            pulse.jobs_revision,
         )
         newcomer = self._peers.hear(peer)
         self._peers.learn_hosts(pulse.hosts or (), now)
@@ -204,6 +208,8 @@
             taken=list(own.taken),
             batch_waiting=own.batch.count,
             batch_spare=int(own.batch.spare * MS_PER_S),
+            upstreams_revision=own.upstreams_revision,
+            jobs_revision=own.jobs_revision,
         )
         payload = encode(ttypes.Envelope(call=0, pulse=pulse))[LENGTH.size :]
         for host in hosts:
--- a/gentiantrestle/gateway/peering.py
+++ b/gentiantrestle/gateway/peering.py
@@ -1,5 +1,6 @@
 """How one instance and the others know of each other."""
 
+import random
 from collections import deque
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
@@ -8,11 +9,12 @@
 from gentiantrestle.gateway.batch.index import JobIndex
 from gentiantrestle.gateway.batch.reader import ResultReader
 from gentiantrestle.gateway.batch.runner import Runner
+from gentiantrestle.gateway.copies import Copies
 from gentiantrestle.gateway.gossip import Gossip, Heard, Identity, Own
 from gentiantrestle.gateway.loads import LoadBoard
 from gentiantrestle.gateway.peers import PeerList
-from gentiantrestle.gateway.relay import Reach, Relay
-from gentiantrestle.gateway.state import State
+from gentiantrestle.gateway.relay import Relay
+from gentiantrestle.gateway.watching import CopyRule
 from gentiantrestle.supervisor import Child
 
 # Jobs ended here that the others are told of with each datagram.
@@ -22,7 +24,7 @@
 class Work(NamedTuple):
     """The parts that the others' news are for."""
 
-    state: State
+    copies: Copies
     board: LoadBoard
     admission: Admission
     index: JobIndex
@@ -50,10 +52,10 @@
         self._leaving = False
         self._gossip = Gossip(identity, peers, work.board, self._own, now)
         self._gossip.on_heard = self._hear
-        reach = Reach(
-            lambda: work.state.version, lambda: work.state.revision, connected
+        rule = CopyRule(
+            identity.zone, random.Random(identity.incarnation).random
         )
-        self._relay = Relay(work.state, peers, work.index, reach, identity.port)
+        self._relay = Relay(work.copies, peers, work.index, rule, identity.port)
         self._relay.make_sure = work.reader.make_sure
         work.reader.ask = self._relay.results
 
@@ -73,14 +75,17 @@
         self._ended.append(job)
 
     def _own(self) -> Own:
+        known = self._work.copies.known
         return Own(
             self._leaving,
-            self._work.state.version,
+            known.config_version,
             self._connected(),
             self._work.admission.waiting,
             tuple(self._ended),
             tuple(self._work.runner.taken),
             self._work.runner.waiting,
+            known.upstreams_revision,
+            known.jobs_revision,
         )
 
     def _hear(self, heard: Heard) -> None:
--- a/gentiantrestle/gateway/peers.py
+++ b/gentiantrestle/gateway/peers.py
@@ -26,6 +26,8 @@
     config_version: int
     store_reached: bool
     heard: float
+    upstreams_revision: int = 0
+    jobs_revision: int = 0
 
     @property
     def run(self) -> str:
@@ -114,22 +116,8 @@
             (one for one in self._by_name.values() if one.run == run), None
         )
 
-    def ahead(self, version: int, now: float) -> Peer | None:
-        """Return an instance with a newer configuration than ``version``."""
-        newest = max(
-            self._fresh(now),
-            key=lambda one: one.config_version,
-            default=None,
-        )
-        if newest is None or newest.config_version <= version:
-            return None
-        return newest
-
-    def with_store(self, now: float) -> list[Peer]:
-        """List the instances that reach the store."""
-        return [one for one in self._fresh(now) if one.store_reached]
-
-    def _fresh(self, now: float) -> list[Peer]:
+    def fresh(self, now: float) -> list[Peer]:
+        """List the instances that were heard of lately."""
         return [one for one in self._by_name.values() if one.fresh(now)]
 
 
--- a/gentiantrestle/gateway/retirement.py
+++ b/gentiantrestle/gateway/retirement.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from gentiantrestle import events
-from gentiantrestle.gateway.follow import Sink
+from gentiantrestle.gateway.follow import LIST_ANEW, Sink
 from gentiantrestle.gateway.ports import ObjectStore, Stored
 from gentiantrestle.store.client import (
     StoreUnavailableError,
@@ -36,7 +36,7 @@
 
     def sink(self) -> Sink:
         """Return what a follower of the requests does."""
-        return Sink(self._take, self._take, _nothing)
+        return Sink(self._take, self._take, _nothing, _list_all)
 
     def _take(self, found: Iterable[Stored], revision: int) -> None:
         for stored in found:
@@ -69,5 +69,9 @@
         return done
 
 
+def _list_all() -> int:
+    return LIST_ANEW
+
+
 def _nothing() -> None:
     """Requests wait while the store is away."""
--- a/gentiantrestle/gateway/roster.py
+++ b/gentiantrestle/gateway/roster.py
@@ -27,12 +27,17 @@
         """Start empty; nothing is known of the store yet."""
         self._known: dict[str, Upstream] = {}
         self._missing: dict[str, Missing] = {}
-        self._away_until = float(0)
+        # Entries that vanish before this time have lapsed, not left.
+        self.away_until = float(0)
         self.revision = 0
 
     def note_outage(self, now: float) -> None:
         """Note that the store is away; departures seen soon are lapses."""
-        self._away_until = max(self._away_until, now + LAPSE_GRACE)
+        self.note_lapse(now + LAPSE_GRACE)
+
+    def note_lapse(self, until: float) -> None:
+        """Take entries that vanish before ``until`` for lapsed."""
+        self.away_until = max(self.away_until, until)
 
     def replace(self, found: Iterable[Upstream], now: float) -> None:
         """Take in a whole list; what it lacks has left or lapsed."""
@@ -52,8 +57,8 @@
         upstream = self._known.pop(upstream_id, None)
         if upstream is None or upstream.draining:
             return
-        if now < self._away_until:
-            self._missing[upstream_id] = Missing(upstream, self._away_until)
+        if now < self.away_until:
+            self._missing[upstream_id] = Missing(upstream, self.away_until)
 
     def of_service(self, service: str, now: float) -> list[Upstream]:
         """List the upstreams of a service that may get new work."""
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -5,14 +5,16 @@
 import time
 from collections.abc import Iterable
 
+from gentiantrestle import events
 from gentiantrestle.gateway.assembly import Plan, build_workplace
 from gentiantrestle.gateway.batch.api import JobApi
 from gentiantrestle.gateway.batch.parts import Clock
 from gentiantrestle.gateway.batch.reader import ResultReader
 from gentiantrestle.gateway.batch.records import JOB_KIND
 from gentiantrestle.gateway.callers import Callers
+from gentiantrestle.gateway.copies import Copies
 from gentiantrestle.gateway.entry import Entry
-from gentiantrestle.gateway.follow import Follower, Sink
+from gentiantrestle.gateway.follow import Follower, Sink, Subject
 from gentiantrestle.gateway.forward import Forwarder, Means
 from gentiantrestle.gateway.gossip import Identity
 from gentiantrestle.gateway.measures import Measures
@@ -20,6 +22,7 @@
 from gentiantrestle.gateway.peers import PeerList, run_name
 from gentiantrestle.gateway.ports import Adapter, Stored
 from gentiantrestle.gateway.state import State
+from gentiantrestle.gateway.watching import WatchDuty
 from gentiantrestle.supervisor import Child, Supervisor
 
 # Changes that come within this time are read with one call; the bound for
@@ -61,6 +64,8 @@
         self._parts = workplace.parts
         self._admission = workplace.admission
         self._runner = workplace.runner
+        self._peers = PeerList(plan.instance, plan.host, plan.seeds)
+        self._duty = WatchDuty(plan.instance, plan.site.zone, self._clock.now())
         self._followers = dict(self._build_followers())
         self._peering = self._build_peering()
         self.measures = self._build_measures()
@@ -106,7 +111,12 @@
 
     def _build_followers(self) -> Iterable[tuple[str, Follower]]:
         kinds = self._adapter.kinds
-        jobs = Sink(self._take_jobs, self._take_jobs, _pass)
+        jobs = Sink(
+            self._take_jobs,
+            self._take_jobs,
+            _pass,
+            lambda: self._parts.index.revision,
+        )
         sinks = (
             (kinds.config, self._state.config_sink(), CONFIG_REST),
             (kinds.upstreams, self._state.upstream_sink(), UPSTREAM_REST),
@@ -115,19 +125,24 @@
         for kind, sink, rest in sinks:
             yield (
                 kind,
-                Follower(self._adapter.store, kind, sink, self._rng, rest=rest),
+                Follower(
+                    self._adapter.store,
+                    Subject(kind, rest),
+                    sink,
+                    self._rng,
+                    self._is_on_duty,
+                ),
             )
 
     def _build_peering(self) -> Peering:
-        plan = self._plan
-        peers = PeerList(plan.instance, plan.host, plan.seeds)
+        peers = self._peers
         self._runner.alive = lambda: peers.workers(self._clock.now())
         reader = ResultReader(
             self._parts.job_store, self._runner, peers, self._clock.now
         )
         self._reader = reader
         work = Work(
-            self._state,
+            Copies(self._state, self._parts.job_store, self._clock.now),
             self._parts.board,
             self._admission,
             self._parts.index,
@@ -139,8 +154,19 @@
         )
 
     def _is_connected(self) -> bool:
+        """Tell whether this instance watches the store, and hears it."""
         return all(one.connected for one in self._followers.values())
 
+    def _is_on_duty(self) -> bool:
+        now = self._clock.now()
+        held = self._duty.held
+        duty = self._duty.decide(
+            self._peers.fresh(now), now, connected=self._is_connected()
+        )
+        if duty != held:
+            events.emit(events.DUTY_CHANGED, held=duty)
+        return duty
+
     def _build_callers(self) -> Callers:
         dialect = self._adapter.dialect
         means = Means(
@@ -182,8 +208,7 @@
         return int(self._is_connected())
 
     def _take_jobs(self, found: Iterable[Stored], revision: int) -> None:
-        for stored in found:
-            self._parts.job_store.note(stored)
+        self._parts.job_store.take_in(found, revision)
         self._runner.wake()
 
     def _wake(self) -> None:
--- a/gentiantrestle/gateway/state.py
+++ b/gentiantrestle/gateway/state.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from gentiantrestle import events
-from gentiantrestle.gateway.follow import Sink
+from gentiantrestle.gateway.follow import LIST_ANEW, Sink
 from gentiantrestle.gateway.ports import Documents, Stored
 from gentiantrestle.gateway.roster import Roster
 from gentiantrestle.gateway.routing import Router
@@ -38,14 +38,31 @@
         """Revision of the store that the upstreams' entries are from."""
         return self.roster.revision
 
+    @property
+    def lapse_left(self) -> float:
+        """How long entries that vanish count as lapsed, in s."""
+        return max(0, self.roster.away_until - self._now())
+
+    def note_lapse(self, left: float) -> None:
+        """Take entries that vanish in the next ``left`` s for lapsed."""
+        self.roster.note_lapse(self._now() + left)
+
     def config_sink(self) -> Sink:
         """Return what a follower of the configuration does."""
-        return Sink(self._take_config, self._take_config, _nothing)
+        return Sink(
+            self._take_config,
+            self._take_config,
+            _nothing,
+            lambda: self.config.revision if self.config else LIST_ANEW,
+        )
 
     def upstream_sink(self) -> Sink:
         """Return what a follower of the upstreams' entries does."""
         return Sink(
-            self.replace_upstreams, self.change_upstreams, self._note_outage
+            self.replace_upstreams,
+            self.change_upstreams,
+            self._note_outage,
+            lambda: self.revision,
         )
 
     def apply_config(self, stored: Stored) -> None:
--- a/gentiantrestle/platform/roles.py
+++ b/gentiantrestle/platform/roles.py
@@ -9,7 +9,7 @@
 from gentiantrestle import events
 from gentiantrestle.config import Settings
 from gentiantrestle.gateway.assembly import Plan
-from gentiantrestle.gateway.follow import Follower
+from gentiantrestle.gateway.follow import Follower, Subject
 from gentiantrestle.gateway.listener import listen
 from gentiantrestle.gateway.placement import Site
 from gentiantrestle.gateway.ports import Adapter, Kinds
@@ -35,6 +35,7 @@
 STORAGE = 'storage'
 # Requests to empty an instance are seconds apart.
 RETIREMENT_REST = 0.5  # seconds
+RETIREMENT_WAIT = 20.0  # seconds that one watch waits
 Role = Callable[[NodeSettings, Settings], Awaitable[int]]
 ROLES: dict[str, Role] = {}
 
@@ -109,10 +110,9 @@
     )
     follower = Follower(
         store,
-        RETIREMENT_KIND,
+        Subject(RETIREMENT_KIND, RETIREMENT_REST, RETIREMENT_WAIT),
         retirement.sink(),
         random.Random(time.time_ns()),
-        rest=RETIREMENT_REST,
     )
     children = (Child('retirement', follower.run),)
     root = asyncio.create_task(Supervisor(children, time.monotonic).run())
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -108,6 +108,35 @@
      ms; below zero it can't be in time any more. */
   14: required i32 batch_waiting,
   15: required i64 batch_spare,
+  /* Revisions of the store that the sender's knowledge is from. */
+  16: required i64 upstreams_revision,
+  17: required i64 jobs_revision,
+}
+
+/* An object of the platform's store, as an instance knows it. */
+struct KnownObject {
+  1: required string name,
+  2: required i64 revision,
+  3: required binary content,
+}
+
+/* Asks for all that is newer than what the sender knows. */
+struct CopyRequest {
+  1: required i64 config_version,
+  2: required i64 upstreams_revision,
+  3: required i64 jobs_revision,
+}
+
+struct Copy {
+  1: required i64 upstreams_revision,
+  2: required i64 jobs_revision,
+  3: optional KnownObject config,
+  /* All upstreams' entries; absent where they aren't newer. */
+  4: optional list<KnownObject> upstreams,
+  /* The jobs that are newer than asked. */
+  5: required list<KnownObject> jobs,
+  /* How long entries that vanish still count as lapsed, in ms. */
+  6: required i64 lapse_left,
 }
 
 /* Asks the instance that runs a job for its results from a position on. */
@@ -144,4 +173,6 @@
   10: optional Pulse pulse,
   11: optional ResultsRequest results_request,
   12: optional Results results,
+  13: optional CopyRequest copy_request,
+  14: optional Copy copy,
 }
--- a/gentiantrestle/wire/peer/ttypes.py
+++ b/gentiantrestle/wire/peer/ttypes.py
@@ -1301,6 +1301,8 @@
      - taken
      - batch_waiting
      - batch_spare
+     - upstreams_revision
+     - jobs_revision
 
     """
 
@@ -1320,10 +1322,12 @@
         'taken',
         'batch_waiting',
         'batch_spare',
+        'upstreams_revision',
+        'jobs_revision',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, number=None, host=None, zone=None, state=None, config_version=None, store_reached=None, waiting=None, loads=None, hosts=None, ended=None, taken=None, batch_waiting=None, batch_spare=None,):
+    def __init__(self, instance=None, incarnation=None, number=None, host=None, zone=None, state=None, config_version=None, store_reached=None, waiting=None, loads=None, hosts=None, ended=None, taken=None, batch_waiting=None, batch_spare=None, upstreams_revision=None, jobs_revision=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.number = number
@@ -1339,6 +1343,8 @@
         self.taken = taken
         self.batch_waiting = batch_waiting
         self.batch_spare = batch_spare
+        self.upstreams_revision = upstreams_revision
+        self.jobs_revision = jobs_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1445,6 +1451,16 @@
                     self.batch_spare = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I64:
+                    self.upstreams_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I64:
+                    self.jobs_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1527,6 +1543,14 @@
             oprot.writeFieldBegin('batch_spare', TType.I64, 15)
             oprot.writeI64(self.batch_spare)
             oprot.writeFieldEnd()
+        if self.upstreams_revision is not None:
+            oprot.writeFieldBegin('upstreams_revision', TType.I64, 16)
+            oprot.writeI64(self.upstreams_revision)
+            oprot.writeFieldEnd()
+        if self.jobs_revision is not None:
+            oprot.writeFieldBegin('jobs_revision', TType.I64, 17)
+            oprot.writeI64(self.jobs_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1559,6 +1583,361 @@
             raise TProtocolException(message='Required field batch_waiting is unset!')
         if self.batch_spare is None:
             raise TProtocolException(message='Required field batch_spare is unset!')
+        if self.upstreams_revision is None:
+            raise TProtocolException(message='Required field upstreams_revision is unset!')
+        if self.jobs_revision is None:
+            raise TProtocolException(message='Required field jobs_revision is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class KnownObject(object):
+    """
+    Attributes:
+     - name
+     - revision
+     - content
+
+    """
+
+    __slots__ = (
+        'name',
+        'revision',
+        'content',
+    )
+
+
+    def __init__(self, name=None, revision=None, content=None,):
+        self.name = name
+        self.revision = revision
+        self.content = content
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.content = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KnownObject')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.content is not None:
+            oprot.writeFieldBegin('content', TType.STRING, 3)
+            oprot.writeBinary(self.content)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.name is None:
+            raise TProtocolException(message='Required field name is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        if self.content is None:
+            raise TProtocolException(message='Required field content is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CopyRequest(object):
+    """
+    Attributes:
+     - config_version
+     - upstreams_revision
+     - jobs_revision
+
+    """
+
+    __slots__ = (
+        'config_version',
+        'upstreams_revision',
+        'jobs_revision',
+    )
+
+
+    def __init__(self, config_version=None, upstreams_revision=None, jobs_revision=None,):
+        self.config_version = config_version
+        self.upstreams_revision = upstreams_revision
+        self.jobs_revision = jobs_revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.upstreams_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.jobs_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CopyRequest')
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 1)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
+        if self.upstreams_revision is not None:
+            oprot.writeFieldBegin('upstreams_revision', TType.I64, 2)
+            oprot.writeI64(self.upstreams_revision)
+            oprot.writeFieldEnd()
+        if self.jobs_revision is not None:
+            oprot.writeFieldBegin('jobs_revision', TType.I64, 3)
+            oprot.writeI64(self.jobs_revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.config_version is None:
+            raise TProtocolException(message='Required field config_version is unset!')
+        if self.upstreams_revision is None:
+            raise TProtocolException(message='Required field upstreams_revision is unset!')
+        if self.jobs_revision is None:
+            raise TProtocolException(message='Required field jobs_revision is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Copy(object):
+    """
+    Attributes:
+     - upstreams_revision
+     - jobs_revision
+     - config
+     - upstreams
+     - jobs
+     - lapse_left
+
+    """
+
+    __slots__ = (
+        'upstreams_revision',
+        'jobs_revision',
+        'config',
+        'upstreams',
+        'jobs',
+        'lapse_left',
+    )
+
+
+    def __init__(self, upstreams_revision=None, jobs_revision=None, config=None, upstreams=None, jobs=None, lapse_left=None,):
+        self.upstreams_revision = upstreams_revision
+        self.jobs_revision = jobs_revision
+        self.config = config
+        self.upstreams = upstreams
+        self.jobs = jobs
+        self.lapse_left = lapse_left
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.upstreams_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.jobs_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.config = KnownObject()
+                    self.config.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.upstreams = []
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = KnownObject()
+                        _elem77.read(iprot)
+                        self.upstreams.append(_elem77)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.jobs = []
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = KnownObject()
+                        _elem83.read(iprot)
+                        self.jobs.append(_elem83)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.lapse_left = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Copy')
+        if self.upstreams_revision is not None:
+            oprot.writeFieldBegin('upstreams_revision', TType.I64, 1)
+            oprot.writeI64(self.upstreams_revision)
+            oprot.writeFieldEnd()
+        if self.jobs_revision is not None:
+            oprot.writeFieldBegin('jobs_revision', TType.I64, 2)
+            oprot.writeI64(self.jobs_revision)
+            oprot.writeFieldEnd()
+        if self.config is not None:
+            oprot.writeFieldBegin('config', TType.STRUCT, 3)
+            self.config.write(oprot)
+            oprot.writeFieldEnd()
+        if self.upstreams is not None:
+            oprot.writeFieldBegin('upstreams', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
+            for iter84 in self.upstreams:
+                iter84.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.jobs is not None:
+            oprot.writeFieldBegin('jobs', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.jobs))
+            for iter85 in self.jobs:
+                iter85.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.lapse_left is not None:
+            oprot.writeFieldBegin('lapse_left', TType.I64, 6)
+            oprot.writeI64(self.lapse_left)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.upstreams_revision is None:
+            raise TProtocolException(message='Required field upstreams_revision is unset!')
+        if self.jobs_revision is None:
+            raise TProtocolException(message='Required field jobs_revision is unset!')
+        if self.jobs is None:
+            raise TProtocolException(message='Required field jobs is unset!')
+        if self.lapse_left is None:
+            raise TProtocolException(message='Required field lapse_left is unset!')
         return
 
     def __repr__(self):
@@ -1808,11 +2187,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = ResultRow()
-                        _elem77.read(iprot)
-                        self.rows.append(_elem77)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = ResultRow()
+                        _elem91.read(iprot)
+                        self.rows.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1842,8 +2221,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter78 in self.rows:
-                iter78.write(oprot)
+            for iter92 in self.rows:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.chunks is not None:
@@ -1898,6 +2277,8 @@
      - pulse
      - results_request
      - results
+     - copy_request
+     - copy
 
     """
 
@@ -1914,10 +2295,12 @@
         'pulse',
         'results_request',
         'results',
+        'copy_request',
+        'copy',
     )
 
 
-    def __init__(self, call=None, heartbeat=None, changes_request=None, changes=None, answer_request=None, answer=None, load_report=None, report_request=None, report=None, pulse=None, results_request=None, results=None,):
+    def __init__(self, call=None, heartbeat=None, changes_request=None, changes=None, answer_request=None, answer=None, load_report=None, report_request=None, report=None, pulse=None, results_request=None, results=None, copy_request=None, copy=None,):
         self.call = call
         self.heartbeat = heartbeat
         self.changes_request = changes_request
@@ -1930,6 +2313,8 @@
         self.pulse = pulse
         self.results_request = results_request
         self.results = results
+        self.copy_request = copy_request
+        self.copy = copy
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2011,6 +2396,18 @@
                     self.results.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRUCT:
+                    self.copy_request = CopyRequest()
+                    self.copy_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.copy = Copy()
+                    self.copy.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2069,6 +2466,14 @@
             oprot.writeFieldBegin('results', TType.STRUCT, 12)
             self.results.write(oprot)
             oprot.writeFieldEnd()
+        if self.copy_request is not None:
+            oprot.writeFieldBegin('copy_request', TType.STRUCT, 13)
+            self.copy_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.copy is not None:
+            oprot.writeFieldBegin('copy', TType.STRUCT, 14)
+            self.copy.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2197,6 +2602,32 @@
     (13, TType.LIST, 'taken', (TType.STRING, 'UTF8', False), None, ),  # 13
     (14, TType.I32, 'batch_waiting', None, None, ),  # 14
     (15, TType.I64, 'batch_spare', None, None, ),  # 15
+    (16, TType.I64, 'upstreams_revision', None, None, ),  # 16
+    (17, TType.I64, 'jobs_revision', None, None, ),  # 17
+)
+all_structs.append(KnownObject)
+KnownObject.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.STRING, 'content', 'BINARY', None, ),  # 3
+)
+all_structs.append(CopyRequest)
+CopyRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'config_version', None, None, ),  # 1
+    (2, TType.I64, 'upstreams_revision', None, None, ),  # 2
+    (3, TType.I64, 'jobs_revision', None, None, ),  # 3
+)
+all_structs.append(Copy)
+Copy.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'upstreams_revision', None, None, ),  # 1
+    (2, TType.I64, 'jobs_revision', None, None, ),  # 2
+    (3, TType.STRUCT, 'config', [KnownObject, None], None, ),  # 3
+    (4, TType.LIST, 'upstreams', (TType.STRUCT, [KnownObject, None], False), None, ),  # 4
+    (5, TType.LIST, 'jobs', (TType.STRUCT, [KnownObject, None], False), None, ),  # 5
+    (6, TType.I64, 'lapse_left', None, None, ),  # 6
 )
 all_structs.append(ResultsRequest)
 ResultsRequest.thrift_spec = (
@@ -2234,6 +2665,8 @@
     (10, TType.STRUCT, 'pulse', [Pulse, None], None, ),  # 10
     (11, TType.STRUCT, 'results_request', [ResultsRequest, None], None, ),  # 11
     (12, TType.STRUCT, 'results', [Results, None], None, ),  # 12
+    (13, TType.STRUCT, 'copy_request', [CopyRequest, None], None, ),  # 13
+    (14, TType.STRUCT, 'copy', [Copy, None], None, ),  # 14
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -246,3 +246,11 @@
         child = Child(self.folder / f'{kind}-{address.port}.log')
         await child.start('standins.core', kind, str(address.port), *words)
         self._standins.append(child)
+
+
+def in_force(fleet: GatewayFleet, entry: int, version: int) -> bool:
+    """Tell whether an entry has said that a version is in force."""
+    return any(
+        line['code'] == 4001 and line['revision'] == version
+        for line in fleet.entries[entry].lines()
+    )
--- a/tests/gateway/test_process_jobs.py
+++ b/tests/gateway/test_process_jobs.py
@@ -3,7 +3,7 @@
 import base64
 from typing import Any
 
-from tests.gateway.fleet import ENTRIES, UPSTREAMS, GatewayFleet
+from tests.gateway.fleet import ENTRIES, UPSTREAMS, GatewayFleet, in_force
 from tests.gateway.written import job, output, routes
 from tests.utils.http import until
 
@@ -136,14 +136,6 @@
     assert await read_all(fleet, 1, 'job1') == {'job1-0': output('job1-0', 4)}
 
 
-def in_force(fleet: GatewayFleet, entry: int, version: int) -> bool:
-    """Tell whether an entry has said that a version is in force."""
-    return any(
-        line['code'] == 4001 and line['revision'] == version
-        for line in fleet.entries[entry].lines()
-    )
-
-
 async def test_a_quota_holds_over_all_instances(fleet: GatewayFleet) -> None:
     listed = routes()
     listed[-1]['max-count'] = 60
--- a/tests/gateway/test_process_operations.py
+++ b/tests/gateway/test_process_operations.py
@@ -7,10 +7,12 @@
 
 from gentiantrestle.http.client import LostError
 from gentiantrestle.models import Address
-from tests.gateway.fleet import ENTRIES, GatewayFleet
+from tests.gateway.fleet import ENTRIES, GatewayFleet, in_force
 from tests.gateway.written import route, routes, whole
 from tests.utils.http import send, until
 
+DUTY_CHANGED = 3010  # the event that tells who watches the store
+
 
 async def test_a_configuration_is_in_force_everywhere_and_stays(
     fleet: GatewayFleet,
@@ -113,3 +115,30 @@
 async def not_ready(fleet: GatewayFleet, entry: int) -> bool:
     """Tell whether an entry says that callers may not come."""
     return not await fleet.is_ready(entry)
+
+
+async def test_one_watches_the_store_and_a_killed_one_is_replaced(
+    fleet: GatewayFleet,
+) -> None:
+    def watchers() -> list[int]:
+        return [
+            number
+            for number in range(ENTRIES)
+            if [
+                line['held']
+                for line in fleet.entries[number].lines()
+                if line['code'] == DUTY_CHANGED
+            ][-1:]
+            == [True]
+        ]
+
+    await until(lambda: len(watchers()) == 1)
+    first = watchers()[0]
+    await fleet.entries[first].end()
+    listed = [*routes(), route(name='new', path_prefix='/new/')]
+    await fleet.configure(listed)
+    others = [one for one in range(ENTRIES) if one != first]
+    # The bound for a configuration to be in force.
+    for number in others:
+        await until(lambda one=number: in_force(fleet, one, 2), timeout=2.5)
+    await until(lambda: len([one for one in watchers() if one != first]) == 1)
--- /dev/null
+++ b/tests/gateway/test_watching.py
@@ -0,0 +1,180 @@
+"""One instance of a zone watches the store; the others copy from it."""
+
+import random
+
+import pytest
+
+from gentiantrestle.gateway.batch.index import JobIndex
+from gentiantrestle.gateway.batch.job_store import JobStore
+from gentiantrestle.gateway.batch.records import job_to_content
+from gentiantrestle.gateway.copies import Copies
+from gentiantrestle.gateway.peers import Peer
+from gentiantrestle.gateway.ports import Stored
+from gentiantrestle.gateway.roster import LAPSE_GRACE
+from gentiantrestle.gateway.state import State
+from gentiantrestle.gateway.watching import (
+    JOBS_LAG,
+    RANK_STEP,
+    START_WAIT,
+    URGENT_LAG,
+    WATCHER_SILENCE,
+    CopyRule,
+    Known,
+    WatchDuty,
+)
+from gentiantrestle.platform.documents import StoreDocuments
+from gentiantrestle.wire.peer import ttypes
+from tests.gateway.memory import MemoryStore
+from tests.gateway.samples import ENGINES, job
+
+ZONE = 'a1'
+LONG = 60.0
+
+
+def _peer(name: str, **changes: object) -> Peer:
+    plain = Peer(name, 1, 1, f'10.0.0.{name}', ZONE, False, 3, True, 0, 5, 5)
+    return plain._replace(**changes)
+
+
+def _duty(instance: str = 'b') -> WatchDuty:
+    return WatchDuty(instance, ZONE, 0)
+
+
+def test_nobody_watches_before_others_could_be_heard() -> None:
+    duty = _duty()
+    assert not duty.decide([], START_WAIT / 2, connected=False)
+    assert duty.decide([], START_WAIT, connected=False)
+
+
+def test_who_watches_already_goes_on() -> None:
+    duty = _duty('a')
+    peers = [_peer('z', heard=LONG)]
+    assert not duty.decide(peers, LONG, connected=False)
+
+
+@pytest.mark.parametrize(
+    ('rival', 'connected', 'held'),
+    [('a', True, False), ('c', True, True), ('c', False, False)],
+)
+def test_of_two_watchers_one_gives_up(
+    rival: str, connected: bool, held: bool
+) -> None:
+    duty = _duty('b')
+    assert duty.decide([], LONG, connected=False)
+    peers = [_peer(rival, heard=LONG)]
+    assert duty.decide(peers, LONG, connected=connected) == held
+
+
+def test_a_silent_or_leaving_watcher_is_replaced_by_one() -> None:
+    first, second = _duty('b'), _duty('c')
+    gone = WATCHER_SILENCE + LONG
+    for duty in (first, second):
+        watched = [_peer('a', heard=LONG)]
+        assert not duty.decide(watched, gone - 0.01, connected=False)
+    near = [
+        _peer('a', heard=LONG),
+        _peer('b', heard=gone, store_reached=False),
+        _peer('c', heard=gone, store_reached=False),
+    ]
+    assert first.decide(near, gone, connected=False)
+    assert not second.decide(near, gone, connected=False)
+    assert second.decide(near, gone + RANK_STEP, connected=False)
+
+
+def test_watchers_of_other_zones_leave_the_own_one_vacant() -> None:
+    peers = [_peer('a', heard=LONG, zone='b1')]
+    assert _duty().decide(peers, LONG, connected=False)
+
+
+KNOWN = Known(3, 5, 5)
+
+
+def _rule() -> CopyRule:
+    return CopyRule(ZONE, lambda: 0)
+
+
+@pytest.mark.parametrize(
+    'news',
+    [{'config_version': 4}, {'upstreams_revision': 6}, {'jobs_revision': 6}],
+)
+def test_news_is_copied_from_the_zones_watcher_at_once(
+    news: dict[str, int],
+) -> None:
+    watcher = _peer('a', **news)
+    other = _peer('c', store_reached=False, **news)
+    assert _rule().choose(KNOWN, [other, watcher], 0) == watcher
+    assert _rule().choose(KNOWN, [other], 0) is None
+    assert _rule().choose(Known(4, 6, 6), [watcher], 0) is None
+
+
+@pytest.mark.parametrize(
+    ('news', 'lag'),
+    [({'config_version': 4}, URGENT_LAG), ({'jobs_revision': 6}, JOBS_LAG)],
+)
+def test_who_stays_behind_copies_from_any_zone(
+    news: dict[str, int], lag: float
+) -> None:
+    rule = _rule()
+    far = _peer('z', zone='b1', **news)
+    assert rule.choose(KNOWN, [far], 1) is None
+    assert rule.choose(KNOWN, [far], 1 + lag) == far
+    assert rule.choose(KNOWN, [_peer('z')], 2 + lag) is None
+    assert rule.choose(KNOWN, [far], 3 + lag) is None
+
+
+def _copies(now: float = 0) -> tuple[Copies, State, JobStore]:
+    state = State(StoreDocuments(), 'main', lambda: now)
+    store = JobStore(MemoryStore(), JobIndex(), random.Random(1), lambda: now)
+    return Copies(state, store, lambda: now), state, store
+
+
+def _server(name: str, revision: int) -> Stored:
+    entry = {
+        'service': ENGINES,
+        'address': '127.0.0.1:9',
+        'zone': ZONE,
+        'slots': 8,
+        'state': 'ready',
+        'born': 1,
+    }
+    return Stored(name, revision, entry)
+
+
+def test_a_copy_brings_what_is_newer_and_nothing_else() -> None:
+    giver, state, store = _copies()
+    state.replace_upstreams([_server('u1', 4)], 5)
+    for number in (6, 8):
+        name = f'job{number}'
+        content = job_to_content(job(name))
+        store.take_in([Stored(name, number, content, {'state': ''})], number)
+    taker, taken, jobs = _copies()
+    taker.take(giver.give(taker.request()))
+    assert taker.known == giver.known == Known(0, 5, 8)
+    assert [one.id for one in taken.roster.of_service(ENGINES, 0)] == ['u1']
+    assert set(jobs.index.entries) == {'job6', 'job8'}
+    again = giver.give(ttypes.CopyRequest(0, 5, 6))
+    assert again.upstreams is None
+    assert [one.name for one in again.jobs] == ['job8']
+
+
+def test_older_news_does_not_replace_newer() -> None:
+    old, state, _ = _copies()
+    state.replace_upstreams([], 3)
+    taker, taken, _ = _copies()
+    taken.replace_upstreams([_server('u1', 4)], 5)
+    taker.take(old.give(ttypes.CopyRequest(0, 0, 0)))
+    assert taker.known.upstreams_revision == 5
+    assert taken.upstreams
+
+
+def test_entries_that_lapsed_for_the_watcher_lapse_for_all() -> None:
+    giver, state, _ = _copies()
+    taker, taken, _ = _copies()
+    for one in (state, taken):
+        one.replace_upstreams([_server('u1', 4)], 5)
+    state.roster.note_outage(0)
+    state.replace_upstreams([], 6)
+    taker.take(giver.give(taker.request()))
+    found = taken.roster.of_service(ENGINES, LAPSE_GRACE / 2)
+    assert [one.id for one in found] == ['u1']
+    assert not taken.roster.of_service(ENGINES, LAPSE_GRACE + 1)
