--- a/gentiantrestle/gateway/gossip.py
+++ b/gentiantrestle/gateway/gossip.py
@@ -1,58 +1,42 @@
-"""Tells the other instances of loads and versions, by datagrams."""
+"""Tells the other instances of loads and versions, by datagrams.
+
+Answers the load of many instances: each tells its zone often and other zones
+rarely. In large fleets the zones' watchers add the loads up, tell one another
+often, and pass the sum of all other zones on to their own.
+"""
 
 import asyncio
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
 
 from gentiantrestle import events
-from gentiantrestle.daemon.membership.codec import (
-    LENGTH,
-    BadFrameError,
-    decode,
-    encode,
+from gentiantrestle.daemon.membership.codec import BadFrameError, decode
+from gentiantrestle.gateway.loads import NO_TOLD, LoadBoard, Told, combine
+from gentiantrestle.gateway.peers import (
+    MIN_GAP,
+    Peer,
+    PeerList,
+    far_gap,
+)
+from gentiantrestle.gateway.pulses import (
+    Heard,
+    Identity,
+    News,
+    Own,
+    read_peer,
+    read_told,
+    write_pulse,
 )
-from gentiantrestle.gateway.loads import BatchWaiting, Load, LoadBoard, Told
-from gentiantrestle.gateway.peers import Peer, PeerList
 from gentiantrestle.models import Address
 from gentiantrestle.wire.peer import ttypes
 
-# Datagrams an instance may send in a second to one group of others.
-DATAGRAM_RATE = 160
-MIN_GAP = 0.05  # seconds between two changes told
+# Datagrams an instance may send in a second to those of its own zone.
+NEAR_RATE = 90
 MAX_GAP = 0.4  # seconds until the same is told again
-MS_PER_S = 1000
+# Where other zones are told less often than this, loads are added up for them.
+SUMMARY_GAP = 0.25  # seconds
+ZONE_GAP = 0.1  # seconds between two sums told to another zone
 MAX_HOSTS = 100  # hosts in one datagram
-
-
-class Own(NamedTuple):
-    """What this instance tells of itself."""
-
-    leaving: bool
-    config_version: int
-    store_reached: bool
-    waiting: int
-    ended: tuple[str, ...]
-    taken: tuple[str, ...]
-    batch: BatchWaiting
-    upstreams_revision: int
-    jobs_revision: int
-
-
-class Heard(NamedTuple):
-    """What another instance says of jobs: ended ones, and runs taken over."""
-
-    ended: tuple[str, ...]
-    taken: tuple[str, ...]
-
-
-class Identity(NamedTuple):
-    """Who this instance is; the incarnation grows with each start."""
-
-    instance: str
-    incarnation: int
-    host: str
-    zone: str
-    port: int
+FAR = 'all other zones'  # the name under which their sum stands
 
 
 class Rhythm:
@@ -63,14 +47,13 @@
         self._state: object = None
         self._at = float('-inf')
 
-    def is_due(self, state: object, hosts: int, now: float) -> bool:
-        """Tell whether it is time to tell ``hosts`` others a state."""
+    def is_due(self, state: object, gap: float, now: float) -> bool:
+        """Tell whether it is time to tell a state, at most each ``gap`` s."""
         since = now - self._at
-        gap = min(MAX_GAP, max(MIN_GAP, hosts / DATAGRAM_RATE))
         # Half a step early, so that a late timer doesn't skip a turn.
         if since < gap - MIN_GAP / 2:
             return False
-        if state == self._state and since < MAX_GAP:
+        if state == self._state and since < max(gap, MAX_GAP):
             return False
         self._state = state
         self._at = now
@@ -97,6 +80,7 @@
         self._number = 0
         self._near = Rhythm()
         self._far = Rhythm()
+        self._zones = Rhythm()
         self._transport: asyncio.DatagramTransport | None = None
         self.on_heard: Callable[[Heard], None] = _nothing
 
@@ -126,92 +110,71 @@
         except BadFrameError as exc:
             events.emit(events.PULSE_UNREADABLE, error=repr(exc))
             return
-        if pulse is not None:
+        if pulse is not None and pulse.instance != self._me.instance:
             self._hear(pulse)
 
     def announce(self) -> None:
         """Tell the others now."""
         if self._transport is not None:
-            self._send(self._peers.hosts(self._now()), self._own())
+            hosts = self._peers.hosts(self._now())
+            self._send(hosts, self._own(), News(self._board.own))
 
     def _hear(self, pulse: ttypes.Pulse) -> None:
         now = self._now()
-        peer = Peer(
-            pulse.instance,
-            pulse.incarnation,
-            pulse.number,
-            pulse.host,
-            pulse.zone,
-            pulse.state == ttypes.MemberState.LEAVING,
-            pulse.config_version,
-            pulse.store_reached,
-            now,
-            pulse.upstreams_revision,
-            pulse.jobs_revision,
-        )
-        newcomer = self._peers.hear(peer)
+        newcomer = self._peers.hear(read_peer(pulse, now))
         self._peers.learn_hosts(pulse.hosts or (), now)
-        loads = {
-            one.upstream: Load(one.online, one.batch) for one in pulse.loads
-        }
-        if pulse.instance != self._me.instance:
-            batch = BatchWaiting(
-                pulse.batch_waiting, pulse.batch_spare / MS_PER_S
-            )
-            self._board.hear(
-                pulse.instance, Told(now, loads, pulse.waiting, batch)
-            )
+        self._board.hear(pulse.instance, read_told(pulse, now))
+        if pulse.zone_summary is not None:
+            self._board.hear(pulse.zone, read_told(pulse.zone_summary, now))
+        if pulse.far_summary is not None:
+            self._board.hear(FAR, read_told(pulse.far_summary, now))
         if newcomer:
             events.emit(events.MEMBER_ALIVE, instance=pulse.instance)
             hosts = self._peers.hosts(now)[:MAX_HOSTS]
-            self._send([pulse.host], self._own(), hosts)
+            self._send([pulse.host], self._own(), News({}, hosts))
         self.on_heard(Heard(tuple(pulse.ended), tuple(pulse.taken)))
 
     def _tell(self) -> None:
-        """Tell the others what is new, those near more often."""
+        """Tell each group what is new, when it is due."""
         now = self._now()
-        near, far = self._peers.split_hosts(self._me.zone, now)
+        near, far = self._peers.split_hosts(now)
+        gap = far_gap(len(far))
         own = self._own()
         # The time to spare runs down all the while: that alone is no news.
-        told = own._replace(batch=BatchWaiting(own.batch.count))
-        state = (told, dict(self._board.own))
-        for hosts, pace in ((near, self._near), (far, self._far)):
-            if pace.is_due(state, len(hosts), now):
-                self._send(hosts, own)
+        state = (own.without_spare(), dict(self._board.own))
+        sums = own.store_reached and gap > SUMMARY_GAP
+        beyond = self._sum_of_zones(now) if sums else None
+        if self._near.is_due((state, beyond), len(near) / NEAR_RATE, now):
+            self._send(near, own, News(self._board.own, far=beyond))
+        if self._far.is_due(state, gap, now):
+            self._tell_far(far, own, gap)
+        if sums and self._zones.is_due(now, ZONE_GAP, now):
+            self._tell_zones(own, now)
+
+    def _tell_far(self, hosts: list[str], own: Own, gap: float) -> None:
+        if gap > SUMMARY_GAP:
+            self._send(hosts, own.without_loads(), News({}))
+        else:
+            self._send(hosts, own, News(self._board.own))
+
+    def _tell_zones(self, own: Own, now: float) -> None:
+        """Tell the other zones' watchers of this zone's loads."""
+        mates = [one.instance for one in self._peers.near()]
+        mine = NO_TOLD._replace(
+            loads=self._board.own, waiting=own.waiting, batch=own.batch
+        )
+        zone = combine((mine, self._board.add_up(mates, now)), now)
+        hosts = [one.host for one in self._peers.far_watchers(now)]
+        self._send(hosts, own.without_loads(), News({}, zone=zone))
 
-    def _send(
-        self,
-        hosts: Iterable[str],
-        own: Own,
-        told_hosts: list[str] | None = None,
-    ) -> None:
+    def _sum_of_zones(self, now: float) -> Told:
+        zones = {one.zone for one in self._peers.far_watchers(now)}
+        # The time is left out, so that equal sums are equal.
+        return self._board.add_up(sorted(zones), now)._replace(at=0)
+
+    def _send(self, hosts: Iterable[str], own: Own, news: News) -> None:
         self._number += 1
-        state = ttypes.MemberState.SERVING
-        if own.leaving:
-            state = ttypes.MemberState.LEAVING
-        pulse = ttypes.Pulse(
-            instance=self._me.instance,
-            incarnation=self._me.incarnation,
-            number=self._number,
-            host=self._me.host,
-            zone=self._me.zone,
-            state=state,
-            config_version=own.config_version,
-            store_reached=own.store_reached,
-            waiting=own.waiting,
-            loads=[
-                ttypes.Load(name, load.online, load.batch)
-                for name, load in self._board.own.items()
-            ],
-            hosts=told_hosts,
-            ended=list(own.ended),
-            taken=list(own.taken),
-            batch_waiting=own.batch.count,
-            batch_spare=int(own.batch.spare * MS_PER_S),
-            upstreams_revision=own.upstreams_revision,
-            jobs_revision=own.jobs_revision,
-        )
-        payload = encode(ttypes.Envelope(call=0, pulse=pulse))[LENGTH.size :]
+        payload = write_pulse(self._me, own, self._number, news)
         for host in hosts:
             self._transport.sendto(payload, (host, self._me.port))
 
--- a/gentiantrestle/gateway/loads.py
+++ b/gentiantrestle/gateway/loads.py
@@ -1,5 +1,6 @@
 """Who runs how much on which upstream, own and told by peers; no I/O."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 # Loads that a peer told longer ago than this are not counted any more.
@@ -37,9 +38,29 @@
     loads: dict[str, Load]
     waiting: int
     batch: BatchWaiting = BatchWaiting()
+    is_sum: bool = False
 
 
 NO_LOAD = Load()
+NO_TOLD = Told(0, {}, 0)
+
+
+def combine(every: Iterable[Told], now: float) -> Told:
+    """Add up loads; of the batch work the tightest instance's stands."""
+    loads: dict[str, Load] = {}
+    waiting = 0
+    batches = []
+    for told in every:
+        waiting += told.waiting
+        if told.batch.count:
+            batches.append(told.batch)
+        for upstream, load in told.loads.items():
+            sum_so_far = loads.get(upstream, NO_LOAD)
+            loads[upstream] = Load(
+                sum_so_far.online + load.online, sum_so_far.batch + load.batch
+            )
+    tightest = min(batches, key=lambda one: one.rank, default=BatchWaiting())
+    return Told(now, loads, waiting, tightest)
 
 
 class LoadBoard:
@@ -67,6 +88,12 @@
         """Drop a peer that is gone."""
         self._told.pop(peer, None)
 
+    def add_up(self, peers: Iterable[str], now: float) -> Told:
+        """Add up what some peers said lately, with the tightest batch."""
+        heard = [self._told[peer] for peer in peers if peer in self._told]
+        fresh = [told for told in heard if now - told.at < STALE_AFTER]
+        return combine(fresh, now)
+
     def of(self, upstream: str, now: float) -> Load:
         """Add up the loads of all instances on one upstream."""
         loads = [self.own.get(upstream, NO_LOAD)]
@@ -86,7 +113,9 @@
             (
                 told.loads[upstream].batch
                 for told in self._told.values()
-                if upstream in told.loads and now - told.at < STALE_AFTER
+                if upstream in told.loads
+                and now - told.at < STALE_AFTER
+                and not told.is_sum
             ),
             default=0,
         )
--- a/gentiantrestle/gateway/peering.py
+++ b/gentiantrestle/gateway/peering.py
@@ -10,9 +10,10 @@
 from gentiantrestle.gateway.batch.reader import ResultReader
 from gentiantrestle.gateway.batch.runner import Runner
 from gentiantrestle.gateway.copies import Copies
-from gentiantrestle.gateway.gossip import Gossip, Heard, Identity, Own
+from gentiantrestle.gateway.gossip import Gossip
 from gentiantrestle.gateway.loads import LoadBoard
 from gentiantrestle.gateway.peers import PeerList
+from gentiantrestle.gateway.pulses import Heard, Identity, Own
 from gentiantrestle.gateway.relay import Relay
 from gentiantrestle.gateway.watching import CopyRule
 from gentiantrestle.supervisor import Child
--- a/gentiantrestle/gateway/peers.py
+++ b/gentiantrestle/gateway/peers.py
@@ -8,7 +8,12 @@
 from typing import NamedTuple
 
 # An instance tells of itself at least every 0.4 s; datagrams may be lost.
-SILENCE = 1.6  # seconds until an instance counts as gone
+SILENCE = 1.6  # seconds until an instance of the own zone counts as gone
+# Datagrams an instance may send in a second to those of other zones; what it
+# tells them is not urgent in large fleets.
+FAR_RATE = 45
+MIN_GAP = 0.05  # seconds between two datagrams to the same instance
+MISSED = 3.2  # datagrams from another zone that may be missed
 FORGET_AFTER = 60.0  # seconds until a silent host is not told any more
 # How long a silent instance may still do work that is not known here.
 SETTLE_TIME = 60.0  # seconds
@@ -34,17 +39,34 @@
         """Name this run of the instance: another one after a restart."""
         return run_name(self.instance, self.incarnation)
 
-    def fresh(self, now: float) -> bool:
-        """Tell whether the instance was heard of lately."""
-        return now - self.heard < SILENCE
+    def fresh(self, now: float, silence: float = SILENCE) -> bool:
+        """Tell whether the instance was heard of in the last ``silence`` s."""
+        return now - self.heard < silence
+
+
+def far_gap(hosts: int) -> float:
+    """Return how often ``hosts`` instances of other zones are told, in s."""
+    return max(MIN_GAP, hosts / FAR_RATE)
+
+
+def far_silence(hosts: int) -> float:
+    """Return when one of ``hosts`` in other zones counts as gone, in s."""
+    return max(SILENCE, MISSED * far_gap(hosts))
 
 
 class PeerList:
     """The other instances by name, and the hosts to tell."""
 
-    def __init__(self, instance: str, host: str, seeds: Iterable[str]) -> None:
+    def __init__(
+        self,
+        instance: str,
+        host: str,
+        zone: str,
+        seeds: Iterable[str],
+    ) -> None:
         """Know the seeds' hosts only."""
         self._instance = instance
+        self._zone = zone
         self._own_host = host
         self._by_name: dict[str, Peer] = {}
         self._seeds = frozenset(seeds) - {host}
@@ -76,13 +98,9 @@
                 self._hosts.pop(host)
         return sorted(self._seeds | set(self._hosts))
 
-    def split_hosts(
-        self,
-        zone: str,
-        now: float,
-    ) -> tuple[list[str], list[str]]:
-        """List the hosts in a zone, and all others."""
-        near = {one.host for one in self._by_name.values() if one.zone == zone}
+    def split_hosts(self, now: float) -> tuple[list[str], list[str]]:
+        """List the hosts in the own zone, and all others."""
+        near = {one.host for one in self.near()}
         hosts = self.hosts(now)
         return (
             [host for host in hosts if host in near],
@@ -91,7 +109,8 @@
 
     def sweep(self, now: float) -> list[Peer]:
         """Drop and return the instances that have fallen silent."""
-        silent = [one for one in self._by_name.values() if not one.fresh(now)]
+        alive = self.fresh(now)
+        silent = [one for one in self._by_name.values() if one not in alive]
         for one in silent:
             self._by_name.pop(one.instance)
             if not one.leaving:
@@ -104,11 +123,7 @@
 
     def workers(self, now: float) -> tuple[str, ...]:
         """Name the runs of living instances that take work on."""
-        return tuple(
-            one.run
-            for one in self._by_name.values()
-            if one.fresh(now) and not one.leaving
-        )
+        return tuple(one.run for one in self.fresh(now) if not one.leaving)
 
     def find(self, run: str) -> Peer | None:
         """Return a living instance by the name of its run."""
@@ -118,7 +133,25 @@
 
     def fresh(self, now: float) -> list[Peer]:
         """List the instances that were heard of lately."""
-        return [one for one in self._by_name.values() if one.fresh(now)]
+        silence = far_silence(len(self._by_name) - len(self.near()))
+        return [
+            one
+            for one in self._by_name.values()
+            if one.fresh(now, silence)
+            and (one.zone != self._zone or one.fresh(now))
+        ]
+
+    def near(self) -> list[Peer]:
+        """List the instances of the own zone."""
+        return [one for one in self._by_name.values() if one.zone == self._zone]
+
+    def far_watchers(self, now: float) -> list[Peer]:
+        """List those who watch the store for other zones."""
+        return [
+            one
+            for one in self.fresh(now)
+            if one.store_reached and one.zone != self._zone
+        ]
 
 
 def run_name(instance: str, incarnation: int) -> str:
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -16,11 +16,11 @@
 from gentiantrestle.gateway.entry import Entry
 from gentiantrestle.gateway.follow import Follower, Sink, Subject
 from gentiantrestle.gateway.forward import Forwarder, Means
-from gentiantrestle.gateway.gossip import Identity
 from gentiantrestle.gateway.measures import Measures
 from gentiantrestle.gateway.peering import Peering, Work
 from gentiantrestle.gateway.peers import PeerList, run_name
 from gentiantrestle.gateway.ports import Adapter, Stored
+from gentiantrestle.gateway.pulses import Identity
 from gentiantrestle.gateway.state import State
 from gentiantrestle.gateway.watching import WatchDuty
 from gentiantrestle.supervisor import Child, Supervisor
@@ -64,7 +64,9 @@
         self._parts = workplace.parts
         self._admission = workplace.admission
         self._runner = workplace.runner
-        self._peers = PeerList(plan.instance, plan.host, plan.seeds)
+        self._peers = PeerList(
+            plan.instance, plan.host, plan.site.zone, plan.seeds
+        )
         self._duty = WatchDuty(plan.instance, plan.site.zone, self._clock.now())
         self._followers = dict(self._build_followers())
         self._peering = self._build_peering()
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -86,6 +86,14 @@
   1: required list<ReportRow> rows,
 }
 
+/* Loads of many instances, added up; of batch the tightest instance's. */
+struct Summary {
+  1: required list<Load> loads,
+  2: required i32 waiting,
+  3: required i32 batch_waiting,
+  4: required i64 batch_spare,
+}
+
 /* What an instance of the gateway tells the others, often and briefly. */
 struct Pulse {
   1: required string instance,
@@ -111,6 +119,10 @@
   /* Revisions of the store that the sender's knowledge is from. */
   16: required i64 upstreams_revision,
   17: required i64 jobs_revision,
+  /* In large fleets: the sender's zone, told to the watchers of others. */
+  18: optional Summary zone_summary,
+  /* In large fleets: all other zones, told by a watcher to its own zone. */
+  19: optional Summary far_summary,
 }
 
 /* An object of the platform's store, as an instance knows it. */
--- a/gentiantrestle/wire/peer/ttypes.py
+++ b/gentiantrestle/wire/peer/ttypes.py
@@ -1283,6 +1283,127 @@
         return not (self == other)
 
 
+class Summary(object):
+    """
+    Attributes:
+     - loads
+     - waiting
+     - batch_waiting
+     - batch_spare
+
+    """
+
+    __slots__ = (
+        'loads',
+        'waiting',
+        'batch_waiting',
+        'batch_spare',
+    )
+
+
+    def __init__(self, loads=None, waiting=None, batch_waiting=None, batch_spare=None,):
+        self.loads = loads
+        self.waiting = waiting
+        self.batch_waiting = batch_waiting
+        self.batch_spare = batch_spare
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype47, _size44) = iprot.readListBegin()
+                    for _i48 in range(_size44):
+                        _elem49 = Load()
+                        _elem49.read(iprot)
+                        self.loads.append(_elem49)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.batch_waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.batch_spare = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Summary')
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.loads))
+            for iter50 in self.loads:
+                iter50.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I32, 2)
+            oprot.writeI32(self.waiting)
+            oprot.writeFieldEnd()
+        if self.batch_waiting is not None:
+            oprot.writeFieldBegin('batch_waiting', TType.I32, 3)
+            oprot.writeI32(self.batch_waiting)
+            oprot.writeFieldEnd()
+        if self.batch_spare is not None:
+            oprot.writeFieldBegin('batch_spare', TType.I64, 4)
+            oprot.writeI64(self.batch_spare)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.loads is None:
+            raise TProtocolException(message='Required field loads is unset!')
+        if self.waiting is None:
+            raise TProtocolException(message='Required field waiting is unset!')
+        if self.batch_waiting is None:
+            raise TProtocolException(message='Required field batch_waiting is unset!')
+        if self.batch_spare is None:
+            raise TProtocolException(message='Required field batch_spare is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Pulse(object):
     """
     Attributes:
@@ -1303,6 +1424,8 @@
      - batch_spare
      - upstreams_revision
      - jobs_revision
+     - zone_summary
+     - far_summary
 
     """
 
@@ -1324,10 +1447,12 @@
         'batch_spare',
         'upstreams_revision',
         'jobs_revision',
+        'zone_summary',
+        'far_summary',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, number=None, host=None, zone=None, state=None, config_version=None, store_reached=None, waiting=None, loads=None, hosts=None, ended=None, taken=None, batch_waiting=None, batch_spare=None, upstreams_revision=None, jobs_revision=None,):
+    def __init__(self, instance=None, incarnation=None, number=None, host=None, zone=None, state=None, config_version=None, store_reached=None, waiting=None, loads=None, hosts=None, ended=None, taken=None, batch_waiting=None, batch_spare=None, upstreams_revision=None, jobs_revision=None, zone_summary=None, far_summary=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.number = number
@@ -1345,6 +1470,8 @@
         self.batch_spare = batch_spare
         self.upstreams_revision = upstreams_revision
         self.jobs_revision = jobs_revision
+        self.zone_summary = zone_summary
+        self.far_summary = far_summary
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1403,41 +1530,41 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = Load()
-                        _elem49.read(iprot)
-                        self.loads.append(_elem49)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = Load()
+                        _elem56.read(iprot)
+                        self.loads.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.hosts = []
-                    (_etype53, _size50) = iprot.readListBegin()
-                    for _i54 in range(_size50):
-                        _elem55 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.hosts.append(_elem55)
+                    (_etype60, _size57) = iprot.readListBegin()
+                    for _i61 in range(_size57):
+                        _elem62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.hosts.append(_elem62)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.ended = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.ended.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.ended.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.taken = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.taken.append(_elem67)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.taken.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1461,6 +1588,18 @@
                     self.jobs_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRUCT:
+                    self.zone_summary = Summary()
+                    self.zone_summary.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.STRUCT:
+                    self.far_summary = Summary()
+                    self.far_summary.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1510,29 +1649,29 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter68 in self.loads:
-                iter68.write(oprot)
+            for iter75 in self.loads:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.hosts))
-            for iter69 in self.hosts:
-                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            for iter76 in self.hosts:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.ended))
-            for iter70 in self.ended:
-                oprot.writeString(iter70.encode('utf-8') if sys.version_info[0] == 2 else iter70)
+            for iter77 in self.ended:
+                oprot.writeString(iter77.encode('utf-8') if sys.version_info[0] == 2 else iter77)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.taken is not None:
             oprot.writeFieldBegin('taken', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.taken))
-            for iter71 in self.taken:
-                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
+            for iter78 in self.taken:
+                oprot.writeString(iter78.encode('utf-8') if sys.version_info[0] == 2 else iter78)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.batch_waiting is not None:
@@ -1551,6 +1690,14 @@
             oprot.writeFieldBegin('jobs_revision', TType.I64, 17)
             oprot.writeI64(self.jobs_revision)
             oprot.writeFieldEnd()
+        if self.zone_summary is not None:
+            oprot.writeFieldBegin('zone_summary', TType.STRUCT, 18)
+            self.zone_summary.write(oprot)
+            oprot.writeFieldEnd()
+        if self.far_summary is not None:
+            oprot.writeFieldBegin('far_summary', TType.STRUCT, 19)
+            self.far_summary.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1862,22 +2009,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = KnownObject()
-                        _elem77.read(iprot)
-                        self.upstreams.append(_elem77)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = KnownObject()
+                        _elem84.read(iprot)
+                        self.upstreams.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.jobs = []
-                    (_etype81, _size78) = iprot.readListBegin()
-                    for _i82 in range(_size78):
-                        _elem83 = KnownObject()
-                        _elem83.read(iprot)
-                        self.jobs.append(_elem83)
+                    (_etype88, _size85) = iprot.readListBegin()
+                    for _i89 in range(_size85):
+                        _elem90 = KnownObject()
+                        _elem90.read(iprot)
+                        self.jobs.append(_elem90)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1911,15 +2058,15 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter84 in self.upstreams:
-                iter84.write(oprot)
+            for iter91 in self.upstreams:
+                iter91.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter85 in self.jobs:
-                iter85.write(oprot)
+            for iter92 in self.jobs:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lapse_left is not None:
@@ -2187,11 +2334,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = ResultRow()
-                        _elem91.read(iprot)
-                        self.rows.append(_elem91)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = ResultRow()
+                        _elem98.read(iprot)
+                        self.rows.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2221,8 +2368,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter92 in self.rows:
-                iter92.write(oprot)
+            for iter99 in self.rows:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.chunks is not None:
@@ -2584,6 +2731,14 @@
     None,  # 0
     (1, TType.LIST, 'rows', (TType.STRUCT, [ReportRow, None], False), None, ),  # 1
 )
+all_structs.append(Summary)
+Summary.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'loads', (TType.STRUCT, [Load, None], False), None, ),  # 1
+    (2, TType.I32, 'waiting', None, None, ),  # 2
+    (3, TType.I32, 'batch_waiting', None, None, ),  # 3
+    (4, TType.I64, 'batch_spare', None, None, ),  # 4
+)
 all_structs.append(Pulse)
 Pulse.thrift_spec = (
     None,  # 0
@@ -2604,6 +2759,8 @@
     (15, TType.I64, 'batch_spare', None, None, ),  # 15
     (16, TType.I64, 'upstreams_revision', None, None, ),  # 16
     (17, TType.I64, 'jobs_revision', None, None, ),  # 17
+    (18, TType.STRUCT, 'zone_summary', [Summary, None], None, ),  # 18
+    (19, TType.STRUCT, 'far_summary', [Summary, None], None, ),  # 19
 )
 all_structs.append(KnownObject)
 KnownObject.thrift_spec = (
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -1,6 +1,8 @@
 """Stand-in for the users' servers: streams, plain answers, and faults."""
 
 import asyncio
+import sys
+import time
 from collections.abc import AsyncIterator, Mapping
 from http import HTTPStatus
 from typing import Any
@@ -61,10 +63,13 @@
             'last': first,
             'path': req.path,
             'body': body.decode('latin-1'),
+            'at': time.time(),
+            'failed': bool(self._faults.get('fail')),
             'done': False,
             'active': False,
         }
         self._runs.append(run)
+        _log(run)
         if self._faults.get('silent'):
             await asyncio.sleep(self._faults['silent'])
         return self._answer(told, run)
@@ -102,6 +107,12 @@
             self._running -= 1
 
 
+def _log(run: dict[str, Any]) -> None:
+    """Keep a record that outlives this process."""
+    sys.stdout.write(f'{msgspec.json.encode(run).decode()}\n')
+    sys.stdout.flush()
+
+
 def event(request_id: str, number: int) -> bytes:
     """Return one event of a request's stream."""
     return f'id: {number}\ndata: {request_id}-{number}\n\n'.encode()
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real processes, faults from outside, promises checked."""
