--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -25,6 +25,7 @@
 
 # How often waiting items look for slots, besides when one is given back.
 ROUND_TIME = 0.1  # seconds
+IDLE_TIME = 0.4  # seconds, where nothing runs or waits
 # An upstream that refused or lost an item is left alone by it for this long.
 ITEM_PAUSE = 0.3  # seconds
 # Runs of other instances that the others are told of with each datagram.
@@ -55,8 +56,9 @@
         while not self.stopping:
             self._round()
             self._woken.clear()
+            busy = self.waiting.count or self.table.ids()
             with suppress(TimeoutError):
-                async with asyncio.timeout(ROUND_TIME):
+                async with asyncio.timeout(ROUND_TIME if busy else IDLE_TIME):
                     await self._woken.wait()
 
     def wake(self) -> None:
--- a/gentiantrestle/gateway/follow.py
+++ b/gentiantrestle/gateway/follow.py
@@ -17,7 +17,6 @@
 # must be found out within the 4 s in which nothing is asked of an instance.
 WATCH_WAIT = 2.5  # seconds
 FIRST_WAIT = 0.05  # seconds: the first watch is to show that the store answers
-IDLE_STEP = 0.1  # seconds between looks whether to watch
 FIRST_BACKOFF = 0.1  # seconds
 MAX_BACKOFF = 1.0  # seconds
 # Lists after a dropped history are spread over this time.
@@ -25,9 +24,15 @@
 LIST_ANEW = 0  # no revision of the store
 
 
-def always() -> bool:
-    """Have the store asked all the time."""
-    return True
+class Gate(asyncio.Event):
+    """Open while the store is to be asked."""
+
+    @classmethod
+    def always_open(cls) -> 'Gate':
+        """Return one that is never closed."""
+        gate = cls()
+        gate.set()
+        return gate
 
 
 class Sink(NamedTuple):
@@ -76,15 +81,15 @@
         subject: Subject,
         sink: Sink,
         rng: random.Random,
-        on_duty: Callable[[], bool] = always,
+        gate: Gate,
     ) -> None:
-        """Ask nothing of the store while ``on_duty`` says no."""
+        """Ask nothing of the store while ``gate`` is closed."""
         self._store = store
         self._kind = subject.kind
         self._subject = subject
         self._sink = sink
         self._rng = rng
-        self._on_duty = on_duty
+        self._gate = gate
         self._backoff = Backoff(rng)
         self._revision: int | None = None
         self.connected = False
@@ -92,10 +97,9 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            if not self._on_duty():
+            if not self._gate.is_set():
                 self._forget()
-                await asyncio.sleep(IDLE_STEP)
-                continue
+                await self._gate.wait()
             try:
                 await self._step()
             except StoreUnavailableError as exc:
--- a/gentiantrestle/gateway/gossip.py
+++ b/gentiantrestle/gateway/gossip.py
@@ -39,6 +39,11 @@
 FAR = 'all other zones'  # the name under which their sum stands
 
 
+def near_gap(hosts: int) -> float:
+    """Return how often ``hosts`` others of the own zone are told, in s."""
+    return max(MIN_GAP, hosts / NEAR_RATE)
+
+
 class Rhythm:
     """When a group of hosts is told again; no I/O."""
 
@@ -95,7 +100,7 @@
             while True:
                 self._tell()
                 self._sweep()
-                await asyncio.sleep(MIN_GAP)
+                await asyncio.sleep(self._pause)
         finally:
             self._transport.close()
 
@@ -144,13 +149,19 @@
         state = (own.without_spare(), dict(self._board.own))
         sums = own.store_reached and gap > SUMMARY_GAP
         beyond = self._sum_of_zones(now) if sums else None
-        if self._near.is_due((state, beyond), len(near) / NEAR_RATE, now):
+        if self._near.is_due((state, beyond), near_gap(len(near)), now):
             self._send(near, own, News(self._board.own, far=beyond))
         if self._far.is_due(state, gap, now):
             self._tell_far(far, own, gap)
         if sums and self._zones.is_due(now, ZONE_GAP, now):
             self._tell_zones(own, now)
 
+    @property
+    def _pause(self) -> float:
+        """Seconds until one of the groups can be due."""
+        near = near_gap(len(self._peers.near()))
+        return max(MIN_GAP, min(near, ZONE_GAP))
+
     def _tell_far(self, hosts: list[str], own: Own, gap: float) -> None:
         if gap > SUMMARY_GAP:
             self._send(hosts, own.without_loads(), News({}))
--- a/gentiantrestle/gateway/peering.py
+++ b/gentiantrestle/gateway/peering.py
@@ -51,6 +51,8 @@
         self._now = now
         self._ended: deque[str] = deque(maxlen=ENDED_TOLD)
         self._leaving = False
+        # Done each time before it is decided whom to copy from.
+        self.on_round: Callable[[], None] = _nothing
         self._gossip = Gossip(identity, peers, work.board, self._own, now)
         self._gossip.on_heard = self._hear
         rule = CopyRule(
@@ -64,7 +66,7 @@
         """Pass on what the supervisor runs."""
         yield Child('gossip', self._gossip.run)
         yield Child('peers', lambda: self._relay.serve(self._identity.host))
-        yield Child('relay', lambda: self._relay.run(self._now))
+        yield Child('relay', lambda: self._relay.run(self._now, self.on_round))
 
     def leave(self) -> None:
         """Tell the others that this instance takes no work on any more."""
@@ -96,3 +98,7 @@
             self._work.index.end(job)
         self._work.runner.table.yield_overload()
         self._work.admission.dispatch()
+
+
+def _nothing() -> None:
+    """Do nothing until something is set."""
--- a/gentiantrestle/gateway/relay.py
+++ b/gentiantrestle/gateway/relay.py
@@ -46,9 +46,14 @@
         """Answer the other instances until cancelled."""
         await self._server.run(Address(host, self._port))
 
-    async def run(self, now: Callable[[], float]) -> None:
+    async def run(
+        self,
+        now: Callable[[], float],
+        on_round: Callable[[], None],
+    ) -> None:
         """Keep up with those who watch the store."""
         while True:
+            on_round()
             at = now()
             peer = self._rule.choose(
                 self._copies.known, self._peers.fresh(at), at
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -14,7 +14,7 @@
 from gentiantrestle.gateway.callers import Callers
 from gentiantrestle.gateway.copies import Copies
 from gentiantrestle.gateway.entry import Entry
-from gentiantrestle.gateway.follow import Follower, Sink, Subject
+from gentiantrestle.gateway.follow import Follower, Gate, Sink, Subject
 from gentiantrestle.gateway.forward import Forwarder, Means
 from gentiantrestle.gateway.measures import Measures
 from gentiantrestle.gateway.peering import Peering, Work
@@ -68,6 +68,7 @@
             plan.instance, plan.host, plan.site.zone, plan.seeds
         )
         self._duty = WatchDuty(plan.instance, plan.site.zone, self._clock.now())
+        self._gate = Gate()
         self._followers = dict(self._build_followers())
         self._peering = self._build_peering()
         self.measures = self._build_measures()
@@ -132,7 +133,7 @@
                     Subject(kind, rest),
                     sink,
                     self._rng,
-                    self._is_on_duty,
+                    self._gate,
                 ),
             )
 
@@ -151,23 +152,29 @@
             self._runner,
             reader,
         )
-        return Peering(
+        peering = Peering(
             self._identity, peers, work, self._is_connected, self._clock.now
         )
+        peering.on_round = self._decide_duty
+        return peering
 
     def _is_connected(self) -> bool:
         """Tell whether this instance watches the store, and hears it."""
         return all(one.connected for one in self._followers.values())
 
-    def _is_on_duty(self) -> bool:
+    def _decide_duty(self) -> None:
+        """Watch the store, or leave it to another instance of the zone."""
         now = self._clock.now()
-        held = self._duty.held
         duty = self._duty.decide(
             self._peers.fresh(now), now, connected=self._is_connected()
         )
-        if duty != held:
-            events.emit(events.DUTY_CHANGED, held=duty)
-        return duty
+        if duty == self._gate.is_set():
+            return
+        events.emit(events.DUTY_CHANGED, held=duty)
+        if duty:
+            self._gate.set()
+        else:
+            self._gate.clear()
 
     def _build_callers(self) -> Callers:
         dialect = self._adapter.dialect
--- a/gentiantrestle/platform/roles.py
+++ b/gentiantrestle/platform/roles.py
@@ -9,7 +9,7 @@
 from gentiantrestle import events
 from gentiantrestle.config import Settings
 from gentiantrestle.gateway.assembly import Plan
-from gentiantrestle.gateway.follow import Follower, Subject
+from gentiantrestle.gateway.follow import Follower, Gate, Subject
 from gentiantrestle.gateway.listener import listen
 from gentiantrestle.gateway.placement import Site
 from gentiantrestle.gateway.ports import Adapter, Kinds
@@ -113,6 +113,7 @@
         Subject(RETIREMENT_KIND, RETIREMENT_REST, RETIREMENT_WAIT),
         retirement.sink(),
         random.Random(time.time_ns()),
+        Gate.always_open(),
     )
     children = (Child('retirement', follower.run),)
     root = asyncio.create_task(Supervisor(children, time.monotonic).run())
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -109,7 +109,8 @@
 
 def _log(run: dict[str, Any]) -> None:
     """Keep a record that outlives this process."""
-    sys.stdout.write(f'{msgspec.json.encode(run).decode()}\n')
+    line = msgspec.json.encode(run).decode()
+    sys.stdout.write(f'{line}\n')
     sys.stdout.flush()
 
 
