--- a/gentiantrestle/gateway/assembly.py
+++ b/gentiantrestle/gateway/assembly.py
@@ -50,7 +50,7 @@
     store = SettlingStore(adapter.store, clock.now)
     parts = Parts(
         index,
-        JobStore(store, index, rng, clock.now),
+        JobStore(store, index, rng, clock.now, adapter.store),
         state.router,
         state.roster,
         board,
--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -52,9 +52,17 @@
         index: JobIndex,
         rng: random.Random,
         now: Callable[[], float],
+        plain: ObjectStore | None = None,
     ) -> None:
-        """Write through ``store``; note in ``index`` what was settled."""
+        """Write through ``store``; note in ``index`` what was settled.
+
+        Results are listed through ``plain``, if given: that is tried anew as
+        long as it takes, so that it need not be settled at once.
+        """
+        self._plain = plain or store
         self._now = now
+        # Whether any instance hears the store; without it nothing is written.
+        self.reachable: Callable[[], bool] = _always
         self._looks: dict[str, _Look] = {}
         self._store = store
         self.index = index
@@ -170,6 +178,8 @@
         """
         backoff = Backoff(self._rng)
         while True:
+            while not self.reachable():
+                await asyncio.sleep(backoff.next_pause())
             new = tuple(one for one in results if not entry.is_listed(one.id))
             if not new:
                 return
@@ -214,7 +224,7 @@
         number = entry.chunks
         content = results_to_content(results)
         name = chunk_name(entry.job.id, number)
-        if await self._store.create(RESULT_KIND, name, content):
+        if await self._plain.create(RESULT_KIND, name, content):
             if entry.chunks == number:
                 entry.append(results)
             return
@@ -238,6 +248,10 @@
         return entry is None or entry.job.done or _state_of(stored) == ENDED
 
 
+def _always() -> bool:
+    return True
+
+
 def _state_of(stored: Stored) -> str:
     return (stored.status or {}).get('state', '')
 
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -70,6 +70,7 @@
         self._duty = WatchDuty(plan.instance, plan.site.zone, self._clock.now())
         self._gate = Gate()
         self._followers = dict(self._build_followers())
+        self._parts.job_store.reachable = self._hears_store
         self._peering = self._build_peering()
         self.measures = self._build_measures()
         self.callers = self._build_callers()
@@ -162,6 +163,11 @@
         """Tell whether this instance watches the store, and hears it."""
         return all(one.connected for one in self._followers.values())
 
+    def _hears_store(self) -> bool:
+        """Tell whether this or any other instance hears the store."""
+        peers = self._peers.fresh(self._clock.now())
+        return self._is_connected() or any(one.store_reached for one in peers)
+
     def _decide_duty(self) -> None:
         """Watch the store, or leave it to another instance of the zone."""
         now = self._clock.now()
--- a/gentiantrestle/gateway/watching.py
+++ b/gentiantrestle/gateway/watching.py
@@ -16,7 +16,10 @@
 # All instances start within 0.3 s of each other.
 START_WAIT = 0.6  # seconds in which a new instance hears of the others
 RANK_STEP = 0.4  # seconds by which the next in line waits longer
-MAX_RANK = 3
+# Where these first in line fail, the store is likely away for all; the others
+# try as well, but later, since each try is a call that the store counts.
+QUICK_RANKS = 3
+LATE_STEP = 1.5  # seconds
 # How long the own zone's watcher may lag behind others: its pause between two
 # calls for the same kind, and the way of the news.
 URGENT_LAG = 0.8  # seconds, for the configuration and the upstreams
@@ -69,8 +72,8 @@
             self.held = False
         elif not self.held:
             rank = sum(one.instance < self._instance for one in near)
-            wait = RANK_STEP * min(MAX_RANK, rank)
-            self.held = now - self._vacant_since >= wait
+            step = RANK_STEP if rank < QUICK_RANKS else LATE_STEP
+            self.held = now - self._vacant_since >= step * rank
         return self.held
 
 
--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -14,6 +14,7 @@
 from gentiantrestle.gateway.state import State
 from gentiantrestle.gateway.watching import (
     JOBS_LAG,
+    QUICK_RANKS,
     RANK_STEP,
     START_WAIT,
     URGENT_LAG,
@@ -81,6 +82,20 @@
     assert second.decide(near, gone + RANK_STEP, connected=False)
 
 
+def test_few_try_at_once_while_the_store_is_away() -> None:
+    names = [f'{number:02}' for number in range(10)]
+    duties = [_duty(name) for name in names]
+    trying = set()
+    for step in range(40):
+        now = START_WAIT + step / 10
+        peers = [_peer(one, heard=now, store_reached=False) for one in names]
+        for name, duty in zip(names, duties, strict=True):
+            others = [one for one in peers if one.instance != name]
+            if duty.decide(others, now, connected=False):
+                trying.add(name)
+    assert trying == set(names[:QUICK_RANKS])
+
+
 def test_watchers_of_other_zones_leave_the_own_one_vacant() -> None:
     peers = [_peer('a', heard=LONG, zone='b1')]
     assert _duty().decide(peers, LONG, connected=False)
