--- a/gentiantrestle/gateway/copies.py
+++ b/gentiantrestle/gateway/copies.py
@@ -34,11 +34,15 @@
             self._state.version,
             self._state.revision,
             self._job_store.index.revision,
+            self._state.upstreams_mark,
         )
 
     def request(self) -> ttypes.CopyRequest:
         """Ask for all that is newer."""
-        return ttypes.CopyRequest(*self.known)
+        known = self.known
+        return ttypes.CopyRequest(
+            known.config_version, known.upstreams_revision, known.jobs_revision
+        )
 
     def give(self, asked: ttypes.CopyRequest) -> ttypes.Copy:
         """Collect what is newer than ``asked``."""
--- a/gentiantrestle/gateway/peering.py
+++ b/gentiantrestle/gateway/peering.py
@@ -89,6 +89,7 @@
             self._work.runner.waiting,
             known.upstreams_revision,
             known.jobs_revision,
+            known.upstreams_mark,
         )
 
     def _hear(self, heard: Heard) -> None:
--- a/gentiantrestle/gateway/peers.py
+++ b/gentiantrestle/gateway/peers.py
@@ -33,6 +33,7 @@
     heard: float
     upstreams_revision: int = 0
     jobs_revision: int = 0
+    upstreams_mark: int = 0
 
     @property
     def run(self) -> str:
--- a/gentiantrestle/gateway/pulses.py
+++ b/gentiantrestle/gateway/pulses.py
@@ -23,6 +23,7 @@
     batch: BatchWaiting
     upstreams_revision: int
     jobs_revision: int
+    upstreams_mark: int
 
     def without_spare(self) -> 'Own':
         """Leave out the time that batch has to spare."""
@@ -82,6 +83,7 @@
         batch_spare=int(own.batch.spare * MS_PER_S),
         upstreams_revision=own.upstreams_revision,
         jobs_revision=own.jobs_revision,
+        upstreams_mark=own.upstreams_mark,
         zone_summary=news.zone and _pack_summary(news.zone),
         far_summary=news.far and _pack_summary(news.far),
     )
@@ -102,6 +104,7 @@
         now,
         pulse.upstreams_revision,
         pulse.jobs_revision,
+        pulse.upstreams_mark,
     )
 
 
--- a/gentiantrestle/gateway/state.py
+++ b/gentiantrestle/gateway/state.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Iterable
 
+import xxhash
+
 from gentiantrestle import events
 from gentiantrestle.gateway.follow import LIST_ANEW, Sink
 from gentiantrestle.gateway.ports import Documents, Stored
@@ -26,6 +28,8 @@
         self._now = now
         self.config: Stored | None = None
         self.upstreams: dict[str, Stored] = {}
+        # The same entries have the same mark, whoever knows them.
+        self.upstreams_mark = 0
         self.on_change: Callable[[], None] = _nothing
 
     @property
@@ -132,6 +136,7 @@
 
     def _note(self, revision: int) -> None:
         self.roster.revision = revision
+        self.upstreams_mark = _fingerprint(self.upstreams.values())
         entries = self.roster.entries()
         draining = sum(one.draining for one in entries)
         events.emit(
@@ -144,5 +149,10 @@
         self.on_change()
 
 
+def _fingerprint(entries: Iterable[Stored]) -> int:
+    listed = sorted((one.name, one.revision) for one in entries)
+    return xxhash.xxh32_intdigest(repr(listed).encode())
+
+
 def _nothing() -> None:
     """Do nothing until something is set."""
--- a/gentiantrestle/gateway/watching.py
+++ b/gentiantrestle/gateway/watching.py
@@ -33,6 +33,7 @@
     config_version: int
     upstreams_revision: int
     jobs_revision: int
+    upstreams_mark: int = 0
 
 
 class WatchDuty:
@@ -77,6 +78,28 @@
         return self.held
 
 
+class Goal:
+    """A revision that others have, and since when it has been missed."""
+
+    def __init__(self) -> None:
+        """Miss nothing."""
+        self._revision = 0
+        self._since = NEVER
+
+    def lag(self, own: int, ahead: int, now: float) -> float:
+        """Return for how long what others had has been missed here, in s.
+
+        Others may get ahead again and again; that is no lag as long as this
+        instance reaches in time what they had when it fell behind.
+        """
+        if ahead <= own:
+            self._since = NEVER
+        elif self._since == NEVER or own >= self._revision:
+            self._revision = ahead
+            self._since = now
+        return now - self._since
+
+
 class CopyRule:
     """From whom this instance copies what is newer than its own."""
 
@@ -85,7 +108,7 @@
         self._zone = zone
         self._chance = chance
         self._behind_since = NEVER
-        self._jobs_behind_since = NEVER
+        self._jobs = Goal()
 
     def choose(
         self,
@@ -97,11 +120,11 @@
         every = list(peers)
         urgent = [one for one in every if _is_ahead(one, known)]
         jobs = [one for one in every if one.jobs_revision > known.jobs_revision]
-        self._behind_since = _since(self._behind_since, urgent, now)
-        self._jobs_behind_since = _since(self._jobs_behind_since, jobs, now)
+        self._behind_since = min(self._behind_since, now) if urgent else NEVER
         if now - self._behind_since >= URGENT_LAG:
             return self._any(urgent)
-        if now - self._jobs_behind_since >= JOBS_LAG:
+        newest = max((one.jobs_revision for one in jobs), default=0)
+        if self._jobs.lag(known.jobs_revision, newest, now) >= JOBS_LAG:
             return self._any(jobs)
         near = [one for one in urgent + jobs if self._is_watcher(one)]
         return min(near, key=lambda one: one.instance, default=None)
@@ -114,11 +137,7 @@
 
 
 def _is_ahead(peer: Peer, known: Known) -> bool:
-    return (
-        peer.config_version > known.config_version
-        or peer.upstreams_revision > known.upstreams_revision
-    )
-
-
-def _since(before: float, ahead: list[Peer], now: float) -> float:
-    return min(before, now) if ahead else NEVER
+    if peer.config_version > known.config_version:
+        return True
+    newer = peer.upstreams_revision > known.upstreams_revision
+    return newer and peer.upstreams_mark != known.upstreams_mark
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -119,6 +119,8 @@
   /* Revisions of the store that the sender's knowledge is from. */
   16: required i64 upstreams_revision,
   17: required i64 jobs_revision,
+  /* Fingerprint of the upstreams' entries that the sender knows. */
+  20: required i64 upstreams_mark,
   /* In large fleets: the sender's zone, told to the watchers of others. */
   18: optional Summary zone_summary,
   /* In large fleets: all other zones, told by a watcher to its own zone. */
--- a/gentiantrestle/wire/peer/ttypes.py
+++ b/gentiantrestle/wire/peer/ttypes.py
@@ -1424,6 +1424,7 @@
      - batch_spare
      - upstreams_revision
      - jobs_revision
+     - upstreams_mark
      - zone_summary
      - far_summary
 
@@ -1449,10 +1450,11 @@
         'jobs_revision',
         'zone_summary',
         'far_summary',
+        'upstreams_mark',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, number=None, host=None, zone=None, state=None, config_version=None, store_reached=None, waiting=None, loads=None, hosts=None, ended=None, taken=None, batch_waiting=None, batch_spare=None, upstreams_revision=None, jobs_revision=None, zone_summary=None, far_summary=None,):
+    def __init__(self, instance=None, incarnation=None, number=None, host=None, zone=None, state=None, config_version=None, store_reached=None, waiting=None, loads=None, hosts=None, ended=None, taken=None, batch_waiting=None, batch_spare=None, upstreams_revision=None, jobs_revision=None, upstreams_mark=None, zone_summary=None, far_summary=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.number = number
@@ -1470,6 +1472,7 @@
         self.batch_spare = batch_spare
         self.upstreams_revision = upstreams_revision
         self.jobs_revision = jobs_revision
+        self.upstreams_mark = upstreams_mark
         self.zone_summary = zone_summary
         self.far_summary = far_summary
 
@@ -1588,6 +1591,11 @@
                     self.jobs_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I64:
+                    self.upstreams_mark = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             elif fid == 18:
                 if ftype == TType.STRUCT:
                     self.zone_summary = Summary()
@@ -1698,6 +1706,10 @@
             oprot.writeFieldBegin('far_summary', TType.STRUCT, 19)
             self.far_summary.write(oprot)
             oprot.writeFieldEnd()
+        if self.upstreams_mark is not None:
+            oprot.writeFieldBegin('upstreams_mark', TType.I64, 20)
+            oprot.writeI64(self.upstreams_mark)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1734,6 +1746,8 @@
             raise TProtocolException(message='Required field upstreams_revision is unset!')
         if self.jobs_revision is None:
             raise TProtocolException(message='Required field jobs_revision is unset!')
+        if self.upstreams_mark is None:
+            raise TProtocolException(message='Required field upstreams_mark is unset!')
         return
 
     def __repr__(self):
@@ -2761,6 +2775,7 @@
     (17, TType.I64, 'jobs_revision', None, None, ),  # 17
     (18, TType.STRUCT, 'zone_summary', [Summary, None], None, ),  # 18
     (19, TType.STRUCT, 'far_summary', [Summary, None], None, ),  # 19
+    (20, TType.I64, 'upstreams_mark', None, None, ),  # 20
 )
 all_structs.append(KnownObject)
 KnownObject.thrift_spec = (
--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -115,8 +115,8 @@
 def test_news_is_copied_from_the_zones_watcher_at_once(
     news: dict[str, int],
 ) -> None:
-    watcher = _peer('a', **news)
-    other = _peer('c', store_reached=False, **news)
+    watcher = _peer('a', upstreams_mark=1, **news)
+    other = _peer('c', store_reached=False, upstreams_mark=1, **news)
     assert _rule().choose(KNOWN, [other, watcher], 0) == watcher
     assert _rule().choose(KNOWN, [other], 0) is None
     assert _rule().choose(Known(4, 6, 6), [watcher], 0) is None
@@ -130,13 +130,30 @@
     news: dict[str, int], lag: float
 ) -> None:
     rule = _rule()
-    far = _peer('z', zone='b1', **news)
+    far = _peer('z', zone='b1', upstreams_mark=1, **news)
     assert rule.choose(KNOWN, [far], 1) is None
     assert rule.choose(KNOWN, [far], 1 + lag) == far
     assert rule.choose(KNOWN, [_peer('z')], 2 + lag) is None
     assert rule.choose(KNOWN, [far], 3 + lag) is None
 
 
+def test_the_same_entries_are_not_copied_again() -> None:
+    rule = _rule()
+    same = _peer('z', zone='b1', upstreams_revision=9, upstreams_mark=7)
+    known = KNOWN._replace(upstreams_mark=7)
+    for now in (0, URGENT_LAG, 2 * URGENT_LAG):
+        assert rule.choose(known, [same], now) is None
+
+
+def test_who_keeps_up_with_jobs_copies_from_no_other_zone() -> None:
+    rule = _rule()
+    for step in range(100):
+        # Others are always ahead, by less than the time that is allowed.
+        known = KNOWN._replace(jobs_revision=step - 2)
+        far = _peer('z', zone='b1', jobs_revision=step)
+        assert rule.choose(known, [far], step * JOBS_LAG / 4) is None
+
+
 def _copies(now: float = 0) -> tuple[Copies, State, JobStore]:
     state = State(StoreDocuments(), 'main', lambda: now)
     store = JobStore(MemoryStore(), JobIndex(), random.Random(1), lambda: now)
@@ -164,7 +181,8 @@
         store.take_in([Stored(name, number, content, {'state': ''})], number)
     taker, taken, jobs = _copies()
     taker.take(giver.give(taker.request()))
-    assert taker.known == giver.known == Known(0, 5, 8)
+    assert taker.known == giver.known
+    assert taker.known[:3] == (0, 5, 8)
     assert [one.id for one in taken.roster.of_service(ENGINES, 0)] == ['u1']
     assert set(jobs.index.entries) == {'job6', 'job8'}
     again = giver.give(ttypes.CopyRequest(0, 5, 6))
