--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -18,6 +18,7 @@
 from tests.utils.ports import HOST, free_ports, worker_number
 
 ENTRIES = 3
+WRITE_PAUSE = 0.1  # seconds
 ENDED = 5104  # the event that ends a request
 UPSTREAMS = 2
 UNREACHABLE = (NotSentError, LostError)
@@ -243,12 +244,17 @@
         await self.write('config', 'main', config)
 
     async def write(self, kind: str, name: str, spec: Any) -> None:
-        """Create or replace an object as its writer does."""
+        """Create or replace an object, until the store takes it."""
+        while not await self._try_write(kind, name, spec):
+            await asyncio.sleep(WRITE_PAUSE)
+
+    async def _try_write(self, kind: str, name: str, spec: Any) -> bool:
         root = f'/gentiantrestle/objects/{kind}'
         document = {'metadata': {'name': name}, 'spec': spec}
         reply = await send(self.store, 'POST', root, document)
         if reply.status == 409:
-            await send(self.store, 'PUT', f'{root}/{name}', document)
+            reply = await send(self.store, 'PUT', f'{root}/{name}', document)
+        return reply.status in {200, 201}
 
     async def _store_answers(self) -> bool:
         try:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -161,7 +161,9 @@
         run = self._world.runs_of[entry]
         name = self._name('probe')
         asked = await self._ask('probe', name, entry, f'/v{version}/1', {})
-        if asked.status and run == self._world.runs_of[entry]:
+        # Other answers don't tell whether the route is known.
+        told = asked.status in {OK, NOT_FOUND}
+        if told and run == self._world.runs_of[entry]:
             self._seen.probes.append(
                 Probe(
                     entry,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,5 +1,6 @@
 """The processes of one play, with a proxy before the store and upstreams."""
 
+import asyncio
 import time
 from pathlib import Path
 from typing import Any
@@ -38,6 +39,8 @@
         ]
         self._seen = seen
         self.history = History()
+        # Versions reach the store in their order.
+        self._operator = asyncio.Lock()
         self.runs_of = [0] * entries
         self.launcher = 'tests.soak.skewed'
         self.environ = {CLOCK_FILE: str(folder / 'clock')}
@@ -84,9 +87,10 @@
 
     async def next_version(self) -> int:
         """Write a configuration with one more route of its own."""
-        versions = range(1, self.version + 2)
-        await self.configure([*routes(), *map(_own_route, versions)])
-        self.history.acked[self.version] = time.time()
+        async with self._operator:
+            versions = range(1, self.version + 2)
+            await self.configure([*routes(), *map(_own_route, versions)])
+            self.history.acked[self.version] = time.time()
         return self.version
 
     async def drain(self, upstream: int) -> None:
