--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -67,6 +67,11 @@
             self.process.send_signal(signum)
         return await self.process.wait()
 
+    @property
+    def runs(self) -> bool:
+        """Tell whether the process has been started and has not ended."""
+        return self.process is not None and self.process.returncode is None
+
     def lines(self) -> list[dict[str, Any]]:
         """Read the structured lines that the process has printed."""
         return [
@@ -156,7 +161,7 @@
     async def stop(self) -> None:
         """End every process that was started."""
         for child in (*self.entries, *self.standins.values()):
-            if child.process is not None and child.process.returncode is None:
+            if child.runs:
                 await child.end()
 
     def address(self, number: int) -> Address:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -36,31 +36,25 @@
     return rng.uniform(0.2, MAX_TIME)
 
 
-def _runs(child: Child) -> bool:
-    return child.process is not None and child.process.returncode is None
-
-
 @_fault
 async def kill_entry(world: World, rng: random.Random) -> None:
     """Kill an entry and start it again a little later."""
     number = rng.randrange(len(world.entries))
-    if not _runs(world.entries[number]):
+    if not world.entries[number].runs:
         return
     await world.entries[number].end()
     await asyncio.sleep(_time(rng) / 4)
-    if not _runs(world.entries[number]):
-        await world.start_entry(number)
+    await world.start_entry(number)
 
 
 @_fault
 async def kill_all_entries(world: World, rng: random.Random) -> None:
     """Kill all entries at the same moment."""
-    victims = [one for one, child in enumerate(world.entries) if _runs(child)]
+    victims = [one for one, child in enumerate(world.entries) if child.runs]
     await asyncio.gather(*(world.entries[one].end() for one in victims))
     await asyncio.sleep(_time(rng) / 4)
     for one in victims:
-        if not _runs(world.entries[one]):
-            await world.start_entry(one)
+        await world.start_entry(one)
 
 
 @_fault
@@ -76,7 +70,7 @@
 
 
 async def _pause(child: Child, rng: random.Random) -> None:
-    if not _runs(child):
+    if not child.runs:
         return
     process = child.process
     process.send_signal(signal.SIGSTOP)
@@ -90,7 +84,7 @@
     """Kill an upstream; another run of it comes under the same name."""
     number = rng.randrange(len(world.upstreams))
     child = world.standins[world.upstreams[number]]
-    if not _runs(child):
+    if not child.runs:
         return
     await child.end()
     await asyncio.sleep(_time(rng))
@@ -119,7 +113,7 @@
 async def _harm(address: object, world: World, faults: dict) -> None:
     child = world.standins[address]
     with suppress(NotSentError, LostError):
-        if _runs(child):
+        if child.runs:
             await world.harm(world.upstreams.index(address), **faults)
 
 
@@ -194,7 +188,7 @@
     """Ask an entry to stop, and start it again when it has."""
     number = rng.randrange(len(world.entries))
     child = world.entries[number]
-    if not _runs(child):
+    if not child.runs:
         return
     child.process.send_signal(signal.SIGTERM)
     try:
@@ -202,8 +196,7 @@
             await child.process.wait()
     except TimeoutError:
         await child.end()
-    if not _runs(child):
-        await world.start_entry(number)
+    await world.start_entry(number)
 
 
 @_planned
@@ -218,7 +211,7 @@
 async def reload_entry(world: World, rng: random.Random) -> None:
     """Tell an entry that its settings have changed."""
     child = rng.choice(world.entries)
-    if _runs(child):
+    if child.runs:
         child.process.send_signal(signal.SIGHUP)
 
 
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -90,9 +90,8 @@
         link.heal()
     world.skew_clocks(0)
     await world.harm_store()
-    for number, address in enumerate(world.upstreams):
-        if world.standins[address].process.returncode is not None:
-            await world.start_upstream(number)
+    for number, _ in enumerate(world.upstreams):
+        await world.start_upstream(number)
         await world.harm(number)
         await world.register(number)
     await _revive(world)
@@ -100,8 +99,7 @@
 
 async def _revive(world: World) -> None:
     for number, child in enumerate(world.entries):
-        if child.process.returncode is not None:
-            await world.start_entry(number)
+        await world.start_entry(number)
         with suppress(ProcessLookupError):
             child.process.send_signal(signal.SIGCONT)
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -39,6 +39,8 @@
         ]
         self._seen = seen
         self.history = History()
+        # Overlapping faults must not start the same process twice.
+        self._starting = asyncio.Lock()
         # Versions reach the store in their order.
         self._operator = asyncio.Lock()
         self.runs_of = [0] * entries
@@ -65,13 +67,19 @@
         await super().start()
 
     async def start_entry(self, number: int) -> None:
-        """Start another run of an entry."""
-        self.runs_of[number] += 1
-        await super().start_entry(number)
+        """Start another run of an entry, unless it runs."""
+        async with self._starting:
+            if self.entries[number].runs:
+                return
+            self.runs_of[number] += 1
+            await super().start_entry(number)
 
     async def start_upstream(self, number: int) -> None:
         """Start another run of an upstream, and wait until it answers."""
-        await super().start_upstream(number)
+        async with self._starting:
+            child = self.standins.get(self.upstreams[number])
+            if child is None or not child.runs:
+                await super().start_upstream(number)
         await until(lambda: self._answers(number))
 
     async def stop(self) -> None:
