--- a/gentiantrestle/gateway/gossip.py
+++ b/gentiantrestle/gateway/gossip.py
@@ -1,8 +1,8 @@
 """Tells the other instances of loads and versions, by datagrams.
 
 Answers the load of many instances: each tells its zone often and other zones
-rarely. In large fleets the zones' watchers add the loads up, tell one another
-often, and pass the sum of all other zones on to their own.
+rarely. In large fleets one instance of each zone adds the loads up, tells those
+of other zones often, and passes the sum of all other zones on to its own.
 """
 
 import asyncio
@@ -147,7 +147,7 @@
         own = self._own()
         # The time to spare runs down all the while: that alone is no news.
         state = (own.without_spare(), dict(self._board.own))
-        sums = own.store_reached and gap > SUMMARY_GAP
+        sums = gap > SUMMARY_GAP and self._peers.is_speaker(now)
         beyond = self._sum_of_zones(now) if sums else None
         if self._near.is_due((state, beyond), near_gap(len(near)), now):
             self._send(near, own, News(self._board.own, far=beyond))
@@ -169,17 +169,17 @@
             self._send(hosts, own, News(self._board.own))
 
     def _tell_zones(self, own: Own, now: float) -> None:
-        """Tell the other zones' watchers of this zone's loads."""
+        """Tell the other zones' speakers of this zone's loads."""
         mates = [one.instance for one in self._peers.near()]
         mine = NO_TOLD._replace(
             loads=self._board.own, waiting=own.waiting, batch=own.batch
         )
         zone = combine((mine, self._board.add_up(mates, now)), now)
-        hosts = [one.host for one in self._peers.far_watchers(now)]
+        hosts = [one.host for one in self._peers.far_speakers(now)]
         self._send(hosts, own.without_loads(), News({}, zone=zone))
 
     def _sum_of_zones(self, now: float) -> Told:
-        zones = {one.zone for one in self._peers.far_watchers(now)}
+        zones = {one.zone for one in self._peers.far_speakers(now)}
         # The time is left out, so that equal sums are equal.
         return self._board.add_up(sorted(zones), now)._replace(at=0)
 
--- a/gentiantrestle/gateway/peers.py
+++ b/gentiantrestle/gateway/peers.py
@@ -13,6 +13,7 @@
 # tells them is not urgent in large fleets.
 FAR_RATE = 45
 MIN_GAP = 0.05  # seconds between two datagrams to the same instance
+SPEAKERS = 2  # of each zone that are told, in case the first is gone
 MISSED = 3.2  # datagrams from another zone that may be missed
 FORGET_AFTER = 60.0  # seconds until a silent host is not told any more
 # How long a silent instance may still do work that is not known here.
@@ -146,13 +147,23 @@
         """List the instances of the own zone."""
         return [one for one in self._by_name.values() if one.zone == self._zone]
 
-    def far_watchers(self, now: float) -> list[Peer]:
-        """List those who watch the store for other zones."""
-        return [
-            one
-            for one in self.fresh(now)
-            if one.store_reached and one.zone != self._zone
-        ]
+    def is_speaker(self, now: float) -> bool:
+        """Tell whether this instance adds its zone's loads up for others.
+
+        The first by name does; whether it hears the store is no matter.
+        """
+        alive = [one for one in self.near() if one.fresh(now)]
+        return all(
+            one.leaving or one.instance > self._instance for one in alive
+        )
+
+    def far_speakers(self, now: float) -> list[Peer]:
+        """List the first instances of each other zone, by name."""
+        zones: dict[str, list[Peer]] = {}
+        for peer in sorted(self.fresh(now), key=lambda one: one.instance):
+            if peer.zone != self._zone and not peer.leaving:
+                zones.setdefault(peer.zone, []).append(peer)
+        return [peer for found in zones.values() for peer in found[:SPEAKERS]]
 
 
 def run_name(instance: str, incarnation: int) -> str:
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -121,9 +121,9 @@
   17: required i64 jobs_revision,
   /* Fingerprint of the upstreams' entries that the sender knows. */
   20: required i64 upstreams_mark,
-  /* In large fleets: the sender's zone, told to the watchers of others. */
+  /* In large fleets: the sender's zone, told to the speakers of others. */
   18: optional Summary zone_summary,
-  /* In large fleets: all other zones, told by a watcher to its own zone. */
+  /* In large fleets: all other zones, told by its speaker to a zone. */
   19: optional Summary far_summary,
 }
 
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -258,6 +258,19 @@
     assert len(peers.sweep(far_silence(53) + 0.1)) == 53
 
 
+def test_a_zone_has_a_speaker_whether_or_not_it_hears_the_store() -> None:
+    peers = PeerList('m', '10.0.0.9', 'a1', ())
+    for name, zone in (('n', 'a1'), ('x', 'b1'), ('y', 'b1'), ('z', 'b1')):
+        peers.hear(_peer(name, zone=zone, store_reached=False))
+    assert peers.is_speaker(1)
+    assert [one.instance for one in peers.far_speakers(1)] == ['x', 'y']
+    peers.hear(_peer('a', heard=1))
+    assert not peers.is_speaker(1)
+    assert peers.is_speaker(1 + SILENCE)
+    peers.hear(_peer('a', number=2, heard=1, leaving=True))
+    assert peers.is_speaker(1)
+
+
 def test_zones_are_added_up_without_counting_twice() -> None:
     board = LoadBoard()
     board.hear('a', Told(0, {'u1': Load(1, 2)}, 3, BatchWaiting(4, 2.0)))
