--- a/gentiantrestle/gateway/peers.py
+++ b/gentiantrestle/gateway/peers.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable
+from itertools import chain
 from typing import NamedTuple
 
 # An instance tells of itself at least every 0.4 s; datagrams may be lost.
@@ -163,7 +164,7 @@
         for peer in sorted(self.fresh(now), key=lambda one: one.instance):
             if peer.zone != self._zone and not peer.leaving:
                 zones.setdefault(peer.zone, []).append(peer)
-        return [peer for found in zones.values() for peer in found[:SPEAKERS]]
+        return list(chain(*(found[:SPEAKERS] for found in zones.values())))
 
 
 def run_name(instance: str, incarnation: int) -> str:
