--- a/gentiantrestle/gateway/batch/api.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -94,7 +94,6 @@
         if size > MAX_JOB:
             raise refuse(TOO_LARGE, f'The job takes {size} bytes')
         await self._check_quota(job, route)
-        self._check_store()
         try:
             new = await self._job_store.accept(job)
         except StoreUnavailableError as exc:
@@ -183,13 +182,6 @@
         except StoreUnavailableError as exc:
             raise refuse(STORE_UNAVAILABLE, str(exc), STORE_PAUSE) from exc
 
-    def _check_store(self) -> None:
-        """Refuse at once what the store can't take now."""
-        if not self._job_store.reachable():
-            raise refuse(
-                STORE_UNAVAILABLE, 'No instance hears the store', STORE_PAUSE
-            )
-
     async def _check_quota(self, job: Job, route: Route) -> None:
         """Refuse a job above the route's tokens, after a fresh look.
 
--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -61,8 +61,6 @@
         """
         self._plain = plain or store
         self._now = now
-        # Whether any instance hears the store; without it nothing is written.
-        self.reachable: Callable[[], bool] = _always
         self._looks: dict[str, _Look] = {}
         self._store = store
         self.index = index
@@ -178,8 +176,6 @@
         """
         backoff = Backoff(self._rng)
         while True:
-            while not self.reachable():
-                await asyncio.sleep(backoff.next_pause())
             new = tuple(one for one in results if not entry.is_listed(one.id))
             if not new:
                 return
@@ -248,10 +244,6 @@
         return entry is None or entry.job.done or _state_of(stored) == ENDED
 
 
-def _always() -> bool:
-    return True
-
-
 def _state_of(stored: Stored) -> str:
     return (stored.status or {}).get('state', '')
 
--- a/gentiantrestle/gateway/follow.py
+++ b/gentiantrestle/gateway/follow.py
@@ -51,6 +51,8 @@
     kind: str
     rest: float  # seconds
     wait: float = WATCH_WAIT  # seconds
+    # Read once at the start, whoever watches: callers wait for it.
+    at_start: bool = False
 
 
 class Backoff:
@@ -97,7 +99,7 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            if not self._gate.is_set():
+            if not self._gate.is_set() and not self._starts_with_it:
                 self._forget()
                 await self._gate.wait()
             try:
@@ -137,6 +139,11 @@
         self._sink.replace(found, revision)
         self._revision = revision
 
+    @property
+    def _starts_with_it(self) -> bool:
+        """Tell whether this kind has to be read before anything is served."""
+        return self._subject.at_start and self._sink.known() == LIST_ANEW
+
     def _forget(self) -> None:
         """Go on at what is known by then when there is duty again."""
         self._revision = None
--- a/gentiantrestle/gateway/gossip.py
+++ b/gentiantrestle/gateway/gossip.py
@@ -13,6 +13,7 @@
 from gentiantrestle.gateway.loads import NO_TOLD, LoadBoard, Told, combine
 from gentiantrestle.gateway.peers import (
     MIN_GAP,
+    SUMMARY_GAP,
     Peer,
     PeerList,
     far_gap,
@@ -32,8 +33,6 @@
 # Datagrams an instance may send in a second to those of its own zone.
 NEAR_RATE = 90
 MAX_GAP = 0.4  # seconds until the same is told again
-# Where other zones are told less often than this, loads are added up for them.
-SUMMARY_GAP = 0.25  # seconds
 ZONE_GAP = 0.1  # seconds between two sums told to another zone
 MAX_HOSTS = 100  # hosts in one datagram
 FAR = 'all other zones'  # the name under which their sum stands
--- a/gentiantrestle/gateway/peers.py
+++ b/gentiantrestle/gateway/peers.py
@@ -10,9 +10,13 @@
 
 # An instance tells of itself at least every 0.4 s; datagrams may be lost.
 SILENCE = 1.6  # seconds until an instance of the own zone counts as gone
-# Datagrams an instance may send in a second to those of other zones; what it
-# tells them is not urgent in large fleets.
-FAR_RATE = 45
+# Datagrams an instance may send in a second to those of other zones.
+FAR_RATE = 160
+# In large fleets, where loads are added up for other zones, what it tells them
+# is not urgent.
+RARE_RATE = 45
+# Where news of other zones would be older than this, loads are added up.
+SUMMARY_GAP = 0.25  # seconds
 MIN_GAP = 0.05  # seconds between two datagrams to the same instance
 SPEAKERS = 2  # of each zone that are told, in case the first is gone
 MISSED = 3.2  # datagrams from another zone that may be missed
@@ -49,7 +53,10 @@
 
 def far_gap(hosts: int) -> float:
     """Return how often ``hosts`` instances of other zones are told, in s."""
-    return max(MIN_GAP, hosts / FAR_RATE)
+    gap = hosts / FAR_RATE
+    if gap > SUMMARY_GAP:
+        gap = hosts / RARE_RATE
+    return max(MIN_GAP, gap)
 
 
 def far_silence(hosts: int) -> float:
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -70,7 +70,6 @@
         self._duty = WatchDuty(plan.instance, plan.site.zone, self._clock.now())
         self._gate = Gate()
         self._followers = dict(self._build_followers())
-        self._parts.job_store.reachable = self._hears_store
         self._peering = self._build_peering()
         self.measures = self._build_measures()
         self.callers = self._build_callers()
@@ -115,6 +114,8 @@
 
     def _build_followers(self) -> Iterable[tuple[str, Follower]]:
         kinds = self._adapter.kinds
+        config = self._state.config_sink()
+        upstreams = self._state.upstream_sink()
         jobs = Sink(
             self._take_jobs,
             self._take_jobs,
@@ -122,16 +123,16 @@
             lambda: self._parts.index.revision,
         )
         sinks = (
-            (kinds.config, self._state.config_sink(), CONFIG_REST),
-            (kinds.upstreams, self._state.upstream_sink(), UPSTREAM_REST),
-            (JOB_KIND, jobs, JOB_REST),
+            (Subject(kinds.config, CONFIG_REST, at_start=True), config),
+            (Subject(kinds.upstreams, UPSTREAM_REST, at_start=True), upstreams),
+            (Subject(JOB_KIND, JOB_REST), jobs),
         )
-        for kind, sink, rest in sinks:
+        for subject, sink in sinks:
             yield (
-                kind,
+                subject.kind,
                 Follower(
                     self._adapter.store,
-                    Subject(kind, rest),
+                    subject,
                     sink,
                     self._rng,
                     self._gate,
@@ -163,11 +164,6 @@
         """Tell whether this instance watches the store, and hears it."""
         return all(one.connected for one in self._followers.values())
 
-    def _hears_store(self) -> bool:
-        """Tell whether this or any other instance hears the store."""
-        peers = self._peers.fresh(self._clock.now())
-        return self._is_connected() or any(one.store_reached for one in peers)
-
     def _decide_duty(self) -> None:
         """Watch the store, or leave it to another instance of the zone."""
         now = self._clock.now()
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -249,6 +249,10 @@
     assert rhythm.is_due('b', gap, gap)
 
 
+def test_a_small_fleet_is_told_as_often_as_a_zone() -> None:
+    assert far_gap(6) == MIN_GAP
+
+
 def test_rare_news_of_other_zones_is_no_silence() -> None:
     peers = PeerList('me', '10.0.0.9', 'a1', ())
     peers.hear(_peer('near'))
