Log what a prompt shares with others and how far an attempt came

Cause: the logs of the crashed upstreams tell neither which requests shared a part nor which of them had not begun their answers.

--- a/gentiantrestle/gateway/batch/item_progress.py
+++ b/gentiantrestle/gateway/batch/item_progress.py
@@ -63,6 +63,7 @@
         """
         conn = UpstreamConnection(dialect)
         started = now()
+        before = len(self._texts)
         try:
             await conn.connect(upstream)
             reply = await self._start(conn, dialect, upstream)
@@ -74,7 +75,8 @@
         finally:
             conn.close()
             self.run_time += now() - started
-        self._log(upstream, outcome)
+        parts = dialect.item_prompt_parts(self.spec)
+        self._log(upstream, outcome, len(self._texts) - before, parts)
         return outcome
 
     def fail(self, reason: str) -> ItemResult:
@@ -121,7 +123,13 @@
                 self._texts.append(event.data)
                 self._last_event = splitter.last_id
 
-    def _log(self, upstream: Upstream, outcome: RunOutcome) -> None:
+    def _log(
+        self,
+        upstream: Upstream,
+        outcome: RunOutcome,
+        received: int,
+        parts: tuple[str, ...],
+    ) -> None:
         events.emit(
             events.ITEM_RUN_ENDED,
             item=self.spec.id,
@@ -129,4 +137,6 @@
             upstream=upstream.id,
             reason=outcome.reason,
             last_event=self._last_event,
+            received=received,
+            prompt_parts=parts,
         )
--- a/gentiantrestle/gateway/forward.py
+++ b/gentiantrestle/gateway/forward.py
@@ -111,6 +111,8 @@
                 upstream=lease.upstream.id,
                 outcome=outcome.value,
                 reason=forwarded.reason,
+                received=forwarded.received,
+                prompt_parts=req.prompt_parts,
                 step=step.value,
                 left_ms=round(left * 1000),
             )
@@ -138,6 +140,8 @@
         self._splitter = EventSplitter(req.last_event)
         self._held_response: HeldResponse | None = None
         self.reason = ''
+        # Events that the attempt has received.
+        self.received = 0
 
     def progress(self) -> RequestProgress:
         return self._progress._replace(response_started=self._exchange.started)
@@ -193,6 +197,7 @@
         conn = UpstreamConnection(self._context.dialect)
         left = self._req.deadline - self._context.now()
         self.reason = ''
+        self.received = 0
         try:
             async with asyncio.timeout(left):
                 await self._send(conn, lease)
@@ -257,11 +262,10 @@
     ) -> None:
         self._splitter = EventSplitter(self._splitter.last_id)
         async for part in conn.iter_body(self._stall_timeout):
-            complete = b''.join(
-                event.raw for event in self._splitter.feed(part)
-            )
-            if complete:
-                await self._write(reply, complete)
+            found = self._splitter.feed(part)
+            self.received += len(found)
+            if found:
+                await self._write(reply, b''.join(event.raw for event in found))
         if self._splitter.remainder or not self._exchange.started:
             await self._write(reply, self._splitter.remainder)
         await self._exchange.finish_stream()
--- a/gentiantrestle/gateway/model.py
+++ b/gentiantrestle/gateway/model.py
@@ -105,6 +105,8 @@
 
     ``is_retry`` means that the caller has probably been refused before, and
     ``last_event`` is the id of the last event that it has received, or 0.
+    ``prompt_parts`` are the ids of the prompt's parts that other requests may
+    share: all but the last.
     """
 
     id: str
@@ -117,6 +119,7 @@
     deadline: float
     is_retry: bool = False
     last_event: int = 0
+    prompt_parts: tuple[str, ...] = ()
 
 
 class ItemSpec(NamedTuple):
--- a/gentiantrestle/gateway/ports.py
+++ b/gentiantrestle/gateway/ports.py
@@ -144,6 +144,9 @@
     ) -> list[tuple[bytes, bytes]]:
         """Build the header of a request that runs a batch item."""
 
+    def item_prompt_parts(self, spec: ItemSpec) -> tuple[str, ...]:
+        """Return the ids of the shared parts of an item's prompt."""
+
     def read_reply(self, head: h11.Response) -> Reply:
         """Decode the head of an upstream's response."""
 
--- a/gentiantrestle/platform/dialect.py
+++ b/gentiantrestle/platform/dialect.py
@@ -34,6 +34,10 @@
 ENCODING = b'content-encoding'
 WAIT = b'x-wait-ms'
 LENGTH = b'content-length'
+# The parts of the prompt in order, as ID:TOKENS; the last is the request's own.
+PROMPT_PARTS = b'x-prompt-prefix'
+MAX_PART_ID = 64  # characters
+MAX_PARTS = 16  # of one prompt
 # Set separately for each upstream.
 REPLACED = frozenset((TIME_LEFT, EXPECTED_UPSTREAM, LAST_EVENT, LENGTH))
 REPLACED_FOR_ITEMS = REPLACED | {HOST, REQUEST_ID}
@@ -96,6 +100,7 @@
             now,
             now + timeout,
             last_event=_number(fields.get(LAST_EVENT)),
+            prompt_parts=_shared_parts(fields.get(PROMPT_PARTS, b'')),
         )
 
     def read_items(self, body: bytes) -> tuple[ItemSpec, ...]:
@@ -144,6 +149,11 @@
             *_upstream_fields(upstream, last_event),
         ]
 
+    def item_prompt_parts(self, spec: ItemSpec) -> tuple[str, ...]:
+        """Return the ids of the shared parts of an item's prompt."""
+        names = {name.lower(): text for name, text in spec.headers.items()}
+        return _shared_parts(names.get(PROMPT_PARTS.decode(), '').encode())
+
     def read_reply(self, head: h11.Response) -> Reply:
         """Decode the head of a server's response."""
         fields = dict(head.headers)
@@ -217,5 +227,13 @@
     return raw
 
 
+def _shared_parts(raw: bytes) -> tuple[str, ...]:
+    entries = raw.decode('latin-1').split(',')[:-1]
+    return tuple(
+        entry.partition(':')[0].strip()[:MAX_PART_ID]
+        for entry in entries[:MAX_PARTS]
+    )
+
+
 def _number(raw: bytes | None) -> int:
     return int(raw) if raw and raw.isdigit() else 0
--- a/tests/gateway/test_adapter.py
+++ b/tests/gateway/test_adapter.py
@@ -6,7 +6,7 @@
 import pytest
 
 from gentiantrestle.errors import OVERLOADED, Refusal, RefusedError
-from gentiantrestle.gateway.model import RouteKind
+from gentiantrestle.gateway.model import ItemSpec, RouteKind
 from gentiantrestle.gateway.ports import (
     CancelJob,
     ReadBody,
@@ -226,3 +226,31 @@
     status, headers, body = PlatformDialect().write_refusal(refusal)
     assert (status, dict(headers)[b'retry-after']) == (429, b'0.25')
     assert b'"run":"not run"' in body
+
+
+@pytest.mark.parametrize(
+    ('header', 'parts'),
+    [
+        (b'5c1e07a2:800,91bd3f06:410,e4402b7d:250', ('5c1e07a2', '91bd3f06')),
+        (b'e4402b7d:250', ()),
+        (b'', ()),
+        (b',' * 99, ('',) * 16),
+        (b'a' * 99 + b':1,b:2', ('a' * 64,)),
+    ],
+)
+def test_shared_prompt_parts_are_all_but_the_last_and_bounded(
+    header: bytes, parts: tuple[str, ...]
+) -> None:
+    head = h11.Request(
+        method='POST',
+        target='/chat/1',
+        headers=[
+            ('Host', 'shop.example'),
+            ('X-Attempt-Id', 'r1'),
+            ('X-Prompt-Prefix', header),
+        ],
+    )
+    dialect = PlatformDialect()
+    assert dialect.read_request(head, b'', 0).prompt_parts == parts
+    spec = ItemSpec('i1', 1, '/x', {'X-Prompt-Prefix': header.decode()})
+    assert dialect.item_prompt_parts(spec) == parts
