--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -1,6 +1,7 @@
 """Stand-in for an upstream of gateways, with faults."""
 
 import asyncio
+import os
 import sys
 import time
 from collections.abc import AsyncIterator, Mapping
@@ -17,6 +18,8 @@
 )
 
 MAX_BODY = 2097152  # bytes
+CRASHED = 70  # exit status
+FLUSH_TIME = 0.01  # seconds in which an event reaches the caller
 POISON = 'poison'
 PAUSE = 0.01  # seconds between events
 
@@ -31,20 +34,32 @@
     ``fail`` answers 500, ``silent`` delays each answer by some seconds,
     ``cut_after`` cuts each stream after so many events, and ``answer_as``
     answers with another attempt id.
+
+    With ``crash_on`` the process ends when it begins a stream for a prompt
+    with that part, within the event that follows the first ``crash_after``.
     """
 
-    def __init__(self, name: str, slots: int) -> None:
+    def __init__(
+        self, name: str, slots: int, crash_on: str = '', crash_after: int = 0
+    ) -> None:
         """Serve as instance ``name``; shed requests while all slots stream."""
         self._name = name
         self._slots = slots
+        self._crash_on = crash_on
+        self._crash_after = crash_after
         self._running = 0
         self._faults: dict[str, Any] = {}
         self._runs: list[dict[str, Any]] = []
 
     @classmethod
     def from_config(cls, cfg: Mapping[str, str]) -> 'UpstreamStandin':
-        """Read ``name=`` and ``slots=``."""
-        return cls(cfg['name'], int(cfg.get('slots', '8')))
+        """Read ``name=``, ``slots=``, ``crash_on=`` and ``crash_after=``."""
+        return cls(
+            cfg['name'],
+            int(cfg.get('slots', '8')),
+            cfg.get('crash_on', ''),
+            int(cfg.get('crash_after', '0')),
+        )
 
     async def run(self) -> None:
         """Return at once; there is no background work."""
@@ -75,6 +90,7 @@
             'path': req.path,
             'body': body.decode('latin-1'),
             'at': time.time(),
+            'prompt': req.headers.get('x-prompt-prefix', ''),
             'failed': bool(self._faults.get('fail')),
             'done': False,
             'active': False,
@@ -113,12 +129,23 @@
                     raise ConnectionResetError(
                         'stream cut by the cut_after fault'
                     )
-                yield encode_event(run['id'], number)
+                event = encode_event(run['id'], number)
+                if self._crashes(run, number):
+                    yield event[: len(event) // 2]
+                    await asyncio.sleep(FLUSH_TIME)
+                    os._exit(CRASHED)
+                yield event
             run['done'] = True
         finally:
             run['active'] = False
             self._running -= 1
 
+    def _crashes(self, run: dict[str, Any], number: int) -> bool:
+        """Return whether the process ends within event ``number`` of a run."""
+        parts = [entry.split(':')[0] for entry in run['prompt'].split(',')]
+        after = run['last'] + self._crash_after
+        return self._crash_on in parts[:-1] and number > after
+
 
 def _print_run(run: dict[str, Any]) -> None:
     """Print the run, so that it can be read after this process has ended."""
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -111,6 +111,8 @@
         self.version = 0
         self.launcher = 'gentiantrestle.platform'
         self.environ: dict[str, str] = {}
+        # Added to the arguments of each upstream.
+        self.upstream_words: tuple[str, ...] = ()
 
     def upstream_id(self, upstream: int) -> str:
         """Return an upstream's id."""
@@ -159,6 +161,7 @@
             'upstream',
             self.upstreams[number],
             f'name={self.upstream_id(number)}',
+            *self.upstream_words,
         )
 
     def store_address(self, number: int) -> Address:
