Move the state of a forwarded request into a module of its own

Change: ForwardedRequest moves to forwarded_request.py; no change of behaviour. Result: tests of requests pass.

--- /dev/null
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -0,0 +1,261 @@
+"""One request of a caller over all its attempts on upstreams."""
+
+import asyncio
+from collections.abc import Callable
+from types import MappingProxyType
+from typing import NamedTuple
+
+from gentiantrestle.errors import (
+    ANSWER_TIMEOUT,
+    NO_UPSTREAM,
+    UPSTREAM_OUTCOME_UNKNOWN,
+    RefusedError,
+    refuse,
+)
+from gentiantrestle.gateway.http_server import Exchange
+from gentiantrestle.gateway.model import Request, Route, RouteKind
+from gentiantrestle.gateway.ports import Dialect, Reply
+from gentiantrestle.gateway.retry_policy import (
+    AttemptOutcome,
+    RequestProgress,
+    Step,
+)
+from gentiantrestle.gateway.slots.admission import Admission, SlotRequest
+from gentiantrestle.gateway.slots.client import SlotLease
+from gentiantrestle.gateway.slots.messages import SlotOutcome
+from gentiantrestle.gateway.slots.queueing import (
+    MIN_RETRY_AFTER,
+    retry_after_seconds,
+)
+from gentiantrestle.gateway.sse import EventOrderError, EventSplitter
+from gentiantrestle.gateway.upstream_connection import (
+    ResponseLostError,
+    UpstreamConnection,
+    UpstreamRequest,
+)
+from gentiantrestle.http.link import RequestNotSentError
+
+OK = 200
+SERVER_ERROR = 500
+CONTENT_LENGTH = b'content-length'
+# An idempotent request is retried elsewhere if the upstream sends nothing for
+# this many latency targets. Callers abandon a silent stream after 2 s.
+STALL_TIMEOUT_TARGETS = 3.0
+MAX_STALL_TIMEOUT = 1.0  # seconds
+
+# What the outcome of an attempt says about its upstream.
+UPSTREAM_HEALTH = MappingProxyType(
+    {
+        AttemptOutcome.LOST: SlotOutcome.FAILED,
+        AttemptOutcome.UNREACHED: SlotOutcome.FAILED,
+        AttemptOutcome.DONE: SlotOutcome.SERVED,
+        AttemptOutcome.FAILED: SlotOutcome.SERVED,
+    }
+)
+
+
+class ForwardingContext(NamedTuple):
+    """Dependencies of a forwarder; ``now`` returns a monotonic time in s."""
+
+    admission: Admission
+    dialect: Dialect
+    now: Callable[[], float]
+
+
+class HeldResponse(NamedTuple):
+    """A complete upstream response, held back while a retry may follow."""
+
+    reply: Reply
+    body: bytes
+
+
+class AttemptFailedError(Exception):
+    """An attempt ended without a response that could be forwarded."""
+
+    def __init__(self, outcome: AttemptOutcome, reason: str) -> None:
+        """Keep the outcome, and the reason for the log and the refusal."""
+        super().__init__(reason)
+        self.outcome = outcome
+        self.reason = reason
+
+
+class ForwardedRequest:
+    """The state of one request over all its attempts."""
+
+    def __init__(
+        self,
+        context: ForwardingContext,
+        req: Request,
+        route: Route,
+        exchange: Exchange,
+    ) -> None:
+        """Answer ``exchange``; nothing has been sent yet."""
+        self._context = context
+        self._req = req
+        self._route = route
+        self._exchange = exchange
+        self._tried: frozenset[str] = frozenset()
+        self._progress = RequestProgress(route.idempotent, route.max_attempts)
+        self._splitter = EventSplitter(req.last_event)
+        self._held_response: HeldResponse | None = None
+        self.reason = ''
+        # Events that the attempt has received.
+        self.received = 0
+
+    def progress(self) -> RequestProgress:
+        """Return what decides about the next step."""
+        return self._progress._replace(response_started=self._exchange.started)
+
+    async def acquire_slot(self, service: str) -> SlotLease:
+        """Take a slot, if possible on an upstream that was not tried yet.
+
+        Raises ``RefusedError``; it reports an unknown outcome if an earlier
+        attempt may have been executed.
+        """
+        slot_request = SlotRequest(self._req, self._route, service, self._tried)
+        try:
+            lease = await self._context.admission.acquire(slot_request)
+        except RefusedError as exc:
+            if self._exchange.started:
+                self._exchange.abort()
+            if not self._progress.runs:
+                raise
+            raise refuse(UPSTREAM_OUTCOME_UNKNOWN, exc.refusal.reason) from exc
+        self._tried |= {lease.upstream.id}
+        return lease
+
+    async def attempt(self, lease: SlotLease) -> AttemptOutcome:
+        """Try one upstream and give its slot back."""
+        health = SlotOutcome.UNKNOWN
+        try:
+            outcome = await self._run_attempt(lease)
+            health = UPSTREAM_HEALTH.get(outcome, health)
+        finally:
+            self._context.admission.release(lease, health)
+        return outcome
+
+    async def finish(self, step: Step, outcome: AttemptOutcome) -> None:
+        """End the exchange after the last attempt; may raise a refusal."""
+        if step is Step.CUT:
+            self._exchange.abort()
+        elif step is Step.PASS_ON and self._held_response is not None:
+            reply, body = self._held_response
+            await self._exchange.respond(reply.status, reply.headers, body)
+        elif step is not Step.FINISH:
+            raise self._refusal(step, outcome)
+
+    def _refusal(self, step: Step, outcome: AttemptOutcome) -> RefusedError:
+        if step is Step.REFUSE:
+            now = self._context.now()
+            delay = retry_after_seconds(MIN_RETRY_AFTER, self._req, now)
+            return refuse(NO_UPSTREAM, self.reason, delay)
+        if outcome is AttemptOutcome.EXPIRED:
+            return refuse(ANSWER_TIMEOUT, self.reason)
+        return refuse(UPSTREAM_OUTCOME_UNKNOWN, self.reason)
+
+    async def _run_attempt(self, lease: SlotLease) -> AttemptOutcome:
+        conn = UpstreamConnection(self._context.dialect)
+        left = self._req.deadline - self._context.now()
+        self.reason = ''
+        self.received = 0
+        try:
+            async with asyncio.timeout(left):
+                await self._send(conn, lease)
+        except AttemptFailedError as exc:
+            self.reason = exc.reason
+            return exc.outcome
+        except TimeoutError:
+            self.reason = 'deadline'
+            return AttemptOutcome.EXPIRED
+        finally:
+            conn.close()
+        return AttemptOutcome.DONE
+
+    async def _send(self, conn: UpstreamConnection, lease: SlotLease) -> None:
+        before = self._progress
+        self._progress = before._replace(refusals=before.refusals + 1)
+        try:
+            await conn.connect(lease.upstream)
+        except RequestNotSentError as exc:
+            raise AttemptFailedError(
+                AttemptOutcome.UNREACHED, repr(exc)
+            ) from exc
+        # From here on the request counts as executed, unless the upstream
+        # says that it was not.
+        self._progress = before._replace(runs=before.runs + 1)
+        try:
+            async with asyncio.timeout(self._stall_timeout):
+                reply = await conn.send(self._build_request(lease))
+        except (ResponseLostError, TimeoutError) as exc:
+            raise AttemptFailedError(AttemptOutcome.LOST, repr(exc)) from exc
+        if reply.not_run:
+            self._progress = before._replace(refusals=before.refusals + 1)
+            raise AttemptFailedError(
+                AttemptOutcome.NOT_RUN, f'status {reply.status}'
+            )
+        await self._relay_response(conn, reply)
+
+    async def _relay_response(
+        self, conn: UpstreamConnection, reply: Reply
+    ) -> None:
+        try:
+            if self._route.kind is RouteKind.STREAM and reply.status == OK:
+                await self._relay_stream(conn, reply)
+            else:
+                await self._relay_whole(conn, reply)
+        except (ResponseLostError, EventOrderError) as exc:
+            raise AttemptFailedError(AttemptOutcome.LOST, repr(exc)) from exc
+
+    async def _relay_whole(
+        self, conn: UpstreamConnection, reply: Reply
+    ) -> None:
+        body = await conn.read_body(self._stall_timeout)
+        if reply.status >= SERVER_ERROR or self._exchange.started:
+            self._held_response = HeldResponse(reply, body)
+            raise AttemptFailedError(
+                AttemptOutcome.FAILED, f'status {reply.status}'
+            )
+        await self._exchange.respond(reply.status, reply.headers, body)
+
+    async def _relay_stream(
+        self, conn: UpstreamConnection, reply: Reply
+    ) -> None:
+        self._splitter = EventSplitter(self._splitter.last_id)
+        async for part in conn.iter_body(self._stall_timeout):
+            found = self._splitter.feed(part)
+            self.received += len(found)
+            if found:
+                await self._write(reply, b''.join(event.raw for event in found))
+        if self._splitter.remainder or not self._exchange.started:
+            await self._write(reply, self._splitter.remainder)
+        await self._exchange.finish_stream()
+
+    async def _write(self, reply: Reply, part: bytes) -> None:
+        if self._exchange.started:
+            await self._exchange.send_part(part)
+            return
+        headers = [pair for pair in reply.headers if pair[0] != CONTENT_LENGTH]
+        await self._exchange.start_stream(reply.status, headers, part)
+
+    def _build_request(self, lease: SlotLease) -> UpstreamRequest:
+        req = self._req
+        left = req.deadline - self._context.now()
+        headers = self._context.dialect.upstream_headers(
+            req, lease.upstream, left, self._splitter.last_id
+        )
+        return UpstreamRequest(
+            req.id, req.method, req.target, headers, req.body
+        )
+
+    @property
+    def _stall_timeout(self) -> float | None:
+        """Longest silence of an upstream, in s.
+
+        None if the route is not idempotent: then only the deadline counts.
+        """
+        if not self._route.idempotent:
+            return None
+        return min(
+            MAX_STALL_TIMEOUT,
+            self._route.latency_target * STALL_TIMEOUT_TARGETS,
+        )
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -22,7 +22,8 @@
     WatchGate,
     WatchSpec,
 )
-from gentiantrestle.gateway.forward import Forwarder, ForwardingContext
+from gentiantrestle.gateway.forward import Forwarder
+from gentiantrestle.gateway.forwarded_request import ForwardingContext
 from gentiantrestle.gateway.http_server import HttpServer
 from gentiantrestle.gateway.membership.messages import InstanceStatus
 from gentiantrestle.gateway.metrics import Metrics
