--- a/gentiantrestle/errors.py
+++ b/gentiantrestle/errors.py
@@ -144,6 +144,11 @@
     503,
     'Wait for the time given in Retry-After and send again.',
 )
+QUARANTINED = ErrorKind(
+    'quarantined',
+    503,
+    'Change the prompt; it is refused until upstreams are found to bear it.',
+)
 STORE_UNAVAILABLE = ErrorKind(
     'store_unavailable',
     503,
--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -152,6 +152,18 @@
 COORDINATOR_SILENT = _define(
     3012, LEVEL_WARNING, 'slot coordinator {instance} does not answer'
 )
+UPSTREAM_CRASHED = _define(
+    3013,
+    LEVEL_WARNING,
+    'upstream {upstream} ended while it began answers; suspect prompt parts: '
+    '{prompt_parts}',
+)
+PROMPT_TRIED = _define(
+    3014, LEVEL_INFO, 'trying quarantined prompt parts {prompt_parts} again'
+)
+REQUEST_QUARANTINED = _define(
+    5106, LEVEL_INFO, 'request {request} refused: {reason}'
+)
 REQUEST_PLACED = _define(
     5101,
     LEVEL_INFO,
--- a/gentiantrestle/gateway/assembly.py
+++ b/gentiantrestle/gateway/assembly.py
@@ -1,21 +1,13 @@
 """Builds the components of an instance that place and run work."""
 
 import random
-from collections.abc import Callable
 from typing import NamedTuple
 
-from gentiantrestle.gateway.batch.context import BatchContext, Clock
+from gentiantrestle.gateway.batch.context import BatchContext
 from gentiantrestle.gateway.batch.job_index import JobIndex
 from gentiantrestle.gateway.batch.job_store import JobStore
 from gentiantrestle.gateway.batch.runner import Runner
-from gentiantrestle.gateway.datagrams import DatagramPort
-from gentiantrestle.gateway.fleet_state import FleetState
-from gentiantrestle.gateway.membership.membership import Membership
-from gentiantrestle.gateway.membership.messages import (
-    Identity,
-    InstanceStatus,
-)
-from gentiantrestle.gateway.membership.peers import PeerList, run_name
+from gentiantrestle.gateway.fleet_context import FleetContext
 from gentiantrestle.gateway.ports import Adapter
 from gentiantrestle.gateway.retrying_store import RetryingStore
 from gentiantrestle.gateway.slots.admission import Admission
@@ -30,66 +22,6 @@
     SlotSender,
     SlotService,
 )
-from gentiantrestle.gateway.topology import Topology
-from gentiantrestle.models import Address
-
-
-class InstanceConfig(NamedTuple):
-    """Identity, location and addresses of an instance.
-
-    ``http_address`` is where callers connect, ``grace`` the time in s that a
-    stop may take, ``seeds`` are hosts of other instances.
-    """
-
-    instance: str
-    topology: Topology
-    host: str
-    http_address: Address
-    peer_port: int
-    seeds: tuple[str, ...]
-    grace: float
-
-
-class FleetContext(NamedTuple):
-    """This instance among the others, and what it knows of the fleet."""
-
-    identity: Identity
-    topology: Topology
-    peers: PeerList
-    port: DatagramPort
-    membership: Membership
-    state: FleetState
-    clock: Clock
-
-    @classmethod
-    def from_config(
-        cls,
-        cfg: InstanceConfig,
-        incarnation: int,
-        state: FleetState,
-        clock: Clock,
-        read_status: Callable[[], InstanceStatus],
-    ) -> 'FleetContext':
-        """Build the parts that join the fleet; nothing is sent yet.
-
-        ``incarnation`` grows with each start, and ``read_status`` returns what
-        this instance says about itself.
-        """
-        zone = cfg.topology.zone
-        identity = Identity(
-            cfg.instance, incarnation, cfg.host, zone, cfg.peer_port
-        )
-        peers = PeerList(cfg.instance, cfg.host, zone, cfg.seeds)
-        port = DatagramPort(Address(cfg.host, cfg.peer_port))
-        membership = Membership(identity, peers, port, read_status, clock.now)
-        return cls(
-            identity, cfg.topology, peers, port, membership, state, clock
-        )
-
-    @property
-    def run_name(self) -> str:
-        """Name this run of the instance."""
-        return run_name(self.identity.instance, self.identity.incarnation)
 
 
 class WorkComponents(NamedTuple):
@@ -151,6 +83,7 @@
         slots.parts.batch_asks,
         adapter.dialect,
         clock,
+        fleet.build_guard(),
     )
     admission = Admission(
         fleet.topology, state.roster, slots.parts.client, rng.random, clock.now
--- a/gentiantrestle/gateway/batch/item_progress.py
+++ b/gentiantrestle/gateway/batch/item_progress.py
@@ -1,13 +1,18 @@
 """Runs one item on upstreams until it succeeds or fails."""
 
 import asyncio
-from collections.abc import Callable
 from typing import NamedTuple
 
 from gentiantrestle import events
+from gentiantrestle.gateway.batch.context import Clock
 from gentiantrestle.gateway.batch.job_index import JobEntry
 from gentiantrestle.gateway.model import ItemResult, ItemSpec, Upstream
 from gentiantrestle.gateway.ports import Dialect, Reply
+from gentiantrestle.gateway.quarantine.guard import (
+    PromptGuard,
+    QuarantinedError,
+)
+from gentiantrestle.gateway.quarantine.watch import PromptWatch
 from gentiantrestle.gateway.slots.messages import SlotOutcome
 from gentiantrestle.gateway.sse import EventOrderError, EventSplitter
 from gentiantrestle.gateway.upstream_connection import (
@@ -55,27 +60,30 @@
         self,
         upstream: Upstream,
         dialect: Dialect,
-        now: Callable[[], float],
+        guard: PromptGuard,
+        clock: Clock,
     ) -> RunOutcome:
         """Run the item from its last event on.
 
         Failures of the upstream are returned; only cancellation is raised.
         """
-        conn = UpstreamConnection(dialect)
-        started = now()
+        parts = dialect.item_prompt_parts(self.spec)
+        watch = PromptWatch(guard, parts, clock)
+        conn = UpstreamConnection(dialect, watch)
+        started = clock.now()
         before = len(self._texts)
         try:
             await conn.connect(upstream)
             reply = await self._start(conn, dialect, upstream)
-            outcome = await self._read(conn, reply)
+            outcome = await self._read(conn, reply, watch)
         except (RequestNotSentError, ResponseLostError, TimeoutError) as exc:
             outcome = RunOutcome(None, repr(exc), SlotOutcome.FAILED)
-        except EventOrderError as exc:
+            await conn.check_crash()
+        except (EventOrderError, QuarantinedError) as exc:
             outcome = RunOutcome(None, repr(exc), SlotOutcome.UNKNOWN)
         finally:
             conn.close()
-            self.run_time += now() - started
-        parts = dialect.item_prompt_parts(self.spec)
+            self.run_time += clock.now() - started
         self._log(upstream, outcome, len(self._texts) - before, parts)
         return outcome
 
@@ -102,9 +110,12 @@
         async with asyncio.timeout(STALL_TIMEOUT):
             return await conn.send(req)
 
-    async def _read(self, conn: UpstreamConnection, reply: Reply) -> RunOutcome:
+    async def _read(
+        self, conn: UpstreamConnection, reply: Reply, watch: PromptWatch
+    ) -> RunOutcome:
         if reply.status == OK:
-            await self._collect(conn)
+            await self._collect(conn, watch)
+            watch.note_sound()
             text = '\n'.join(self._texts)
             return RunOutcome(ItemResult(self.spec.id, True, text), 'whole')
         reason = f'status {reply.status}'
@@ -116,12 +127,15 @@
             return RunOutcome(self.fail(reason), reason)
         return RunOutcome(None, reason)
 
-    async def _collect(self, conn: UpstreamConnection) -> None:
+    async def _collect(
+        self, conn: UpstreamConnection, watch: PromptWatch
+    ) -> None:
         splitter = EventSplitter(self._last_event)
         async for part in conn.iter_body(STALL_TIMEOUT):
             for event in splitter.feed(part):
                 self._texts.append(event.data)
                 self._last_event = splitter.last_id
+                watch.note_event()
 
     def _log(
         self,
--- a/gentiantrestle/gateway/batch/run_table.py
+++ b/gentiantrestle/gateway/batch/run_table.py
@@ -139,7 +139,10 @@
         health = SlotOutcome.UNKNOWN
         try:
             outcome = await progress.run(
-                lease.upstream, self._context.dialect, self._context.clock.now
+                lease.upstream,
+                self._context.dialect,
+                self._context.guard,
+                self._context.clock,
             )
             health = outcome.upstream_health
         finally:
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -97,10 +97,26 @@
             | self._writer.unwritten_ids()
             | self._retrying_later(now)
         )
-        waiting = queued_items(owned, busy, self.run_table.estimate)
+        waiting = [
+            queued
+            for queued in queued_items(owned, busy, self.run_table.estimate)
+            if not self._is_quarantined(queued)
+        ]
         self._waiting = {queued.spec.id: queued for queued in waiting}
         self._context.asks.want(self._wanted_slots(waiting))
 
+    def _is_quarantined(self, queued: QueuedItem) -> bool:
+        """Return whether an item has to wait, as its prompt crashes upstreams.
+
+        It waits until it is tried again, or until its retention is over.
+        """
+        wall = self._context.clock.wall()
+        guard = self._context.guard
+        if not guard.evidence.culprits(wall):
+            return False
+        parts = self._context.dialect.item_prompt_parts(queued.spec)
+        return guard.find_refused(parts, wall) is not None
+
     def _wanted_slots(
         self, waiting: Iterable[QueuedItem]
     ) -> Iterator[WantedSlot]:
--- /dev/null
+++ b/gentiantrestle/gateway/fleet_context.py
@@ -0,0 +1,88 @@
+"""This instance among the others of its fleet."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from gentiantrestle.daemon.membership.rendezvous import owner
+from gentiantrestle.gateway.batch.context import Clock
+from gentiantrestle.gateway.datagrams import DatagramPort
+from gentiantrestle.gateway.fleet_state import FleetState
+from gentiantrestle.gateway.membership.membership import Membership
+from gentiantrestle.gateway.membership.messages import (
+    Identity,
+    InstanceStatus,
+)
+from gentiantrestle.gateway.membership.peers import PeerList, run_name
+from gentiantrestle.gateway.quarantine.evidence import Evidence
+from gentiantrestle.gateway.quarantine.guard import PromptGuard
+from gentiantrestle.gateway.topology import Topology
+from gentiantrestle.models import Address
+
+
+class InstanceConfig(NamedTuple):
+    """Identity, location and addresses of an instance.
+
+    ``http_address`` is where callers connect, ``grace`` the time in s that a
+    stop may take, ``seeds`` are hosts of other instances.
+    """
+
+    instance: str
+    topology: Topology
+    host: str
+    http_address: Address
+    peer_port: int
+    seeds: tuple[str, ...]
+    grace: float
+
+
+class FleetContext(NamedTuple):
+    """This instance among the others, and what it knows of the fleet."""
+
+    identity: Identity
+    topology: Topology
+    peers: PeerList
+    port: DatagramPort
+    membership: Membership
+    state: FleetState
+    clock: Clock
+
+    @classmethod
+    def from_config(
+        cls,
+        cfg: InstanceConfig,
+        incarnation: int,
+        state: FleetState,
+        clock: Clock,
+        read_status: Callable[[], InstanceStatus],
+    ) -> 'FleetContext':
+        """Build the parts that join the fleet; nothing is sent yet.
+
+        ``incarnation`` grows with each start, and ``read_status`` returns what
+        this instance says about itself.
+        """
+        zone = cfg.topology.zone
+        identity = Identity(
+            cfg.instance, incarnation, cfg.host, zone, cfg.peer_port
+        )
+        peers = PeerList(cfg.instance, cfg.host, zone, cfg.seeds)
+        port = DatagramPort(Address(cfg.host, cfg.peer_port))
+        membership = Membership(identity, peers, port, read_status, clock.now)
+        return cls(
+            identity, cfg.topology, peers, port, membership, state, clock
+        )
+
+    @property
+    def run_name(self) -> str:
+        """Name this run of the instance."""
+        return run_name(self.identity.instance, self.identity.incarnation)
+
+    def build_guard(self) -> PromptGuard:
+        """Build the guard; one of the live instances tries a prompt again."""
+        instance = self.identity.instance
+
+        def is_elected(key: str) -> bool:
+            alive = self.peers.alive(self.clock.now())
+            names = {peer.instance for peer in alive}
+            return owner(key, names | {instance}) == instance
+
+        return PromptGuard(Evidence(), is_elected)
--- a/gentiantrestle/gateway/forward.py
+++ b/gentiantrestle/gateway/forward.py
@@ -32,7 +32,7 @@
         while True:
             lease = await forwarded.acquire_slot(service)
             outcome = await forwarded.attempt(lease)
-            left = req.deadline - self._context.now()
+            left = req.deadline - self._context.clock.now()
             step = next_step(outcome, forwarded.progress(), left)
             events.emit(
                 events.ATTEMPT_ENDED,
--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -1,20 +1,33 @@
 """One request of a caller over all its attempts on upstreams."""
 
 import asyncio
-from collections.abc import Callable
-from types import MappingProxyType
 from typing import NamedTuple
 
+from gentiantrestle import events
 from gentiantrestle.errors import (
     ANSWER_TIMEOUT,
     NO_UPSTREAM,
+    QUARANTINED,
     UPSTREAM_OUTCOME_UNKNOWN,
     RefusedError,
     refuse,
 )
+from gentiantrestle.gateway.attempt import (
+    UPSTREAM_HEALTH,
+    AttemptFailedError,
+    HeldResponse,
+)
+from gentiantrestle.gateway.batch.context import Clock
 from gentiantrestle.gateway.http_server import Exchange
 from gentiantrestle.gateway.model import Request, Route, RouteKind
 from gentiantrestle.gateway.ports import Dialect, Reply
+from gentiantrestle.gateway.quarantine.guard import (
+    TRIAL_INTERVAL,
+    PromptGuard,
+    QuarantinedError,
+    describe,
+)
+from gentiantrestle.gateway.quarantine.watch import PromptWatch
 from gentiantrestle.gateway.retry_policy import (
     AttemptOutcome,
     RequestProgress,
@@ -43,40 +56,14 @@
 STALL_TIMEOUT_TARGETS = 3.0
 MAX_STALL_TIMEOUT = 1.0  # seconds
 
-# What the outcome of an attempt says about its upstream.
-UPSTREAM_HEALTH = MappingProxyType(
-    {
-        AttemptOutcome.LOST: SlotOutcome.FAILED,
-        AttemptOutcome.UNREACHED: SlotOutcome.FAILED,
-        AttemptOutcome.DONE: SlotOutcome.SERVED,
-        AttemptOutcome.FAILED: SlotOutcome.SERVED,
-    }
-)
-
 
 class ForwardingContext(NamedTuple):
-    """Dependencies of a forwarder; ``now`` returns a monotonic time in s."""
+    """Dependencies of a forwarder."""
 
     admission: Admission
     dialect: Dialect
-    now: Callable[[], float]
-
-
-class HeldResponse(NamedTuple):
-    """A complete upstream response, held back while a retry may follow."""
-
-    reply: Reply
-    body: bytes
-
-
-class AttemptFailedError(Exception):
-    """An attempt ended without a response that could be forwarded."""
-
-    def __init__(self, outcome: AttemptOutcome, reason: str) -> None:
-        """Keep the outcome, and the reason for the log and the refusal."""
-        super().__init__(reason)
-        self.outcome = outcome
-        self.reason = reason
+    clock: Clock
+    guard: PromptGuard
 
 
 class ForwardedRequest:
@@ -101,6 +88,7 @@
         self.reason = ''
         # Events that the attempt has received.
         self.received = 0
+        self._watch = self._new_watch()
 
     def progress(self) -> RequestProgress:
         """Return what decides about the next step."""
@@ -114,6 +102,7 @@
         """
         slot_request = SlotRequest(self._req, self._route, service, self._tried)
         try:
+            self._refuse_quarantined()
             lease = await self._context.admission.acquire(slot_request)
         except RefusedError as exc:
             if self._exchange.started:
@@ -144,9 +133,28 @@
         elif step is not Step.FINISH:
             raise self._refusal(step, outcome)
 
+    def _new_watch(self) -> PromptWatch:
+        return PromptWatch(
+            self._context.guard, self._req.prompt_parts, self._context.clock
+        )
+
+    def _refuse_quarantined(self) -> None:
+        """Raise ``RefusedError`` if the prompt can't be served for long."""
+        wall = self._context.clock.wall()
+        culprit = self._context.guard.find_refused(self._req.prompt_parts, wall)
+        if culprit is None:
+            return
+        reason = describe(culprit)
+        events.emit(
+            events.REQUEST_QUARANTINED, request=self._req.id, reason=reason
+        )
+        raise refuse(QUARANTINED, reason, TRIAL_INTERVAL)
+
     def _refusal(self, step: Step, outcome: AttemptOutcome) -> RefusedError:
+        if step is Step.REFUSE and outcome is AttemptOutcome.QUARANTINED:
+            return refuse(QUARANTINED, self.reason, TRIAL_INTERVAL)
         if step is Step.REFUSE:
-            now = self._context.now()
+            now = self._context.clock.now()
             delay = retry_after_seconds(MIN_RETRY_AFTER, self._req, now)
             return refuse(NO_UPSTREAM, self.reason, delay)
         if outcome is AttemptOutcome.EXPIRED:
@@ -154,8 +162,9 @@
         return refuse(UPSTREAM_OUTCOME_UNKNOWN, self.reason)
 
     async def _run_attempt(self, lease: SlotLease) -> AttemptOutcome:
-        conn = UpstreamConnection(self._context.dialect)
-        left = self._req.deadline - self._context.now()
+        self._watch = self._new_watch()
+        conn = UpstreamConnection(self._context.dialect, self._watch)
+        left = self._req.deadline - self._context.clock.now()
         self.reason = ''
         self.received = 0
         try:
@@ -163,6 +172,8 @@
                 await self._send(conn, lease)
         except AttemptFailedError as exc:
             self.reason = exc.reason
+            if exc.outcome is AttemptOutcome.LOST:
+                await self._check_crash(conn)
             return exc.outcome
         except TimeoutError:
             self.reason = 'deadline'
@@ -171,6 +182,11 @@
             conn.close()
         return AttemptOutcome.DONE
 
+    async def _check_crash(self, conn: UpstreamConnection) -> None:
+        if await conn.check_crash():
+            crashes = self._progress.crashes + 1
+            self._progress = self._progress._replace(crashes=crashes)
+
     async def _send(self, conn: UpstreamConnection, lease: SlotLease) -> None:
         before = self._progress
         self._progress = before._replace(refusals=before.refusals + 1)
@@ -180,20 +196,33 @@
             raise AttemptFailedError(
                 AttemptOutcome.UNREACHED, repr(exc)
             ) from exc
+        self._progress = before
+        reply = await self._send_head(conn, lease)
+        if reply.not_run:
+            self._progress = before._replace(refusals=before.refusals + 1)
+            raise AttemptFailedError(
+                AttemptOutcome.NOT_RUN, f'status {reply.status}'
+            )
+        await self._relay_response(conn, reply)
+
+    async def _send_head(
+        self, conn: UpstreamConnection, lease: SlotLease
+    ) -> Reply:
+        """Send the request and return the head of the response."""
+        before = self._progress
         # From here on the request counts as executed, unless the upstream
         # says that it was not.
         self._progress = before._replace(runs=before.runs + 1)
         try:
             async with asyncio.timeout(self._stall_timeout):
-                reply = await conn.send(self._build_request(lease))
+                return await conn.send(self._build_request(lease))
+        except QuarantinedError as exc:
+            self._progress = before
+            raise AttemptFailedError(
+                AttemptOutcome.QUARANTINED, str(exc)
+            ) from exc
         except (ResponseLostError, TimeoutError) as exc:
             raise AttemptFailedError(AttemptOutcome.LOST, repr(exc)) from exc
-        if reply.not_run:
-            self._progress = before._replace(refusals=before.refusals + 1)
-            raise AttemptFailedError(
-                AttemptOutcome.NOT_RUN, f'status {reply.status}'
-            )
-        await self._relay_response(conn, reply)
 
     async def _relay_response(
         self, conn: UpstreamConnection, reply: Reply
@@ -215,6 +244,8 @@
             raise AttemptFailedError(
                 AttemptOutcome.FAILED, f'status {reply.status}'
             )
+        if reply.status == OK:
+            self._watch.note_sound()
         await self._exchange.respond(reply.status, reply.headers, body)
 
     async def _relay_stream(
@@ -225,9 +256,11 @@
             found = self._splitter.feed(part)
             self.received += len(found)
             if found:
+                self._watch.note_event()
                 await self._write(reply, b''.join(event.raw for event in found))
         if self._splitter.remainder or not self._exchange.started:
             await self._write(reply, self._splitter.remainder)
+        self._watch.note_sound()
         await self._exchange.finish_stream()
 
     async def _write(self, reply: Reply, part: bytes) -> None:
@@ -239,7 +272,7 @@
 
     def _build_request(self, lease: SlotLease) -> UpstreamRequest:
         req = self._req
-        left = req.deadline - self._context.now()
+        left = req.deadline - self._context.clock.now()
         headers = self._context.dialect.upstream_headers(
             req, lease.upstream, left, self._splitter.last_id
         )
--- a/gentiantrestle/gateway/membership/membership.py
+++ b/gentiantrestle/gateway/membership/membership.py
@@ -17,6 +17,11 @@
 )
 from gentiantrestle.gateway.membership.peers import Peer, PeerList
 from gentiantrestle.gateway.membership.relaying import Relaying, Sending
+from gentiantrestle.gateway.quarantine.codec import (
+    pack_findings,
+    unpack_findings,
+)
+from gentiantrestle.gateway.quarantine.evidence import Findings
 from gentiantrestle.wire.peer import ttypes
 
 PULSE = 'pulse'
@@ -53,6 +58,8 @@
         self._ranked: dict[str, RankedZone] = {}
         # Called with the job notices of each row that was received.
         self.on_notices: Callable[[JobNotices], None] = _ignore
+        # Called with the findings of each message that has some.
+        self.on_findings: Callable[[Findings], None] = _ignore
         # Called when an instance is lost or a new run of one is known.
         self.on_change: Callable[[], None] = _nothing
         port.on(PULSE, self._receive)
@@ -111,11 +118,15 @@
                 [pack_row(row, now) for row in rows],
                 sending.wants_rows,
                 sending.lists_zone and len(parts) == 1,
+                pack_findings(own.findings),
             )
             self._port.send(hosts, PULSE, pulse)
 
     def _receive(self, pulse: ttypes.Pulse) -> None:
         now = self._now()
+        # First, so that they go along with what is passed on.
+        if pulse.findings is not None:
+            self.on_findings(unpack_findings(pulse.findings))
         sender = unpack_row(pulse.sender, now)
         self._apply(sender)
         for row in pulse.rows:
@@ -176,7 +187,7 @@
         yield rows[start : start + MAX_ROWS]
 
 
-def _ignore(notices: JobNotices) -> None:
+def _ignore(news: JobNotices | Findings) -> None:
     """Do nothing until a handler is set."""
 
 
--- a/gentiantrestle/gateway/membership/messages.py
+++ b/gentiantrestle/gateway/membership/messages.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from gentiantrestle.gateway.membership.peers import Peer
+from gentiantrestle.gateway.quarantine.evidence import Findings
 from gentiantrestle.wire.peer import ttypes
 
 MS_PER_S = 1000
@@ -39,13 +40,18 @@
     jobs_revision: int
     upstreams_fingerprint: int
     notices: JobNotices
+    findings: Findings = Findings()
 
 
 class RelayedRow(NamedTuple):
-    """An instance's row and its job notices."""
+    """An instance's row and its job notices.
+
+    Only this instance's own row has findings; they include the others'.
+    """
 
     peer: Peer
     notices: JobNotices = JobNotices()
+    findings: Findings = Findings()
 
 
 def own_row(
@@ -67,7 +73,7 @@
         status.upstreams_fingerprint,
         status.starting,
     )
-    return RelayedRow(peer, status.notices)
+    return RelayedRow(peer, status.notices, status.findings)
 
 
 def pack_row(row: RelayedRow, now: float) -> ttypes.InstanceRow:
--- a/gentiantrestle/gateway/peering.py
+++ b/gentiantrestle/gateway/peering.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
+from gentiantrestle.gateway.batch.context import Clock
 from gentiantrestle.gateway.batch.job_index import JobIndex
 from gentiantrestle.gateway.batch.result_reader import ResultReader
 from gentiantrestle.gateway.batch.runner import Runner
@@ -16,6 +17,7 @@
 )
 from gentiantrestle.gateway.membership.peers import PeerList
 from gentiantrestle.gateway.peer_calls import PeerCalls
+from gentiantrestle.gateway.quarantine.evidence import Evidence, Findings
 from gentiantrestle.gateway.state_copier import StateCopier
 from gentiantrestle.gateway.zone_watcher import CopySourceSelector
 from gentiantrestle.supervisor import Child
@@ -35,6 +37,7 @@
     index: JobIndex
     runner: Runner
     reader: ResultReader
+    evidence: Evidence
 
 
 class Peering:
@@ -46,7 +49,7 @@
         peers: PeerList,
         parts: PeeringParts,
         is_connected: Callable[[], bool],
-        now: Callable[[], float],
+        clock: Clock,
     ) -> None:
         """Connect ``parts`` to the other instances; nothing is sent yet.
 
@@ -56,13 +59,14 @@
         self._identity = identity
         self._parts = parts
         self._is_connected = is_connected
-        self._now = now
+        self._clock = clock
         self._cancelled_jobs: deque[str] = deque(maxlen=MAX_CANCELLED_JOBS)
         self._leaving = False
-        self._started = now()
+        self._started = clock.now()
         # Called each time before the peer to copy from is chosen.
         self.before_sync: Callable[[], None] = _nothing
         parts.membership.on_notices = self._apply_notices
+        parts.membership.on_findings = self._apply_findings
         parts.membership.on_change = parts.runner.wake
         selector = CopySourceSelector(
             identity.zone, random.Random(identity.incarnation).random
@@ -80,7 +84,8 @@
             'peers', lambda: self._peer_calls.serve(self._identity.host)
         )
         yield Child(
-            'relay', lambda: self._peer_calls.run(self._now, self.before_sync)
+            'relay',
+            lambda: self._peer_calls.run(self._clock.now, self.before_sync),
         )
 
     def leave(self) -> None:
@@ -97,7 +102,7 @@
         revisions = self._parts.copier.revisions
         return InstanceStatus(
             self._leaving,
-            self._now() - self._started < START_TIME,
+            self._clock.now() - self._started < START_TIME,
             revisions.config_version,
             self._is_connected(),
             revisions.upstreams_revision,
@@ -107,6 +112,7 @@
                 tuple(self._cancelled_jobs),
                 tuple(self._parts.runner.taken_over),
             ),
+            self._parts.evidence.findings(self._clock.wall()),
         )
 
     def _apply_notices(self, notices: JobNotices) -> None:
@@ -115,6 +121,9 @@
         for job in notices.cancelled_jobs:
             self._parts.index.cancel(job)
 
+    def _apply_findings(self, findings: Findings) -> None:
+        self._parts.evidence.merge(findings, self._clock.wall())
+
 
 def _nothing() -> None:
     """Do nothing until a handler is set."""
--- /dev/null
+++ b/gentiantrestle/gateway/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps prompts that crash upstreams away from them."""
--- /dev/null
+++ b/gentiantrestle/gateway/quarantine/codec.py
@@ -0,0 +1,33 @@
+"""Encodes and decodes findings about crashes; no I/O."""
+
+from gentiantrestle.gateway.quarantine.culprits import Crash
+from gentiantrestle.gateway.quarantine.evidence import Findings, SoundPart
+from gentiantrestle.wire.peer import ttypes
+
+
+def pack_findings(findings: Findings) -> ttypes.Findings | None:
+    """Encode findings; None if there are none."""
+    if not findings.crashes and not findings.sound:
+        return None
+    crashes = [
+        ttypes.Crash(
+            crash.upstream, crash.at, sorted(map(sorted, crash.prompts))
+        )
+        for crash in findings.crashes
+    ]
+    sound = [ttypes.SoundPart(part, at) for part, at in findings.sound]
+    return ttypes.Findings(crashes, sound)
+
+
+def unpack_findings(packed: ttypes.Findings | None) -> Findings:
+    """Decode findings, or what a sender without any has sent."""
+    if packed is None:
+        return Findings()
+    crashes = (
+        Crash(
+            crash.upstream, crash.at, frozenset(map(frozenset, crash.prompts))
+        )
+        for crash in packed.crashes
+    )
+    sound = (SoundPart(known.part, known.at) for known in packed.sound)
+    return Findings(tuple(crashes), tuple(sound))
--- /dev/null
+++ b/gentiantrestle/gateway/quarantine/evidence.py
@@ -0,0 +1,201 @@
+"""What an instance knows of crashes and of sound prompt parts; no I/O.
+
+Instances exchange their findings and merge them, so that all of them draw the
+same conclusions, also those that have just started. Times are wall-clock times
+in s: they are compared between instances, and in minutes only.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Iterator
+from typing import NamedTuple
+
+from gentiantrestle.gateway.quarantine.culprits import (
+    Crash,
+    Culprit,
+    Prompt,
+    find_culprits,
+)
+
+CRASH_LIFETIME = 3600  # seconds that a crash is remembered
+# Crashes that explain nothing yet are passed on for this long.
+SHARING_TIME = 60  # seconds
+# A part may begin to crash upstreams after a change of their software.
+SOUND_LIFETIME = 120  # seconds after a complete answer
+SOUND_STEP = 15  # seconds; rounds the times that are passed on
+MAX_CRASHES = 64
+MAX_PROMPTS = 32  # of one crash
+MAX_SOUND_PARTS = 8192
+REFRESH_INTERVAL = 1  # seconds until conclusions are drawn again
+
+
+class SoundPart(NamedTuple):
+    """A part of a prompt, and when an answer to it was completed."""
+
+    part: str
+    at: int
+
+
+class Findings(NamedTuple):
+    """What one instance tells the others."""
+
+    crashes: tuple[Crash, ...] = ()
+    sound: tuple[SoundPart, ...] = ()
+
+
+NO_FINDINGS = Findings()
+
+
+class Conclusions(NamedTuple):
+    """The culprits and what to pass on, as of a time in s."""
+
+    culprits: tuple[Culprit, ...]
+    findings: Findings
+    drawn_at: float
+
+
+class Evidence:
+    """Crashes and sound parts, own and of other instances."""
+
+    def __init__(self) -> None:
+        """Know nothing."""
+        self._crashes: dict[str, Crash] = {}
+        self._sound: OrderedDict[str, float] = OrderedDict()
+        self._conclusions: Conclusions | None = None
+        # Called with each crash that was not known.
+        self.on_crash: Callable[[Crash], None] = _ignore
+
+    def add_crash(self, upstream: str, prompt: Prompt, wall: float) -> None:
+        """Note that an upstream ended while it began to answer a prompt."""
+        self._add(Crash(upstream, int(wall), frozenset((prompt,))), wall)
+
+    def note_sound(self, parts: Iterable[str], wall: float) -> None:
+        """Note that an answer to a prompt with these parts was completed."""
+        for part in parts:
+            self._set_sound(part, wall)
+
+    def merge(self, findings: Findings, wall: float) -> None:
+        """Add what another instance knows."""
+        for part, at in findings.sound:
+            self._set_sound(part, min(at, wall))
+        for crash in findings.crashes:
+            if wall - crash.at < CRASH_LIFETIME:
+                self._add(crash, wall)
+
+    def culprits(self, wall: float) -> tuple[Culprit, ...]:
+        """Return what must not be sent to upstreams."""
+        if not self._crashes:
+            return ()
+        return self._conclude(wall).culprits
+
+    def findings(self, wall: float) -> Findings:
+        """Return what to tell the other instances."""
+        if not self._crashes:
+            return NO_FINDINGS
+        return self._conclude(wall).findings
+
+    def _set_sound(self, part: str, at: float) -> None:
+        known = self._sound.pop(part, at)
+        self._sound[part] = max(known, at)
+        if len(self._sound) > MAX_SOUND_PARTS:
+            self._sound.popitem(last=False)
+
+    def _add(self, crash: Crash, wall: float) -> None:
+        known = self._crashes.get(crash.upstream)
+        merged = crash
+        if known is not None:
+            prompts = known.prompts | crash.prompts
+            merged = Crash(
+                crash.upstream,
+                min(known.at, crash.at),
+                frozenset(sorted(prompts, key=sorted)[:MAX_PROMPTS]),
+            )
+        if merged == known:
+            return
+        self._crashes[crash.upstream] = merged
+        self._conclusions = None
+        if known is None:
+            self.on_crash(crash)
+            self._drop_surplus(wall)
+
+    def _drop_surplus(self, wall: float) -> None:
+        """Drop the oldest crashes, first those that explain nothing."""
+        if len(self._crashes) <= MAX_CRASHES:
+            return
+        culprits = tuple(self._find_culprits(wall))
+        oldest = min(
+            self._crashes.values(),
+            key=lambda crash: (_supports(crash, culprits), crash.at),
+        )
+        self._crashes.pop(oldest.upstream)
+
+    def _conclude(self, wall: float) -> Conclusions:
+        known = self._conclusions
+        if known is None or not (0 <= wall - known.drawn_at < REFRESH_INTERVAL):
+            self._remove_old(wall)
+            culprits = tuple(self._find_culprits(wall))
+            known = Conclusions(
+                culprits, self._select_findings(culprits, wall), wall
+            )
+            self._conclusions = known
+        return known
+
+    def _remove_old(self, wall: float) -> None:
+        self._crashes = {
+            upstream: crash
+            for upstream, crash in self._crashes.items()
+            if wall - crash.at < CRASH_LIFETIME
+        }
+
+    def _find_culprits(self, wall: float) -> Iterator[Culprit]:
+        return find_culprits(self._stripped(wall))
+
+    def _stripped(self, wall: float) -> Iterator[Crash]:
+        """Yield the crashes without sound parts."""
+        sound = self._sound_suspects(wall)
+        return (crash.without(sound) for crash in self._crashes.values())
+
+    def _sound_suspects(self, wall: float) -> dict[str, float]:
+        """Return the sound ones of the parts that occur in crashes."""
+        suspects = frozenset().union(
+            *(crash.parts for crash in self._crashes.values())
+        )
+        return {
+            part: self._sound[part]
+            for part in suspects
+            if wall - self._sound.get(part, float('-inf')) < SOUND_LIFETIME
+        }
+
+    def _select_findings(
+        self, culprits: tuple[Culprit, ...], wall: float
+    ) -> Findings:
+        """Choose what others need: recent crashes, and those of culprits."""
+        crashes = (
+            crash
+            if wall - crash.at < SHARING_TIME
+            else _reduce(crash, culprits)
+            for crash in self._stripped(wall)
+        )
+        sound = (
+            SoundPart(part, int(at // SOUND_STEP * SOUND_STEP))
+            for part, at in self._sound_suspects(wall).items()
+        )
+        return Findings(
+            tuple(sorted(crash for crash in crashes if crash.prompts)),
+            tuple(sorted(sound)),
+        )
+
+
+def _supports(crash: Crash, culprits: Iterable[Culprit]) -> bool:
+    return any(crash.involves(culprit.parts) for culprit in culprits)
+
+
+def _reduce(crash: Crash, culprits: Iterable[Culprit]) -> Crash:
+    """Return a crash with nothing but the culprits that it shows."""
+    shown = (
+        culprit.parts for culprit in culprits if crash.involves(culprit.parts)
+    )
+    return crash._replace(prompts=frozenset(shown))
+
+
+def _ignore(crash: Crash) -> None:
+    """Do nothing until a handler is set."""
--- a/gentiantrestle/gateway/retry_policy.py
+++ b/gentiantrestle/gateway/retry_policy.py
@@ -7,6 +7,8 @@
 MAX_REFUSALS = 4
 # With less time left than this, another attempt is not worth its cost.
 MIN_TIME_LEFT = 0.05  # seconds
+# Upstreams that may end under one request while they begin its answer.
+MAX_CRASHES = 2
 
 
 class AttemptOutcome(Enum):
@@ -17,6 +19,7 @@
     ``FAILED``: the upstream answered with an error.
     ``LOST``: no complete genuine response came; it may have been executed.
     ``EXPIRED``: the request's deadline passed.
+    ``QUARANTINED``: it was not sent, because its prompt crashes upstreams.
     """
 
     DONE = 'done'
@@ -25,6 +28,10 @@
     FAILED = 'failed'
     LOST = 'lost'
     EXPIRED = 'expired'
+    QUARANTINED = 'quarantined'
+
+
+FINAL_OUTCOMES = frozenset((AttemptOutcome.EXPIRED, AttemptOutcome.QUARANTINED))
 
 
 class Step(Enum):
@@ -48,7 +55,8 @@
     """The attempts of one request so far.
 
     ``runs`` counts attempts that the upstream may have executed, and
-    ``refusals`` those that no upstream executed.
+    ``refusals`` those that no upstream executed. ``crashes`` counts upstreams
+    that ended while they began the answer.
     """
 
     idempotent: bool
@@ -56,6 +64,7 @@
     runs: int = 0
     refusals: int = 0
     response_started: bool = False
+    crashes: int = 0
 
 
 def next_step(
@@ -83,7 +92,9 @@
 def _may_retry(
     outcome: AttemptOutcome, progress: RequestProgress, left: float
 ) -> bool:
-    if outcome is AttemptOutcome.EXPIRED or left < MIN_TIME_LEFT:
+    if outcome in FINAL_OUTCOMES or left < MIN_TIME_LEFT:
+        return False
+    if progress.crashes >= MAX_CRASHES:
         return False
     if outcome in {AttemptOutcome.NOT_RUN, AttemptOutcome.UNREACHED}:
         return progress.refusals < MAX_REFUSALS and (
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -6,15 +6,12 @@
 from collections.abc import Iterable
 
 from gentiantrestle import events
-from gentiantrestle.gateway.assembly import (
-    FleetContext,
-    InstanceConfig,
-    build_components,
-)
+from gentiantrestle.gateway.assembly import build_components
 from gentiantrestle.gateway.batch.api import JobApi
 from gentiantrestle.gateway.batch.context import Clock
 from gentiantrestle.gateway.batch.records import JOB_KIND
 from gentiantrestle.gateway.batch.result_reader import ResultReader
+from gentiantrestle.gateway.fleet_context import FleetContext, InstanceConfig
 from gentiantrestle.gateway.fleet_state import FleetState
 from gentiantrestle.gateway.follower import (
     Follower,
@@ -173,13 +170,14 @@
             self._batch_context.index,
             self._runner,
             reader,
+            self._batch_context.guard.evidence,
         )
         peering = Peering(
             self._fleet.identity,
             peers,
             parts,
             self._is_connected,
-            self._clock.now,
+            self._clock,
         )
         peering.before_sync = self._update_watcher_role
         return peering
@@ -207,7 +205,8 @@
         context = ForwardingContext(
             self._components.admission,
             dialect,
-            self._clock.now,
+            self._clock,
+            self._batch_context.guard,
         )
         api = JobApi(
             self._batch_context,
@@ -231,6 +230,11 @@
         for name, description, read in (
             ('active', 'Requests in flight.', self._count_active),
             ('waiting', 'Requests waiting for a slot.', self._count_waiting),
+            (
+                'quarantined_prompts',
+                'Prompt parts, or sets of them, that crash upstreams.',
+                self._count_quarantined,
+            ),
             (
                 'config_version',
                 'Version of the configuration in force.',
@@ -251,6 +255,10 @@
     def _count_waiting(self) -> int:
         return self._components.admission.waiting
 
+    def _count_quarantined(self) -> int:
+        evidence = self._batch_context.guard.evidence
+        return len(evidence.culprits(self._clock.wall()))
+
     def _read_config_version(self) -> int:
         return self._state.config_version
 
--- a/gentiantrestle/gateway/upstream_connection.py
+++ b/gentiantrestle/gateway/upstream_connection.py
@@ -8,6 +8,7 @@
 
 from gentiantrestle.gateway.model import Upstream
 from gentiantrestle.gateway.ports import Dialect, Reply
+from gentiantrestle.gateway.quarantine.watch import PromptWatch
 from gentiantrestle.http.link import (
     Link,
     LinkLostError,
@@ -40,16 +41,22 @@
     This way bytes of one response can't be taken for part of another.
     """
 
-    def __init__(self, dialect: Dialect) -> None:
-        """Decode responses with ``dialect``; ``connect`` opens the link."""
+    def __init__(self, dialect: Dialect, watch: PromptWatch) -> None:
+        """Decode responses with ``dialect``; ``connect`` opens the link.
+
+        Nothing is sent that ``watch`` holds back.
+        """
         self._dialect = dialect
+        self._watch = watch
         self._link: Link | None = None
+        self._upstream: Upstream | None = None
 
     async def connect(self, upstream: Upstream) -> None:
         """Connect to ``upstream``.
 
         Raises ``RequestNotSentError``; then nothing was sent.
         """
+        self._upstream = upstream
         self._link = await open_link(
             upstream.address, CONNECT_TIMEOUT, MAX_HEADER_SIZE
         )
@@ -57,10 +64,11 @@
     async def send(self, req: UpstreamRequest) -> Reply:
         """Send the request and wait for the head of a genuine response.
 
-        Raises ``ResponseLostError``, or ``RequestNotSentError`` if the request
-        can't be encoded as HTTP.
+        Raises ``ResponseLostError``, ``RequestNotSentError`` if the request
+        can't be encoded as HTTP, or ``QuarantinedError``.
         """
         head = _encode_head(req)
+        self._watch.check()
         try:
             await self._link.send(
                 head, h11.Data(data=req.body), h11.EndOfMessage()
@@ -92,6 +100,19 @@
         """Return the complete body; like ``iter_body`` otherwise."""
         return b''.join([part async for part in self.iter_body(stall_timeout)])
 
+    async def check_crash(self) -> bool:
+        """Return whether the upstream ended while it began this answer.
+
+        To be called after the response was lost; the watch is told.
+        """
+        link = self._link
+        if link is None or not link.disconnected or not self._watch.is_opening:
+            return False
+        if not await _refuses_connections(self._upstream):
+            return False
+        self._watch.note_crash(self._upstream)
+        return True
+
     def close(self) -> None:
         """Reset the connection; an upstream that is still working stops."""
         if self._link is not None:
@@ -118,6 +139,18 @@
                 raise LinkLostError('connection closed before the response')
 
 
+async def _refuses_connections(upstream: Upstream) -> bool:
+    """Return whether nothing listens at the upstream's address any more."""
+    try:
+        link = await open_link(
+            upstream.address, CONNECT_TIMEOUT, MAX_HEADER_SIZE
+        )
+    except RequestNotSentError as exc:
+        return isinstance(exc.__cause__, ConnectionRefusedError)
+    link.abort()
+    return False
+
+
 def _encode_head(req: UpstreamRequest) -> h11.Request:
     length = (b'content-length', str(len(req.body)).encode())
     try:
--- a/gentiantrestle/platform/roles.py
+++ b/gentiantrestle/platform/roles.py
@@ -9,7 +9,7 @@
 from gentiantrestle import events
 from gentiantrestle.config import Settings
 from gentiantrestle.exit_status import ExitStatus
-from gentiantrestle.gateway.assembly import InstanceConfig
+from gentiantrestle.gateway.fleet_context import InstanceConfig
 from gentiantrestle.gateway.follower import Follower, WatchGate, WatchSpec
 from gentiantrestle.gateway.monitoring import start_monitoring_server
 from gentiantrestle.gateway.ports import Adapter, ObjectKinds
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -109,6 +109,26 @@
   14: required i32 age,
 }
 
+/* The end of an upstream's run, and the prompts that it began to answer then,
+ * as the ids of their parts; times are wall-clock times in s. */
+struct Crash {
+  1: required string upstream,
+  2: required i64 at,
+  3: required list<list<string>> prompts,
+}
+
+/* A part of a prompt that was answered completely. */
+struct SoundPart {
+  1: required string part,
+  2: required i64 at,
+}
+
+/* What the sender knows of prompts that crash upstreams. */
+struct Findings {
+  1: required list<Crash> crashes,
+  2: required list<SoundPart> sound,
+}
+
 /* Heartbeat of an instance, or what its zone's relay passes on. */
 struct Pulse {
   1: required InstanceRow sender,
@@ -117,6 +137,8 @@
   3: required bool wants_rows,
   /* With the sender, the rows are all it knows to be alive in its zone. */
   4: required bool lists_zone,
+  /* Absent if there are none. */
+  5: optional Findings findings,
 }
 
 /* Asks a slot coordinator for a slot; sent again until it is answered. */
--- a/gentiantrestle/wire/peer/ttypes.py
+++ b/gentiantrestle/wire/peer/ttypes.py
@@ -1587,6 +1587,306 @@
         return not (self == other)
 
 
+class Crash(object):
+    """
+    Attributes:
+     - upstream
+     - at
+     - prompts
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'at',
+        'prompts',
+    )
+
+
+    def __init__(self, upstream=None, at=None, prompts=None,):
+        self.upstream = upstream
+        self.at = at
+        self.prompts = prompts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.at = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.prompts = []
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = []
+                        (_etype67, _size64) = iprot.readListBegin()
+                        for _i68 in range(_size64):
+                            _elem69 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _elem63.append(_elem69)
+                        iprot.readListEnd()
+                        self.prompts.append(_elem63)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Crash')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.at is not None:
+            oprot.writeFieldBegin('at', TType.I64, 2)
+            oprot.writeI64(self.at)
+            oprot.writeFieldEnd()
+        if self.prompts is not None:
+            oprot.writeFieldBegin('prompts', TType.LIST, 3)
+            oprot.writeListBegin(TType.LIST, len(self.prompts))
+            for iter70 in self.prompts:
+                oprot.writeListBegin(TType.STRING, len(iter70))
+                for iter71 in iter70:
+                    oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
+                oprot.writeListEnd()
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.upstream is None:
+            raise TProtocolException(message='Required field upstream is unset!')
+        if self.at is None:
+            raise TProtocolException(message='Required field at is unset!')
+        if self.prompts is None:
+            raise TProtocolException(message='Required field prompts is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SoundPart(object):
+    """
+    Attributes:
+     - part
+     - at
+
+    """
+
+    __slots__ = (
+        'part',
+        'at',
+    )
+
+
+    def __init__(self, part=None, at=None,):
+        self.part = part
+        self.at = at
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.at = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SoundPart')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        if self.at is not None:
+            oprot.writeFieldBegin('at', TType.I64, 2)
+            oprot.writeI64(self.at)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.part is None:
+            raise TProtocolException(message='Required field part is unset!')
+        if self.at is None:
+            raise TProtocolException(message='Required field at is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Findings(object):
+    """
+    Attributes:
+     - crashes
+     - sound
+
+    """
+
+    __slots__ = (
+        'crashes',
+        'sound',
+    )
+
+
+    def __init__(self, crashes=None, sound=None,):
+        self.crashes = crashes
+        self.sound = sound
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = Crash()
+                        _elem77.read(iprot)
+                        self.crashes.append(_elem77)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.sound = []
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = SoundPart()
+                        _elem83.read(iprot)
+                        self.sound.append(_elem83)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Findings')
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter84 in self.crashes:
+                iter84.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.sound is not None:
+            oprot.writeFieldBegin('sound', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.sound))
+            for iter85 in self.sound:
+                iter85.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.crashes is None:
+            raise TProtocolException(message='Required field crashes is unset!')
+        if self.sound is None:
+            raise TProtocolException(message='Required field sound is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Pulse(object):
     """
     Attributes:
@@ -1594,6 +1894,7 @@
      - rows
      - wants_rows
      - lists_zone
+     - findings
 
     """
 
@@ -1602,14 +1903,16 @@
         'rows',
         'wants_rows',
         'lists_zone',
+        'findings',
     )
 
 
-    def __init__(self, sender=None, rows=None, wants_rows=None, lists_zone=None,):
+    def __init__(self, sender=None, rows=None, wants_rows=None, lists_zone=None, findings=None,):
         self.sender = sender
         self.rows = rows
         self.wants_rows = wants_rows
         self.lists_zone = lists_zone
+        self.findings = findings
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1629,11 +1932,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = InstanceRow()
-                        _elem63.read(iprot)
-                        self.rows.append(_elem63)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = InstanceRow()
+                        _elem91.read(iprot)
+                        self.rows.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1647,6 +1950,12 @@
                     self.lists_zone = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.findings = Findings()
+                    self.findings.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1664,8 +1973,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter64 in self.rows:
-                iter64.write(oprot)
+            for iter92 in self.rows:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wants_rows is not None:
@@ -1676,6 +1985,10 @@
             oprot.writeFieldBegin('lists_zone', TType.BOOL, 4)
             oprot.writeBool(self.lists_zone)
             oprot.writeFieldEnd()
+        if self.findings is not None:
+            oprot.writeFieldBegin('findings', TType.STRUCT, 5)
+            self.findings.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1809,10 +2122,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem70)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1876,8 +2189,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter71 in self.excluded:
-                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
+            for iter99 in self.excluded:
+                oprot.writeString(iter99.encode('utf-8') if sys.version_info[0] == 2 else iter99)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slack is not None:
@@ -2446,11 +2759,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.slots = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = HeldSlot()
-                        _elem77.read(iprot)
-                        self.slots.append(_elem77)
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = HeldSlot()
+                        _elem105.read(iprot)
+                        self.slots.append(_elem105)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2475,8 +2788,8 @@
         if self.slots is not None:
             oprot.writeFieldBegin('slots', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.slots))
-            for iter78 in self.slots:
-                iter78.write(oprot)
+            for iter106 in self.slots:
+                iter106.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2671,11 +2984,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.services = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = ServiceSums()
-                        _elem84.read(iprot)
-                        self.services.append(_elem84)
+                    (_etype110, _size107) = iprot.readListBegin()
+                    for _i111 in range(_size107):
+                        _elem112 = ServiceSums()
+                        _elem112.read(iprot)
+                        self.services.append(_elem112)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2696,8 +3009,8 @@
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.services))
-            for iter85 in self.services:
-                iter85.write(oprot)
+            for iter113 in self.services:
+                iter113.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2983,22 +3296,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = KnownObject()
-                        _elem91.read(iprot)
-                        self.upstreams.append(_elem91)
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = KnownObject()
+                        _elem119.read(iprot)
+                        self.upstreams.append(_elem119)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.jobs = []
-                    (_etype95, _size92) = iprot.readListBegin()
-                    for _i96 in range(_size92):
-                        _elem97 = KnownObject()
-                        _elem97.read(iprot)
-                        self.jobs.append(_elem97)
+                    (_etype123, _size120) = iprot.readListBegin()
+                    for _i124 in range(_size120):
+                        _elem125 = KnownObject()
+                        _elem125.read(iprot)
+                        self.jobs.append(_elem125)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3032,15 +3345,15 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter98 in self.upstreams:
-                iter98.write(oprot)
+            for iter126 in self.upstreams:
+                iter126.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter99 in self.jobs:
-                iter99.write(oprot)
+            for iter127 in self.jobs:
+                iter127.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lapse_left is not None:
@@ -3308,11 +3621,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype103, _size100) = iprot.readListBegin()
-                    for _i104 in range(_size100):
-                        _elem105 = ResultRow()
-                        _elem105.read(iprot)
-                        self.rows.append(_elem105)
+                    (_etype131, _size128) = iprot.readListBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = ResultRow()
+                        _elem133.read(iprot)
+                        self.rows.append(_elem133)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3342,8 +3655,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter106 in self.rows:
-                iter106.write(oprot)
+            for iter134 in self.rows:
+                iter134.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.chunks is not None:
@@ -3801,6 +4114,25 @@
     (13, TType.LIST, 'taken', (TType.STRING, 'UTF8', False), None, ),  # 13
     (14, TType.I32, 'age', None, None, ),  # 14
 )
+all_structs.append(Crash)
+Crash.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'at', None, None, ),  # 2
+    (3, TType.LIST, 'prompts', (TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 3
+)
+all_structs.append(SoundPart)
+SoundPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'at', None, None, ),  # 2
+)
+all_structs.append(Findings)
+Findings.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 1
+    (2, TType.LIST, 'sound', (TType.STRUCT, [SoundPart, None], False), None, ),  # 2
+)
 all_structs.append(Pulse)
 Pulse.thrift_spec = (
     None,  # 0
@@ -3808,6 +4140,7 @@
     (2, TType.LIST, 'rows', (TType.STRUCT, [InstanceRow, None], False), None, ),  # 2
     (3, TType.BOOL, 'wants_rows', None, None, ),  # 3
     (4, TType.BOOL, 'lists_zone', None, None, ),  # 4
+    (5, TType.STRUCT, 'findings', [Findings, None], None, ),  # 5
 )
 all_structs.append(SlotAsk)
 SlotAsk.thrift_spec = (
