--- a/benchmarks/core.py
+++ b/benchmarks/core.py
@@ -6,7 +6,14 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from benchmarks import capacity, hop, policy, recovery, slot_arms
+from benchmarks import (
+    capacity,
+    hop,
+    policy,
+    quarantine_arms,
+    recovery,
+    slot_arms,
+)
 
 MEASUREMENTS: dict[str, Callable[[Path], Awaitable[list[str]]]] = {
     'hop': hop.measure_hop,
@@ -22,6 +29,7 @@
     'config': recovery.measure_config,
     'control': capacity.measure_control,
     'slots': slot_arms.measure_arms,
+    'quarantine': quarantine_arms.measure_arms,
 }
 
 
--- /dev/null
+++ b/benchmarks/quarantine_arms.py
@@ -0,0 +1,215 @@
+"""Plays prompts that crash upstreams in virtual time, with and without a rule.
+
+Arms: without a rule each request is sent on and repeated once. With the rule
+instances quarantine what their findings show; these are exchanged with a
+delay. With perfect knowledge the crashing part is refused from the start.
+"""
+
+import random
+from collections import Counter
+from pathlib import Path
+from typing import NamedTuple
+
+from loguru import logger
+
+from gentiantrestle.gateway.quarantine.evidence import Evidence, Findings
+from gentiantrestle.gateway.quarantine.guard import (
+    PromptGuard,
+    QuarantinedError,
+)
+from gentiantrestle.gateway.quarantine.watch import OPENING_TIME
+from gentiantrestle.gateway.retry_policy import MAX_CRASHES
+
+TICK = 0.01  # seconds
+WALL = 1_700_000_000  # wall-clock time in s at the start
+GOSSIP_DELAY = 0.4  # seconds until findings reach the other instances
+BEGIN_TIME = 0.1  # seconds until an answer begins, or its upstream ends
+RUN_TIME = 0.65  # seconds
+DOWN_TIME = 4.0  # seconds until an upstream that ended is back
+CRASHING = 'crashing'
+FREE_CRASHES = 5
+CONTACT_TIME = 4.0  # seconds after the fifth crash
+ARMS = ('no rule', 'rule', 'perfect')
+
+
+class Plan(NamedTuple):
+    """What is played; rates are in requests a second.
+
+    Prompts begin with one of ``families`` first parts. At ``restart_at`` s
+    all instances forget what they know.
+    """
+
+    arm: str = 'rule'
+    instances: int = 9
+    upstreams: int = 6
+    seconds: float = 30
+    sound_rate: float = 28
+    crashing_rate: float = 2
+    families: int = 4
+    restart_at: float = float('inf')
+    seed: int = 1
+
+
+class Run(NamedTuple):
+    """A request on an upstream; times are in s."""
+
+    prompt: tuple[str, ...]
+    instance: int
+    upstream: int
+    started: float
+    crashes: int = 0
+
+    @property
+    def is_crashing(self) -> bool:
+        """Return whether the upstream ends when the answer begins."""
+        return CRASHING in self.prompt
+
+
+class Play:
+    """One play: what is counted, and when crashing requests were sent."""
+
+    def __init__(self, plan: Plan) -> None:
+        """Start with all upstreams up and nothing known."""
+        self.plan = plan
+        self.counts: Counter[str] = Counter()
+        self.crashes: list[float] = []
+        self.sent: list[float] = []
+        self._rng = random.Random(plan.seed)
+        self._guards = [_new_guard(0) for _ in range(plan.instances)]
+        self._down_until = [float(0) for _ in range(plan.upstreams)]
+        self._incarnations = Counter[int]()
+        self._runs: list[Run] = []
+        self._gossip: list[tuple[float, Findings]] = []
+        self._now = float(0)
+
+    @property
+    def late(self) -> int:
+        """Count crashing requests sent after the contact time."""
+        if len(self.crashes) < FREE_CRASHES:
+            return 0
+        since = self.crashes[FREE_CRASHES - 1] + CONTACT_TIME
+        return sum(1 for at in self.sent if at > since)
+
+    def run(self) -> 'Play':
+        """Play to the end."""
+        plan = self.plan
+        ticks = int(plan.seconds / TICK)
+        for tick in range(ticks):
+            self._now = tick * TICK
+            if abs(self._now - plan.restart_at) < TICK / 2:
+                self._guards = [_new_guard(0) for _ in self._guards]
+                self._gossip.clear()
+            self._exchange()
+            self._arrive()
+            self._advance()
+        return self
+
+    def _arrive(self) -> None:
+        if self._rng.random() < self.plan.sound_rate * TICK:
+            self.counts['sound'] += 1
+            self._send(self._prompt(), 0)
+        if self._rng.random() < self.plan.crashing_rate * TICK:
+            self._send((*self._prompt(), CRASHING), 0)
+
+    def _prompt(self) -> tuple[str, ...]:
+        family = int(self._rng.random() * self.plan.families)
+        return f'family{family}', f'session{self._rng.random()}'
+
+    def _send(self, prompt: tuple[str, ...], crashes: int) -> None:
+        crashing = CRASHING in prompt
+        if crashing and self.plan.arm == 'perfect':
+            return
+        instance = int(self._rng.random() * self.plan.instances)
+        if self.plan.arm == 'rule' and not self._may_send(instance, prompt):
+            self.counts['crashing refused' if crashing else 'refused'] += 1
+            return
+        up = [
+            number
+            for number, until in enumerate(self._down_until)
+            if until <= self._now
+        ]
+        if not up:
+            self.counts['no upstream'] += 1
+            return
+        if crashing:
+            self.sent.append(self._now)
+        upstream = self._rng.choice(up)
+        self._runs.append(Run(prompt, instance, upstream, self._now, crashes))
+
+    def _may_send(self, instance: int, prompt: tuple[str, ...]) -> bool:
+        try:
+            self._guards[instance].check(prompt, WALL + self._now)
+        except QuarantinedError:
+            return False
+        return True
+
+    def _advance(self) -> None:
+        for run in tuple(self._runs):
+            age = self._now - run.started
+            if run.is_crashing and age >= BEGIN_TIME:
+                self._crash(run.upstream)
+            elif age >= RUN_TIME and run in self._runs:
+                self._runs.remove(run)
+                self.counts['served'] += 1
+                guard = self._guards[run.instance]
+                guard.evidence.note_sound(run.prompt, WALL + self._now)
+
+    def _crash(self, upstream: int) -> None:
+        lost = [run for run in self._runs if run.upstream == upstream]
+        if not lost:
+            return
+        self.crashes.append(self._now)
+        self._down_until[upstream] = self._now + DOWN_TIME
+        self._incarnations[upstream] += 1
+        self._runs = [run for run in self._runs if run.upstream != upstream]
+        for run in lost:
+            self._lose(run)
+
+    def _lose(self, run: Run) -> None:
+        crashes = run.crashes
+        if self._now - run.started < BEGIN_TIME + OPENING_TIME:
+            crashes += 1
+            evidence = self._guards[run.instance].evidence
+            name = f'{run.upstream}/{self._incarnations[run.upstream]}'
+            wall = WALL + self._now
+            evidence.add_crash(name, frozenset(run.prompt), wall)
+            due = self._now + GOSSIP_DELAY
+            self._gossip.append((due, evidence.findings(wall)))
+        if crashes < MAX_CRASHES:
+            self._send(run.prompt, crashes)
+
+    def _exchange(self) -> None:
+        for due, findings in tuple(self._gossip):
+            if due <= self._now:
+                self._gossip.remove((due, findings))
+                for guard in self._guards:
+                    guard.evidence.merge(findings, WALL + self._now)
+
+
+def _new_guard(instance: int) -> PromptGuard:
+    return PromptGuard(Evidence(), lambda key: not instance)
+
+
+def play(plan: Plan) -> Play:
+    """Play a plan without its log lines."""
+    logger.disable('gentiantrestle')
+    try:
+        return Play(plan).run()
+    finally:
+        logger.enable('gentiantrestle')
+
+
+async def measure_arms(folder: Path) -> list[str]:
+    """Return a line for each arm."""
+    return [describe(arm, play(Plan(arm))) for arm in ARMS]
+
+
+def describe(arm: str, played: Play) -> str:
+    """Return what callers and upstreams saw in a play."""
+    counts = played.counts
+    return (
+        f'{arm}: {len(played.crashes)} upstreams ended, {played.late} crashing '
+        f'requests sent later than {CONTACT_TIME:.0f} s after the fifth, '
+        f'{counts["served"]} of {counts["sound"]} sound ones served, '
+        f'{counts["refused"]} refused'
+    )
