--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -35,30 +35,39 @@
     ``cut_after`` cuts each stream after so many events, and ``answer_as``
     answers with another attempt id.
 
-    With ``crash_on`` the process ends when it begins a stream for a prompt
-    with that part, within the event that follows the first ``crash_after``.
+    With ``limit`` each answer names so many requests a second as the most that
+    the upstream takes. With ``crash_on`` the process ends when it begins a
+    stream for a prompt with that part, within the event that follows the first
+    ``crash_after``.
     """
 
     def __init__(
-        self, name: str, slots: int, crash_on: str = '', crash_after: int = 0
+        self,
+        name: str,
+        slots: int,
+        crash_on: str = '',
+        crash_after: int = 0,
+        limit: str = '',
     ) -> None:
         """Serve as instance ``name``; shed requests while all slots stream."""
         self._name = name
         self._slots = slots
         self._crash_on = crash_on
         self._crash_after = crash_after
+        self._limit_headers = (('Server-Limit', limit),) if limit else ()
         self._running = 0
         self._faults: dict[str, Any] = {}
         self._runs: list[dict[str, Any]] = []
 
     @classmethod
     def from_config(cls, cfg: Mapping[str, str]) -> 'UpstreamStandin':
-        """Read ``name=``, ``slots=``, ``crash_on=`` and ``crash_after=``."""
+        """Read the arguments by their names; ``name=`` is required."""
         return cls(
             cfg['name'],
             int(cfg.get('slots', '8')),
             cfg.get('crash_on', ''),
             int(cfg.get('crash_after', '0')),
+            cfg.get('limit', ''),
         )
 
     async def run(self) -> None:
@@ -103,7 +112,11 @@
 
     def _answer(self, payload: dict[str, Any], run: dict[str, Any]) -> Response:
         answered_id = self._faults.get('answer_as', run['id'])
-        headers = (('X-Attempt-Id', answered_id), ('X-Server-Stamp', 'stamp'))
+        headers = (
+            ('X-Attempt-Id', answered_id),
+            ('X-Server-Stamp', 'stamp'),
+            *self._limit_headers,
+        )
         if payload.get(POISON):
             status = HTTPStatus.UNPROCESSABLE_ENTITY
             return Response(status, b'{}', headers=headers)
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -225,6 +225,15 @@
         """Replace the faults of an upstream; no arguments clear them."""
         await send(self.upstreams[upstream], 'POST', '/control', faults)
 
+    def printed_runs(self) -> list[dict[str, Any]]:
+        """Return the runs that upstreams have printed, ended ones included."""
+        lines = [
+            line
+            for address in self.upstreams
+            for line in self.standins[address].log_lines()
+        ]
+        return sorted(lines, key=lambda run: run['at'])
+
     async def runs(self) -> list[dict[str, Any]]:
         """Return the runs that the upstreams have started."""
         runs = []
--- a/tests/gateway/test_process_crashes.py
+++ b/tests/gateway/test_process_crashes.py
@@ -7,10 +7,9 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-import msgspec
 import pytest
 
-from tests.gateway.fleet import UNREACHABLE, Child, GatewayFleet
+from tests.gateway.fleet import UNREACHABLE, GatewayFleet
 from tests.utils.http import Reply
 
 ENTRIES = 3
@@ -99,14 +98,11 @@
 
     def crashing_runs(self) -> list[float]:
         """Return when upstreams began requests with the crashing part."""
-        logs = {child.log for child in self._upstreams()}
-        lines = [
-            msgspec.json.decode(line)
-            for log in logs
-            for line in log.read_bytes().splitlines()
-            if line.startswith(b'{')
+        return [
+            run['at']
+            for run in self.fleet.printed_runs()
+            if CRASHING in run['prompt']
         ]
-        return sorted(run['at'] for run in lines if CRASHING in run['prompt'])
 
     async def _restart(self, number: int) -> None:
         await asyncio.sleep(RESTART_DELAY)
@@ -114,11 +110,6 @@
         await self.fleet.register(number)
         self._restarts.pop(number)
 
-    def _upstreams(self) -> list[Child]:
-        return [
-            self.fleet.standins[address] for address in self.fleet.upstreams
-        ]
-
 
 @pytest.fixture(params=[0, 1], ids=['at once', 'after an event'])
 async def crowd(
