Keep to the requests a second that upstreams name

Cause: nothing read the limit; each instance and each coordinator counted slots only, and an upstream that is sent few requests has the most free slots. Change: the head of an answer tells the limit; an instance that sees another one than the coordinator's grant said tells the first two coordinators of the upstream's zone at once. The coordinator counts its grants of each upstream in 4 s and in 1 s, batch, repeats and grants before the limit was known included, and grants, preempts for, and promises other zones no more than the limit leaves; the expected wait counts what limited slots can take, so that what can't be served in time is refused at once. Without a coordinator an instance sends a limited upstream one request in 4 s. Why it works: all ways to an upstream need a grant of one coordinator, so the sum is known in one place.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -161,6 +161,11 @@
 PROMPT_TRIED = _define(
     3014, LEVEL_INFO, 'trying quarantined prompt parts {prompt_parts} again'
 )
+RATE_LIMIT_NAMED = _define(
+    3015,
+    LEVEL_INFO,
+    'upstream {upstream} takes {limit} requests a second (0: no limit)',
+)
 REQUEST_QUARANTINED = _define(
     5106, LEVEL_INFO, 'request {request} refused: {reason}'
 )
--- a/gentiantrestle/gateway/batch/item_progress.py
+++ b/gentiantrestle/gateway/batch/item_progress.py
@@ -4,15 +4,13 @@
 from typing import NamedTuple
 
 from gentiantrestle import events
-from gentiantrestle.gateway.batch.context import Clock
+from gentiantrestle.gateway.batch.context import BatchContext
 from gentiantrestle.gateway.batch.job_index import JobEntry
 from gentiantrestle.gateway.model import ItemResult, ItemSpec, Upstream
 from gentiantrestle.gateway.ports import Dialect, Reply
-from gentiantrestle.gateway.quarantine.guard import (
-    PromptGuard,
-    QuarantinedError,
-)
+from gentiantrestle.gateway.quarantine.guard import QuarantinedError
 from gentiantrestle.gateway.quarantine.watch import PromptWatch
+from gentiantrestle.gateway.slots.client import SlotLease
 from gentiantrestle.gateway.slots.messages import SlotOutcome
 from gentiantrestle.gateway.sse import EventOrderError, EventSplitter
 from gentiantrestle.gateway.upstream_connection import (
@@ -58,23 +56,22 @@
 
     async def run(
         self,
-        upstream: Upstream,
-        dialect: Dialect,
-        guard: PromptGuard,
-        clock: Clock,
+        lease: SlotLease,
+        context: BatchContext,
     ) -> RunOutcome:
-        """Run the item from its last event on.
+        """Run the item from its last event on, in the slot ``lease``.
 
         Failures of the upstream are returned; only cancellation is raised.
         """
-        parts = dialect.item_prompt_parts(self.spec)
-        watch = PromptWatch(guard, parts, clock)
-        conn = UpstreamConnection(dialect, watch)
-        started = clock.now()
+        parts = context.dialect.item_prompt_parts(self.spec)
+        watch = PromptWatch(context.guard, parts, context.clock)
+        conn = UpstreamConnection(context.dialect, watch)
+        started = context.clock.now()
         before = len(self._texts)
         try:
-            await conn.connect(upstream)
-            reply = await self._start(conn, dialect, upstream)
+            await conn.connect(lease.upstream)
+            reply = await self._start(conn, context.dialect, lease.upstream)
+            context.slots.note_reply(lease, reply)
             outcome = await self._read(conn, reply, watch)
         except (RequestNotSentError, ResponseLostError, TimeoutError) as exc:
             outcome = RunOutcome(None, repr(exc), SlotOutcome.FAILED)
@@ -83,8 +80,8 @@
             outcome = RunOutcome(None, repr(exc), SlotOutcome.UNKNOWN)
         finally:
             conn.close()
-            self.run_time += clock.now() - started
-        self._log(upstream, outcome, len(self._texts) - before, parts)
+            self.run_time += context.clock.now() - started
+        self._log(lease.upstream, outcome, len(self._texts) - before, parts)
         return outcome
 
     def fail(self, reason: str) -> ItemResult:
--- a/gentiantrestle/gateway/batch/run_table.py
+++ b/gentiantrestle/gateway/batch/run_table.py
@@ -138,12 +138,7 @@
     async def _run(self, progress: ItemProgress, lease: SlotLease) -> None:
         health = SlotOutcome.UNKNOWN
         try:
-            outcome = await progress.run(
-                lease.upstream,
-                self._context.dialect,
-                self._context.guard,
-                self._context.clock,
-            )
+            outcome = await progress.run(lease, self._context)
             health = outcome.upstream_health
         finally:
             self._release(progress.spec.id, lease, health)
--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -198,6 +198,7 @@
             ) from exc
         self._progress = before
         reply = await self._send_head(conn, lease)
+        self._context.admission.note_reply(lease, reply)
         if reply.not_run:
             self._progress = before._replace(refusals=before.refusals + 1)
             raise AttemptFailedError(
--- a/gentiantrestle/gateway/ports.py
+++ b/gentiantrestle/gateway/ports.py
@@ -83,6 +83,8 @@
     ``genuine`` is False for a success that is not proven to come unaltered
     from an upstream. ``not_run`` means that the request was not executed,
     ``wrong_instance`` that it reached another instance than intended.
+    ``rate_limit`` is the most requests a second that the upstream takes from
+    all instances together, 0 for no limit.
     """
 
     status: int
@@ -91,6 +93,7 @@
     genuine: bool
     not_run: bool
     wrong_instance: bool
+    rate_limit: float = 0
 
 
 class ReadResults(NamedTuple):
--- a/gentiantrestle/gateway/slots/admission.py
+++ b/gentiantrestle/gateway/slots/admission.py
@@ -14,6 +14,7 @@
 from gentiantrestle.errors import NO_UPSTREAM, OVERLOADED, RefusedError, refuse
 from gentiantrestle.gateway.membership.peers import Peer
 from gentiantrestle.gateway.model import Request, Route
+from gentiantrestle.gateway.ports import Reply
 from gentiantrestle.gateway.roster import Roster
 from gentiantrestle.gateway.slots.client import (
     PendingAsk,
@@ -105,6 +106,10 @@
         """Give a slot back; ``outcome`` tells of the upstream's health."""
         self._client.release(lease, outcome)
 
+    def note_reply(self, lease: SlotLease, reply: Reply) -> None:
+        """Note what the head of an answer says about its upstream."""
+        self._client.note_reply(lease, reply)
+
     async def _try_acquire(self, slot_request: SlotRequest) -> SlotLease:
         pending = self._open(slot_request)
         self.waiting += 1
@@ -184,7 +189,11 @@
     ) -> SlotLease:
         now = self._now()
         known = self._roster.usable_upstreams(slot_request.service, now)
-        usable = self._client.health.usable(known, now)
+        usable = [
+            upstream
+            for upstream in self._client.health.usable(known, now)
+            if self._client.rates.may_send_alone(upstream.id, now)
+        ]
         untried = [
             upstream
             for upstream in usable
--- a/gentiantrestle/gateway/slots/client.py
+++ b/gentiantrestle/gateway/slots/client.py
@@ -9,9 +9,11 @@
 from gentiantrestle import events
 from gentiantrestle.gateway.membership.peers import Peer
 from gentiantrestle.gateway.model import Upstream
+from gentiantrestle.gateway.ports import Reply
 from gentiantrestle.gateway.slots.health import HealthTable
 from gentiantrestle.gateway.slots.messages import (
     ASK,
+    RATE_LIMIT,
     RELEASE,
     REPORT,
     Answer,
@@ -19,11 +21,13 @@
     HeldSlot,
     LeaseKey,
     Outgoing,
+    RateLimitNotice,
     Release,
     Report,
     SlotOutcome,
     Verdict,
 )
+from gentiantrestle.gateway.slots.rates import RateLimits
 from gentiantrestle.gateway.slots.reports import ReportSchedule
 
 SUSPECT_TIME = 2.0  # seconds that a silent coordinator is asked last
@@ -40,7 +44,8 @@
 
     ``host`` is that of the coordinator that granted it; empty if this
     instance chose the upstream itself. ``slack`` in s is that of a batch item,
-    and ``tokens_left`` what it has to generate.
+    and ``tokens_left`` what it has to generate. ``rate_limit`` is the limit of
+    the upstream as its coordinator knew it.
     """
 
     number: int
@@ -50,6 +55,7 @@
     batch: bool = False
     slack: float = 0
     tokens_left: int = 0
+    rate_limit: float = 0
 
 
 class Directory(Protocol):
@@ -107,6 +113,7 @@
         self._reports = ReportSchedule()
         self._lossy_until = float(0)
         self.health = HealthTable()
+        self.rates = RateLimits()
 
     @property
     def is_busy(self) -> bool:
@@ -158,8 +165,10 @@
             ask.batch,
             ask.slack,
             ask.tokens_left,
+            pending.answer.rate_limit if host else 0,
         )
         self._held[number] = lease
+        self.rates.record(upstream.id, now)
         if not host:
             self._reports.make_due()
         return lease
@@ -186,6 +195,26 @@
         hosts = {peer.host for peer in first} | {lease.host}
         self._send_release(lease.number, hosts - {''}, outcome)
 
+    def note_reply(self, lease: SlotLease, reply: Reply) -> None:
+        """Tell the coordinators of a limit that they don't know.
+
+        An answer without a limit lifts it; a refusal says nothing.
+        """
+        limit = reply.rate_limit
+        if reply.not_run and not limit:
+            return
+        now = self._now()
+        upstream = lease.upstream
+        self.rates.name(upstream.id, limit, now)
+        if limit == lease.rate_limit:
+            return
+        events.emit(events.RATE_LIMIT_NAMED, upstream=upstream.id, limit=limit)
+        ranked = self._directory.coordinators(upstream.zone, now)
+        hosts = {peer.host for peer in ranked[:COORDINATORS_TOLD]}
+        notice = RateLimitNotice(upstream.id, limit)
+        for host in (hosts | {lease.host}) - {''}:
+            self._send(Outgoing(host, RATE_LIMIT, notice))
+
     def receive(self, answer: Answer) -> None:
         """Apply an answer; a slot that nobody waits for is given back."""
         if answer.key.holder != self._run_name:
--- a/gentiantrestle/gateway/slots/codec.py
+++ b/gentiantrestle/gateway/slots/codec.py
@@ -3,17 +3,13 @@
 from collections.abc import Callable
 from typing import Any
 
+from gentiantrestle.gateway.slots import messages as kinds
 from gentiantrestle.gateway.slots.messages import (
-    ANSWER,
-    ASK,
-    RELEASE,
-    REPORT,
-    SUMS,
-    YIELD,
     Answer,
     Ask,
     HeldSlot,
     LeaseKey,
+    RateLimitNotice,
     Release,
     Report,
     ServiceSums,
@@ -42,7 +38,7 @@
     return register
 
 
-@_register(PACKERS, ASK)
+@_register(PACKERS, kinds.ASK)
 def pack_ask(ask: Ask) -> ttypes.SlotAsk:
     """Encode a request for a slot."""
     return ttypes.SlotAsk(
@@ -61,7 +57,7 @@
     )
 
 
-@_register(UNPACKERS, ASK)
+@_register(UNPACKERS, kinds.ASK)
 def unpack_ask(ask: ttypes.SlotAsk) -> Ask:
     """Decode a request for a slot."""
     return Ask(
@@ -79,7 +75,7 @@
     )
 
 
-@_register(PACKERS, ANSWER)
+@_register(PACKERS, kinds.ANSWER)
 def pack_answer(answer: Answer) -> ttypes.SlotAnswer:
     """Encode an answer."""
     return ttypes.SlotAnswer(
@@ -90,10 +86,11 @@
         int(answer.wait * MS_PER_S),
         answer.coordinator,
         answer.host,
+        answer.rate_limit or None,
     )
 
 
-@_register(UNPACKERS, ANSWER)
+@_register(UNPACKERS, kinds.ANSWER)
 def unpack_answer(answer: ttypes.SlotAnswer) -> Answer:
     """Decode an answer."""
     return Answer(
@@ -103,16 +100,29 @@
         answer.wait / MS_PER_S,
         answer.coordinator,
         answer.host,
+        answer.rate_limit or 0,
     )
 
 
-@_register(PACKERS, RELEASE)
+@_register(PACKERS, kinds.RATE_LIMIT)
+def pack_rate_limit(notice: RateLimitNotice) -> ttypes.RateLimitNotice:
+    """Encode an upstream's limit."""
+    return ttypes.RateLimitNotice(*notice)
+
+
+@_register(UNPACKERS, kinds.RATE_LIMIT)
+def unpack_rate_limit(notice: ttypes.RateLimitNotice) -> RateLimitNotice:
+    """Decode an upstream's limit."""
+    return RateLimitNotice(notice.upstream, notice.rate_limit)
+
+
+@_register(PACKERS, kinds.RELEASE)
 def pack_release(release: Release) -> ttypes.SlotRelease:
     """Encode the end of a lease."""
     return ttypes.SlotRelease(*release.key, release.outcome.value)
 
 
-@_register(UNPACKERS, RELEASE)
+@_register(UNPACKERS, kinds.RELEASE)
 def unpack_release(release: ttypes.SlotRelease) -> Release:
     """Decode the end of a lease."""
     return Release(
@@ -120,19 +130,19 @@
     )
 
 
-@_register(PACKERS, YIELD)
+@_register(PACKERS, kinds.YIELD)
 def pack_yield(key: LeaseKey) -> ttypes.SlotYield:
     """Encode the notice that a batch item has to yield."""
     return ttypes.SlotYield(*key)
 
 
-@_register(UNPACKERS, YIELD)
+@_register(UNPACKERS, kinds.YIELD)
 def unpack_yield(notice: ttypes.SlotYield) -> LeaseKey:
     """Decode the notice that a batch item has to yield."""
     return LeaseKey(notice.holder, notice.lease)
 
 
-@_register(PACKERS, REPORT)
+@_register(PACKERS, kinds.REPORT)
 def pack_report(report: Report) -> ttypes.SlotReport:
     """Encode a report of held slots."""
     slots = [
@@ -148,7 +158,7 @@
     return ttypes.SlotReport(report.holder, report.host, slots)
 
 
-@_register(UNPACKERS, REPORT)
+@_register(UNPACKERS, kinds.REPORT)
 def unpack_report(report: ttypes.SlotReport) -> Report:
     """Decode a report of held slots."""
     slots = tuple(
@@ -164,7 +174,7 @@
     return Report(report.holder, report.host, slots)
 
 
-@_register(PACKERS, SUMS)
+@_register(PACKERS, kinds.SUMS)
 def pack_sums(sums: ZoneSums) -> ttypes.ZoneSums:
     """Encode the sums of a zone."""
     return ttypes.ZoneSums(
@@ -172,7 +182,7 @@
     )
 
 
-@_register(UNPACKERS, SUMS)
+@_register(UNPACKERS, kinds.SUMS)
 def unpack_sums(sums: ttypes.ZoneSums) -> ZoneSums:
     """Decode the sums of a zone."""
     services = (
--- a/gentiantrestle/gateway/slots/coordinator.py
+++ b/gentiantrestle/gateway/slots/coordinator.py
@@ -16,6 +16,7 @@
     Ask,
     LeaseKey,
     Outgoing,
+    RateLimitNotice,
     Release,
     Report,
     ServiceSums,
@@ -99,6 +100,13 @@
         self._ledger.apply(report._replace(slots=slots), now)
         yield from self.dispatch(now)
 
+    def note_rate_limit(
+        self, notice: RateLimitNotice, now: float
+    ) -> Iterator[Outgoing]:
+        """Note an upstream's limit; grant what it no longer holds back."""
+        self._ledger.rates.name(notice.upstream, notice.rate_limit, now)
+        yield from self.dispatch(now)
+
     def tick(self, now: float, *, leading: bool) -> Iterator[Outgoing]:
         """Drop what has lapsed, repeat notices, and grant free slots.
 
@@ -209,7 +217,8 @@
         if not pool.upstreams:
             return NO_UPSTREAM_WAIT
         hold_time = self._hold_time(service)
-        return hold_time.expected_wait(queue.online, pool.slots)
+        capacity = pool.capacity(hold_time.mean)
+        return hold_time.expected_wait(queue.online, capacity)
 
     def _pool(self, service: str, now: float) -> Pool:
         zones = self._scope.zones(now)
@@ -218,7 +227,10 @@
             for upstream in self._roster.usable_upstreams(service, now)
             if upstream.zone in zones
         ]
-        return Pool(tuple(self._health.usable(found, now)), self._ledger)
+        usable = tuple(self._health.usable(found, now))
+        names = (upstream.id for upstream in usable)
+        allowances = self._ledger.rates.allowances(names, now)
+        return Pool(usable, self._ledger, allowances)
 
     def _service_of(self, upstream: str) -> str:
         known = self._roster.find(upstream)
--- a/gentiantrestle/gateway/slots/ledger.py
+++ b/gentiantrestle/gateway/slots/ledger.py
@@ -8,6 +8,7 @@
     LeaseKey,
     Report,
 )
+from gentiantrestle.gateway.slots.rates import RateLimits
 
 # A slot whose holder is not heard of for this long is free: its run may have
 # been killed. The holder keeps its work in any case.
@@ -49,13 +50,17 @@
 
 
 class Ledger:
-    """All leases, and the load of each upstream that follows from them."""
+    """All leases, and the load of each upstream that follows from them.
+
+    ``rates`` counts the grants of limited upstreams.
+    """
 
     def __init__(self) -> None:
         """Start without leases."""
         self._leases: dict[LeaseKey, Lease] = {}
         self._loads: dict[str, Load] = {}
         self._by_upstream: dict[str, dict[LeaseKey, Lease]] = {}
+        self.rates = RateLimits()
 
     @property
     def is_busy(self) -> bool:
--- a/gentiantrestle/gateway/slots/messages.py
+++ b/gentiantrestle/gateway/slots/messages.py
@@ -12,6 +12,7 @@
 YIELD = 'slot_yield'
 REPORT = 'slot_report'
 SUMS = 'zone_sums'
+RATE_LIMIT = 'rate_limit_notice'
 
 
 class LeaseKey(NamedTuple):
@@ -54,6 +55,8 @@
     """A coordinator's answer; ``wait`` is the expected wait in s.
 
     ``host`` is where the coordinator is told that the slot is free again.
+    ``rate_limit`` is what the coordinator knows of the upstream's limit, in
+    requests a second; 0 for none.
     """
 
     key: LeaseKey
@@ -62,6 +65,14 @@
     wait: float
     coordinator: str
     host: str
+    rate_limit: float = 0
+
+
+class RateLimitNotice(NamedTuple):
+    """The requests a second that an upstream takes; 0 lifts its limit."""
+
+    upstream: str
+    rate_limit: float
 
 
 class SlotOutcome(Enum):
--- a/gentiantrestle/gateway/slots/placing.py
+++ b/gentiantrestle/gateway/slots/placing.py
@@ -76,7 +76,13 @@
         """Return the answer to a request, for its holder."""
         scope = self._scope
         answer = Answer(
-            ask.key, verdict, upstream, wait, scope.instance, scope.host
+            ask.key,
+            verdict,
+            upstream,
+            wait,
+            scope.instance,
+            scope.host,
+            self._ledger.rates.limit(upstream),
         )
         return Outgoing(ask.host, ANSWER, answer)
 
@@ -140,4 +146,5 @@
             ask.tokens_left,
         )
         self._ledger.put(lease)
+        self._ledger.rates.record(upstream, now)
         return self.answer(ask, Verdict.GRANTED, upstream)
--- a/gentiantrestle/gateway/slots/pool.py
+++ b/gentiantrestle/gateway/slots/pool.py
@@ -6,7 +6,8 @@
 """
 
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from gentiantrestle.gateway.model import Upstream
@@ -63,10 +64,14 @@
 
 
 class Pool(NamedTuple):
-    """The usable upstreams of a service that one coordinator counts."""
+    """The usable upstreams of a service that one coordinator counts.
+
+    ``allowances`` are the requests that limited ones may be sent now.
+    """
 
     upstreams: tuple[Upstream, ...]
     ledger: Ledger
+    allowances: Mapping[str, int] = MappingProxyType({})
 
     @property
     def slots(self) -> int:
@@ -91,7 +96,21 @@
 
     def free_on(self, upstream: Upstream) -> int:
         """Count the free slots of an upstream; negative if overbooked."""
-        return upstream.slots - self.ledger.load(upstream.id).total
+        free = upstream.slots - self.ledger.load(upstream.id).total
+        return min(free, self.allowances.get(upstream.id, free))
+
+    def capacity(self, hold_time: float) -> float:
+        """Count the slots that can be in use, if each is held for so many s.
+
+        A limited upstream is sent too few requests to fill its slots.
+        """
+        limits = (
+            self.ledger.rates.limit(upstream.id) for upstream in self.upstreams
+        )
+        return sum(
+            min(upstream.slots, limit * hold_time) if limit else upstream.slots
+            for upstream, limit in zip(self.upstreams, limits, strict=True)
+        )
 
     def without(self, excluded: frozenset[str]) -> 'Pool':
         """Return the pool without some upstreams."""
@@ -118,7 +137,11 @@
 
     def preemptible(self) -> Iterator[Lease]:
         """Yield the batch items that may be preempted."""
-        names = [upstream.id for upstream in self.upstreams]
+        names = [
+            upstream.id
+            for upstream in self.upstreams
+            if self.allowances.get(upstream.id, 1)
+        ]
         return (
             lease
             for lease in self.ledger.batch_leases(names)
@@ -136,7 +159,7 @@
     def overbooked(self) -> Iterator['Pool']:
         """Yield each upstream with more work than slots, as a pool."""
         return (
-            self._replace(upstreams=(upstream,))
+            Pool((upstream,), self.ledger)
             for upstream in self.upstreams
             if self.free_on(upstream) < 0
         )
--- a/gentiantrestle/gateway/slots/queueing.py
+++ b/gentiantrestle/gateway/slots/queueing.py
@@ -25,6 +25,7 @@
 RETRY_AFTER_SHARE = 0.3
 SMOOTHING = 0.1  # weight of a new sample in the moving average
 INITIAL_HOLD_TIME = 0.5  # seconds; used before the first sample
+MIN_CAPACITY = 0.1  # slots
 # A queued request whose holder does not ask again is dropped: it has another
 # slot, or its holder is gone.
 ASK_LIFETIME = 3.0  # seconds
@@ -69,9 +70,9 @@
         """Add the hold time of one request."""
         self.mean += SMOOTHING * (seconds - self.mean)
 
-    def expected_wait(self, ahead: int, slots: int) -> float:
+    def expected_wait(self, ahead: int, slots: float) -> float:
         """Estimate the wait in s behind ``ahead`` requests for ``slots``."""
-        return (ahead + 1) * self.mean / max(1, slots)
+        return (ahead + 1) * self.mean / max(MIN_CAPACITY, slots)
 
 
 class QueuedAsk(NamedTuple):
--- a/gentiantrestle/gateway/slots/service.py
+++ b/gentiantrestle/gateway/slots/service.py
@@ -13,6 +13,7 @@
 from gentiantrestle.gateway.slots.messages import (
     ANSWER,
     ASK,
+    RATE_LIMIT,
     RELEASE,
     REPORT,
     SUMS,
@@ -82,6 +83,10 @@
         self._on(
             RELEASE, lambda release: self._decide(coordinator.release, release)
         )
+        self._on(
+            RATE_LIMIT,
+            lambda notice: self._decide(coordinator.note_rate_limit, notice),
+        )
         self._on(REPORT, lambda report: self._decide(coordinator.apply, report))
         self._on(SUMS, self._receive_sums)
         self._on(ANSWER, client.receive)
--- a/gentiantrestle/platform/dialect.py
+++ b/gentiantrestle/platform/dialect.py
@@ -34,6 +34,7 @@
 ENCODING = b'content-encoding'
 WAIT = b'x-wait-ms'
 LENGTH = b'content-length'
+RATE_LIMIT = b'server-limit'
 # The parts of the prompt in order, as ID:TOKENS; the last is the request's own.
 PROMPT_PARTS = b'x-prompt-prefix'
 MAX_PART_ID = 64  # characters
@@ -47,6 +48,8 @@
 DEFAULT_TIMEOUT = 60.0  # seconds, for requests without a deadline
 MAX_ITEMS = 200  # items in one job
 MS = 0.001  # seconds
+MIN_RATE = 0.01  # requests a second; stands for a limit of 0
+RATE_PATTERN = re.compile(rb'\d{1,9}(\.\d{1,9})?')
 ID_PATTERN = re.compile(r'[\w.-]{1,128}')
 RESULTS_PATH = re.compile(r'/gentiantrestle/lots/([\w.-]{1,128})')
 BODY_PATH = re.compile(r'/gentiantrestle/items/([\w.-]{1,128})')
@@ -166,6 +169,7 @@
             genuine=authentic or head.status_code >= FIRST_NON_SUCCESS,
             not_run=not_run,
             wrong_instance=head.status_code == MISDIRECTED,
+            rate_limit=_rate(fields.get(RATE_LIMIT, b'')),
         )
 
     def write_refusal(
@@ -235,5 +239,12 @@
     )
 
 
+def _rate(raw: bytes) -> float:
+    """Decode requests a second; 0 if they are missing or unreadable."""
+    if not RATE_PATTERN.fullmatch(raw):
+        return 0
+    return max(MIN_RATE, float(raw))
+
+
 def _number(raw: bytes | None) -> int:
     return int(raw) if raw and raw.isdigit() else 0
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -176,6 +176,15 @@
   5: required i32 wait,
   6: required string coordinator,
   7: required string host,
+  /* Requests a second that the upstream takes; absent without a limit. */
+  8: optional double rate_limit,
+}
+
+/* Tells a coordinator of the requests a second that an upstream takes, 0 if it
+ * names no limit any more. */
+struct RateLimitNotice {
+  1: required string upstream,
+  2: required double rate_limit,
 }
 
 enum SlotOutcome {
@@ -295,4 +304,5 @@
   18: optional SlotYield slot_yield,
   19: optional SlotReport slot_report,
   20: optional ZoneSums zone_sums,
+  21: optional RateLimitNotice rate_limit_notice,
 }
--- a/gentiantrestle/wire/peer/ttypes.py
+++ b/gentiantrestle/wire/peer/ttypes.py
@@ -2264,6 +2264,7 @@
      - wait
      - coordinator
      - host
+     - rate_limit
 
     """
 
@@ -2275,10 +2276,11 @@
         'wait',
         'coordinator',
         'host',
+        'rate_limit',
     )
 
 
-    def __init__(self, holder=None, lease=None, verdict=None, upstream=None, wait=None, coordinator=None, host=None,):
+    def __init__(self, holder=None, lease=None, verdict=None, upstream=None, wait=None, coordinator=None, host=None, rate_limit=None,):
         self.holder = holder
         self.lease = lease
         self.verdict = verdict
@@ -2286,6 +2288,7 @@
         self.wait = wait
         self.coordinator = coordinator
         self.host = host
+        self.rate_limit = rate_limit
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2331,6 +2334,11 @@
                     self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.rate_limit = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2369,6 +2377,10 @@
             oprot.writeFieldBegin('host', TType.STRING, 7)
             oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
             oprot.writeFieldEnd()
+        if self.rate_limit is not None:
+            oprot.writeFieldBegin('rate_limit', TType.DOUBLE, 8)
+            oprot.writeDouble(self.rate_limit)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2408,6 +2420,90 @@
         return not (self == other)
 
 
+class RateLimitNotice(object):
+    """
+    Attributes:
+     - upstream
+     - rate_limit
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'rate_limit',
+    )
+
+
+    def __init__(self, upstream=None, rate_limit=None,):
+        self.upstream = upstream
+        self.rate_limit = rate_limit
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.rate_limit = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RateLimitNotice')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.rate_limit is not None:
+            oprot.writeFieldBegin('rate_limit', TType.DOUBLE, 2)
+            oprot.writeDouble(self.rate_limit)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.upstream is None:
+            raise TProtocolException(message='Required field upstream is unset!')
+        if self.rate_limit is None:
+            raise TProtocolException(message='Required field rate_limit is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SlotRelease(object):
     """
     Attributes:
@@ -3719,6 +3815,7 @@
      - slot_yield
      - slot_report
      - zone_sums
+     - rate_limit_notice
 
     """
 
@@ -3743,10 +3840,11 @@
         'slot_yield',
         'slot_report',
         'zone_sums',
+        'rate_limit_notice',
     )
 
 
-    def __init__(self, call=None, heartbeat=None, changes_request=None, changes=None, answer_request=None, answer=None, load_report=None, report_request=None, report=None, pulse=None, results_request=None, results=None, copy_request=None, copy=None, slot_ask=None, slot_answer=None, slot_release=None, slot_yield=None, slot_report=None, zone_sums=None,):
+    def __init__(self, call=None, heartbeat=None, changes_request=None, changes=None, answer_request=None, answer=None, load_report=None, report_request=None, report=None, pulse=None, results_request=None, results=None, copy_request=None, copy=None, slot_ask=None, slot_answer=None, slot_release=None, slot_yield=None, slot_report=None, zone_sums=None, rate_limit_notice=None,):
         self.call = call
         self.heartbeat = heartbeat
         self.changes_request = changes_request
@@ -3767,6 +3865,7 @@
         self.slot_yield = slot_yield
         self.slot_report = slot_report
         self.zone_sums = zone_sums
+        self.rate_limit_notice = rate_limit_notice
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3896,6 +3995,12 @@
                     self.zone_sums.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.STRUCT:
+                    self.rate_limit_notice = RateLimitNotice()
+                    self.rate_limit_notice.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3986,6 +4091,10 @@
             oprot.writeFieldBegin('zone_sums', TType.STRUCT, 20)
             self.zone_sums.write(oprot)
             oprot.writeFieldEnd()
+        if self.rate_limit_notice is not None:
+            oprot.writeFieldBegin('rate_limit_notice', TType.STRUCT, 21)
+            self.rate_limit_notice.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4168,6 +4277,13 @@
     (5, TType.I32, 'wait', None, None, ),  # 5
     (6, TType.STRING, 'coordinator', 'UTF8', None, ),  # 6
     (7, TType.STRING, 'host', 'UTF8', None, ),  # 7
+    (8, TType.DOUBLE, 'rate_limit', None, None, ),  # 8
+)
+all_structs.append(RateLimitNotice)
+RateLimitNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'rate_limit', None, None, ),  # 2
 )
 all_structs.append(SlotRelease)
 SlotRelease.thrift_spec = (
@@ -4281,6 +4397,7 @@
     (18, TType.STRUCT, 'slot_yield', [SlotYield, None], None, ),  # 18
     (19, TType.STRUCT, 'slot_report', [SlotReport, None], None, ),  # 19
     (20, TType.STRUCT, 'zone_sums', [ZoneSums, None], None, ),  # 20
+    (21, TType.STRUCT, 'rate_limit_notice', [RateLimitNotice, None], None, ),  # 21
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/gateway/test_slots.py
+++ b/tests/gateway/test_slots.py
@@ -18,6 +18,7 @@
     HeldSlot,
     LeaseKey,
     Outgoing,
+    RateLimitNotice,
     Release,
     Report,
     ServiceSums,
@@ -455,6 +456,7 @@
         ANSWER: desk.sent[-1].message,
         'slot_release': Release(key, SlotOutcome.FAILED),
         YIELD: key,
+        'rate_limit_notice': RateLimitNotice('u', 2.25),
         'slot_report': Report('run', 'h', (HeldSlot(1, 'u', True, -2.5, 3),)),
         'zone_sums': _sums('a2', free=3, spare=1),
     }
