Place batch items on limited upstreams first, requests on the others

Change: items are granted limited upstreams first and need no reserve there, requests the others first; an item on a limited upstream is preempted last, as going on there costs one more request.

--- a/gentiantrestle/gateway/slots/placing.py
+++ b/gentiantrestle/gateway/slots/placing.py
@@ -89,7 +89,7 @@
     def _grant_free(
         self, ask: Ask, pool: Pool, now: float
     ) -> tuple[Outgoing, ...]:
-        upstream = pool.choose_free(self._rand)
+        upstream = pool.choose_free(self._rand, batch=ask.batch)
         if upstream is None:
             return ()
         return (self._grant(ask, upstream.id, now),)
--- a/gentiantrestle/gateway/slots/pool.py
+++ b/gentiantrestle/gateway/slots/pool.py
@@ -91,8 +91,25 @@
         )
 
     def free_for_batch(self, slack: float) -> int:
-        """Count the free slots that an item with ``slack`` s may take."""
-        return self.free - batch_reserve(self.slots, self.online, slack)
+        """Count the free slots that an item with ``slack`` s may take.
+
+        Limited upstreams keep no reserve: an item uses a slot there for long,
+        and counts as one request.
+        """
+        open_pool = self.without(self.limited_ids)
+        reserve = batch_reserve(open_pool.slots, open_pool.online, slack)
+        return max(0, open_pool.free - reserve) + self.limited.free
+
+    @property
+    def limited_ids(self) -> frozenset[str]:
+        """Return the ids of the upstreams that have named a limit."""
+        return frozenset(self.allowances)
+
+    @property
+    def limited(self) -> 'Pool':
+        """Return the limited upstreams."""
+        names = {upstream.id for upstream in self.upstreams}
+        return self.without(frozenset(names - self.limited_ids))
 
     def free_on(self, upstream: Upstream) -> int:
         """Count the free slots of an upstream; negative if overbooked."""
@@ -122,8 +139,13 @@
             )
         )
 
-    def choose_free(self, rand: Callable[[], float]) -> Upstream | None:
-        """Return an upstream with the largest free share; None if full."""
+    def choose_free(
+        self, rand: Callable[[], float], *, batch: bool
+    ) -> Upstream | None:
+        """Return an upstream with the largest free share; None if full.
+
+        Batch items use limited upstreams first, requests the others.
+        """
         candidates = [
             upstream
             for upstream in self.upstreams
@@ -131,7 +153,11 @@
         ]
         return max(
             candidates,
-            key=lambda known: (self.free_on(known) / known.slots, rand()),
+            key=lambda known: (
+                (known.id in self.allowances) == batch,
+                self.free_on(known) / known.slots,
+                rand(),
+            ),
             default=None,
         )
 
@@ -149,10 +175,16 @@
         )
 
     def choose_victim(self, now: float) -> Lease | None:
-        """Return the batch item that can best wait, or None."""
+        """Return the batch item that can best wait, or None.
+
+        One on a limited upstream goes last: it would be sent there again.
+        """
         return max(
             self.preemptible(),
-            key=lambda lease: preemption_key(lease, now),
+            key=lambda lease: (
+                lease.upstream not in self.allowances,
+                preemption_key(lease, now),
+            ),
             default=None,
         )
 
--- a/tests/gateway/test_rates.py
+++ b/tests/gateway/test_rates.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from gentiantrestle.gateway.slots.ledger import Ledger
+from gentiantrestle.gateway.slots.ledger import Lease, Ledger
 from gentiantrestle.gateway.slots.messages import (
+    LeaseKey,
     RateLimitNotice,
     SlotOutcome,
     Verdict,
@@ -145,3 +146,22 @@
     desk.now = 1.5
     desk.fill(1, first=200)
     assert desk.ask(1, wait=0.2) == Verdict.REFUSED.name
+
+
+def test_batch_uses_limited_upstreams_first_and_requests_the_others() -> None:
+    desk = Desk('u1', 'u2')
+    notice(desk, 2)
+    desk.fill(1)
+    assert desk.upstream == 'u2'
+    desk.fill(1, first=200, batch=True, **ANYTHING)
+    assert desk.upstream == 'u1'
+
+
+def test_item_on_a_limited_upstream_is_preempted_last() -> None:
+    upstreams = tuple(make_upstream(name, slots=1) for name in ('u1', 'u2'))
+    ledger = Ledger()
+    for number, upstream in enumerate(('u1', 'u2')):
+        key = LeaseKey('run', number)
+        ledger.put(Lease(key, 'h', upstream, True, 9, 0, 0, 99 - number))
+    pool = Pool(upstreams, ledger, {'u1': 1})
+    assert pool.choose_victim(1).upstream == 'u2'
