Forget the grants of upstreams that are gone

Cause: grants are counted by upstream id, and each start of an upstream has a new one. Change: beyond 4,096 ids those without a recent grant are forgotten. Result: a test counts them.

--- a/gentiantrestle/gateway/slots/rates.py
+++ b/gentiantrestle/gateway/slots/rates.py
@@ -12,6 +12,7 @@
 WINDOW = 4.0  # seconds over which grants are counted
 # Within this time a limit that is named and one that is lifted may cross.
 CROSSING_TIME = 0.5  # seconds
+MAX_UPSTREAMS = 4096  # beyond this, idle upstreams are forgotten
 
 
 class RateLimits:
@@ -41,6 +42,8 @@
         times = self._grants.setdefault(upstream, deque())
         times.append(now)
         _forget_old(times, now)
+        if len(self._grants) > MAX_UPSTREAMS:
+            self._drop_idle(now)
 
     def allowances(
         self, upstreams: Iterable[str], now: float
@@ -63,6 +66,17 @@
         _forget_old(times, now)
         return not times
 
+    def _drop_idle(self, now: float) -> None:
+        """Forget the upstreams that were granted nothing lately."""
+        self._grants = {
+            upstream: times
+            for upstream, times in self._grants.items()
+            if times and now - times[-1] < WINDOW
+        }
+        for upstream in set(self._limits) - set(self._grants):
+            self._limits.pop(upstream)
+            self._named_at.pop(upstream)
+
     def _allowance(self, upstream: str, now: float) -> int:
         limit = self._limits[upstream]
         times = self._grants.get(upstream, deque())
--- a/tests/gateway/test_rates.py
+++ b/tests/gateway/test_rates.py
@@ -14,6 +14,7 @@
 from gentiantrestle.gateway.slots.pool import Pool
 from gentiantrestle.gateway.slots.rates import (
     CROSSING_TIME,
+    MAX_UPSTREAMS,
     WINDOW,
     RateLimits,
 )
@@ -165,3 +166,14 @@
         ledger.put(Lease(key, 'h', upstream, True, 9, 0, 0, 99 - number))
     pool = Pool(upstreams, ledger, {'u1': 1})
     assert pool.choose_victim(1).upstream == 'u2'
+
+
+def test_upstreams_that_are_gone_are_forgotten() -> None:
+    rates = RateLimits()
+    for number in range(2 * MAX_UPSTREAMS):
+        rates.name(f'u{number}', 2, number)
+        rates.record(f'u{number}', number)
+    limited = [f'u{number}' for number in range(2 * MAX_UPSTREAMS)]
+    now = 2 * MAX_UPSTREAMS
+    assert len(rates.allowances(limited, now)) <= MAX_UPSTREAMS
+    assert rates.limit(limited[-1]) == 2
