Streams that end within an event are lost, not complete

Cause: the end of the connection is the end of such a body, and what was left in the event splitter was passed on. Evidence: test_process_framing failed: the reply ended in b'id: 3'; a closed connection without any event was served as an empty stream. Change: a rest in the splitter, or a connection closed before the first byte of such a body, loses the attempt: it is resumed after the last whole event where the stream may be resumed, and cut elsewhere. The same for batch items.

--- a/gentiantrestle/gateway/batch/item_progress.py
+++ b/gentiantrestle/gateway/batch/item_progress.py
@@ -133,6 +133,8 @@
                 self._texts.append(event.data)
                 self._last_event = splitter.last_id
                 watch.note_event()
+        if splitter.remainder or conn.ended_empty:
+            raise ResponseLostError('the stream ended within an event')
 
     def _log(
         self,
--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -259,8 +259,10 @@
             if found:
                 self._watch.note_event()
                 await self._write(reply, b''.join(event.raw for event in found))
-        if self._splitter.remainder or not self._exchange.started:
-            await self._write(reply, self._splitter.remainder)
+        if self._splitter.remainder or conn.ended_empty:
+            raise ResponseLostError('the stream ended within an event')
+        if not self._exchange.started:
+            await self._write(reply, b'')
         self._watch.note_sound()
         await self._exchange.finish_stream()
 
--- a/gentiantrestle/gateway/upstream_connection.py
+++ b/gentiantrestle/gateway/upstream_connection.py
@@ -19,6 +19,8 @@
 # Two round trips between regions, with time for one lost packet.
 CONNECT_TIMEOUT = 0.3  # seconds
 MAX_HEADER_SIZE = 65536  # bytes
+# Header fields that tell where a body ends.
+FRAMING = frozenset((b'content-length', b'transfer-encoding'))
 
 
 class ResponseLostError(Exception):
@@ -50,6 +52,9 @@
         self._watch = watch
         self._link: Link | None = None
         self._upstream: Upstream | None = None
+        # Whether the body goes on until the connection is closed.
+        self._until_close = False
+        self._body_size = 0
 
     async def connect(self, upstream: Upstream) -> None:
         """Connect to ``upstream``.
@@ -93,6 +98,7 @@
         """
         event = await self._next_body_event(stall_timeout)
         while not isinstance(event, h11.EndOfMessage):
+            self._body_size += len(event.data)
             yield bytes(event.data)
             event = await self._next_body_event(stall_timeout)
 
@@ -100,6 +106,11 @@
         """Return the complete body; like ``iter_body`` otherwise."""
         return b''.join([part async for part in self.iter_body(stall_timeout)])
 
+    @property
+    def ended_empty(self) -> bool:
+        """Return whether the connection was closed instead of an answer."""
+        return self._until_close and not self._body_size
+
     async def check_crash(self) -> bool:
         """Return whether the upstream ended while it began this answer.
 
@@ -134,6 +145,8 @@
         while True:
             event = await self._link.next_event()
             if isinstance(event, h11.Response):
+                names = {name for name, _ in event.headers}
+                self._until_close = not names & FRAMING
                 return self._dialect.read_reply(event)
             if not isinstance(event, h11.InformationalResponse):
                 raise LinkLostError('connection closed before the response')
--- /dev/null
+++ b/tests/gateway/test_process_framing.py
@@ -0,0 +1,117 @@
+"""Answers that end with their connection, with real processes."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from gentiantrestle.http.client import ConnectionLostError
+from tests.gateway.fleet import GatewayFleet
+from tests.gateway.wire_samples import expected_stream
+
+HEAD = b'HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Server-Stamp: stamp\r\n\r\n'
+
+NO_LINGER = struct.pack('ii', 1, 0)  # closing resets the connection
+
+
+class RawUpstream:
+    """Sends prepared bytes to each request, one answer after the other."""
+
+    def __init__(self, fleet: GatewayFleet) -> None:
+        """Take the place of the fleet's only upstream."""
+        self._fleet = fleet
+        self.answers: list[bytes] = []
+        self.requests: list[bytes] = []
+        self.reset = False
+
+    async def start(self) -> asyncio.Server:
+        """Listen at the upstream's address."""
+        address = self._fleet.upstreams[0]
+        await self._fleet.standins[address].end()
+        return await asyncio.start_server(
+            self._answer, address.host, address.port
+        )
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.requests.append(await reader.readuntil(b'\r\n\r\n'))
+        writer.write(HEAD + self.answers.pop(0))
+        await writer.drain()
+        if self.reset:
+            await asyncio.sleep(0.05)
+            writer.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+            )
+        writer.close()
+
+
+@pytest.fixture
+async def upstream(tmp_path: Path) -> AsyncIterator[RawUpstream]:
+    """Start a fleet of one entry before an upstream that sends raw bytes."""
+    fleet = GatewayFleet(tmp_path, 1, 1)
+    raw = RawUpstream(fleet)
+    try:
+        await fleet.start()
+        async with await raw.start():
+            raw.fleet = fleet
+            yield raw
+    finally:
+        await fleet.stop()
+
+
+async def test_stream_that_ends_with_its_connection_is_served_whole(
+    upstream: RawUpstream,
+) -> None:
+    upstream.answers = [expected_stream('r1', 3)]
+    reply = await upstream.fleet.request(0, 'r1', body={})
+    assert reply.body == expected_stream('r1', 3)
+
+
+async def test_plain_answer_that_ends_with_its_connection_is_served_whole(
+    upstream: RawUpstream,
+) -> None:
+    upstream.answers = [b'plain']
+    reply = await upstream.fleet.request(0, 'r1', '/get/1', {})
+    assert (reply.status, reply.body) == (200, b'plain')
+
+
+async def test_plain_answer_that_is_reset_is_not_served(
+    upstream: RawUpstream,
+) -> None:
+    upstream.answers = [b'pla']
+    upstream.reset = True
+    reply = await upstream.fleet.request(0, 'r1', '/pay/1', {})
+    assert reply.status == 502
+
+
+@pytest.mark.parametrize('cut', [1, 5, -1])
+async def test_stream_that_ends_inside_an_event_is_resumed(
+    upstream: RawUpstream, cut: int
+) -> None:
+    whole = expected_stream('r1', 3)
+    first = expected_stream('r1', 2)
+    end = len(first) + cut if cut > 0 else cut
+    upstream.answers = [whole[:end], whole[len(first) :]]
+    reply = await upstream.fleet.request(0, 'r1', body={})
+    assert reply.body == whole
+    assert b'last-event-id: 2' in upstream.requests[1]
+
+
+async def test_stream_without_events_that_ends_with_its_connection_is_lost(
+    upstream: RawUpstream,
+) -> None:
+    upstream.answers = [b'', expected_stream('r1', 2)]
+    reply = await upstream.fleet.request(0, 'r1', body={})
+    assert reply.body == expected_stream('r1', 2)
+
+
+async def test_stream_that_ends_inside_an_event_is_cut_if_not_resumable(
+    upstream: RawUpstream,
+) -> None:
+    upstream.answers = [expected_stream('r1', 2)[:-1]]
+    with pytest.raises(ConnectionLostError):
+        await upstream.fleet.request(0, 'r1', '/once/1', {})
