--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -233,13 +233,17 @@
     def _build_metrics(self) -> Metrics:
         metrics = Metrics(self._cfg.instance, self._cfg.topology.zone)
         evidence = self._batch_context.guard.evidence
+
+        def count_quarantined() -> int:
+            return len(evidence.culprits(self._clock.wall()))
+
         for name, description, read in (
             ('active', 'Requests in flight.', self._count_active),
             ('waiting', 'Requests waiting for a slot.', self._count_waiting),
             (
                 'quarantined_prompts',
                 'Prompt parts, or sets of them, that crash upstreams.',
-                lambda: len(evidence.culprits(self._clock.wall())),
+                count_quarantined,
             ),
             (
                 'config_version',
