--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,6 +11,7 @@
 SEEDS = (1,)
 # Seeds that found a fault; docs/SOAK.md has the causes.
 REGRESSION_SEEDS: tuple[int, ...] = ()
+TROUBLE_REGRESSIONS = [('crashing', 3), ('crashing', 5)]
 
 
 @pytest.mark.parametrize('seed', SEEDS + REGRESSION_SEEDS)
@@ -22,10 +23,13 @@
     assert len(history.accepted()) > 2
 
 
-@pytest.mark.parametrize('trouble', sorted(TROUBLES))
+@pytest.mark.parametrize(
+    ('trouble', 'seed'),
+    [(trouble, 1) for trouble in sorted(TROUBLES)] + TROUBLE_REGRESSIONS,
+)
 def test_play_before_upstreams_in_trouble_has_no_breach(
-    trouble: str, tmp_path: Path
+    trouble: str, seed: int, tmp_path: Path
 ) -> None:
-    history = play(1, tmp_path, trouble=trouble)
+    history = play(seed, tmp_path, trouble=trouble)
     assert breaches(trouble, history) == []
     assert len(history.runs) > 100
