Trials of two culprits, and clocks that are ahead

Cause, found by reading: noting the trial of one culprit forgot that of another, so that two of them would be tried again with each request; and a crash reported by an instance whose clock is ahead stayed until that time. Change: the trials of all present culprits are kept; a reported crash is never in the future. Result: two tests of decisions failed before, and pass.

--- a/gentiantrestle/gateway/quarantine/evidence.py
+++ b/gentiantrestle/gateway/quarantine/evidence.py
@@ -78,8 +78,10 @@
         for part, at in findings.sound:
             self._set_sound(part, min(at, wall))
         for crash in findings.crashes:
-            if wall - crash.at < CRASH_LIFETIME:
-                self._add(crash, wall)
+            # The clock of another instance may be ahead.
+            seen_at = min(crash.at, int(wall))
+            if wall - seen_at < CRASH_LIFETIME:
+                self._add(crash._replace(at=seen_at), wall)
 
     def culprits(self, wall: float) -> tuple[Culprit, ...]:
         """Return what must not be sent to upstreams."""
--- a/gentiantrestle/gateway/quarantine/guard.py
+++ b/gentiantrestle/gateway/quarantine/guard.py
@@ -76,7 +76,13 @@
     def _may_try(self, culprit: Culprit, wall: float) -> bool:
         if not self._is_trial_due(culprit, wall):
             return False
-        self._trials = {culprit.parts: wall}
+        current = {known.parts for known in self.evidence.culprits(wall)}
+        self._trials = {
+            parts: tried_at
+            for parts, tried_at in self._trials.items()
+            if parts in current
+        }
+        self._trials[culprit.parts] = wall
         events.emit(events.PROMPT_TRIED, prompt_parts=sorted(culprit.parts))
         return True
 
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -190,6 +190,32 @@
         guard.check('x', later + 1)
 
 
+def test_trials_of_two_culprits_do_not_renew_each_other() -> None:
+    guard = make_guard(
+        *crashed(MIN_CRASHES, 'x'), *crashed(MIN_CRASHES, 'y', first=9)
+    )
+    later = START + TRIAL_INTERVAL
+    guard.check('x', later)
+    guard.check('y', later)
+    for part in 'xy':
+        with pytest.raises(QuarantinedError):
+            guard.check(part, later + 1)
+
+
+def test_crash_reported_by_a_clock_that_is_ahead_is_forgotten_in_time() -> None:
+    evidence = Evidence()
+    ahead = filled(
+        *(
+            seen._replace(at=START + 10 * CRASH_LIFETIME)
+            for seen in crashed(MIN_CRASHES, 'x')
+        )
+    )
+    told = ahead.findings(START + 10 * CRASH_LIFETIME)
+    evidence.merge(told, START)
+    assert evidence.culprits(START)
+    assert not evidence.culprits(START + CRASH_LIFETIME + 1)
+
+
 def test_completed_trial_ends_the_quarantine_and_a_crash_prolongs_it() -> None:
     guard = make_guard(*crashed(MIN_CRASHES, 'x'))
     later = START + TRIAL_INTERVAL
