--- a/tests/gateway/test_process_crashes.py
+++ b/tests/gateway/test_process_crashes.py
@@ -104,6 +104,10 @@
             if CRASHING in run['prompt']
         ]
 
+    async def finish_restarts(self) -> None:
+        """Wait for the restarts that have begun."""
+        await asyncio.gather(*self._restarts.values())
+
     async def _restart(self, number: int) -> None:
         await asyncio.sleep(RESTART_DELAY)
         await self.fleet.start_upstream(number)
@@ -127,6 +131,7 @@
         keeper = asyncio.create_task(started.restart_upstreams())
         yield started
         keeper.cancel()
+        await started.finish_restarts()
     finally:
         await fleet.stop()
 
