--- a/tests/gateway/test_process_crashes.py
+++ b/tests/gateway/test_process_crashes.py
@@ -104,8 +104,9 @@
             if CRASHING in run['prompt']
         ]
 
-    async def finish_restarts(self) -> None:
-        """Wait for the restarts that have begun."""
+    async def finish_restarts(self, keeper: asyncio.Task[None]) -> None:
+        """Begin no more restarts, and wait for those that have begun."""
+        keeper.cancel()
         await asyncio.gather(*self._restarts.values())
 
     async def _restart(self, number: int) -> None:
@@ -130,8 +131,7 @@
         await fleet.start()
         keeper = asyncio.create_task(started.restart_upstreams())
         yield started
-        keeper.cancel()
-        await started.finish_restarts()
+        await started.finish_restarts(keeper)
     finally:
         await fleet.stop()
 
