Items that wait for a slot may get any upstream

Cause: an item asks for a slot without the upstreams that are suspended at that moment. Asking again put the request back into the coordinator's queue together with that list, so an item that had asked while all upstreams were suspended was never granted one; the list was cleared only when it was queued first. Change: what waits in the queue excludes nothing. Result: a test of the queue failed before, and passes.

--- a/gentiantrestle/gateway/slots/coordinator.py
+++ b/gentiantrestle/gateway/slots/coordinator.py
@@ -192,8 +192,7 @@
         if refused:
             yield self._placer.answer(ask, Verdict.REFUSED, wait=wait)
             return
-        # An upstream that failed the request may have a slot by then.
-        queue.put(ask._replace(excluded=frozenset()), now)
+        queue.put(ask, now)
         yield self._placer.answer(ask, Verdict.QUEUED, wait=wait)
 
     def _record_use(
--- a/gentiantrestle/gateway/slots/queueing.py
+++ b/gentiantrestle/gateway/slots/queueing.py
@@ -122,7 +122,12 @@
         return len(self._queued) - self.online
 
     def put(self, ask: Ask, now: float) -> None:
-        """Add a request; one that waits already keeps its place."""
+        """Add a request; one that waits already keeps its place.
+
+        It may be granted any upstream then: those that had failed it, or were
+        suspended, may serve it by its turn.
+        """
+        ask = ask._replace(excluded=frozenset())
         known = self._queued.get(ask.key)
         number = next(self._numbers) if known is None else known.number
         if known is None:
--- a/tests/gateway/test_slots.py
+++ b/tests/gateway/test_slots.py
@@ -446,6 +446,19 @@
     assert desk.note(desk.coordinator.dispatch(0)) == ASK
 
 
+def test_queued_item_is_granted_an_upstream_that_was_suspended_at_first() -> (
+    None
+):
+    desk = Desk()
+    desk.fill(SLOTS)
+    excluded = frozenset(('u1',))
+    for _ in range(2):
+        desk.ask(1, batch=True, excluded=excluded, **ANYTHING)
+    for number in range(100, 100 + SLOTS):
+        desk.release(number)
+    assert desk.load() == 1
+
+
 @pytest.mark.parametrize('kind', sorted(PACKERS))
 def test_messages_survive_encoding(kind: str) -> None:
     key = LeaseKey('run/1', 7)
