Log and count what told where an upstream's answer ended

Cause: of an attempt that ended well nobody could tell whether its answer had a length, chunks, or only the close of its connection, which is what the three hypotheses of the incident of broken answers differ in.

--- a/gentiantrestle/gateway/batch/item_progress.py
+++ b/gentiantrestle/gateway/batch/item_progress.py
@@ -81,7 +81,8 @@
         finally:
             conn.close()
             self.run_time += context.clock.now() - started
-        self._log(lease.upstream, outcome, len(self._texts) - before, parts)
+        received = len(self._texts) - before
+        self._log(lease.upstream, outcome, received, conn.framing, parts)
         return outcome
 
     def fail(self, reason: str) -> ItemResult:
@@ -141,6 +142,7 @@
         upstream: Upstream,
         outcome: RunOutcome,
         received: int,
+        framing: str,
         parts: tuple[str, ...],
     ) -> None:
         events.emit(
@@ -151,5 +153,6 @@
             reason=outcome.reason,
             last_event=self._last_event,
             received=received,
+            framing=framing,
             prompt_parts=parts,
         )
--- a/gentiantrestle/gateway/forward.py
+++ b/gentiantrestle/gateway/forward.py
@@ -1,5 +1,7 @@
 """Forwards a request to upstreams, with retries, until it is answered."""
 
+from collections.abc import Callable
+
 from gentiantrestle import events
 from gentiantrestle.gateway.forwarded_request import (
     ForwardedRequest,
@@ -16,6 +18,8 @@
     def __init__(self, context: ForwardingContext) -> None:
         """Use the admission and dialect of ``context``."""
         self._context = context
+        # Called with the outcome and the framing of each attempt.
+        self.record_attempt: Callable[[str, str], None] = _record_nothing
 
     async def answer(
         self,
@@ -41,10 +45,16 @@
                 outcome=outcome.value,
                 reason=forwarded.reason,
                 received=forwarded.received,
+                framing=forwarded.framing,
                 prompt_parts=req.prompt_parts,
                 step=step.value,
                 left_ms=round(left * 1000),
             )
+            self.record_attempt(outcome.value, forwarded.framing)
             if step is not Step.RETRY:
                 await forwarded.finish(step, outcome)
                 return outcome.value
+
+
+def _record_nothing(outcome: str, framing: str) -> None:
+    """Record nothing; the default until metrics are set up."""
--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -86,8 +86,9 @@
         self._splitter = EventSplitter(req.last_event)
         self._held_response: HeldResponse | None = None
         self.reason = ''
-        # Events that the attempt has received.
+        # Events that the attempt has received, and the framing of its answer.
         self.received = 0
+        self.framing = ''
         self._watch = self._new_watch()
 
     def progress(self) -> RequestProgress:
@@ -179,6 +180,7 @@
             self.reason = 'deadline'
             return AttemptOutcome.EXPIRED
         finally:
+            self.framing = conn.framing
             conn.close()
         return AttemptOutcome.DONE
 
--- a/gentiantrestle/gateway/metrics.py
+++ b/gentiantrestle/gateway/metrics.py
@@ -34,6 +34,12 @@
             self._labels,
             registry=self._registry,
         )
+        self._attempts = Counter(
+            'gentiantrestle_gateway_attempts_total',
+            'Attempts on upstreams by outcome and framing of the answer.',
+            self._labels,
+            registry=self._registry,
+        )
         self._latency = Histogram(
             'gentiantrestle_gateway_request_seconds',
             'Time from a request to the end of its answer, by route.',
@@ -48,6 +54,10 @@
         self._requests.inc({'route': route, 'outcome': outcome})
         self._latency.observe({'route': route}, seconds)
 
+    def record_attempt(self, outcome: str, framing: str) -> None:
+        """Count one attempt of a request on an upstream."""
+        self._attempts.inc({'outcome': outcome, 'framing': framing})
+
     def add_gauge(
         self, name: str, description: str, read: Callable[[], float]
     ) -> None:
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -219,8 +219,10 @@
             self._fleet.run_name,
         )
         api.on_cancel = self._peering.announce_cancelled_job
+        forwarder = Forwarder(context)
+        forwarder.record_attempt = self.metrics.record_attempt
         request_handler = RequestHandler(
-            self._state.router, Forwarder(context), api, dialect, self._clock
+            self._state.router, forwarder, api, dialect, self._clock
         )
         request_handler.is_prepared = self._is_prepared
         request_handler.record_request = self.metrics.record_request
--- a/gentiantrestle/gateway/upstream_connection.py
+++ b/gentiantrestle/gateway/upstream_connection.py
@@ -19,8 +19,9 @@
 # Two round trips between regions, with time for one lost packet.
 CONNECT_TIMEOUT = 0.3  # seconds
 MAX_HEADER_SIZE = 65536  # bytes
-# Header fields that tell where a body ends.
-FRAMING = frozenset((b'content-length', b'transfer-encoding'))
+BY_LENGTH = 'length'
+BY_CHUNKS = 'chunks'
+BY_CLOSE = 'close'  # the body ends with its connection
 
 
 class ResponseLostError(Exception):
@@ -52,8 +53,8 @@
         self._watch = watch
         self._link: Link | None = None
         self._upstream: Upstream | None = None
-        # Whether the body goes on until the connection is closed.
-        self._until_close = False
+        # What tells where the body ends; empty until the head has arrived.
+        self.framing = ''
         self._body_size = 0
 
     async def connect(self, upstream: Upstream) -> None:
@@ -109,7 +110,7 @@
     @property
     def ended_empty(self) -> bool:
         """Return whether the connection was closed instead of an answer."""
-        return self._until_close and not self._body_size
+        return self.framing == BY_CLOSE and not self._body_size
 
     async def check_crash(self) -> bool:
         """Return whether the upstream ended while it began this answer.
@@ -145,13 +146,19 @@
         while True:
             event = await self._link.next_event()
             if isinstance(event, h11.Response):
-                names = {name for name, _ in event.headers}
-                self._until_close = not names & FRAMING
+                self.framing = _framing(event)
                 return self._dialect.read_reply(event)
             if not isinstance(event, h11.InformationalResponse):
                 raise LinkLostError('connection closed before the response')
 
 
+def _framing(head: h11.Response) -> str:
+    names = {name for name, _ in head.headers}
+    if b'transfer-encoding' in names:
+        return BY_CHUNKS
+    return BY_LENGTH if b'content-length' in names else BY_CLOSE
+
+
 async def _refuses_connections(upstream: Upstream) -> bool:
     """Return whether nothing listens at the upstream's address any more."""
     try:
