--- a/standins/engine.py
+++ b/standins/engine.py
@@ -84,8 +84,9 @@
     """Queues requests for free slots and steps the running ones together.
 
     ``POST /control`` sets the faults: ``slow`` multiplies the time of a step,
-    ``cut_after`` cuts each stream after so many tokens, and ``leaving``, an
-    incarnation, makes the engine refuse requests with ``X-Leaving``.
+    ``cut_after`` cuts each stream after so many tokens and ``cut_inside`` bytes
+    of the next event, and ``leaving``, an incarnation, makes the engine
+    refuse requests with ``X-Leaving``.
     """
 
     def __init__(self, cfg: EngineConfig) -> None:
@@ -103,6 +104,7 @@
         self._refused = 0
         self._orders: list[dict[str, Any]] = []
         self._cut_after: int | None = None
+        self._cut_inside = 0
         self._leaving_incarnation: int | None = None
 
     @classmethod
@@ -217,14 +219,15 @@
         sent = 0
         try:
             async for text in _token_texts(stream):
+                chunk = msgspec.json.encode(
+                    _completion_document(text, 1, chat, 'delta')
+                )
                 if sent == self._cut_after:
+                    yield (b'data: %b' % chunk)[: self._cut_inside]
                     raise ConnectionResetError(
                         'stream cut by the cut_after fault'
                     )
                 sent += 1
-                chunk = msgspec.json.encode(
-                    _completion_document(text, 1, chat, 'delta')
-                )
                 yield b'data: %b\n\n' % chunk
             yield DONE
         finally:
@@ -234,6 +237,7 @@
         body = await req.read_json(MAX_BODY)
         self._slowdown = float(body.get('slow', self._slowdown))
         self._cut_after = body.get('cut_after', self._cut_after)
+        self._cut_inside = body.get('cut_inside', self._cut_inside)
         self._leaving_incarnation = body.get(
             'leaving', self._leaving_incarnation
         )
--- a/tests/interfaces/test_http.py
+++ b/tests/interfaces/test_http.py
@@ -152,6 +152,37 @@
     pool.close()
 
 
+async def test_cut_body_looks_cut_to_a_caller_without_chunks(app: App) -> None:
+    with pytest.raises(ConnectionResetError):
+        await send_raw(app.address, b'GET /cut HTTP/1.0\r\nHost: x\r\n\r\n')
+
+
+@pytest.mark.parametrize('ended', [True, False])
+async def test_body_without_length_is_lost_if_its_server_ended_with_it(
+    ended: bool,
+) -> None:
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\npart')
+        if ended:
+            server.close()
+        writer.close()
+
+    address = Address(HOST, free_ports(1)[0])
+    server = await asyncio.start_server(answer, *address)
+    async with server:
+        pool = ConnectionPool(address, 1, 1)
+        if ended:
+            with pytest.raises(ConnectionLostError):
+                await pool.fetch(ClientRequest('GET', '/'))
+        else:
+            fetched = await pool.fetch(ClientRequest('GET', '/'))
+            assert fetched[1] == b'part'
+        pool.close()
+
+
 async def test_connecting_to_closed_port_raises_not_sent() -> None:
     pool = ConnectionPool(Address(HOST, free_ports(1)[0]), 1, 1)
     with pytest.raises(NotSentError):
--- a/tests/processes/test_online.py
+++ b/tests/processes/test_online.py
@@ -85,6 +85,18 @@
     assert b'"run":"unknown"' in reply.body
 
 
+async def test_half_event_of_a_cut_stream_does_not_hide_its_error_event(
+    start_fleet,
+) -> None:
+    fleet = await start_fleet('a1')
+    await fleet.control_engine(0, cut_after=2, cut_inside=9)
+    reply = await _complete(fleet, 0)
+    *sent, error, end = reply.body.split(b'\n\n')
+    assert [event[:7] for event in sent] == [b'data: {'] * 2
+    assert error.startswith(b'event: error\n')
+    assert not end
+
+
 async def test_requests_succeed_when_an_engine_is_down(start_fleet) -> None:
     fleet = await start_fleet()
     dead = fleet.engine_process(1)
