An answer that ends as its upstream ends is lost, not complete

Cause: without length or chunks the close of the connection was taken for the end of the body, and a process that crashes closes its connections just like that. Why this works: who has sent a whole answer is still there to accept another connection. One is opened after such an answer, and only then; if it fails, the attempt is lost: resumed, repeated, or cut, by the route's kind. Ruled out: reading the number of events from the request (an upper bound only); passing such answers on without length (a caller can't tell them apart either). Cost: a connection for each answer without framing. An upstream that leaves right after a whole answer of this kind has it taken for lost.

--- a/gentiantrestle/gateway/upstream_connection.py
+++ b/gentiantrestle/gateway/upstream_connection.py
@@ -15,6 +15,7 @@
     RequestNotSentError,
     open_link,
 )
+from gentiantrestle.http.probe import accepts_connections
 
 # Two round trips between regions, with time for one lost packet.
 CONNECT_TIMEOUT = 0.3  # seconds
@@ -102,6 +103,7 @@
             self._body_size += len(event.data)
             yield bytes(event.data)
             event = await self._next_body_event(stall_timeout)
+        await self._confirm_end()
 
     async def read_body(self, stall_timeout: float | None) -> bytes:
         """Return the complete body; like ``iter_body`` otherwise."""
@@ -130,6 +132,14 @@
         if self._link is not None:
             self._link.abort()
 
+    async def _confirm_end(self) -> None:
+        """Raise ``ResponseLostError`` if the upstream ended with the body."""
+        if self.framing != BY_CLOSE or not self._link.eof_seen:
+            return
+        address = self._upstream.address
+        if not await accepts_connections(address, CONNECT_TIMEOUT):
+            raise ResponseLostError('the upstream ended with its answer')
+
     async def _next_body_event(
         self, stall_timeout: float | None
     ) -> h11.Data | h11.EndOfMessage:
--- a/gentiantrestle/http/client.py
+++ b/gentiantrestle/http/client.py
@@ -8,11 +8,15 @@
 import h11
 
 from gentiantrestle.http.messages import HeaderPairs
+from gentiantrestle.http.probe import accepts_connections
 from gentiantrestle.models import Address
 
 READ_SIZE = 65536  # bytes
 MAX_IDLE = 64  # connections
 MAX_HEADER = 65536  # bytes
+PROBE_TIMEOUT = 1.0  # seconds
+# Header fields that tell where a body ends.
+FRAMING = frozenset((b'content-length', b'transfer-encoding'))
 
 
 class NotSentError(Exception):
@@ -39,10 +43,13 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        address: Address,
     ) -> None:
         """Wrap the streams in an h11 client state machine."""
         self._reader = reader
         self._writer = writer
+        self._address = address
+        self._ends_by_close = False
         self._h11 = h11.Connection(
             h11.CLIENT,
             max_incomplete_event_size=MAX_HEADER,
@@ -60,7 +67,7 @@
                 )
         except (OSError, TimeoutError) as exc:
             raise NotSentError(f'{address}: {exc!r}') from exc
-        return cls(*streams)
+        return cls(*streams, address)
 
     @property
     def usable(self) -> bool:
@@ -97,6 +104,8 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                names = {name for name, _ in event.headers}
+                self._ends_by_close = not names & FRAMING
                 return ClientResponse(
                     event.status_code, event.headers.raw_items(), self
                 )
@@ -104,13 +113,15 @@
     async def iter_body(self) -> AsyncIterator[bytes]:
         """Yield the response body until it is complete.
 
-        Raises ``ConnectionLostError`` if the connection fails before that.
+        Raises ``ConnectionLostError`` if the connection fails before that, or
+        if the server ends with the connection that ends the body.
         """
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
+                await self._confirm_end()
                 self._reset_when_done()
                 return
 
@@ -118,6 +129,12 @@
         """Close the connection without waiting."""
         self._writer.close()
 
+    async def _confirm_end(self) -> None:
+        if not self._ends_by_close or not self._reader.at_eof():
+            return
+        if not await accepts_connections(self._address, PROBE_TIMEOUT):
+            raise ConnectionLostError('the server ended with its response')
+
     def _reset_when_done(self) -> None:
         states = (self._h11.our_state, self._h11.their_state)
         if states == (h11.DONE, h11.DONE):
