Reset the connections of HTTP/1.0 callers whose answers are broken off

Cause: its answer has neither length nor chunks and ends with the connection, and breaking it off closed the connection, in both servers; only a reset tells. Why this works: SO_LINGER 0 is set from the head of such an answer to its end, so that the kernel resets the connection however it is closed, by the end of the process too. Callers of HTTP/1.1 get chunks and are not concerned.

--- a/gentiantrestle/gateway/http_server.py
+++ b/gentiantrestle/gateway/http_server.py
@@ -19,7 +19,12 @@
     refuse,
 )
 from gentiantrestle.gateway.model import CallerLimits
-from gentiantrestle.http.link import HeaderPairs, Link, LinkLostError
+from gentiantrestle.http.link import (
+    CHUNKED_SINCE,
+    HeaderPairs,
+    Link,
+    LinkLostError,
+)
 
 CONTENT_LENGTH = b'content-length'
 TRANSFER_ENCODING = b'transfer-encoding'
@@ -70,6 +75,8 @@
     ) -> None:
         """Send the head and the first part of a streamed response."""
         self.started = True
+        if self.head.http_version < CHUNKED_SINCE:
+            self._link.reset_on_close(enabled=True)
         await self._link.send(
             self._build_head(status, headers),
             h11.Data(data=first),
@@ -81,6 +88,8 @@
 
     async def finish_stream(self) -> None:
         """Complete a streamed response."""
+        if self.head.http_version < CHUNKED_SINCE:
+            self._link.reset_on_close(enabled=False)
         await self._link.send(h11.EndOfMessage())
         self.finished = True
 
--- a/gentiantrestle/http/connection.py
+++ b/gentiantrestle/http/connection.py
@@ -15,6 +15,7 @@
     RefusedError,
     refuse,
 )
+from gentiantrestle.http.link import CHUNKED_SINCE, reset_on_close
 from gentiantrestle.http.messages import Request, Response, refusal_response
 
 READ_SIZE = 65536  # bytes
@@ -201,10 +202,19 @@
         if whole:
             await self._send_whole(head, response.body)
             return
-        async with aclosing(response.body) as parts:
+        await self._send_stream(head, response.body)
+
+    async def _send_stream(
+        self, head: h11.Response, body: AsyncIterator[bytes]
+    ) -> None:
+        sock = self._writer.get_extra_info('socket')
+        ends_by_close = self._h11.their_http_version < CHUNKED_SINCE
+        reset_on_close(sock, enabled=ends_by_close)
+        async with aclosing(body) as parts:
             await self._write(self._h11.send(head))
             async for part in parts:
                 await self._write(self._h11.send(h11.Data(data=part)))
+        reset_on_close(sock, enabled=False)
         await self._write(self._h11.send(h11.EndOfMessage()))
 
     async def _send_whole(self, head: h11.Response, body: bytes) -> None:
--- a/gentiantrestle/http/link.py
+++ b/gentiantrestle/http/link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Callable
 from typing import TypeAlias
 
@@ -12,6 +13,8 @@
 HeaderPairs: TypeAlias = list[tuple[bytes, bytes]]
 Role: TypeAlias = type[h11.CLIENT] | type[h11.SERVER]
 
+# Before this version of HTTP a streamed body ends with its connection.
+CHUNKED_SINCE = b'1.1'
 HIGH_WATER = 262144  # unread bytes above which reading is paused
 KEEPALIVE_IDLE = 1  # seconds of silence before the first probe
 KEEPALIVE_INTERVAL = 1  # seconds between two probes
@@ -141,6 +144,12 @@
         if self._transport is not None:
             self._transport.close()
 
+    def reset_on_close(self, *, enabled: bool) -> None:
+        """Let a close be a reset, for a body that ends with the connection."""
+        if self._transport is not None:
+            sock = self._transport.get_extra_info('socket')
+            reset_on_close(sock, enabled=enabled)
+
     def abort(self) -> None:
         """Close at once and drop unsent bytes: the peer sees the cut."""
         if self._transport is not None:
@@ -177,6 +186,17 @@
     return link
 
 
+def reset_on_close(sock: socket.socket | None, *, enabled: bool) -> None:
+    """Let a close of the socket, also by the end of the process, reset it.
+
+    A body without length or chunks ends with its connection: only a reset tells
+    its reader that it is not complete.
+    """
+    if sock is not None:
+        linger = struct.pack('ii', enabled, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def enable_keepalive(sock: socket.socket | None) -> None:
     """Let the kernel close a connection whose peer is silent for seconds."""
     if sock is None:
