The daemon relays whole events only

Cause: parts were relayed as they arrived, and the error event was written wherever the stream had stopped. Evidence: test_half_event_of_a_cut_stream_does_not_hide_its_error_event failed: the last event was 'data: {"cevent: error'. Why this works: what isn't a whole event yet is held back, so an error event can only follow a whole one; an event without end is bounded by 1 MiB.

--- a/gentiantrestle/daemon/online/attempt.py
+++ b/gentiantrestle/daemon/online/attempt.py
@@ -177,7 +177,9 @@
         measured_at, measured_events = self._ctx.now(), 0
         async with aclosing(answer.iter_body(stall_timeout)) as parts:
             async for part in parts:
-                monitor.feed(part)
+                whole = monitor.feed(part)
+                if monitor.is_overlong:
+                    raise ConnectionLostError('an event without end')
                 event_count = monitor.event_count - measured_events
                 if event_count >= EVENTS_PER_SAMPLE:
                     now = self._ctx.now()
@@ -186,7 +188,8 @@
                         now,
                     )
                     measured_at, measured_events = now, monitor.event_count
-                yield part
+                if whole:
+                    yield whole
 
     async def _error_from(self, answer: ClientResponse) -> AttemptError:
         incarnation = leaving_incarnation(answer)
--- a/gentiantrestle/daemon/upstreams/adapter.py
+++ b/gentiantrestle/daemon/upstreams/adapter.py
@@ -12,6 +12,7 @@
 EVENT_END = b'\n\n'
 EVENT_START = b'data: '
 TAIL_LENGTH = 32  # bytes
+MAX_EVENT = 1048576  # bytes
 DEFAULT_TOKENS = 16  # for requests without a valid max_tokens
 COMPLETIONS = '/v1/completions'
 CHAT = '/v1/chat/completions'
@@ -60,17 +61,33 @@
 
 
 class StreamMonitor:
-    """Counts the events of a relayed stream and detects its end."""
+    """Splits a relayed stream into whole events and detects its end."""
 
     def __init__(self) -> None:
         """Start before the first byte of the stream."""
+        self._partial = b''
         self._tail = b''
         self.event_count = 0
 
-    def feed(self, part: bytes) -> None:
-        """Take the next part of the stream, split anywhere."""
-        self.event_count += (self._tail[-1:] + part).count(EVENT_END)
-        self._tail = (self._tail + part)[-TAIL_LENGTH:]
+    def feed(self, part: bytes) -> bytes:
+        """Take the next part of the stream, split anywhere.
+
+        Return the events that it completes; a part of one is held back, since
+        another event can't follow it.
+        """
+        received = self._partial + part
+        last_end = received.rfind(EVENT_END)
+        size = last_end + len(EVENT_END) if last_end >= 0 else 0
+        self._partial = received[size:]
+        whole = received[:size]
+        self.event_count += whole.count(EVENT_END)
+        self._tail = (self._tail + whole)[-TAIL_LENGTH:]
+        return whole
+
+    @property
+    def is_overlong(self) -> bool:
+        """Tell whether the event that is being received is too long."""
+        return len(self._partial) > MAX_EVENT
 
     @property
     def is_complete(self) -> bool:
