--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -16,6 +16,7 @@
     UPSTREAM_HEALTH,
     AttemptFailedError,
     HeldResponse,
+    stall_timeout,
 )
 from gentiantrestle.gateway.batch.context import Clock
 from gentiantrestle.gateway.http_server import Exchange
@@ -51,10 +52,6 @@
 OK = 200
 SERVER_ERROR = 500
 CONTENT_LENGTH = b'content-length'
-# An idempotent request is retried elsewhere if the upstream sends nothing for
-# this many latency targets. Callers abandon a silent stream after 2 s.
-STALL_TIMEOUT_TARGETS = 3.0
-MAX_STALL_TIMEOUT = 1.0  # seconds
 
 
 class ForwardingContext(NamedTuple):
@@ -81,6 +78,7 @@
         self._req = req
         self._route = route
         self._exchange = exchange
+        self._stall_timeout = stall_timeout(route)
         self._tried: frozenset[str] = frozenset()
         self._progress = RequestProgress(route.idempotent, route.max_attempts)
         self._splitter = EventSplitter(req.last_event)
@@ -284,16 +282,3 @@
         return UpstreamRequest(
             req.id, req.method, req.target, headers, req.body
         )
-
-    @property
-    def _stall_timeout(self) -> float | None:
-        """Longest silence of an upstream, in s.
-
-        None if the route is not idempotent: then only the deadline counts.
-        """
-        if not self._route.idempotent:
-            return None
-        return min(
-            MAX_STALL_TIMEOUT,
-            self._route.latency_target * STALL_TIMEOUT_TARGETS,
-        )
