Failing tests: a request that crashes upstreams is not sent on for ever

Evidence: a stand-in that ends 40 ms after it has begun a request that asks for it gets 38, 35, 24 and 24 such requests later than 4 s after the third end, on routes that are plain and repeatable, resumable, neither, and plain; 22 if the query differs each time; 3 are allowed.

--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -28,7 +28,8 @@
     """Answers requests and keeps a record of each run.
 
     The body of a request is a JSON object: ``events`` asks for a stream of
-    so many events, ``pause`` seconds apart, and ``poison`` for status 422.
+    so many events, ``pause`` seconds apart, ``poison`` for status 422, and
+    ``crash`` ends the process so many seconds after it has begun the request.
 
     ``POST /control`` replaces the faults: ``shed`` refuses each request,
     ``fail`` answers 500, ``silent`` delays each answer by some seconds,
@@ -106,6 +107,10 @@
         }
         self._runs.append(run)
         _print_run(run)
+        crash_delay = payload.get('crash')
+        if crash_delay is not None:
+            await asyncio.sleep(crash_delay)
+            os._exit(CRASHED)
         if self._faults.get('silent'):
             await asyncio.sleep(self._faults['silent'])
         return self._answer(payload, run)
