Quarantine whole requests that crash upstreams, not only parts of prompts

Cause: suspicion fell on shared prompt parts alone. A plain request has none, so its crashes left no trace and passed no gate; the parts of a stream are shared with sound requests, whose answers clear them. Why this works: a fingerprint of the whole request is one more trait of the same evidence. No sound request has it, so nothing clears it; the most specific trait that explains the crashes is the culprit, so sound requests with the same parts go on. A plain answer counts as begun with its head. Ruled out: a second rule beside the one for parts (each would blame what the other explains); a count by request id (the caller's next try has a new one); the caller's address (its next try comes from anywhere). Wire names stay; parts become traits in code, logs and metrics (quarantined_requests).

--- a/benchmarks/quarantine_arms.py
+++ b/benchmarks/quarantine_arms.py
@@ -1,22 +1,26 @@
-"""Plays prompts that crash upstreams in virtual time, with and without a rule.
+"""Plays requests that crash upstreams in virtual time, with and without a rule.
 
-Arms: without a rule each request is sent on and repeated once. With the rule
-instances quarantine what their findings show; these are exchanged with a
-delay. With perfect knowledge the crashing part is refused from the start.
+What crashes is a part that prompts share, or one request that comes again
+beside sound ones with the same parts. Arms: without a rule each request is sent
+on and repeated once. With the rule instances quarantine what their findings
+show, of parts only or of parts and whole requests; findings are exchanged with
+a delay. With perfect knowledge the crashing ones are refused from the start.
 """
 
 import random
 from collections import Counter
 from pathlib import Path
+from types import MappingProxyType
 from typing import NamedTuple
 
 from loguru import logger
 
 from gentiantrestle.gateway.quarantine.evidence import Evidence, Findings
 from gentiantrestle.gateway.quarantine.guard import (
-    PromptGuard,
     QuarantinedError,
+    RequestGuard,
 )
+from gentiantrestle.gateway.quarantine.traits import is_fingerprint
 from gentiantrestle.gateway.quarantine.watch import OPENING_TIME
 from gentiantrestle.gateway.retry_policy import MAX_CRASHES
 
@@ -25,21 +29,26 @@
 GOSSIP_DELAY = 0.4  # seconds until findings reach the other instances
 BEGIN_TIME = 0.1  # seconds until an answer begins, or its upstream ends
 RUN_TIME = 0.65  # seconds
+SESSIONS = 60  # parts that some requests share
 DOWN_TIME = 4.0  # seconds until an upstream that ended is back
-CRASHING = 'crashing'
-FREE_CRASHES = 5
-CONTACT_TIME = 4.0  # seconds after the fifth crash
-ARMS = ('no rule', 'rule', 'perfect')
+CRASHING_PART = 'crashing'
+CRASHING_REQUEST = 'path:crashing'
+# Crashes before the rule binds, by what crashes.
+FREE_CRASHES = MappingProxyType({CRASHING_PART: 5, CRASHING_REQUEST: 3})
+CONTACT_TIME = 4.0  # seconds after the last free crash
+ARMS = ('no rule', 'parts only', 'rule', 'perfect')
 
 
 class Plan(NamedTuple):
     """What is played; rates are in requests a second.
 
-    Prompts begin with one of ``families`` first parts. At ``restart_at`` s
-    all instances forget what they know.
+    ``culprit`` is the trait that crashes upstreams. Prompts begin with one of
+    ``families`` first parts. At ``restart_at`` s all instances forget what
+    they know.
     """
 
     arm: str = 'rule'
+    culprit: str = CRASHING_PART
     instances: int = 9
     upstreams: int = 6
     seconds: float = 30
@@ -53,7 +62,7 @@
 class Run(NamedTuple):
     """A request on an upstream; times are in s."""
 
-    prompt: tuple[str, ...]
+    traits: tuple[str, ...]
     instance: int
     upstream: int
     started: float
@@ -62,7 +71,7 @@
     @property
     def is_crashing(self) -> bool:
         """Return whether the upstream ends when the answer begins."""
-        return CRASHING in self.prompt
+        return _is_crashing(self.traits)
 
 
 class Play:
@@ -85,9 +94,10 @@
     @property
     def late(self) -> int:
         """Count crashing requests sent after the contact time."""
-        if len(self.crashes) < FREE_CRASHES:
+        free = FREE_CRASHES[self.plan.culprit]
+        if len(self.crashes) < free:
             return 0
-        since = self.crashes[FREE_CRASHES - 1] + CONTACT_TIME
+        since = self.crashes[free - 1] + CONTACT_TIME
         return sum(1 for at in self.sent if at > since)
 
     def run(self) -> 'Play':
@@ -107,20 +117,29 @@
     def _arrive(self) -> None:
         if self._rng.random() < self.plan.sound_rate * TICK:
             self.counts['sound'] += 1
-            self._send(self._prompt(), 0)
+            self._send(self._sound_traits(), 0)
         if self._rng.random() < self.plan.crashing_rate * TICK:
-            self._send((*self._prompt(), CRASHING), 0)
+            self._send(self._crashing_traits(), 0)
 
-    def _prompt(self) -> tuple[str, ...]:
+    def _sound_traits(self) -> tuple[str, ...]:
         family = int(self._rng.random() * self.plan.families)
-        return f'family{family}', f'session{self._rng.random()}'
-
-    def _send(self, prompt: tuple[str, ...], crashes: int) -> None:
-        crashing = CRASHING in prompt
+        return (
+            f'family{family}',
+            f'session{int(self._rng.random() * SESSIONS)}',
+            f'path:{self._rng.random()}',
+        )
+
+    def _crashing_traits(self) -> tuple[str, ...]:
+        if self.plan.culprit == CRASHING_REQUEST:
+            return 'family0', 'session0', CRASHING_REQUEST
+        return (*self._sound_traits(), CRASHING_PART)
+
+    def _send(self, traits: tuple[str, ...], crashes: int) -> None:
+        crashing = _is_crashing(traits)
         if crashing and self.plan.arm == 'perfect':
             return
         instance = int(self._rng.random() * self.plan.instances)
-        if self.plan.arm == 'rule' and not self._may_send(instance, prompt):
+        if not self._may_send(instance, traits):
             self.counts['crashing refused' if crashing else 'refused'] += 1
             return
         up = [
@@ -134,15 +153,24 @@
         if crashing:
             self.sent.append(self._now)
         upstream = self._rng.choice(up)
-        self._runs.append(Run(prompt, instance, upstream, self._now, crashes))
+        self._runs.append(Run(traits, instance, upstream, self._now, crashes))
 
-    def _may_send(self, instance: int, prompt: tuple[str, ...]) -> bool:
+    def _may_send(self, instance: int, traits: tuple[str, ...]) -> bool:
+        if self.plan.arm not in {'parts only', 'rule'}:
+            return True
+        known = self._known_traits(traits)
         try:
-            self._guards[instance].check(prompt, WALL + self._now)
+            self._guards[instance].check(known, WALL + self._now)
         except QuarantinedError:
             return False
         return True
 
+    def _known_traits(self, traits: tuple[str, ...]) -> tuple[str, ...]:
+        """Return the traits that the arm looks at."""
+        if self.plan.arm != 'parts only':
+            return traits
+        return tuple(trait for trait in traits if not is_fingerprint(trait))
+
     def _advance(self) -> None:
         for run in tuple(self._runs):
             age = self._now - run.started
@@ -152,7 +180,8 @@
                 self._runs.remove(run)
                 self.counts['served'] += 1
                 guard = self._guards[run.instance]
-                guard.evidence.note_sound(run.prompt, WALL + self._now)
+                known = self._known_traits(run.traits)
+                guard.evidence.note_sound(known, WALL + self._now)
 
     def _crash(self, upstream: int) -> None:
         lost = [run for run in self._runs if run.upstream == upstream]
@@ -172,11 +201,12 @@
             evidence = self._guards[run.instance].evidence
             name = f'{run.upstream}/{self._incarnations[run.upstream]}'
             wall = WALL + self._now
-            evidence.add_crash(name, frozenset(run.prompt), wall)
+            suspect = frozenset(self._known_traits(run.traits))
+            evidence.add_crash(name, suspect, wall)
             due = self._now + GOSSIP_DELAY
             self._gossip.append((due, evidence.findings(wall)))
         if crashes < MAX_CRASHES:
-            self._send(run.prompt, crashes)
+            self._send(run.traits, crashes)
 
     def _exchange(self) -> None:
         for due, findings in tuple(self._gossip):
@@ -186,8 +216,12 @@
                     guard.evidence.merge(findings, WALL + self._now)
 
 
-def _new_guard(instance: int) -> PromptGuard:
-    return PromptGuard(Evidence(), lambda key: not instance)
+def _new_guard(instance: int) -> RequestGuard:
+    return RequestGuard(Evidence(), lambda key: not instance)
+
+
+def _is_crashing(traits: tuple[str, ...]) -> bool:
+    return not FREE_CRASHES.keys().isdisjoint(traits)
 
 
 def play(plan: Plan) -> Play:
@@ -200,8 +234,12 @@
 
 
 async def measure_arms(folder: Path) -> list[str]:
-    """Return a line for each arm."""
-    return [describe(arm, play(Plan(arm))) for arm in ARMS]
+    """Return a line for each arm and each kind of culprit."""
+    return [
+        describe(f'{culprit}, {arm}', play(Plan(arm, culprit)))
+        for culprit in FREE_CRASHES
+        for arm in ARMS
+    ]
 
 
 def describe(arm: str, played: Play) -> str:
@@ -209,7 +247,8 @@
     counts = played.counts
     return (
         f'{arm}: {len(played.crashes)} upstreams ended, {played.late} crashing '
-        f'requests sent later than {CONTACT_TIME:.0f} s after the fifth, '
+        f'requests sent later than {CONTACT_TIME:.0f} s after the last free '
+        f'one, '
         f'{counts["served"]} of {counts["sound"]} sound ones served, '
         f'{counts["refused"]} refused'
     )
--- a/gentiantrestle/errors.py
+++ b/gentiantrestle/errors.py
@@ -147,7 +147,7 @@
 QUARANTINED = ErrorKind(
     'quarantined',
     503,
-    'Change the prompt; it is refused until upstreams are found to bear it.',
+    'Change the request; it is refused until upstreams are found to bear it.',
 )
 STORE_UNAVAILABLE = ErrorKind(
     'store_unavailable',
--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -155,11 +155,10 @@
 UPSTREAM_CRASHED = _define(
     3013,
     LEVEL_WARNING,
-    'upstream {upstream} ended while it began answers; suspect prompt parts: '
-    '{prompt_parts}',
+    'upstream {upstream} ended while it began answers; suspects: {traits}',
 )
-PROMPT_TRIED = _define(
-    3014, LEVEL_INFO, 'trying quarantined prompt parts {prompt_parts} again'
+QUARANTINED_TRIED = _define(
+    3014, LEVEL_INFO, 'trying a quarantined request with {traits} again'
 )
 RATE_LIMIT_NAMED = _define(
     3015,
--- a/gentiantrestle/gateway/batch/context.py
+++ b/gentiantrestle/gateway/batch/context.py
@@ -6,7 +6,7 @@
 from gentiantrestle.gateway.batch.job_index import JobIndex
 from gentiantrestle.gateway.batch.job_store import JobStore
 from gentiantrestle.gateway.ports import Dialect
-from gentiantrestle.gateway.quarantine.guard import PromptGuard
+from gentiantrestle.gateway.quarantine.guard import RequestGuard
 from gentiantrestle.gateway.roster import Roster
 from gentiantrestle.gateway.routing import Router
 from gentiantrestle.gateway.slots.batch_asks import BatchAsks
@@ -31,4 +31,4 @@
     asks: BatchAsks
     dialect: Dialect
     clock: Clock
-    guard: PromptGuard
+    guard: RequestGuard
--- a/gentiantrestle/gateway/batch/item_progress.py
+++ b/gentiantrestle/gateway/batch/item_progress.py
@@ -9,7 +9,7 @@
 from gentiantrestle.gateway.model import ItemResult, ItemSpec, Upstream
 from gentiantrestle.gateway.ports import Dialect, Reply
 from gentiantrestle.gateway.quarantine.guard import QuarantinedError
-from gentiantrestle.gateway.quarantine.watch import PromptWatch
+from gentiantrestle.gateway.quarantine.watch import RequestWatch
 from gentiantrestle.gateway.slots.client import SlotLease
 from gentiantrestle.gateway.slots.messages import SlotOutcome
 from gentiantrestle.gateway.sse import EventOrderError, EventSplitter
@@ -64,7 +64,7 @@
         Failures of the upstream are returned; only cancellation is raised.
         """
         parts = context.dialect.item_prompt_parts(self.spec)
-        watch = PromptWatch(context.guard, parts, context.clock)
+        watch = RequestWatch(context.guard, parts, context.clock)
         conn = UpstreamConnection(context.dialect, watch)
         started = context.clock.now()
         before = len(self._texts)
@@ -109,7 +109,7 @@
             return await conn.send(req)
 
     async def _read(
-        self, conn: UpstreamConnection, reply: Reply, watch: PromptWatch
+        self, conn: UpstreamConnection, reply: Reply, watch: RequestWatch
     ) -> RunOutcome:
         if reply.status == OK:
             await self._collect(conn, watch)
@@ -126,7 +126,7 @@
         return RunOutcome(None, reason)
 
     async def _collect(
-        self, conn: UpstreamConnection, watch: PromptWatch
+        self, conn: UpstreamConnection, watch: RequestWatch
     ) -> None:
         splitter = EventSplitter(self._last_event)
         async for part in conn.iter_body(STALL_TIMEOUT):
--- a/gentiantrestle/gateway/fleet_context.py
+++ b/gentiantrestle/gateway/fleet_context.py
@@ -14,7 +14,7 @@
 )
 from gentiantrestle.gateway.membership.peers import PeerList, run_name
 from gentiantrestle.gateway.quarantine.evidence import Evidence
-from gentiantrestle.gateway.quarantine.guard import PromptGuard
+from gentiantrestle.gateway.quarantine.guard import RequestGuard
 from gentiantrestle.gateway.topology import Topology
 from gentiantrestle.models import Address
 
@@ -76,7 +76,7 @@
         """Name this run of the instance."""
         return run_name(self.identity.instance, self.identity.incarnation)
 
-    def build_guard(self) -> PromptGuard:
+    def build_guard(self) -> RequestGuard:
         """Build the guard; one of the live instances tries a prompt again."""
         instance = self.identity.instance
 
@@ -85,4 +85,4 @@
             names = {peer.instance for peer in alive}
             return owner(key, names | {instance}) == instance
 
-        return PromptGuard(Evidence(), is_elected)
+        return RequestGuard(Evidence(), is_elected)
--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -24,11 +24,12 @@
 from gentiantrestle.gateway.ports import Dialect, Reply
 from gentiantrestle.gateway.quarantine.guard import (
     TRIAL_INTERVAL,
-    PromptGuard,
     QuarantinedError,
+    RequestGuard,
     describe,
 )
-from gentiantrestle.gateway.quarantine.watch import PromptWatch
+from gentiantrestle.gateway.quarantine.traits import request_traits
+from gentiantrestle.gateway.quarantine.watch import RequestWatch
 from gentiantrestle.gateway.retry_policy import (
     AttemptOutcome,
     RequestProgress,
@@ -60,7 +61,7 @@
     admission: Admission
     dialect: Dialect
     clock: Clock
-    guard: PromptGuard
+    guard: RequestGuard
 
 
 class ForwardedRequest:
@@ -87,6 +88,7 @@
         # Events that the attempt has received, and the framing of its answer.
         self.received = 0
         self.framing = ''
+        self._traits = request_traits(req)
         self._watch = self._new_watch()
 
     def progress(self) -> RequestProgress:
@@ -132,15 +134,15 @@
         elif step is not Step.FINISH:
             raise self._refusal(step, outcome)
 
-    def _new_watch(self) -> PromptWatch:
-        return PromptWatch(
-            self._context.guard, self._req.prompt_parts, self._context.clock
+    def _new_watch(self) -> RequestWatch:
+        return RequestWatch(
+            self._context.guard, self._traits, self._context.clock
         )
 
     def _refuse_quarantined(self) -> None:
-        """Raise ``RefusedError`` if the prompt can't be served for long."""
+        """Raise ``RefusedError`` if the request can't be served for long."""
         wall = self._context.clock.wall()
-        culprit = self._context.guard.find_refused(self._req.prompt_parts, wall)
+        culprit = self._context.guard.find_refused(self._traits, wall)
         if culprit is None:
             return
         reason = describe(culprit)
@@ -239,6 +241,7 @@
     async def _relay_whole(
         self, conn: UpstreamConnection, reply: Reply
     ) -> None:
+        self._watch.note_event()
         body = await conn.read_body(self._stall_timeout)
         if reply.status >= SERVER_ERROR or self._exchange.started:
             self._held_response = HeldResponse(reply, body)
--- a/gentiantrestle/gateway/quarantine/__init__.py
+++ b/gentiantrestle/gateway/quarantine/__init__.py
@@ -1,1 +1,1 @@
-"""Keeps prompts that crash upstreams away from them."""
+"""Keeps requests that crash upstreams away from them."""
--- a/gentiantrestle/gateway/quarantine/codec.py
+++ b/gentiantrestle/gateway/quarantine/codec.py
@@ -1,7 +1,8 @@
 """Encodes and decodes findings about crashes; no I/O."""
 
 from gentiantrestle.gateway.quarantine.culprits import Crash
-from gentiantrestle.gateway.quarantine.evidence import Findings, SoundPart
+from gentiantrestle.gateway.quarantine.evidence import Findings
+from gentiantrestle.gateway.quarantine.sound import SoundTrait
 from gentiantrestle.wire.peer import ttypes
 
 
@@ -11,11 +12,11 @@
         return None
     crashes = [
         ttypes.Crash(
-            crash.upstream, crash.at, sorted(map(sorted, crash.prompts))
+            crash.upstream, crash.at, sorted(map(sorted, crash.suspects))
         )
         for crash in findings.crashes
     ]
-    sound = [ttypes.SoundPart(part, at) for part, at in findings.sound]
+    sound = [ttypes.SoundPart(trait, at) for trait, at in findings.sound]
     return ttypes.Findings(crashes, sound)
 
 
@@ -23,11 +24,12 @@
     """Decode findings, or what a sender without any has sent."""
     if packed is None:
         return Findings()
+    # On the wire, traits are called after the parts of prompts.
     crashes = (
         Crash(
             crash.upstream, crash.at, frozenset(map(frozenset, crash.prompts))
         )
         for crash in packed.crashes
     )
-    sound = (SoundPart(known.part, known.at) for known in packed.sound)
+    sound = (SoundTrait(known.part, known.at) for known in packed.sound)
     return Findings(tuple(crashes), tuple(sound))
--- a/gentiantrestle/gateway/quarantine/culprits.py
+++ b/gentiantrestle/gateway/quarantine/culprits.py
@@ -1,8 +1,8 @@
-"""Finds the prompt parts that crash upstreams; no I/O.
+"""Finds the traits of requests that crash upstreams; no I/O.
 
 Several requests run on an upstream when it ends, and all but one are victims.
-The cause is among those that were beginning their answers, and it is the part
-that recurs from one crash to the next. Parts of answers that were completed
+The cause is among those whose answers had hardly begun, and it is the trait
+that recurs from one crash to the next. Traits of answers that were completed
 elsewhere are sound and don't count.
 """
 
@@ -10,49 +10,50 @@
 from collections.abc import Collection, Iterable, Iterator
 from typing import NamedTuple, TypeAlias
 
-Prompt: TypeAlias = frozenset[str]
+# The traits of one request.
+Traits: TypeAlias = frozenset[str]
 
-# A request is sent to two upstreams at the most that end under it, so that one
-# request alone never makes its parts suspicious.
+# A request is sent to two upstreams at the most that end under it, so that it
+# becomes no culprit by its own attempts.
 MIN_CRASHES = 3
 
 
 class Crash(NamedTuple):
-    """The end of an upstream under requests that began their answers.
+    """The end of an upstream under requests whose answers had hardly begun.
 
     ``upstream`` names one run of it, ``at`` is a wall-clock time in whole s.
-    ``prompts`` are the parts of these requests.
+    ``suspects`` are the traits of these requests.
     """
 
     upstream: str
     at: int
-    prompts: frozenset[Prompt]
+    suspects: frozenset[Traits]
 
     @property
-    def parts(self) -> Prompt:
-        """Return the parts of all prompts together."""
-        return frozenset().union(*self.prompts)
+    def traits(self) -> Traits:
+        """Return the traits of all suspects together."""
+        return frozenset().union(*self.suspects)
 
     def without(self, sound: Collection[str]) -> 'Crash':
-        """Return the crash without the parts that are known to be sound."""
+        """Return the crash without the traits that are known to be sound."""
         stripped = {
-            frozenset(part for part in prompt if part not in sound)
-            for prompt in self.prompts
+            frozenset(trait for trait in suspect if trait not in sound)
+            for suspect in self.suspects
         }
-        return self._replace(prompts=frozenset(stripped - {frozenset()}))
+        return self._replace(suspects=frozenset(stripped - {frozenset()}))
 
-    def involves(self, parts: Prompt) -> bool:
-        """Return whether one of the prompts holds all these parts."""
-        return any(parts <= prompt for prompt in self.prompts)
+    def involves(self, traits: Traits) -> bool:
+        """Return whether one of the suspects has all these traits."""
+        return any(traits <= suspect for suspect in self.suspects)
 
 
 class Culprit(NamedTuple):
-    """Parts that crash upstreams when one prompt holds them all.
+    """Traits that crash upstreams when one request has them all.
 
     ``last`` is the wall-clock time in s of the last of the ``crashes``.
     """
 
-    parts: Prompt
+    traits: Traits
     crashes: int
     last: int
 
@@ -60,42 +61,42 @@
 def find_culprits(crashes: Iterable[Crash]) -> Iterator[Culprit]:
     """Yield what explains the crashes, the most frequent cause first.
 
-    Parts known to be sound must have been left out.
+    Traits known to be sound must have been left out.
     """
     unexplained = list(crashes)
     while True:
-        parts = _most_frequent(unexplained)
-        if parts is None:
+        traits = _most_frequent(unexplained)
+        if traits is None:
             return
-        explained = [crash for crash in unexplained if crash.involves(parts)]
+        explained = [crash for crash in unexplained if crash.involves(traits)]
         last = max(crash.at for crash in explained)
-        yield Culprit(parts, len(explained), last)
+        yield Culprit(traits, len(explained), last)
         unexplained = [
-            crash for crash in unexplained if not crash.involves(parts)
+            crash for crash in unexplained if not crash.involves(traits)
         ]
 
 
-def _most_frequent(crashes: list[Crash]) -> Prompt | None:
-    counts = Counter(part for crash in crashes for part in crash.parts)
+def _most_frequent(crashes: list[Crash]) -> Traits | None:
+    counts = Counter(trait for crash in crashes for trait in crash.traits)
     most = max(counts.values(), default=0)
     if most < MIN_CRASHES:
         return None
-    suspects = {
-        _companions(part, crashes)
-        for part, times in counts.items()
+    hypotheses = {
+        _companions(trait, crashes)
+        for trait, times in counts.items()
         if times == most
     }
     # Of equal hypotheses the most specific one concerns the fewest requests;
     # if it is wrong, the next crash tells.
-    return max(suspects, key=lambda parts: (len(parts), sorted(parts)))
+    return max(hypotheses, key=lambda traits: (len(traits), sorted(traits)))
 
 
-def _companions(part: str, crashes: Iterable[Crash]) -> Prompt:
-    """Return the parts of all prompts with ``part``, itself included."""
-    prompts = [
-        prompt
+def _companions(trait: str, crashes: Iterable[Crash]) -> Traits:
+    """Return the traits of all suspects with ``trait``, itself included."""
+    suspects = [
+        suspect
         for crash in crashes
-        for prompt in crash.prompts
-        if part in prompt
+        for suspect in crash.suspects
+        if trait in suspect
     ]
-    return frozenset.intersection(*prompts)
+    return frozenset.intersection(*suspects)
--- a/gentiantrestle/gateway/quarantine/evidence.py
+++ b/gentiantrestle/gateway/quarantine/evidence.py
@@ -1,45 +1,37 @@
-"""What an instance knows of crashes and of sound prompt parts; no I/O.
+"""What an instance knows of crashes and of sound traits; no I/O.
 
 Instances exchange their findings and merge them, so that all of them draw the
 same conclusions, also those that have just started. Times are wall-clock times
 in s: they are compared between instances, and in minutes only.
 """
 
-from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
 from gentiantrestle.gateway.quarantine.culprits import (
     Crash,
     Culprit,
-    Prompt,
+    Traits,
     find_culprits,
 )
+from gentiantrestle.gateway.quarantine.sound import SoundTrait, SoundTraits
 
 CRASH_LIFETIME = 3600  # seconds that a crash is remembered
 # Crashes that explain nothing yet are passed on for this long.
 SHARING_TIME = 60  # seconds
-# A part may begin to crash upstreams after a change of their software.
-SOUND_LIFETIME = 120  # seconds after a complete answer
 SOUND_STEP = 15  # seconds; rounds the times that are passed on
 MAX_CRASHES = 64
-MAX_PROMPTS = 32  # of one crash
-MAX_SOUND_PARTS = 8192
+MAX_SUSPECTS = 32  # of one crash
+# All findings have to fit into one datagram.
+MAX_SHARED_TRAITS = 1200
 REFRESH_INTERVAL = 1  # seconds until conclusions are drawn again
 
 
-class SoundPart(NamedTuple):
-    """A part of a prompt, and when an answer to it was completed."""
-
-    part: str
-    at: int
-
-
 class Findings(NamedTuple):
     """What one instance tells the others."""
 
     crashes: tuple[Crash, ...] = ()
-    sound: tuple[SoundPart, ...] = ()
+    sound: tuple[SoundTrait, ...] = ()
 
 
 NO_FINDINGS = Findings()
@@ -54,29 +46,29 @@
 
 
 class Evidence:
-    """Crashes and sound parts, own and of other instances."""
+    """Crashes and sound traits, own and of other instances."""
 
     def __init__(self) -> None:
         """Know nothing."""
         self._crashes: dict[str, Crash] = {}
-        self._sound: OrderedDict[str, float] = OrderedDict()
+        self._sound = SoundTraits()
         self._conclusions: Conclusions | None = None
         # Called with each crash that was not known.
         self.on_crash: Callable[[Crash], None] = _ignore
 
-    def add_crash(self, upstream: str, prompt: Prompt, wall: float) -> None:
-        """Note that an upstream ended while it began to answer a prompt."""
-        self._add(Crash(upstream, int(wall), frozenset((prompt,))), wall)
+    def add_crash(self, upstream: str, suspect: Traits, wall: float) -> None:
+        """Note that an upstream ended while it began to answer a request."""
+        self._add(Crash(upstream, int(wall), frozenset((suspect,))), wall)
 
-    def note_sound(self, parts: Iterable[str], wall: float) -> None:
-        """Note that an answer to a prompt with these parts was completed."""
-        for part in parts:
-            self._set_sound(part, wall)
+    def note_sound(self, traits: Iterable[str], wall: float) -> None:
+        """Note that an answer to a request with these traits was completed."""
+        for trait in traits:
+            self._sound.note(trait, wall)
 
     def merge(self, findings: Findings, wall: float) -> None:
         """Add what another instance knows."""
-        for part, at in findings.sound:
-            self._set_sound(part, min(at, wall))
+        for trait, at in findings.sound:
+            self._sound.note(trait, min(at, wall))
         for crash in findings.crashes:
             # The clock of another instance may be ahead.
             seen_at = min(crash.at, int(wall))
@@ -95,21 +87,15 @@
             return NO_FINDINGS
         return self._conclude(wall).findings
 
-    def _set_sound(self, part: str, at: float) -> None:
-        known = self._sound.pop(part, at)
-        self._sound[part] = max(known, at)
-        if len(self._sound) > MAX_SOUND_PARTS:
-            self._sound.popitem(last=False)
-
     def _add(self, crash: Crash, wall: float) -> None:
         known = self._crashes.get(crash.upstream)
         merged = crash
         if known is not None:
-            prompts = known.prompts | crash.prompts
+            suspects = known.suspects | crash.suspects
             merged = Crash(
                 crash.upstream,
                 min(known.at, crash.at),
-                frozenset(sorted(prompts, key=sorted)[:MAX_PROMPTS]),
+                frozenset(sorted(suspects, key=sorted)[:MAX_SUSPECTS]),
             )
         if merged == known:
             return
@@ -152,20 +138,16 @@
         return find_culprits(self._stripped(wall))
 
     def _stripped(self, wall: float) -> Iterator[Crash]:
-        """Yield the crashes without sound parts."""
-        sound = self._sound_suspects(wall)
+        """Yield the crashes without sound traits."""
+        sound = {known.trait for known in self._sound_suspects(wall)}
         return (crash.without(sound) for crash in self._crashes.values())
 
-    def _sound_suspects(self, wall: float) -> dict[str, float]:
-        """Return the sound ones of the parts that occur in crashes."""
+    def _sound_suspects(self, wall: float) -> Iterator[SoundTrait]:
+        """Yield the sound ones of the traits that occur in crashes."""
         suspects = frozenset().union(
-            *(crash.parts for crash in self._crashes.values())
+            *(crash.traits for crash in self._crashes.values())
         )
-        return {
-            part: self._sound[part]
-            for part in suspects
-            if wall - self._sound.get(part, float('-inf')) < SOUND_LIFETIME
-        }
+        yield from self._sound.select(suspects, wall)
 
     def _select_findings(
         self, culprits: tuple[Culprit, ...], wall: float
@@ -178,25 +160,39 @@
             for crash in self._stripped(wall)
         )
         sound = (
-            SoundPart(part, int(at // SOUND_STEP * SOUND_STEP))
-            for part, at in self._sound_suspects(wall).items()
+            SoundTrait(trait, int(at // SOUND_STEP * SOUND_STEP))
+            for trait, at in self._sound_suspects(wall)
+        )
+        chosen = sorted(
+            (crash for crash in crashes if crash.suspects),
+            key=lambda crash: (_supports(crash, culprits), crash.at, crash),
+            reverse=True,
         )
         return Findings(
-            tuple(sorted(crash for crash in crashes if crash.prompts)),
-            tuple(sorted(sound)),
+            tuple(sorted(_take(chosen, MAX_SHARED_TRAITS))),
+            tuple(sorted(sound))[:MAX_SHARED_TRAITS],
         )
 
 
+def _take(crashes: Iterable[Crash], traits: int) -> Iterator[Crash]:
+    """Yield the first crashes that have so many traits in all."""
+    for crash in crashes:
+        traits -= sum(map(len, crash.suspects))
+        if traits < 0:
+            return
+        yield crash
+
+
 def _supports(crash: Crash, culprits: Iterable[Culprit]) -> bool:
-    return any(crash.involves(culprit.parts) for culprit in culprits)
+    return any(crash.involves(culprit.traits) for culprit in culprits)
 
 
 def _reduce(crash: Crash, culprits: Iterable[Culprit]) -> Crash:
     """Return a crash with nothing but the culprits that it shows."""
     shown = (
-        culprit.parts for culprit in culprits if crash.involves(culprit.parts)
+        culprit.traits for culprit in culprits if crash.involves(culprit.traits)
     )
-    return crash._replace(prompts=frozenset(shown))
+    return crash._replace(suspects=frozenset(shown))
 
 
 def _ignore(crash: Crash) -> None:
--- a/gentiantrestle/gateway/quarantine/traits.py
+++ b/gentiantrestle/gateway/quarantine/traits.py
@@ -1,6 +1,7 @@
 """What may make requests crash upstreams, and recurs among them; no I/O.
 
-A trait is a shared part of the prompt, or a fingerprint of the request.
+A trait is a shared part of the prompt, or a fingerprint of the request. A
+fingerprint has a colon, which sets it apart from the ids of prompt parts.
 """
 
 import hashlib
@@ -8,18 +9,36 @@
 from gentiantrestle.gateway.model import Request
 
 FINGERPRINT_SIZE = 8  # bytes
+CREDENTIALS = b'authorization'
 
 
-def path_fingerprint(req: Request) -> str:
-    """Return what is equal for requests with the same path and body.
+def request_traits(req: Request) -> tuple[str, ...]:
+    """Return the traits of a caller's request.
 
-    The colon sets it apart from the ids of prompt parts, which have none.
+    A request recurs with the same path and body. Where sound requests share
+    these, its query and its caller's credentials tell it from them.
     """
+    query = req.target.partition('?')[2]
+    credentials = dict(req.headers).get(CREDENTIALS, b'')
+    traits = (*req.prompt_parts, path_fingerprint(req))
+    if not query and not credentials:
+        return traits
+    fields = (req.method, req.host, req.target, credentials.decode('latin-1'))
+    return (*traits, f'request:{_digest(fields, req.body)}')
+
+
+def path_fingerprint(req: Request) -> str:
+    """Return what is equal for requests with the same path and body."""
     path = req.target.partition('?')[0]
     fields = (req.method, req.host, path)
     return f'path:{_digest(fields, req.body)}'
 
 
+def is_fingerprint(trait: str) -> bool:
+    """Return whether a trait stands for a whole request."""
+    return ':' in trait
+
+
 def _digest(fields: tuple[str, ...], body: bytes) -> str:
     hashed = hashlib.blake2b(digest_size=FINGERPRINT_SIZE)
     # No field of a request's head can hold a zero byte.
--- a/gentiantrestle/gateway/quarantine/watch.py
+++ b/gentiantrestle/gateway/quarantine/watch.py
@@ -1,35 +1,35 @@
-"""Follows one attempt on an upstream, for what it says about its prompt."""
+"""Follows one attempt on an upstream, for what it says about its request."""
 
 from gentiantrestle.gateway.batch.context import Clock
 from gentiantrestle.gateway.model import Upstream
-from gentiantrestle.gateway.quarantine.guard import PromptGuard
+from gentiantrestle.gateway.quarantine.guard import RequestGuard
 
-# An upstream that a prompt crashes ends while it begins the answer. Its first
-# events may still arrive.
-OPENING_TIME = 0.3  # seconds after the first event
+# An upstream that a request crashes ends while it begins the answer. Its first
+# events, or the head of a plain answer, may still arrive.
+OPENING_TIME = 0.3  # seconds after the first event, or the head
 SOUND_AFTER = 1.0  # seconds after the first event
 
 
-class PromptWatch:
+class RequestWatch:
     """One attempt; all attempts pass ``check`` before they are sent."""
 
     def __init__(
-        self, guard: PromptGuard, parts: tuple[str, ...], clock: Clock
+        self, guard: RequestGuard, traits: tuple[str, ...], clock: Clock
     ) -> None:
-        """Watch a request whose prompt has these shared parts."""
+        """Watch a request, or an item of a job, with these traits."""
         self._guard = guard
-        self._parts = parts
+        self._traits = traits
         self._clock = clock
         self._began_at: float | None = None
         self._sound = False
 
     def check(self) -> None:
         """Raise ``QuarantinedError`` if the request must not be sent."""
-        if self._parts:
-            self._guard.check(self._parts, self._clock.wall())
+        if self._traits:
+            self._guard.check(self._traits, self._clock.wall())
 
     def note_event(self) -> None:
-        """Note that an event of the answer has arrived."""
+        """Note that an event, or the head of a plain answer, has arrived."""
         now = self._clock.now()
         if self._began_at is None:
             self._began_at = now
@@ -40,12 +40,12 @@
         """Note that the answer is complete, or well under way."""
         if not self._sound:
             self._sound = True
-            self._guard.evidence.note_sound(self._parts, self._clock.wall())
+            self._guard.evidence.note_sound(self._traits, self._clock.wall())
 
     @property
     def is_opening(self) -> bool:
         """Return whether the answer was only just beginning."""
-        if not self._parts or self._sound:
+        if not self._traits or self._sound:
             return False
         if self._began_at is None:
             return True
@@ -55,6 +55,6 @@
         """Note that the upstream ended while the answer was beginning."""
         self._guard.evidence.add_crash(
             f'{upstream.id}/{upstream.incarnation}',
-            frozenset(self._parts),
+            frozenset(self._traits),
             self._clock.wall(),
         )
--- a/gentiantrestle/gateway/retry_policy.py
+++ b/gentiantrestle/gateway/retry_policy.py
@@ -19,7 +19,7 @@
     ``FAILED``: the upstream answered with an error.
     ``LOST``: no complete genuine response came; it may have been executed.
     ``EXPIRED``: the request's deadline passed.
-    ``QUARANTINED``: it was not sent, because its prompt crashes upstreams.
+    ``QUARANTINED``: it was not sent, because such requests crash upstreams.
     """
 
     DONE = 'done'
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -243,8 +243,8 @@
             ('active', 'Requests in flight.', self._count_active),
             ('waiting', 'Requests waiting for a slot.', self._count_waiting),
             (
-                'quarantined_prompts',
-                'Prompt parts, or sets of them, that crash upstreams.',
+                'quarantined_requests',
+                'Traits, or sets of them, of requests that crash upstreams.',
                 count_quarantined,
             ),
             (
--- a/gentiantrestle/gateway/upstream_connection.py
+++ b/gentiantrestle/gateway/upstream_connection.py
@@ -8,7 +8,7 @@
 
 from gentiantrestle.gateway.model import Upstream
 from gentiantrestle.gateway.ports import Dialect, Reply
-from gentiantrestle.gateway.quarantine.watch import PromptWatch
+from gentiantrestle.gateway.quarantine.watch import RequestWatch
 from gentiantrestle.http.link import (
     Link,
     LinkLostError,
@@ -45,7 +45,7 @@
     This way bytes of one response can't be taken for part of another.
     """
 
-    def __init__(self, dialect: Dialect, watch: PromptWatch) -> None:
+    def __init__(self, dialect: Dialect, watch: RequestWatch) -> None:
         """Decode responses with ``dialect``; ``connect`` opens the link.
 
         Nothing is sent that ``watch`` holds back.
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -109,21 +109,22 @@
   14: required i32 age,
 }
 
-/* The end of an upstream's run, and the prompts that it began to answer then,
- * as the ids of their parts; times are wall-clock times in s. */
+/* The end of an upstream's run, and the requests that it began to answer then,
+ * each as a list of its traits: ids of prompt parts, and fingerprints; times are
+ * wall-clock times in s. */
 struct Crash {
   1: required string upstream,
   2: required i64 at,
   3: required list<list<string>> prompts,
 }
 
-/* A part of a prompt that was answered completely. */
+/* A trait of a request that was answered completely. */
 struct SoundPart {
   1: required string part,
   2: required i64 at,
 }
 
-/* What the sender knows of prompts that crash upstreams. */
+/* What the sender knows of requests that crash upstreams. */
 struct Findings {
   1: required list<Crash> crashes,
   2: required list<SoundPart> sound,
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -16,17 +16,19 @@
 from gentiantrestle.gateway.quarantine.evidence import (
     CRASH_LIFETIME,
     MAX_CRASHES,
-    MAX_PROMPTS,
-    MAX_SOUND_PARTS,
+    MAX_SUSPECTS,
     NO_FINDINGS,
     SHARING_TIME,
-    SOUND_LIFETIME,
     Evidence,
 )
 from gentiantrestle.gateway.quarantine.guard import (
     TRIAL_INTERVAL,
-    PromptGuard,
     QuarantinedError,
+    RequestGuard,
+)
+from gentiantrestle.gateway.quarantine.sound import (
+    MAX_SOUND,
+    SOUND_LIFETIME,
 )
 from gentiantrestle.gateway.retry_policy import (
     MAX_CRASHES as MAX_CRASHES_OF_REQUEST,
@@ -48,7 +50,7 @@
 
 def culprits(*crashes: Crash) -> list[str]:
     """Return the culprits as sorted strings of parts."""
-    return [''.join(sorted(found.parts)) for found in find_culprits(crashes)]
+    return [''.join(sorted(found.traits)) for found in find_culprits(crashes)]
 
 
 def crashed(count: int, *prompts: str, first: int = 0) -> Iterable[Crash]:
@@ -66,13 +68,13 @@
 def add(evidence: Evidence, *crashes: Crash) -> None:
     """Add crashes as an instance that sees them does."""
     for seen in crashes:
-        for prompt in seen.prompts:
-            evidence.add_crash(seen.upstream, prompt, seen.at)
+        for suspect in seen.suspects:
+            evidence.add_crash(seen.upstream, suspect, seen.at)
 
 
-def make_guard(*crashes: Crash, elected: bool = True) -> PromptGuard:
+def make_guard(*crashes: Crash, elected: bool = True) -> RequestGuard:
     """Return the guard of an instance that has seen crashes."""
-    return PromptGuard(filled(*crashes), lambda key: elected)
+    return RequestGuard(filled(*crashes), lambda key: elected)
 
 
 @pytest.mark.parametrize(
@@ -104,7 +106,7 @@
 def test_sound_part_is_not_quarantined_with_its_neighbour() -> None:
     evidence = filled(*crashed(MIN_CRASHES, 'fx', 'f', 'fv'))
     evidence.note_sound('fv', START)
-    assert [found.parts for found in evidence.culprits(START)] == [
+    assert [found.traits for found in evidence.culprits(START)] == [
         frozenset('x')
     ]
 
@@ -122,7 +124,7 @@
     restarted = Evidence()
     packed = pack_findings(informed.findings(START + SHARING_TIME + 1))
     restarted.merge(unpack_findings(packed), START)
-    assert [found.parts for found in restarted.culprits(START)] == [
+    assert [found.traits for found in restarted.culprits(START)] == [
         frozenset('x')
     ]
 
@@ -161,13 +163,13 @@
     evidence = filled(*crashed(MIN_CRASHES, 'x'))
     for number in range(2 * MAX_CRASHES):
         evidence.add_crash(f'other{number}', frozenset((str(number),)), START)
-    for number in range(2 * MAX_PROMPTS):
+    for number in range(2 * MAX_SUSPECTS):
         evidence.add_crash('large', frozenset((str(number),)), START)
-    evidence.note_sound(map(str, range(2 * MAX_SOUND_PARTS)), START - 999)
+    evidence.note_sound(map(str, range(2 * MAX_SOUND)), START - 999)
     found = evidence.findings(START)
     assert len(found.crashes) <= MAX_CRASHES
-    assert max(len(one.prompts) for one in found.crashes) <= MAX_PROMPTS
-    assert [one.parts for one in evidence.culprits(START)] == [frozenset('x')]
+    assert max(len(one.suspects) for one in found.crashes) <= MAX_SUSPECTS
+    assert [one.traits for one in evidence.culprits(START)] == [frozenset('x')]
 
 
 def test_prompt_with_all_parts_of_a_culprit_is_held_back() -> None:
--- a/tests/gateway/test_quarantine_load.py
+++ b/tests/gateway/test_quarantine_load.py
@@ -2,19 +2,26 @@
 
 import pytest
 
-from benchmarks.quarantine_arms import Plan, play
+from benchmarks.quarantine_arms import (
+    CRASHING_PART,
+    CRASHING_REQUEST,
+    Plan,
+    play,
+)
 
-MAX_LATE = 3  # crashing requests sent later than 4 s after the fifth crash
+MAX_LATE = 3  # crashing requests sent later than 4 s after the last free crash
 MIN_SOUND_SHARE = 0.5  # of those served with perfect knowledge
 
 
 @pytest.mark.parametrize('seed', range(4))
 @pytest.mark.parametrize('rate', [0.5, 2, 6])
 @pytest.mark.parametrize('families', [1, 40])
-def test_crashing_prompts_are_held_back_and_sound_ones_served(
-    seed: int, rate: float, families: int
+@pytest.mark.parametrize('culprit', [CRASHING_PART, CRASHING_REQUEST])
+def test_crashing_requests_are_held_back_and_sound_ones_served(
+    seed: int, rate: float, families: int, culprit: str
 ) -> None:
-    plan = Plan(crashing_rate=rate, families=families, seed=seed)
+    plan = Plan('rule', culprit, crashing_rate=rate, families=families)
+    plan = plan._replace(seed=seed)
     played = play(plan)
     bound = play(plan._replace(arm='perfect'))
     assert played.late <= MAX_LATE
@@ -22,5 +29,12 @@
     assert played.counts['served'] >= served
 
 
-def test_without_a_rule_crashing_prompts_go_on_ending_upstreams() -> None:
-    assert play(Plan('no rule')).late > MAX_LATE
+@pytest.mark.parametrize('culprit', [CRASHING_PART, CRASHING_REQUEST])
+def test_without_a_rule_crashing_requests_go_on_ending_upstreams(
+    culprit: str,
+) -> None:
+    assert play(Plan('no rule', culprit)).late > MAX_LATE
+
+
+def test_parts_alone_do_not_show_which_request_crashes_upstreams() -> None:
+    assert play(Plan('parts only', CRASHING_REQUEST)).late > MAX_LATE
