An instance that starts waits 2 s to hear from the others, not 0.5 s

Cause: an instance that hears of no other for 0.5 s takes itself for alone, and busy or paused instances answer later than that. Why this works: what it doesn't know can't harm while it doesn't serve; it answers 503 and isn't ready, so callers go elsewhere. One without other seeds serves at once, before after 0.5 s. Ruled out: asking the seeds by TCP first (a stopped process still accepts). Remains: who hears nobody for 2 s.

--- a/gentiantrestle/gateway/peering.py
+++ b/gentiantrestle/gateway/peering.py
@@ -27,7 +27,9 @@
 # An instance that has just started knows of few slots in use, so that it
 # coordinates none for this long if another one can.
 START_TIME = 1.0  # seconds
-LEARNING_TIME = 0.5  # seconds that an instance waits to hear from others
+# Instances that are busy, or stood still, may take long to answer; callers are
+# sent elsewhere meanwhile.
+LEARNING_TIME = 2.0  # seconds that an instance waits to hear from others
 
 
 class PeeringParts(NamedTuple):
@@ -58,6 +60,7 @@
         reaches it.
         """
         self._identity = identity
+        self._peers = peers
         self._parts = parts
         self._is_connected = is_connected
         self._clock = clock
@@ -82,10 +85,11 @@
     def is_informed(self) -> bool:
         """Return whether this instance knows what the others know.
 
-        One that hears of no other soon after its start is alone.
+        One that has no others to ask, or hears of none for long, is alone.
         """
-        uptime = self._clock.now() - self._started
-        return self._parts.membership.has_heard or uptime > LEARNING_TIME
+        if self._parts.membership.has_heard or not self._peers.seeds:
+            return True
+        return self._clock.now() - self._started > LEARNING_TIME
 
     def children(self) -> Iterator[Child]:
         """Yield the tasks that the supervisor runs."""
--- a/tests/gateway/crowd.py
+++ b/tests/gateway/crowd.py
@@ -37,21 +37,25 @@
         self._restarts: dict[int, asyncio.Task[None]] = {}
 
     async def send(
-        self, path: str, *parts: str, body: Any = STREAM_BODY
+        self,
+        path: str,
+        *parts: str,
+        body: Any = STREAM_BODY,
+        entry: int | None = None,
     ) -> Sent:
-        """Send a request with these parts and one of its own."""
+        """Send a request with these parts and one of its own.
+
+        It goes to ``entry``, or else to the running ones in turn.
+        """
         number = next(self._numbers)
-        entries = [
-            entry
-            for entry, child in enumerate(self.fleet.entries)
-            if child.running
-        ]
+        if entry is None:
+            entry = self._next_entry(number)
         prompt = ','.join(f'{part}:10' for part in (*parts, f'own{number}'))
         headers = {'X-Prompt-Prefix': prompt}
         at = time.time()
         try:
             reply: Reply = await self.fleet.request(
-                entries[number % len(entries)],
+                entry,
                 f'r{number}',
                 path,
                 dict(body),
@@ -104,6 +108,14 @@
         keeper.cancel()
         await asyncio.gather(*self._restarts.values())
 
+    def _next_entry(self, number: int) -> int:
+        running = [
+            entry
+            for entry, child in enumerate(self.fleet.entries)
+            if child.running
+        ]
+        return running[number % len(running)]
+
     async def _restart(self, number: int) -> None:
         await asyncio.sleep(RESTART_DELAY)
         await self.fleet.start_upstream(number)
--- a/tests/gateway/test_process_crashes.py
+++ b/tests/gateway/test_process_crashes.py
@@ -1,24 +1,38 @@
 """A prompt part that crashes upstreams, with real processes."""
 
 import asyncio
+import signal
 import time
 from collections.abc import AsyncIterator
 from pathlib import Path
 
 import pytest
 
-from tests.gateway.crowd import CONTACT_TIME, CRASHING, Crowd, served_share
-from tests.gateway.fleet import GatewayFleet
+from tests.gateway.crowd import (
+    CONTACT_TIME,
+    CRASHING,
+    SYSTEM,
+    Crowd,
+    served_share,
+)
+from tests.gateway.fleet import Child, GatewayFleet
 
 ENTRIES = 3
 UPSTREAMS = 5
 FREE_ENDS = 5
 MAX_SENT = 3  # crashing requests sent to upstreams later than that
 MIN_SOUND_SHARE = 0.5  # of the share without crashes
+PAUSE = 1.5  # seconds that the other instances stand still
 CRASHING_INTERVAL = 0.25  # seconds
 SOUND_INTERVAL = 0.1  # seconds
 
 
+def resume(children: list[Child]) -> None:
+    """Let processes go on that were stopped."""
+    for child in children:
+        child.process.send_signal(signal.SIGCONT)
+
+
 @pytest.fixture(params=[0, 1], ids=['at once', 'after an event'])
 async def crowd(
     request: pytest.FixtureRequest, tmp_path: Path
@@ -57,6 +71,26 @@
     assert share >= MIN_SOUND_SHARE * served_share(calm)
 
 
+async def test_restarted_instance_waits_for_others_that_answer_late(
+    crowd: Crowd,
+) -> None:
+    await crowd.send_each(
+        CRASHING_INTERVAL, time.time() + 4, crowd.send_crashing
+    )
+    known = len(crowd.crashing_runs())
+    restarted, *others = crowd.fleet.entries
+    await restarted.end()
+    for child in others:
+        child.process.send_signal(signal.SIGSTOP)
+    await crowd.fleet.start_entry(0)
+    asyncio.get_running_loop().call_later(PAUSE, resume, others)
+    until = time.time() + PAUSE + 1
+    while time.time() < until:
+        await crowd.send('/chat/1', SYSTEM, CRASHING, entry=0)
+        await asyncio.sleep(0.01)
+    assert len(crowd.crashing_runs()) == known
+
+
 async def test_restarted_instance_learns_of_crashing_parts_before_it_serves(
     crowd: Crowd,
 ) -> None:
