Items with a quarantined part are tried again by whoever runs their job

Cause: a quarantined item waited for the elected instance to try such a prompt, for a minute and longer for each further crash; where only items have the part, an instance that doesn't run the job has nothing to try. Evidence: test_items_that_share_a_prompt_with_crashing_requests_are_completed failed with requests that crash and share no more than that part (18 s, its bound). Why this works: items don't crash upstreams by themselves, so a quarantine that meets one is probably wrong; the runner of its job tries one 8 s after the last crash or trial, and its completed answer frees the rest. If it is right, it costs one crash each 8 s for each instance that runs such jobs. Ruled out: exempting items (each would be repeated after its crash without bound).

--- a/gentiantrestle/gateway/batch/item_progress.py
+++ b/gentiantrestle/gateway/batch/item_progress.py
@@ -64,7 +64,7 @@
         Failures of the upstream are returned; only cancellation is raised.
         """
         parts = context.dialect.item_prompt_parts(self.spec)
-        watch = RequestWatch(context.guard, parts, context.clock)
+        watch = RequestWatch(context.guard, parts, context.clock, owed=True)
         conn = UpstreamConnection(context.dialect, watch)
         started = context.clock.now()
         before = len(self._texts)
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -108,14 +108,14 @@
     def _is_quarantined(self, queued: QueuedItem) -> bool:
         """Return whether an item has to wait, as its prompt crashes upstreams.
 
-        It waits until it is tried again, or until its retention is over.
+        It waits until this instance may try it again.
         """
         wall = self._context.clock.wall()
         guard = self._context.guard
         if not guard.evidence.culprits(wall):
             return False
         parts = self._context.dialect.item_prompt_parts(queued.spec)
-        return guard.find_refused(parts, wall) is not None
+        return guard.find_refused(parts, wall, owed=True) is not None
 
     def _wanted_slots(
         self, waiting: Iterable[QueuedItem]
--- a/gentiantrestle/gateway/quarantine/guard.py
+++ b/gentiantrestle/gateway/quarantine/guard.py
@@ -2,7 +2,8 @@
 
 A request with all traits of a culprit is refused. Since a conclusion can be
 wrong, one instance lets a single request through after a long time without a
-crash: if its answer is completed, the traits are sound again.
+crash: if its answer is completed, the traits are sound again. Accepted items
+are owed, so the instance that runs their job tries one sooner.
 """
 
 from collections.abc import Callable, Iterable
@@ -19,6 +20,7 @@
 # Time after the last crash until such a request is tried again; longer by the
 # same time for each further crash.
 TRIAL_INTERVAL = 60  # seconds
+OWED_INTERVAL = 8  # seconds from the last crash or trial to that of an item
 
 
 class QuarantinedError(Exception):
@@ -59,26 +61,31 @@
                 return culprit
         return None
 
-    def check(self, traits: Iterable[str], wall: float) -> None:
-        """Raise ``QuarantinedError`` if a request must not be sent now."""
+    def check(
+        self, traits: Iterable[str], wall: float, *, owed: bool = False
+    ) -> None:
+        """Raise ``QuarantinedError`` if a request must not be sent now.
+
+        ``owed`` means that it is an item of an accepted job.
+        """
         culprit = self.find_culprit(traits, wall)
-        if culprit is not None and not self._may_try(culprit, wall):
+        if culprit is not None and not self._may_try(culprit, wall, owed):
             raise QuarantinedError(describe(culprit))
 
     def find_refused(
-        self, traits: Iterable[str], wall: float
+        self, traits: Iterable[str], wall: float, *, owed: bool = False
     ) -> Culprit | None:
         """Return the culprit for which a request is refused; None if it isn't.
 
         A request that is not refused may still be held back by ``check``.
         """
         culprit = self.find_culprit(traits, wall)
-        if culprit is None or self._is_trial_due(culprit, wall):
+        if culprit is None or self._is_trial_due(culprit, wall, owed):
             return None
         return culprit
 
-    def _may_try(self, culprit: Culprit, wall: float) -> bool:
-        if not self._is_trial_due(culprit, wall):
+    def _may_try(self, culprit: Culprit, wall: float, owed: bool) -> bool:
+        if not self._is_trial_due(culprit, wall, owed):
             return False
         current = {known.traits for known in self.evidence.culprits(wall)}
         self._trials = {
@@ -90,11 +97,13 @@
         events.emit(events.QUARANTINED_TRIED, traits=sorted(culprit.traits))
         return True
 
-    def _is_trial_due(self, culprit: Culprit, wall: float) -> bool:
+    def _is_trial_due(self, culprit: Culprit, wall: float, owed: bool) -> bool:
         """Return whether this instance is to try a request now."""
-        interval = TRIAL_INTERVAL * (culprit.crashes - MIN_CRASHES + 1)
         tried_at = self._trials.get(culprit.traits, culprit.last)
-        if wall - max(culprit.last, tried_at) < interval:
+        waited = wall - max(culprit.last, tried_at)
+        if owed:
+            return waited >= OWED_INTERVAL
+        if waited < TRIAL_INTERVAL * (culprit.crashes - MIN_CRASHES + 1):
             return False
         return self._is_elected(' '.join(sorted(culprit.traits)))
 
--- a/gentiantrestle/gateway/quarantine/watch.py
+++ b/gentiantrestle/gateway/quarantine/watch.py
@@ -14,10 +14,16 @@
     """One attempt; all attempts pass ``check`` before they are sent."""
 
     def __init__(
-        self, guard: RequestGuard, traits: tuple[str, ...], clock: Clock
+        self,
+        guard: RequestGuard,
+        traits: tuple[str, ...],
+        clock: Clock,
+        *,
+        owed: bool = False,
     ) -> None:
-        """Watch a request, or an item of a job, with these traits."""
+        """Watch a request, or an ``owed`` item of a job, with these traits."""
         self._guard = guard
+        self._owed = owed
         self._traits = traits
         self._clock = clock
         self._began_at: float | None = None
@@ -26,7 +32,7 @@
     def check(self) -> None:
         """Raise ``QuarantinedError`` if the request must not be sent."""
         if self._traits:
-            self._guard.check(self._traits, self._clock.wall())
+            self._guard.check(self._traits, self._clock.wall(), owed=self._owed)
 
     def note_event(self) -> None:
         """Note that an event, or the head of a plain answer, has arrived."""
--- a/tests/gateway/test_process_crashing_requests.py
+++ b/tests/gateway/test_process_crashing_requests.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import AsyncIterator
-from itertools import count
+from itertools import count, repeat
 from pathlib import Path
 
 import pytest
@@ -24,6 +24,7 @@
 CRASH_BODY = {'events': 5, 'crash': 0.04}
 REFUSED = 503
 ITEMS = 6
+FINISH_TIME = 18  # seconds after the last request within which jobs end
 
 
 @pytest.fixture
@@ -94,17 +95,20 @@
     assert_few_retries(crowd, sent)
 
 
-async def test_items_beside_a_crashing_request_are_completed(
-    crowd: Crowd,
+@pytest.mark.parametrize('recurs', [True, False])
+async def test_items_that_share_a_prompt_with_crashing_requests_are_completed(
+    crowd: Crowd, recurs: bool
 ) -> None:
+    numbers = repeat(0) if recurs else count()
+
     async def send_crashing() -> Sent:
-        return await crowd.send('/chat/1', SYSTEM, SESSION, body=CRASH_BODY)
+        body = {**CRASH_BODY, 'number': next(numbers)}
+        return await crowd.send('/chat/1', SYSTEM, SESSION, body=body)
 
     prompt = {'X-Prompt-Prefix': f'{SYSTEM}:10,{SESSION}:10,own:10'}
     job = job_doc('j', ITEMS, 40, headers=prompt)
+    await crowd.send_each(REPEAT_INTERVAL, time.time() + 5, send_crashing)
     await crowd.fleet.request(0, 'j', '/lists/1', job)
-    end = time.time() + 6
-    await crowd.send_each(REPEAT_INTERVAL, end, send_crashing)
 
     async def has_all_outputs() -> bool:
         reply = await crowd.fleet.request(
@@ -118,4 +122,4 @@
             for number in range(ITEMS)
         }
 
-    await until(has_all_outputs, 18)
+    await until(has_all_outputs, FINISH_TIME)
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -22,6 +22,7 @@
     Evidence,
 )
 from gentiantrestle.gateway.quarantine.guard import (
+    OWED_INTERVAL,
     TRIAL_INTERVAL,
     QuarantinedError,
     RequestGuard,
@@ -230,6 +231,18 @@
     guard.check('x', later + 2 * TRIAL_INTERVAL + 2)
 
 
+def test_any_instance_tries_an_owed_item_again_however_many_crashed() -> None:
+    guard = make_guard(*crashed(9, 'x'), elected=False)
+    later = START + OWED_INTERVAL
+    with pytest.raises(QuarantinedError):
+        guard.check('x', later - 1, owed=True)
+    assert guard.find_refused('x', later, owed=True) is None
+    guard.check('x', later, owed=True)
+    with pytest.raises(QuarantinedError):
+        guard.check('x', later + OWED_INTERVAL - 1, owed=True)
+    guard.check('x', later + OWED_INTERVAL, owed=True)
+
+
 def test_instance_that_is_not_elected_tries_nothing() -> None:
     guard = make_guard(*crashed(MIN_CRASHES, 'x'), elected=False)
     with pytest.raises(QuarantinedError):
