Soak: a request that crashes upstreams whenever it comes, answers without framing

Change: troubles 'repeating' (the same request with other ids, which shares its prompt's part with sound ones) and 'unframed' (a proxy that takes the framing from answers and breaks some off within an event). Proxies reset connections now where they say so; before, they closed them, which ends an answer without framing. Found by it: a caller of HTTP/1.0 that has left made the change of its connection's linger time fail with OSError; reset_on_close does nothing on a closing connection.

--- a/gentiantrestle/http/connection.py
+++ b/gentiantrestle/http/connection.py
@@ -207,14 +207,14 @@
     async def _send_stream(
         self, head: h11.Response, body: AsyncIterator[bytes]
     ) -> None:
-        sock = self._writer.get_extra_info('socket')
+        transport = self._writer.transport
         ends_by_close = self._h11.their_http_version < CHUNKED_SINCE
-        reset_on_close(sock, enabled=ends_by_close)
+        reset_on_close(transport, enabled=ends_by_close)
         async with aclosing(body) as parts:
             await self._write(self._h11.send(head))
             async for part in parts:
                 await self._write(self._h11.send(h11.Data(data=part)))
-        reset_on_close(sock, enabled=False)
+        reset_on_close(transport, enabled=False)
         await self._write(self._h11.send(h11.EndOfMessage()))
 
     async def _send_whole(self, head: h11.Response, body: bytes) -> None:
--- a/gentiantrestle/http/link.py
+++ b/gentiantrestle/http/link.py
@@ -147,8 +147,7 @@
     def reset_on_close(self, *, enabled: bool) -> None:
         """Let a close be a reset, for a body that ends with the connection."""
         if self._transport is not None:
-            sock = self._transport.get_extra_info('socket')
-            reset_on_close(sock, enabled=enabled)
+            reset_on_close(self._transport, enabled=enabled)
 
     def abort(self) -> None:
         """Close at once and drop unsent bytes: the peer sees the cut."""
@@ -186,15 +185,17 @@
     return link
 
 
-def reset_on_close(sock: socket.socket | None, *, enabled: bool) -> None:
-    """Let a close of the socket, also by the end of the process, reset it.
+def reset_on_close(transport: asyncio.BaseTransport, *, enabled: bool) -> None:
+    """Let a close of a connection, also by the end of the process, reset it.
 
     A body without length or chunks ends with its connection: only a reset tells
     its reader that it is not complete.
     """
-    if sock is not None:
+    if not transport.is_closing():
         linger = struct.pack('ii', enabled, 0)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        transport.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, linger
+        )
 
 
 def enable_keepalive(sock: socket.socket | None) -> None:
--- a/tests/interfaces/test_http.py
+++ b/tests/interfaces/test_http.py
@@ -157,6 +157,16 @@
         await send_raw(app.address, b'GET /cut HTTP/1.0\r\nHost: x\r\n\r\n')
 
 
+async def test_caller_without_chunks_may_leave_before_the_body(
+    app: App,
+) -> None:
+    _, writer = await asyncio.open_connection(*app.address)
+    writer.write(b'GET /endless HTTP/1.0\r\nHost: x\r\n\r\n')
+    await until(lambda: app.endless.bytes_read)
+    writer.transport.abort()
+    await until(lambda: app.endless.closed)
+
+
 @pytest.mark.parametrize('ended', [True, False])
 async def test_body_without_length_is_lost_if_its_server_ended_with_it(
     ended: bool,
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -71,16 +71,19 @@
             )
             await asyncio.sleep(self._rng.random() * 0.1)
 
-    async def stream(self, kind: str, part: str) -> None:
-        """Send a request for a stream whose prompt has a part."""
+    async def stream(
+        self, kind: str, label: str, prompt: str, body: Any
+    ) -> None:
+        """Send a request for a stream; its id has the label."""
+        headers = {'prompt': prompt} if prompt else {}
         await self._send(
             kind,
-            self._new_name(f'{kind}-{part}-'),
+            self._new_name(f'{kind}-{label}-'),
             self._choose_entry(),
             PATHS[kind],
-            {'events': MAX_EVENTS},
+            body,
             MAX_EVENTS,
-            prompt=f'system:9,{part}:9',
+            **headers,
         )
 
     async def jobs(self) -> None:
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -172,7 +172,7 @@
             for run in self.runs
             if run['id'] == req.id
             for crash in self.runs
-            if CRASHING in crash.get('prompt', '')
+            if is_crash(crash)
         )
 
     def accepted(self) -> set[str]:
@@ -184,6 +184,11 @@
         }
 
 
+def is_crash(run: dict[str, Any]) -> bool:
+    """Return whether a run is one of a request that crashes upstreams."""
+    return CRASHING in run.get('prompt', '') or '"crash"' in run.get('body', '')
+
+
 def _check(check: Check) -> Check:
     """Register a check."""
     CHECKS.append(check)
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -16,8 +16,14 @@
 from tests.soak.callers import Callers
 from tests.soak.faults import FAULTS, PLANNED, Fault
 from tests.soak.history import History
+from tests.soak.proxy import Proxy
 from tests.soak.soak_fleet import ENTRIES, UPSTREAMS, SoakFleet
-from tests.soak.troubles import TROUBLES, restart_upstreams, send_crashing
+from tests.soak.troubles import (
+    TROUBLES,
+    Trouble,
+    restart_upstreams,
+    send_crashing,
+)
 
 FAULT_TIME = 10.0  # seconds
 # No guarantee holds for an instance this soon after a fault that affected it.
@@ -52,10 +58,13 @@
 
 async def _play(seed: int, folder: Path, size: Size, trouble: str) -> History:
     rng = random.Random(seed)
-    fleet = SoakFleet(folder, size.entries, size.upstreams)
-    if trouble:
-        fleet.direct = True
-        fleet.upstream_words = TROUBLES[trouble].words
+    cause = TROUBLES.get(trouble, Trouble())
+    fleet = SoakFleet(
+        folder, size.entries, size.upstreams, cause.new_link or Proxy
+    )
+    fleet.upstream_words = cause.words
+    # A proxy accepts connections for an upstream that has ended.
+    fleet.direct = bool(trouble) and cause.new_link is None
     try:
         await fleet.start()
         await fleet.add_version()
@@ -74,8 +83,9 @@
     ]
     work += [callers.jobs, callers.jobs, callers.probes]
     keeper = asyncio.create_task(_keep_upstreams(fleet, trouble))
-    if trouble == 'crashing':
-        work.append(lambda: send_crashing(callers))
+    crash = TROUBLES.get(trouble, Trouble()).crash
+    if crash is not None:
+        work.append(lambda: send_crashing(callers, crash))
     tasks = [asyncio.create_task(caller()) for caller in work]
     await _inject_faults(fleet, rng, FAULTS, FAULT_TIME)
     await _clear_faults(fleet)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from gentiantrestle.http.link import reset_on_close
 from gentiantrestle.models import Address
 
 READ_SIZE = 65536  # bytes
@@ -10,7 +11,7 @@
 DOWN = 'down'
 
 
-class _ProxiedConnection:
+class ProxiedConnection:
     """One connection through the proxy, with the writers of both ends."""
 
     def __init__(self, writers: tuple[asyncio.StreamWriter, ...]) -> None:
@@ -18,10 +19,16 @@
         self.silent = False
 
     def abort(self) -> None:
-        """Reset both ends."""
+        """Close both ends at once."""
         for writer in self._writers:
             writer.transport.abort()
 
+    def reset(self) -> None:
+        """Reset both ends, which no reader takes for the end of an answer."""
+        for writer in self._writers:
+            reset_on_close(writer.transport, enabled=True)
+        self.abort()
+
 
 class Proxy:
     """Forwards connections to one address, subject to the faults set."""
@@ -30,7 +37,7 @@
         """Set no fault; the proxy doesn't listen yet."""
         self._listen = listen
         self._target = target
-        self._conns: set[_ProxiedConnection] = set()
+        self._conns: set[ProxiedConnection] = set()
         self._server: asyncio.Server | None = None
         self.delay = float(0)
         self.blocked: set[str] = set()  # directions in which no bytes pass
@@ -52,13 +59,42 @@
     def reset(self) -> None:
         """Reset every open connection."""
         for conn in tuple(self._conns):
-            conn.abort()
+            conn.reset()
 
     def silence(self) -> None:
         """Stop all bytes on open connections for good; new ones work."""
         for conn in self._conns:
             conn.silent = True
 
+    async def pump(
+        self,
+        direction: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        conn: ProxiedConnection,
+    ) -> None:
+        """Pass bytes on in one direction until they end."""
+        try:
+            while chunk := await reader.read(READ_SIZE):
+                await self.pass_on(direction, chunk, writer, conn)
+            writer.write_eof()
+        except OSError:
+            conn.abort()
+
+    async def pass_on(
+        self,
+        direction: str,
+        chunk: bytes,
+        writer: asyncio.StreamWriter,
+        conn: ProxiedConnection,
+    ) -> None:
+        """Write bytes as the faults allow."""
+        await asyncio.sleep(self.delay)
+        while conn.silent or direction in self.blocked:
+            await asyncio.sleep(POLL_INTERVAL)
+        writer.write(chunk)
+        await writer.drain()
+
     async def _accept(
         self,
         reader: asyncio.StreamReader,
@@ -69,14 +105,12 @@
         except OSError:
             writer.transport.abort()
             return
-        conn = _ProxiedConnection((writer, target_streams[1]))
+        conn = ProxiedConnection((writer, target_streams[1]))
         self._conns.add(conn)
         pumps = (
+            asyncio.create_task(self.pump(UP, reader, target_streams[1], conn)),
             asyncio.create_task(
-                self._pump(UP, reader, target_streams[1], conn)
-            ),
-            asyncio.create_task(
-                self._pump(DOWN, target_streams[0], writer, conn)
+                self.pump(DOWN, target_streams[0], writer, conn)
             ),
         )
         try:
@@ -87,27 +121,9 @@
             self._end(conn, pumps)
 
     def _end(
-        self, conn: _ProxiedConnection, pumps: tuple[asyncio.Task[None], ...]
+        self, conn: ProxiedConnection, pumps: tuple[asyncio.Task[None], ...]
     ) -> None:
         for pump in pumps:
             pump.cancel()
         self._conns.discard(conn)
         conn.abort()
-
-    async def _pump(
-        self,
-        direction: str,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        conn: _ProxiedConnection,
-    ) -> None:
-        try:
-            while chunk := await reader.read(READ_SIZE):
-                await asyncio.sleep(self.delay)
-                while conn.silent or direction in self.blocked:
-                    await asyncio.sleep(POLL_INTERVAL)
-                writer.write(chunk)
-                await writer.drain()
-            writer.write_eof()
-        except OSError:
-            conn.abort()
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -31,8 +32,12 @@
         folder: Path,
         entries: int = ENTRIES,
         upstreams: int = UPSTREAMS,
+        new_link: Callable[[Address, Address], Proxy] = Proxy,
     ) -> None:
-        """Choose the addresses; nothing is started yet."""
+        """Choose the addresses; nothing is started yet.
+
+        ``new_link`` makes the proxy before an upstream.
+        """
         super().__init__(folder, entries, upstreams)
         ports = free_ports(entries + upstreams)
         addresses = [Address(HOST, port) for port in ports]
@@ -40,7 +45,7 @@
             Proxy(address, self.store) for address in addresses[:entries]
         ]
         self.upstream_links = [
-            Proxy(address, target)
+            new_link(address, target)
             for address, target in zip(
                 addresses[entries:], self.upstreams, strict=True
             )
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -1,17 +1,28 @@
-"""Upstreams in trouble during a whole play: they crash, or name a limit.
+"""Upstreams in trouble during a whole play.
 
-The entries reach the upstreams without proxies then: a proxy accepts
-connections for an upstream that has ended.
+They crash on a part of prompts, or on one request whenever it comes, name a
+limit, or answer without framing. Where they crash, the entries reach them
+without proxies: a proxy accepts connections for an upstream that has ended.
 """
 
 import asyncio
+import random
 from collections import Counter
-from collections.abc import Iterator
-from typing import NamedTuple
-
-from tests.soak.callers import Callers
-from tests.soak.history import APPLY_TIME, CRASHING, OK, History
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
+
+from gentiantrestle.models import Address
+from tests.soak.callers import MAX_EVENTS, Callers
+from tests.soak.history import (
+    APPLY_TIME,
+    CRASHING,
+    OK,
+    History,
+    is_crash,
+)
+from tests.soak.proxy import Proxy
 from tests.soak.soak_fleet import SoakFleet
+from tests.soak.unframing import UnframingProxy
 
 CRASHING_INTERVAL = 0.4  # seconds between requests that crash upstreams
 RESTART_DELAY = 0.5  # seconds
@@ -22,15 +33,39 @@
 MOST = 1.5 * LIMIT * WINDOW + 5  # requests in a window
 
 
+class CrashingRequest(NamedTuple):
+    """The prompt and the body of a request that crashes upstreams."""
+
+    prompt: str
+    body: dict[str, Any]
+
+
 class Trouble(NamedTuple):
-    """The arguments that put an upstream into trouble."""
+    """How upstreams get into trouble.
+
+    ``words`` are their arguments, ``crash`` is the request that crashes them,
+    and ``new_link`` makes the proxies before them.
+    """
 
-    words: tuple[str, ...]
+    words: tuple[str, ...] = ()
+    crash: CrashingRequest | None = None
+    new_link: Callable[[Address, Address], Proxy] | None = None
+
+
+def _new_unframing_link(listen: Address, target: Address) -> Proxy:
+    return UnframingProxy(listen, target, random.Random(target.port))
 
 
 TROUBLES = {
-    'crashing': Trouble((f'crash_on={CRASHING}',)),
+    'crashing': Trouble(
+        (f'crash_on={CRASHING}',),
+        CrashingRequest(f'system:9,{CRASHING}:9', {'events': MAX_EVENTS}),
+    ),
     'limited': Trouble((f'limit={LIMIT}',)),
+    'repeating': Trouble(
+        crash=CrashingRequest('', {'events': MAX_EVENTS, 'crash': 0.02})
+    ),
+    'unframed': Trouble(new_link=_new_unframing_link),
 }
 
 
@@ -46,10 +81,12 @@
         await asyncio.sleep(0.05)
 
 
-async def send_crashing(callers: Callers) -> None:
+async def send_crashing(callers: Callers, crash: CrashingRequest) -> None:
     """Send requests that crash upstreams, until the callers stop."""
     while not callers.stopping:
-        asyncio.create_task(callers.stream('chat', CRASHING))
+        asyncio.create_task(
+            callers.stream('chat', CRASHING, crash.prompt, crash.body)
+        )
         await asyncio.sleep(CRASHING_INTERVAL)
 
 
@@ -58,7 +95,7 @@
     late = [
         run['id']
         for run in history.runs
-        if CRASHING in run['prompt'] and run['at'] > history.calm_from
+        if is_crash(run) and run['at'] > history.calm_from
     ]
     if len(late) > MAX_CRASHING:
         yield f'BUDGET: {len(late)} crashing requests reached upstreams: {late}'
@@ -105,8 +142,12 @@
 
 def breaches(trouble: str, history: History) -> list[str]:
     """Run the checks of a play; those of a trouble only in its plays."""
-    checks = {'crashing': check_crashing, 'limited': check_limited}
+    checks = {
+        'crashing': check_crashing,
+        'limited': check_limited,
+        'repeating': check_crashing,
+    }
     found = history.breaches()
-    if trouble:
+    if trouble in checks:
         found += checks[trouble](history)
     return found
