An event without end is lost before it fills the memory

Cause: the event splitter had no bound. Evidence: test_event_without_end_is_lost_before_it_fills_memory failed before: 2 MiB were kept and the stream was resumed only because the connection ended. Why this works: above 1 MiB the attempt is lost, as for bytes that are no events. Remains: plain answers are held whole and have no bound but their deadline.

--- a/gentiantrestle/gateway/batch/item_progress.py
+++ b/gentiantrestle/gateway/batch/item_progress.py
@@ -12,7 +12,7 @@
 from gentiantrestle.gateway.quarantine.watch import RequestWatch
 from gentiantrestle.gateway.slots.client import SlotLease
 from gentiantrestle.gateway.slots.messages import SlotOutcome
-from gentiantrestle.gateway.sse import EventOrderError, EventSplitter
+from gentiantrestle.gateway.sse import EventSplitter, EventStreamError
 from gentiantrestle.gateway.upstream_connection import (
     ResponseLostError,
     UpstreamConnection,
@@ -76,7 +76,7 @@
         except (RequestNotSentError, ResponseLostError, TimeoutError) as exc:
             outcome = RunOutcome(None, repr(exc), SlotOutcome.FAILED)
             await conn.check_crash()
-        except (EventOrderError, QuarantinedError) as exc:
+        except (EventStreamError, QuarantinedError) as exc:
             outcome = RunOutcome(None, repr(exc), SlotOutcome.UNKNOWN)
         finally:
             conn.close()
--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -42,7 +42,7 @@
     MIN_RETRY_AFTER,
     retry_after_seconds,
 )
-from gentiantrestle.gateway.sse import EventOrderError, EventSplitter
+from gentiantrestle.gateway.sse import EventSplitter, EventStreamError
 from gentiantrestle.gateway.upstream_connection import (
     ResponseLostError,
     UpstreamConnection,
@@ -235,7 +235,7 @@
                 await self._relay_stream(conn, reply)
             else:
                 await self._relay_whole(conn, reply)
-        except (ResponseLostError, EventOrderError) as exc:
+        except (ResponseLostError, EventStreamError) as exc:
             raise AttemptFailedError(AttemptOutcome.LOST, repr(exc)) from exc
 
     async def _relay_whole(
--- a/gentiantrestle/gateway/sse.py
+++ b/gentiantrestle/gateway/sse.py
@@ -5,12 +5,21 @@
 EVENT_END = b'\n\n'
 ID_FIELD = b'id:'
 DATA_FIELD = b'data:'
+MAX_EVENT = 1048576  # bytes
 
 
-class EventOrderError(Exception):
+class EventStreamError(Exception):
+    """The bytes are no genuine stream of events."""
+
+
+class EventOrderError(EventStreamError):
     """An event's id is not higher than that of the event before it."""
 
 
+class EventTooLongError(EventStreamError):
+    """An event has no end within the longest size."""
+
+
 class ServerSentEvent(NamedTuple):
     """A complete event: its bytes, its id (0 if none) and its data."""
 
@@ -35,10 +44,12 @@
     def feed(self, part: bytes) -> list[ServerSentEvent]:
         """Return the events that ``part`` completes.
 
-        Raises ``EventOrderError``.
+        Raises ``EventOrderError`` or ``EventTooLongError``.
         """
         pieces = (self._partial + part).split(EVENT_END)
         self._partial = pieces.pop()
+        if len(self._partial) > MAX_EVENT:
+            raise EventTooLongError(f'no end of an event in {MAX_EVENT} bytes')
         parsed = [parse_event(piece) for piece in pieces]
         for event in parsed:
             self._check(event)
--- a/tests/gateway/test_process_framing.py
+++ b/tests/gateway/test_process_framing.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from gentiantrestle.gateway.sse import MAX_EVENT
 from gentiantrestle.http.client import ConnectionLostError
 from tests.gateway.fleet import GatewayFleet
 from tests.gateway.wire_samples import expected_stream
@@ -115,3 +116,17 @@
     upstream.answers = [expected_stream('r1', 2)[:-1]]
     with pytest.raises(ConnectionLostError):
         await upstream.fleet.request(0, 'r1', '/once/1', {})
+
+
+async def test_event_without_end_is_lost_before_it_fills_memory(
+    upstream: RawUpstream,
+) -> None:
+    whole = expected_stream('r1', 3)
+    first = expected_stream('r1', 1)
+    endless = first + b'data: ' + bytes(2 * MAX_EVENT)
+    upstream.answers = [endless, whole[len(first) :]]
+    reply = await upstream.fleet.request(0, 'r1', body={})
+    assert reply.body == whole
+    assert b'last-event-id: 1' in upstream.requests[1]
+    lost = upstream.fleet.entries[0].log_lines()
+    assert any('no end of an event' in str(line.get('reason')) for line in lost)
