--- a/gentiantrestle/gateway/forward.py
+++ b/gentiantrestle/gateway/forward.py
@@ -9,7 +9,6 @@
 )
 from gentiantrestle.gateway.http_server import Exchange
 from gentiantrestle.gateway.model import Request, Route
-from gentiantrestle.gateway.quarantine.traits import path_fingerprint
 from gentiantrestle.gateway.retry_policy import Step, next_step
 
 
@@ -47,8 +46,7 @@
                 reason=forwarded.reason,
                 received=forwarded.received,
                 framing=forwarded.framing,
-                prompt_parts=req.prompt_parts,
-                fingerprint=path_fingerprint(req),
+                traits=forwarded.traits,
                 step=step.value,
                 left_ms=round(left * 1000),
             )
--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -88,7 +88,7 @@
         # Events that the attempt has received, and the framing of its answer.
         self.received = 0
         self.framing = ''
-        self._traits = request_traits(req)
+        self.traits = request_traits(req)
         self._watch = self._new_watch()
 
     def progress(self) -> RequestProgress:
@@ -136,13 +136,13 @@
 
     def _new_watch(self) -> RequestWatch:
         return RequestWatch(
-            self._context.guard, self._traits, self._context.clock
+            self._context.guard, self.traits, self._context.clock
         )
 
     def _refuse_quarantined(self) -> None:
         """Raise ``RefusedError`` if the request can't be served for long."""
         wall = self._context.clock.wall()
-        culprit = self._context.guard.find_refused(self._traits, wall)
+        culprit = self._context.guard.find_refused(self.traits, wall)
         if culprit is None:
             return
         reason = describe(culprit)
--- a/gentiantrestle/gateway/quarantine/traits.py
+++ b/gentiantrestle/gateway/quarantine/traits.py
@@ -18,22 +18,16 @@
     A request recurs with the same path and body. Where sound requests share
     these, its query and its caller's credentials tell it from them.
     """
-    query = req.target.partition('?')[2]
+    path, _, query = req.target.partition('?')
     credentials = dict(req.headers).get(CREDENTIALS, b'')
-    traits = (*req.prompt_parts, path_fingerprint(req))
+    fields = (req.method, req.host, path)
+    traits = (*req.prompt_parts, f'path:{_digest(fields, req.body)}')
     if not query and not credentials:
         return traits
     fields = (req.method, req.host, req.target, credentials.decode('latin-1'))
     return (*traits, f'request:{_digest(fields, req.body)}')
 
 
-def path_fingerprint(req: Request) -> str:
-    """Return what is equal for requests with the same path and body."""
-    path = req.target.partition('?')[0]
-    fields = (req.method, req.host, path)
-    return f'path:{_digest(fields, req.body)}'
-
-
 def is_fingerprint(trait: str) -> bool:
     """Return whether a trait stands for a whole request."""
     return ':' in trait
