Move the exchange with a caller into a module of its own

Change: the class Exchange and what it needs, unchanged, are in exchange.py. Result: no change of behaviour; tests of framing, requests and operations pass.

--- /dev/null
+++ b/gentiantrestle/gateway/exchange.py
@@ -0,0 +1,91 @@
+"""One request of a caller and its one response."""
+
+from http import HTTPStatus
+
+import h11
+
+from gentiantrestle.http.link import CHUNKED_SINCE, HeaderPairs, Link
+
+CONTENT_LENGTH = b'content-length'
+CONNECTION_CLOSE = (b'Connection', b'close')
+
+
+class Exchange:
+    """One request of a caller and its one response.
+
+    ``started`` is set when sending the response begins, ``finished`` when it
+    is complete. With ``close_after`` it has the field Connection: close.
+    """
+
+    def __init__(self, link: Link, head: h11.Request, body: bytes) -> None:
+        """Take the complete request; nothing has been sent yet."""
+        self.head = head
+        self.body = body
+        self.started = False
+        self.finished = False
+        self.close_after = False
+        self._link = link
+
+    async def respond(
+        self,
+        status: int,
+        headers: HeaderPairs,
+        body: bytes = b'',
+    ) -> None:
+        """Send a complete response; sets Content-Length."""
+        length = (CONTENT_LENGTH, str(len(body)).encode())
+        fields = [pair for pair in headers if pair[0].lower() != CONTENT_LENGTH]
+        self.started = True
+        await self._link.send(
+            self._build_head(status, [*fields, length]),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
+        self.finished = True
+
+    async def start_stream(
+        self,
+        status: int,
+        headers: HeaderPairs,
+        first: bytes,
+    ) -> None:
+        """Send the head and the first part of a streamed response."""
+        self.started = True
+        if self.head.http_version < CHUNKED_SINCE:
+            self._link.reset_on_close(enabled=True)
+        await self._link.send(
+            self._build_head(status, headers),
+            h11.Data(data=first),
+        )
+
+    async def send_part(self, part: bytes) -> None:
+        """Send one more part of a streamed response."""
+        await self._link.send(h11.Data(data=part))
+
+    async def finish_stream(self) -> None:
+        """Complete a streamed response."""
+        if self.head.http_version < CHUNKED_SINCE:
+            self._link.reset_on_close(enabled=False)
+        await self._link.send(h11.EndOfMessage())
+        self.finished = True
+
+    def abort(self) -> None:
+        """Reset the connection, so that the response looks incomplete."""
+        self._link.abort()
+
+    def _build_head(self, status: int, headers: HeaderPairs) -> h11.Response:
+        fields = list(headers)
+        if self.close_after:
+            fields.append(CONNECTION_CLOSE)
+        return h11.Response(
+            status_code=status,
+            headers=fields,
+            reason=_reason_phrase(status),
+        )
+
+
+def _reason_phrase(status: int) -> bytes:
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b''
--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -19,7 +19,7 @@
     stall_timeout,
 )
 from gentiantrestle.gateway.batch.context import Clock
-from gentiantrestle.gateway.http_server import Exchange
+from gentiantrestle.gateway.exchange import CONTENT_LENGTH, Exchange
 from gentiantrestle.gateway.model import Request, Route, RouteKind
 from gentiantrestle.gateway.ports import Dialect, Reply
 from gentiantrestle.gateway.quarantine.guard import (
@@ -52,7 +52,6 @@
 
 OK = 200
 SERVER_ERROR = 500
-CONTENT_LENGTH = b'content-length'
 
 
 class ForwardingContext(NamedTuple):
--- a/gentiantrestle/gateway/metrics.py
+++ b/gentiantrestle/gateway/metrics.py
@@ -5,7 +5,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-from gentiantrestle.gateway.http_server import Exchange
+from gentiantrestle.gateway.exchange import Exchange
 
 PATH = b'/metrics'
 OK = 200
--- a/gentiantrestle/gateway/request_handler.py
+++ b/gentiantrestle/gateway/request_handler.py
@@ -11,8 +11,8 @@
 )
 from gentiantrestle.gateway.batch.api import JobApi, Response, Submission
 from gentiantrestle.gateway.batch.context import Clock
+from gentiantrestle.gateway.exchange import Exchange
 from gentiantrestle.gateway.forward import Forwarder
-from gentiantrestle.gateway.http_server import Exchange
 from gentiantrestle.gateway.model import Request, Route, RouteKind
 from gentiantrestle.gateway.ports import (
     CancelJob,
--- a/gentiantrestle/platform/readiness.py
+++ b/gentiantrestle/platform/readiness.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from gentiantrestle.gateway.http_server import Exchange
+from gentiantrestle.gateway.exchange import Exchange
 
 PATH = b'/gentiantrestle/readyz'
 
