Instances of other zones tell a relay whom of its zone it lacks

Cause: two instances that were restarted at the same moment and are the only ones of their zone never learned of each other: both had heard from other zones, so neither searched, and only a third of their own zone would have told them. Each took itself for the relay, and both ran the same jobs. In virtual time, test_two_instances_of_a_zone_find_each_other_through_another_zone failed before (2 of 3 known, for ever). Why this works: the rows that a relay sends to other zones are all that it knows of its own; whoever there has lately heard of another one of that zone answers with its row. It costs messages only where something is missing. Ruled out: searching for ever (answers grow with the fleet).

--- a/gentiantrestle/gateway/membership/membership.py
+++ b/gentiantrestle/gateway/membership/membership.py
@@ -140,7 +140,7 @@
             self._relaying.note_heard(now)
         if pulse.rows and sender.peer.zone != self._identity.zone:
             self._pass_on(pulse, now)
-        if pulse.lists_zone and sender.peer.zone == self._identity.zone:
+        if pulse.lists_zone:
             self._complete(pulse, sender.peer, now)
         if pulse.wants_rows:
             rows = self._relaying.all_rows(now)
@@ -151,10 +151,13 @@
         """Tell a relay of the instances of its zone that it doesn't know.
 
         Two instances that don't know each other both take themselves for the
-        relay, and each hears of the rest, so that neither would search.
+        relay, and each hears of the rest, so that neither would search. Other
+        zones tell them, too: they may be the only ones of their zone.
         """
         known = {relay.instance, *(row.instance for row in pulse.rows)}
-        missing = self._relaying.missing_rows(relay.zone, known, now)
+        missing = self._relaying.missing_rows(
+            relay, self._identity.zone, known, now
+        )
         if missing:
             answer = Sending((relay.host,), missing)
             self._send(answer, self._own_row(now), now)
--- a/gentiantrestle/gateway/membership/relaying.py
+++ b/gentiantrestle/gateway/membership/relaying.py
@@ -128,18 +128,21 @@
         return tuple(self._rows(self._peers.alive(now)))
 
     def missing_rows(
-        self, zone: str, known: set[str], now: float
+        self, relay: Peer, own_zone: str, known: set[str], now: float
     ) -> tuple[RelayedRow, ...]:
-        """Return the rows of a zone's instances that are not ``known``.
+        """Return the rows of a relay's zone that are not ``known`` to it.
 
         Only those heard of lately: the others may have been found to be gone.
+        Rows of other zones come more rarely.
         """
+        silence = RELAY_SILENCE
+        if relay.zone != own_zone:
+            silence += REMOTE_INTERVAL
         return tuple(
             self._rows(
                 peer
-                for peer in self._peers.alive_in(zone, now)
-                if peer.instance not in known
-                and peer.is_alive(now, RELAY_SILENCE)
+                for peer in self._peers.alive_in(relay.zone, now)
+                if peer.instance not in known and peer.is_alive(now, silence)
             )
         )
 
@@ -179,7 +182,8 @@
         if hosts and self._remote_in.is_due(set(map(_content, remote)), now):
             yield Sending(hosts, remote)
         if self._remote_out.is_due(state, now):
-            yield Sending(tuple(self._remote_relays(own.peer, now)), local)
+            remote_hosts = tuple(self._remote_relays(own.peer, now))
+            yield Sending(remote_hosts, local, lists_zone=True)
 
     def _remote_relays(self, own: Peer, now: float) -> Iterator[str]:
         """Yield the hosts of the relays of all other zones, and one more.
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -212,6 +212,26 @@
     assert run_virtual(run()) == 2
 
 
+def test_two_instances_of_a_zone_find_each_other_through_another_zone() -> None:
+    async def run() -> int:
+        fleet = _Fleet(0)
+        # The first two are of one zone, the others of another.
+        for number in (0, ZONES, 1, ZONES + 1):
+            fleet.add(number, f'10.0.0.{number}', ['10.0.0.1'])
+        first, second, *others = fleet.members
+        for identity, peers, _ in others:
+            peers.update(_as_peer(first[0]))
+            peers.update(_as_peer(second[0]))
+            first[1].update(_as_peer(identity))
+            second[1].update(_as_peer(identity))
+        # Their search for rows was answered before there were any.
+        fleet.answers_searches = False
+        await asyncio.sleep(SETTLED)
+        return await fleet.watch(2 * REMOTE_SILENCE_TIMEOUT)
+
+    assert run_virtual(run()) == 3
+
+
 def _as_peer(identity: Identity) -> Peer:
     return Peer(
         identity.instance,
