An instance that starts does not wait for others that have ended

Cause: the wait of 2 s doesn't tell others that are busy from others that are gone. Evidence: test_restarted_instance_does_not_wait_for_others_that_have_ended failed before: 2.0 s until the first answer, 1.5 s allowed. Why this works: a busy or stopped process still accepts connections, one that has ended doesn't. Who learns asks its seeds so, and waits on only while one accepts.

--- a/gentiantrestle/gateway/peering.py
+++ b/gentiantrestle/gateway/peering.py
@@ -9,6 +9,7 @@
 from gentiantrestle.gateway.batch.job_index import JobIndex
 from gentiantrestle.gateway.batch.result_reader import ResultReader
 from gentiantrestle.gateway.batch.runner import Runner
+from gentiantrestle.gateway.membership.learning import Learning
 from gentiantrestle.gateway.membership.membership import Membership
 from gentiantrestle.gateway.membership.messages import (
     Identity,
@@ -20,6 +21,7 @@
 from gentiantrestle.gateway.quarantine.evidence import Evidence, Findings
 from gentiantrestle.gateway.state_copier import StateCopier
 from gentiantrestle.gateway.zone_watcher import CopySourceSelector
+from gentiantrestle.models import Address
 from gentiantrestle.supervisor import Child
 
 # Each row lists this many of the jobs cancelled last at its instance.
@@ -27,9 +29,6 @@
 # An instance that has just started knows of few slots in use, so that it
 # coordinates none for this long if another one can.
 START_TIME = 1.0  # seconds
-# Instances that are busy, or stood still, may take long to answer; callers are
-# sent elsewhere meanwhile.
-LEARNING_TIME = 2.0  # seconds that an instance waits to hear from others
 
 
 class PeeringParts(NamedTuple):
@@ -60,7 +59,11 @@
         reaches it.
         """
         self._identity = identity
-        self._peers = peers
+        self._learning = Learning(
+            tuple(Address(host, identity.port) for host in peers.seeds),
+            lambda: parts.membership.has_heard,
+            clock.now,
+        )
         self._parts = parts
         self._is_connected = is_connected
         self._clock = clock
@@ -83,17 +86,13 @@
 
     @property
     def is_informed(self) -> bool:
-        """Return whether this instance knows what the others know.
-
-        One that has no others to ask, or hears of none for long, is alone.
-        """
-        if self._parts.membership.has_heard or not self._peers.seeds:
-            return True
-        return self._clock.now() - self._started > LEARNING_TIME
+        """Return whether this instance knows what the others know."""
+        return self._learning.is_over(self._clock.now())
 
     def children(self) -> Iterator[Child]:
         """Yield the tasks that the supervisor runs."""
         yield Child('membership', self._parts.membership.run)
+        yield Child('learning', self._learning.run)
         yield Child(
             'peers', lambda: self._peer_calls.serve(self._identity.host)
         )
--- a/tests/gateway/test_process_crashes.py
+++ b/tests/gateway/test_process_crashes.py
@@ -22,6 +22,7 @@
 FREE_ENDS = 5
 MAX_SENT = 3  # crashing requests sent to upstreams later than that
 MIN_SOUND_SHARE = 0.5  # of the share without crashes
+MAX_ALONE_TIME = 1.5  # seconds until an instance without others serves
 PAUSE = 1.5  # seconds that the other instances stand still
 CRASHING_INTERVAL = 0.25  # seconds
 SOUND_INTERVAL = 0.1  # seconds
@@ -91,6 +92,24 @@
     assert len(crowd.crashing_runs()) == known
 
 
+async def test_restarted_instance_does_not_wait_for_others_that_have_ended(
+    crowd: Crowd,
+) -> None:
+    for child in crowd.fleet.entries:
+        await child.end()
+    await crowd.fleet.start_entry(0)
+    sent = await crowd.send('/chat/1', SYSTEM, entry=0)
+    while sent.status != 200:
+        await asyncio.sleep(0.01)
+        sent = await crowd.send('/chat/1', SYSTEM, entry=0)
+    started = max(
+        line['time']
+        for line in crowd.fleet.entries[0].log_lines()
+        if line['code'] == 1001
+    )
+    assert sent.at - started < MAX_ALONE_TIME
+
+
 async def test_restarted_instance_learns_of_crashing_parts_before_it_serves(
     crowd: Crowd,
 ) -> None:
