A second empty answer after an item's last event completes it

Cause: an item that has all its events and lost the end of its answer is asked for what follows. That is an empty answer; without framing it counts as lost, and so does each repetition. Why this works: an answer that is cut before its first byte is rare, and two of them in a row are rarer than a stream that is at its end; a first answer without any event still counts as lost.

--- a/gentiantrestle/gateway/batch/item_progress.py
+++ b/gentiantrestle/gateway/batch/item_progress.py
@@ -26,6 +26,8 @@
 # A running item sends an event every few tens of ms; a run that is silent
 # for this long is aborted, and the item runs again from its last event.
 STALL_TIMEOUT = 3.0  # seconds
+# So many empty answers after an item's last event show that there is no more.
+MAX_EMPTY_ANSWERS = 2
 
 
 class RunOutcome(NamedTuple):
@@ -52,6 +54,7 @@
         self._failures = 0
         self._texts: list[str] = []
         self._last_event = 0
+        self._empty_answers = 0
         self.run_time = float(0)
 
     async def run(
@@ -134,9 +137,19 @@
                 self._texts.append(event.data)
                 self._last_event = splitter.last_id
                 watch.note_event()
-        if splitter.remainder or conn.ended_empty:
+        if splitter.remainder or self._is_cut_before_an_event(conn):
             raise ResponseLostError('the stream ended within an event')
 
+    def _is_cut_before_an_event(self, conn: UpstreamConnection) -> bool:
+        """Return whether an answer that is empty and has no framing was cut.
+
+        One that goes on after the last event of an item is empty and whole.
+        """
+        if not conn.ended_empty:
+            return False
+        self._empty_answers += 1
+        return not self._last_event or self._empty_answers < MAX_EMPTY_ANSWERS
+
     def _log(
         self,
         upstream: Upstream,
--- a/tests/gateway/test_process_framing.py
+++ b/tests/gateway/test_process_framing.py
@@ -11,7 +11,12 @@
 from gentiantrestle.gateway.sse import MAX_EVENT
 from gentiantrestle.http.client import ConnectionLostError
 from tests.gateway.fleet import GatewayFleet
-from tests.gateway.wire_samples import expected_stream
+from tests.gateway.wire_samples import (
+    expected_output,
+    expected_stream,
+    job_doc,
+)
+from tests.utils.http import until
 
 HEAD = b'HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Server-Stamp: stamp\r\n\r\n'
 
@@ -130,3 +135,20 @@
     assert b'last-event-id: 1' in upstream.requests[1]
     lost = upstream.fleet.entries[0].log_lines()
     assert any('no end of an event' in str(line.get('reason')) for line in lost)
+
+
+async def test_item_with_all_its_events_is_completed_by_empty_answers(
+    upstream: RawUpstream,
+) -> None:
+    upstream.answers = [expected_stream('r1', 2) + b'id', b'', b'']
+    job = job_doc('j', 1, 2, id='r1')
+    await upstream.fleet.request(0, 'j', '/lists/1', job)
+
+    async def outputs() -> list[str]:
+        reply = await upstream.fleet.request(
+            0, 'x', '/gentiantrestle/lots/j?after=0', method='GET'
+        )
+        return [item['output'] for item in reply.json()['results']]
+
+    assert await until(outputs) == [expected_output('r1', 2)]
+    assert len(upstream.requests) == 3
