--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,7 +11,12 @@
 SEEDS = (1,)
 # Seeds that found a fault; docs/SOAK.md has the causes.
 REGRESSION_SEEDS: tuple[int, ...] = ()
-TROUBLE_REGRESSIONS = [('crashing', 3), ('crashing', 5), ('crashing', 207)]
+TROUBLE_REGRESSIONS = [
+    ('crashing', 3),
+    ('crashing', 5),
+    ('crashing', 207),
+    ('unframed', 305),
+]
 
 
 @pytest.mark.parametrize('seed', SEEDS + REGRESSION_SEEDS)
