A relay tells other zones of one instance of each zone that it knows

Cause, as far as traced: after a herd of restarts two zones didn't know each other. Neither sends to a zone that it doesn't know, nobody searches who has heard anybody, and a third zone told each of itself only. Jobs were then run by both sides. In virtual time test_two_zones_that_know_only_a_third_one_find_each_other failed before: 3 of 5 known, for ever. Why this works: the rows that relays exchange between zones hold one recent row of each other zone; who knows one instance of a zone sends it its rows. Cost: one row for each other zone in a message a second; it doesn't grow with the fleet.

--- a/gentiantrestle/gateway/membership/relaying.py
+++ b/gentiantrestle/gateway/membership/relaying.py
@@ -24,6 +24,8 @@
 CHANGE_INTERVAL = 0.1  # seconds
 REMOTE_INTERVAL = 1.0  # seconds between unchanged rows of a zone to another
 RELAY_SILENCE = 0.8  # seconds until the next relay takes over
+# Rows of other zones come once in REMOTE_INTERVAL.
+REMOTE_RELAY_SILENCE = RELAY_SILENCE + REMOTE_INTERVAL  # seconds
 RELAYS_PER_ZONE = 2
 SEARCH_INTERVAL = 0.5  # seconds between requests for rows
 # Without rows from a relay for this long, rows are asked for elsewhere.
@@ -137,7 +139,7 @@
         """
         silence = RELAY_SILENCE
         if relay.zone != own_zone:
-            silence += REMOTE_INTERVAL
+            silence = REMOTE_RELAY_SILENCE
         return tuple(
             self._rows(
                 peer
@@ -183,7 +185,8 @@
             yield Sending(hosts, remote)
         if self._remote_out.is_due(state, now):
             remote_hosts = tuple(self._remote_relays(own.peer, now))
-            yield Sending(remote_hosts, local, lists_zone=True)
+            others = tuple(self._rows(self._representatives(own.peer, now)))
+            yield Sending(remote_hosts, (*local, *others), lists_zone=True)
 
     def _remote_relays(self, own: Peer, now: float) -> Iterator[str]:
         """Yield the hosts of the relays of all other zones, and one more.
@@ -202,6 +205,17 @@
                 hosts = self._peers.known_hosts(zone, now)
             yield from hosts
 
+    def _representatives(self, own: Peer, now: float) -> Iterator[Peer]:
+        """Yield an instance of each other zone that was heard of lately.
+
+        Two zones that don't know each other learn so from a third one.
+        """
+        for zone in sorted(self._peers.known_zones()):
+            for peer in self.ranked(own, zone, now):
+                if peer.is_alive(now, REMOTE_RELAY_SILENCE):
+                    yield peer
+                    break
+
     def _turn(self, hosts: list[str], now: float) -> str:
         """Return the one of ``hosts`` whose turn it is."""
         return sorted(hosts)[int(now / REMOTE_INTERVAL) % len(hosts)]
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -232,6 +232,25 @@
     assert run_virtual(run()) == 3
 
 
+def test_two_zones_that_know_only_a_third_one_find_each_other() -> None:
+    async def run() -> int:
+        fleet = _Fleet(0)
+        # Two instances of each of three zones; those of the third know all.
+        for number in (0, ZONES, 1, ZONES + 1, 2, ZONES + 2):
+            fleet.add(number, f'10.0.0.{number}', ['10.0.0.2'])
+        thirds = fleet.members[4:]
+        for identity, peers, _ in fleet.members[:4]:
+            for third, third_peers, _ in thirds:
+                third_peers.update(_as_peer(identity))
+                peers.update(_as_peer(third))
+        # Their search for rows was answered before there were any.
+        fleet.answers_searches = False
+        await asyncio.sleep(SETTLED)
+        return await fleet.watch(2 * REMOTE_SILENCE_TIMEOUT)
+
+    assert run_virtual(run()) == 5
+
+
 def _as_peer(identity: Identity) -> Peer:
     return Peer(
         identity.instance,
