--- a/tests/gateway/test_process_crashing_requests.py
+++ b/tests/gateway/test_process_crashing_requests.py
@@ -96,8 +96,9 @@
 
 
 @pytest.mark.parametrize('recurs', [True, False])
+@pytest.mark.parametrize('submitted', ['before', 'after'])
 async def test_items_that_share_a_prompt_with_crashing_requests_are_completed(
-    crowd: Crowd, recurs: bool
+    crowd: Crowd, recurs: bool, submitted: str
 ) -> None:
     numbers = repeat(0) if recurs else count()
 
@@ -107,8 +108,11 @@
 
     prompt = {'X-Prompt-Prefix': f'{SYSTEM}:10,{SESSION}:10,own:10'}
     job = job_doc('j', ITEMS, 40, headers=prompt)
+    if submitted == 'before':
+        await crowd.fleet.request(0, 'j', '/lists/1', job)
     await crowd.send_each(REPEAT_INTERVAL, time.time() + 5, send_crashing)
-    await crowd.fleet.request(0, 'j', '/lists/1', job)
+    if submitted == 'after':
+        await crowd.fleet.request(0, 'j', '/lists/1', job)
 
     async def has_all_outputs() -> bool:
         reply = await crowd.fleet.request(
