Grant the only upstream again instead of refusing a request

Callers saw: refused with "All slots of this service are in use", not run, though the only upstream had free slots. Cause: an upstream that failed a request is excluded for it. If it is the only one, the request is queued and gets it at the next tick, but is refused if its time to wait is over. A connection that times out takes 0.3 s, the time to wait is 0.18 s there. Evidence: the answer was not_run, so nothing had been sent and the first connection had failed after 0.12 s or more. A stand-in with a full backlog gives the same answer, byte for byte (test_request_is_sent_again_to_the_only_upstream_that_was_busy). Ruled out: a refusal of the first attempt (free slots are granted whatever the wait), an upstream that isn't listed (another text), a retry after the empty answer (that would be "outcome unknown"). Change: a request that would be refused is granted an excluded upstream, if there is no other one in its zone and no other zone takes it.

--- a/gentiantrestle/gateway/slots/coordinator.py
+++ b/gentiantrestle/gateway/slots/coordinator.py
@@ -190,7 +190,11 @@
         if ask.batch:
             refused = ask.passed_on
         if refused:
-            yield self._placer.answer(ask, Verdict.REFUSED, wait=wait)
+            if not ahead:
+                messages = self._placer.grant_again(ask, pool, now)
+            if not messages:
+                yield self._placer.answer(ask, Verdict.REFUSED, wait=wait)
+            yield from messages
             return
         queue.put(ask, now)
         yield self._placer.answer(ask, Verdict.QUEUED, wait=wait)
--- a/gentiantrestle/gateway/slots/placing.py
+++ b/gentiantrestle/gateway/slots/placing.py
@@ -70,6 +70,17 @@
             or self._pass_far(ask, pool, now)
         )
 
+    def grant_again(
+        self, ask: Ask, pool: Pool, now: float
+    ) -> tuple[Outgoing, ...]:
+        """Grant a slot on an excluded upstream if there is no other one.
+
+        For a request that would be refused otherwise.
+        """
+        if ask.batch or pool.without(ask.excluded).upstreams:
+            return ()
+        return self._grant_free(ask, pool, now)
+
     def answer(
         self, ask: Ask, verdict: Verdict, upstream: str = '', wait: float = 0
     ) -> Outgoing:
--- a/tests/gateway/test_process_requests.py
+++ b/tests/gateway/test_process_requests.py
@@ -1,13 +1,17 @@
 """Responses of gateway processes to callers, with upstream faults."""
 
 import asyncio
+import socket
+from pathlib import Path
 
 import pytest
 
+from gentiantrestle.gateway.upstream_connection import CONNECT_TIMEOUT
 from gentiantrestle.http.client import ConnectionLostError
 from tests.gateway.fleet import UPSTREAMS, GatewayFleet
+from tests.gateway.raw_upstreams import RawUpstream, stream_from
 from tests.gateway.wire_samples import expected_stream
-from tests.utils.http import send_raw, until
+from tests.utils.http import Reply, send_raw, until
 
 
 async def test_stream_and_plain_requests_are_served_whole(
@@ -136,3 +140,30 @@
     # Well below the timeout of 5 s, which would end the request anyway.
     lines = await until(lambda: fleet.end_lines(0, 'r1'), timeout=2)
     assert [line['outcome'] for line in lines] == ['left']
+
+
+async def test_request_is_sent_again_to_the_only_upstream_that_was_busy(
+    tmp_path: Path,
+) -> None:
+    fleet = GatewayFleet(tmp_path, 1, 1)
+    try:
+        await fleet.start()
+        asking = await _send_while_busy(fleet)
+        await RawUpstream(fleet, 0).start()
+        assert (await asking).body == stream_from('r1', 0)
+    finally:
+        await fleet.stop()
+
+
+async def _send_while_busy(fleet: GatewayFleet) -> asyncio.Task[Reply]:
+    """Send a request whose first connection to its upstream times out."""
+    address = fleet.upstreams[0]
+    await fleet.standins[address].end()
+    # Further connections time out while this one is not accepted.
+    with (
+        socket.create_server(address, backlog=0),
+        socket.create_connection(address),
+    ):
+        asking = asyncio.create_task(fleet.request(0, 'r1', body={}))
+        await asyncio.sleep(CONNECT_TIMEOUT - 0.05)
+    return asking
--- a/tests/gateway/test_slots.py
+++ b/tests/gateway/test_slots.py
@@ -358,6 +358,24 @@
     assert desk.load('u2') == SLOTS
 
 
+def test_request_without_time_to_wait_gets_the_only_upstream_again() -> None:
+    desk = Desk('u1')
+    tried = frozenset(('u1',))
+    assert desk.ask(1, wait=0, excluded=tried) == Verdict.GRANTED.name
+    desk.fill(SLOTS - 1)
+    assert desk.ask(2, wait=0, excluded=tried) == Verdict.REFUSED.name
+
+
+def test_request_gets_an_upstream_again_only_if_no_other_has_slots() -> None:
+    desk = Desk('u1', 'u2')
+    tried = frozenset(('u1',))
+    desk.fill(SLOTS, excluded=tried)
+    assert desk.ask(1, wait=0, excluded=tried) == Verdict.REFUSED.name
+    alone = Desk('u1')
+    alone.remote.put(_sums('a2', free=1), 0)
+    assert alone.ask(1, wait=0, excluded=tried) == ASK
+
+
 def test_slot_of_killed_holder_is_free_after_its_silence() -> None:
     desk = Desk()
     desk.fill(SLOTS)
