A plain answer without end is lost before it fills the memory

Cause: answers that are read whole had no bound on their size. Evidence: test_plain_answer_without_end_is_lost_before_it_fills_memory failed before: 8 MiB and a byte were passed on as the answer. Why this works: above 8 MiB the attempt is lost, as for an event without end; a request that may be repeated goes to another upstream. Also: the test's upstream ends connections that only probe it without an exception.

--- a/gentiantrestle/gateway/upstream_connection.py
+++ b/gentiantrestle/gateway/upstream_connection.py
@@ -20,6 +20,7 @@
 # Two round trips between regions, with time for one lost packet.
 CONNECT_TIMEOUT = 0.3  # seconds
 MAX_HEADER_SIZE = 65536  # bytes
+MAX_BODY = 8388608  # bytes of an answer that is read whole
 BY_LENGTH = 'length'
 BY_CHUNKS = 'chunks'
 BY_CLOSE = 'close'  # the body ends with its connection
@@ -106,8 +107,16 @@
         await self._confirm_end()
 
     async def read_body(self, stall_timeout: float | None) -> bytes:
-        """Return the complete body; like ``iter_body`` otherwise."""
-        return b''.join([part async for part in self.iter_body(stall_timeout)])
+        """Return the complete body; like ``iter_body`` otherwise.
+
+        One of more than ``MAX_BODY`` is taken for one without end.
+        """
+        parts = []
+        async for part in self.iter_body(stall_timeout):
+            if self._body_size > MAX_BODY:
+                raise ResponseLostError(f'no end of a body in {MAX_BODY} bytes')
+            parts.append(part)
+        return b''.join(parts)
 
     @property
     def ended_empty(self) -> bool:
--- a/tests/gateway/test_process_framing.py
+++ b/tests/gateway/test_process_framing.py
@@ -4,11 +4,13 @@
 import socket
 import struct
 from collections.abc import AsyncIterator
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
 
 from gentiantrestle.gateway.sse import MAX_EVENT
+from gentiantrestle.gateway.upstream_connection import MAX_BODY
 from gentiantrestle.http.client import ConnectionLostError
 from tests.gateway.fleet import GatewayFleet
 from tests.gateway.wire_samples import (
@@ -44,15 +46,21 @@
     async def _answer(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self.requests.append(await reader.readuntil(b'\r\n\r\n'))
-        writer.write(HEAD + self.answers.pop(0))
-        await writer.drain()
+        # Connections that only probe whether it is there send no request.
+        with suppress(asyncio.IncompleteReadError):
+            self.requests.append(await reader.readuntil(b'\r\n\r\n'))
+            await self._send(HEAD + self.answers.pop(0), writer)
+        writer.close()
+
+    async def _send(self, answer: bytes, writer: asyncio.StreamWriter) -> None:
+        with suppress(ConnectionError):
+            writer.write(answer)
+            await writer.drain()
         if self.reset:
             await asyncio.sleep(0.05)
             writer.get_extra_info('socket').setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
             )
-        writer.close()
 
 
 @pytest.fixture
@@ -137,6 +145,15 @@
     assert any('no end of an event' in str(line.get('reason')) for line in lost)
 
 
+async def test_plain_answer_without_end_is_lost_before_it_fills_memory(
+    upstream: RawUpstream,
+) -> None:
+    upstream.answers = [bytes(MAX_BODY + 1), b'plain']
+    size = len((await upstream.fleet.request(0, 'r1', '/get/1', {})).body)
+    assert size == len(b'plain')
+    assert len(upstream.requests) == 2
+
+
 async def test_item_with_all_its_events_is_completed_by_empty_answers(
     upstream: RawUpstream,
 ) -> None:
