Daemon: answers without end are lost before they fill the memory

The daemon read errors of engines without a bound on size or time, other answers without a bound on size, and kept an item's event without end. Evidence: test_error_without_end_is_given_up_before_it_fills_memory and test_body_without_end_is_lost_before_it_fills_memory failed before (no end within 5 s), and test_event_without_end_is_overlong for the reader of items.

--- a/gentiantrestle/daemon/batch/item_run.py
+++ b/gentiantrestle/daemon/batch/item_run.py
@@ -172,12 +172,16 @@
         async with aclosing(answer.iter_body(timeout)) as parts:
             async for part in parts:
                 self._tokens.extend(self._reader.feed(part))
+                if self._reader.is_overlong:
+                    raise ConnectionLostError('an event without end')
 
     async def _read_error(
         self, slot: Slot, answer: ClientResponse
     ) -> AttemptResult:
         incarnation = leaving_incarnation(answer)
-        text = (await answer.read())[:MAX_REASON_BYTES].decode(errors='replace')
+        async with asyncio.timeout(self._services.ctx.cfg.answer_timeout):
+            body = await answer.read()
+        text = body[:MAX_REASON_BYTES].decode(errors='replace')
         if incarnation is not None:
             self._services.upstreams.mark_leaving(
                 slot.upstream.name, incarnation
--- a/gentiantrestle/daemon/online/attempt.py
+++ b/gentiantrestle/daemon/online/attempt.py
@@ -195,8 +195,9 @@
         incarnation = leaving_incarnation(answer)
         body = b''
         try:
-            body = await answer.read()
-        except ConnectionLostError:
+            async with asyncio.timeout(self._ctx.cfg.answer_timeout):
+                body = await answer.read()
+        except (ConnectionLostError, TimeoutError):
             incarnation = None
         finally:
             self.upstream.pool.release(answer)
--- a/gentiantrestle/daemon/upstreams/adapter.py
+++ b/gentiantrestle/daemon/upstreams/adapter.py
@@ -103,6 +103,11 @@
         self._buffer = b''
         self.is_complete = False
 
+    @property
+    def is_overlong(self) -> bool:
+        """Tell whether the event that is being received is too long."""
+        return len(self._buffer) > MAX_EVENT
+
     def feed(self, part: bytes) -> list[str]:
         """Take the next part, split anywhere; return the texts it completes."""
         stream_events = (self._buffer + part).split(EVENT_END)
--- a/gentiantrestle/http/client.py
+++ b/gentiantrestle/http/client.py
@@ -14,6 +14,7 @@
 READ_SIZE = 65536  # bytes
 MAX_IDLE = 64  # connections
 MAX_HEADER = 65536  # bytes
+MAX_BODY = 33554432  # bytes of a body that is read whole
 PROBE_TIMEOUT = 1.0  # seconds
 # Header fields that tell where a body ends.
 FRAMING = frozenset((b'content-length', b'transfer-encoding'))
@@ -184,8 +185,22 @@
                 yield part
 
     async def read(self) -> bytes:
-        """Read the whole body."""
-        return b''.join([part async for part in self.conn.iter_body()])
+        """Read the whole body.
+
+        Raises ``ConnectionLostError``, also for more than ``MAX_BODY``: such a
+        body is taken for one without end.
+        """
+        parts = []
+        size = 0
+        async with aclosing(self.conn.iter_body()) as iter_body:
+            async for part in iter_body:
+                size += len(part)
+                if size > MAX_BODY:
+                    raise ConnectionLostError(
+                        f'no end of a body in {MAX_BODY} bytes'
+                    )
+                parts.append(part)
+        return b''.join(parts)
 
 
 class ConnectionPool:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -24,6 +24,8 @@
 # Extra time of a step with all slots in use, as a share of an empty step.
 OCCUPANCY_COST = 1.0
 PREFIX_LENGTH = 64  # characters
+ENDLESS_PART = 65536  # bytes
+ENDLESS_PAUSE = 0.001  # seconds
 DONE = b'data: [DONE]\n\n'
 POISON = 'poison'
 ENGINE_ERROR = HTTPStatus.INTERNAL_SERVER_ERROR
@@ -85,8 +87,9 @@
 
     ``POST /control`` sets the faults: ``slow`` multiplies the time of a step,
     ``cut_after`` cuts each stream after so many tokens and ``cut_inside`` bytes
-    of the next event, and ``leaving``, an incarnation, makes the engine
-    refuse requests with ``X-Leaving``.
+    of the next event, ``leaving``, an incarnation, makes the engine refuse
+    requests with ``X-Leaving``, and ``endless`` makes it send errors without
+    end.
     """
 
     def __init__(self, cfg: EngineConfig) -> None:
@@ -106,6 +109,7 @@
         self._cut_after: int | None = None
         self._cut_inside = 0
         self._leaving_incarnation: int | None = None
+        self._endless = False
 
     @classmethod
     def from_config(cls, cfg: Mapping[str, str]) -> 'EngineStandin':
@@ -194,6 +198,8 @@
                 b'{}',
                 headers=leaving_header,
             )
+        if self._endless:
+            return Response(ENGINE_ERROR, _endless_body())
         stream = Stream(body)
         self._runs[stream.prompt] += 1
         if POISON in stream.prompt:
@@ -241,6 +247,7 @@
         self._leaving_incarnation = body.get(
             'leaving', self._leaving_incarnation
         )
+        self._endless = body.get('endless', self._endless)
         return json_response({'slow': self._slowdown})
 
     def _accept_order(self, order: dict[str, Any]) -> Response:
@@ -295,3 +302,9 @@
     else:
         choice['text'] = text
     return {'choices': [choice], 'usage': {'completion_tokens': count}}
+
+
+async def _endless_body() -> AsyncIterator[bytes]:
+    while True:
+        yield bytes(ENDLESS_PART)
+        await asyncio.sleep(ENDLESS_PAUSE)
--- a/tests/decisions/test_policy.py
+++ b/tests/decisions/test_policy.py
@@ -20,6 +20,7 @@
     classify_failure,
 )
 from gentiantrestle.daemon.upstreams.adapter import (
+    MAX_EVENT,
     StreamMonitor,
     TokenStreamReader,
 )
@@ -367,6 +368,16 @@
     assert 'u' not in leaving
 
 
+@pytest.mark.parametrize('reader', [StreamMonitor(), TokenStreamReader()])
+def test_event_without_end_is_overlong(
+    reader: StreamMonitor | TokenStreamReader,
+) -> None:
+    reader.feed(b'data: ' + bytes(MAX_EVENT // 2))
+    assert not reader.is_overlong
+    reader.feed(bytes(MAX_EVENT // 2))
+    assert reader.is_overlong
+
+
 @pytest.mark.parametrize('size', [1, 2, 7, 1000])
 def test_stream_is_complete_only_with_its_end_marker(size: int) -> None:
     event = b'data: {"choices":[{"text":" w1"}]}\n\n'
--- a/tests/interfaces/test_http.py
+++ b/tests/interfaces/test_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from contextlib import suppress
 
 import pytest
 
@@ -21,6 +22,7 @@
 PART = b'x' * 65536
 MEBIBYTE = 1048576
 MAX_BUFFERED = 64 * MEBIBYTE
+READ_TIME = 5.0  # seconds
 LIMITS = ServerLimits(
     header_timeout=0.2,
     idle_timeout=0.3,
@@ -174,10 +176,12 @@
     async def answer(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await reader.readuntil(b'\r\n\r\n')
-        writer.write(b'HTTP/1.1 200 OK\r\n\r\npart')
-        if ended:
-            server.close()
+        # The connection that probes whether the server runs has no request.
+        with suppress(asyncio.IncompleteReadError):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(b'HTTP/1.1 200 OK\r\n\r\npart')
+            if ended:
+                server.close()
         writer.close()
 
     address = Address(HOST, free_ports(1)[0])
@@ -193,6 +197,16 @@
         pool.close()
 
 
+async def test_body_without_end_is_lost_before_it_fills_memory(
+    app: App,
+) -> None:
+    pool = ConnectionPool(app.address, 1, 1)
+    with pytest.raises(ConnectionLostError):
+        async with asyncio.timeout(READ_TIME):
+            await pool.fetch(ClientRequest('GET', '/endless'))
+    await until(lambda: app.endless.closed)
+
+
 async def test_connecting_to_closed_port_raises_not_sent() -> None:
     pool = ConnectionPool(Address(HOST, free_ports(1)[0]), 1, 1)
     with pytest.raises(NotSentError):
--- a/tests/processes/test_online.py
+++ b/tests/processes/test_online.py
@@ -97,6 +97,16 @@
     assert not end
 
 
+async def test_error_without_end_is_given_up_before_it_fills_memory(
+    start_fleet,
+) -> None:
+    fleet = await start_fleet('a1')
+    await fleet.control_engine(0, endless=True)
+    async with asyncio.timeout(5):
+        reply = await _complete(fleet, 0)
+    assert reply.status == 502
+
+
 async def test_requests_succeed_when_an_engine_is_down(start_fleet) -> None:
     fleet = await start_fleet()
     dead = fleet.engine_process(1)
