--- a/standins/engine.py
+++ b/standins/engine.py
@@ -16,6 +16,11 @@
     Response,
     json_response,
 )
+from standins.engine_bodies import (
+    completion_document,
+    endless_body,
+    read_prompt,
+)
 
 MAX_BODY = 16777216  # bytes
 DEFAULT_TOKENS = 16
@@ -24,8 +29,6 @@
 # Extra time of a step with all slots in use, as a share of an empty step.
 OCCUPANCY_COST = 1.0
 PREFIX_LENGTH = 64  # characters
-ENDLESS_PART = 65536  # bytes
-ENDLESS_PAUSE = 0.001  # seconds
 DONE = b'data: [DONE]\n\n'
 POISON = 'poison'
 ENGINE_ERROR = HTTPStatus.INTERNAL_SERVER_ERROR
@@ -62,7 +65,7 @@
 
     def __init__(self, body: Mapping[str, Any]) -> None:
         """Read the body; ``resume_from`` is the index of the first token."""
-        self.prompt = _prompt(body)
+        self.prompt = read_prompt(body)
         self.max_tokens = int(body.get('max_tokens', DEFAULT_TOKENS))
         self.produced = int(body.get('resume_from', 0))
         self.ready_at = float(0)
@@ -199,7 +202,7 @@
                 headers=leaving_header,
             )
         if self._endless:
-            return Response(ENGINE_ERROR, _endless_body())
+            return Response(ENGINE_ERROR, endless_body())
         stream = Stream(body)
         self._runs[stream.prompt] += 1
         if POISON in stream.prompt:
@@ -214,7 +217,7 @@
             )
         texts = [text async for text in _token_texts(stream)]
         return json_response(
-            _completion_document(''.join(texts), len(texts), chat)
+            completion_document(''.join(texts), len(texts), chat)
         )
 
     async def _events(
@@ -226,7 +229,7 @@
         try:
             async for text in _token_texts(stream):
                 chunk = msgspec.json.encode(
-                    _completion_document(text, 1, chat, 'delta')
+                    completion_document(text, 1, chat, 'delta')
                 )
                 if sent == self._cut_after:
                     yield (b'data: %b' % chunk)[: self._cut_inside]
@@ -283,28 +286,3 @@
     word = xxhash.xxh32_intdigest(f'{index}/{prompt}'.encode())
     word %= VOCABULARY
     return f' w{word}'
-
-
-def _prompt(body: Mapping[str, Any]) -> str:
-    texts = [message['content'] for message in body.get('messages', ())]
-    return '\n'.join([str(body.get('prompt', '')), *texts]).strip()
-
-
-def _completion_document(
-    text: str,
-    count: int,
-    chat: bool,
-    field: str = 'message',
-) -> dict[str, Any]:
-    choice: dict[str, Any] = {'index': 0, 'finish_reason': None}
-    if chat:
-        choice[field] = {'role': 'assistant', 'content': text}
-    else:
-        choice['text'] = text
-    return {'choices': [choice], 'usage': {'completion_tokens': count}}
-
-
-async def _endless_body() -> AsyncIterator[bytes]:
-    while True:
-        yield bytes(ENDLESS_PART)
-        await asyncio.sleep(ENDLESS_PAUSE)
--- /dev/null
+++ b/standins/engine_bodies.py
@@ -0,0 +1,36 @@
+"""Bodies that a stand-in engine reads and sends."""
+
+import asyncio
+from collections.abc import AsyncIterator, Mapping
+from typing import Any
+
+ENDLESS_PART = 65536  # bytes
+ENDLESS_PAUSE = 0.001  # seconds
+
+
+def read_prompt(body: Mapping[str, Any]) -> str:
+    """Return the prompt of a completion, or the joined chat messages."""
+    texts = [message['content'] for message in body.get('messages', ())]
+    return '\n'.join([str(body.get('prompt', '')), *texts]).strip()
+
+
+def completion_document(
+    text: str,
+    count: int,
+    chat: bool,
+    field: str = 'message',
+) -> dict[str, Any]:
+    """Build an answer, or an event of a streamed one, with ``count`` tokens."""
+    choice: dict[str, Any] = {'index': 0, 'finish_reason': None}
+    if chat:
+        choice[field] = {'role': 'assistant', 'content': text}
+    else:
+        choice['text'] = text
+    return {'choices': [choice], 'usage': {'completion_tokens': count}}
+
+
+async def endless_body() -> AsyncIterator[bytes]:
+    """Yield parts of a body that never ends."""
+    while True:
+        yield bytes(ENDLESS_PART)
+        await asyncio.sleep(ENDLESS_PAUSE)
