Move the quarantine to a package that both systems can use

Cause: the daemon's own interface has no gate for requests that crash upstreams, and the decisions were inside gateway/, although they do no I/O and know nothing of it. Change: gateway/quarantine is quarantine. What knows gateway requests is gateway/request_traits; the watch of an attempt is told the name of an upstream's run and takes any clock. Nothing that decides is changed.

--- a/benchmarks/quarantine_arms.py
+++ b/benchmarks/quarantine_arms.py
@@ -15,14 +15,14 @@
 
 from loguru import logger
 
-from gentiantrestle.gateway.quarantine.evidence import Evidence, Findings
-from gentiantrestle.gateway.quarantine.guard import (
+from gentiantrestle.gateway.retry_policy import MAX_CRASHES
+from gentiantrestle.quarantine.evidence import Evidence, Findings
+from gentiantrestle.quarantine.guard import (
     QuarantinedError,
     RequestGuard,
 )
-from gentiantrestle.gateway.quarantine.traits import is_fingerprint
-from gentiantrestle.gateway.quarantine.watch import OPENING_TIME
-from gentiantrestle.gateway.retry_policy import MAX_CRASHES
+from gentiantrestle.quarantine.traits import is_fingerprint
+from gentiantrestle.quarantine.watch import OPENING_TIME
 
 TICK = 0.01  # seconds
 WALL = 1_700_000_000  # wall-clock time in s at the start
--- a/gentiantrestle/gateway/batch/context.py
+++ b/gentiantrestle/gateway/batch/context.py
@@ -6,11 +6,11 @@
 from gentiantrestle.gateway.batch.job_index import JobIndex
 from gentiantrestle.gateway.batch.job_store import JobStore
 from gentiantrestle.gateway.ports import Dialect
-from gentiantrestle.gateway.quarantine.guard import RequestGuard
 from gentiantrestle.gateway.roster import Roster
 from gentiantrestle.gateway.routing import Router
 from gentiantrestle.gateway.slots.batch_asks import BatchAsks
 from gentiantrestle.gateway.slots.client import SlotClient
+from gentiantrestle.quarantine.guard import RequestGuard
 
 
 class Clock(NamedTuple):
--- a/gentiantrestle/gateway/batch/item_progress.py
+++ b/gentiantrestle/gateway/batch/item_progress.py
@@ -8,8 +8,6 @@
 from gentiantrestle.gateway.batch.job_index import JobEntry
 from gentiantrestle.gateway.model import ItemResult, ItemSpec, Upstream
 from gentiantrestle.gateway.ports import Dialect, Reply
-from gentiantrestle.gateway.quarantine.guard import QuarantinedError
-from gentiantrestle.gateway.quarantine.watch import RequestWatch
 from gentiantrestle.gateway.slots.client import SlotLease
 from gentiantrestle.gateway.slots.messages import SlotOutcome
 from gentiantrestle.gateway.sse import EventSplitter, EventStreamError
@@ -19,6 +17,8 @@
     UpstreamRequest,
 )
 from gentiantrestle.http.link import RequestNotSentError
+from gentiantrestle.quarantine.guard import QuarantinedError
+from gentiantrestle.quarantine.watch import RequestWatch
 
 OK = 200
 UNPROCESSABLE = 422  # the item can't succeed on any upstream
--- a/gentiantrestle/gateway/fleet_context.py
+++ b/gentiantrestle/gateway/fleet_context.py
@@ -13,10 +13,10 @@
     InstanceStatus,
 )
 from gentiantrestle.gateway.membership.peers import PeerList, run_name
-from gentiantrestle.gateway.quarantine.evidence import Evidence
-from gentiantrestle.gateway.quarantine.guard import RequestGuard
 from gentiantrestle.gateway.topology import Topology
 from gentiantrestle.models import Address
+from gentiantrestle.quarantine.evidence import Evidence
+from gentiantrestle.quarantine.guard import RequestGuard
 
 
 class InstanceConfig(NamedTuple):
--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -22,14 +22,7 @@
 from gentiantrestle.gateway.exchange import CONTENT_LENGTH, Exchange
 from gentiantrestle.gateway.model import Request, Route, RouteKind
 from gentiantrestle.gateway.ports import Dialect, Reply
-from gentiantrestle.gateway.quarantine.guard import (
-    TRIAL_INTERVAL,
-    QuarantinedError,
-    RequestGuard,
-    describe,
-)
-from gentiantrestle.gateway.quarantine.traits import request_traits
-from gentiantrestle.gateway.quarantine.watch import RequestWatch
+from gentiantrestle.gateway.request_traits import request_traits
 from gentiantrestle.gateway.retry_policy import (
     AttemptOutcome,
     RequestProgress,
@@ -49,6 +42,13 @@
     UpstreamRequest,
 )
 from gentiantrestle.http.link import RequestNotSentError
+from gentiantrestle.quarantine.guard import (
+    TRIAL_INTERVAL,
+    QuarantinedError,
+    RequestGuard,
+    describe,
+)
+from gentiantrestle.quarantine.watch import RequestWatch
 
 OK = 200
 SERVER_ERROR = 500
--- a/gentiantrestle/gateway/membership/membership.py
+++ b/gentiantrestle/gateway/membership/membership.py
@@ -17,11 +17,11 @@
 )
 from gentiantrestle.gateway.membership.peers import Peer, PeerList
 from gentiantrestle.gateway.membership.relaying import Relaying, Sending
-from gentiantrestle.gateway.quarantine.codec import (
+from gentiantrestle.quarantine.codec import (
     pack_findings,
     unpack_findings,
 )
-from gentiantrestle.gateway.quarantine.evidence import Findings
+from gentiantrestle.quarantine.evidence import Findings
 from gentiantrestle.wire.peer import ttypes
 
 PULSE = 'pulse'
--- a/gentiantrestle/gateway/membership/messages.py
+++ b/gentiantrestle/gateway/membership/messages.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from gentiantrestle.gateway.membership.peers import Peer
-from gentiantrestle.gateway.quarantine.evidence import Findings
+from gentiantrestle.quarantine.evidence import Findings
 from gentiantrestle.wire.peer import ttypes
 
 MS_PER_S = 1000
--- a/gentiantrestle/gateway/peering.py
+++ b/gentiantrestle/gateway/peering.py
@@ -18,10 +18,10 @@
 )
 from gentiantrestle.gateway.membership.peers import PeerList
 from gentiantrestle.gateway.peer_calls import PeerCalls
-from gentiantrestle.gateway.quarantine.evidence import Evidence, Findings
 from gentiantrestle.gateway.state_copier import StateCopier
 from gentiantrestle.gateway.zone_watcher import CopySourceSelector
 from gentiantrestle.models import Address
+from gentiantrestle.quarantine.evidence import Evidence, Findings
 from gentiantrestle.supervisor import Child
 
 # Each row lists this many of the jobs cancelled last at its instance.
--- a/gentiantrestle/gateway/upstream_connection.py
+++ b/gentiantrestle/gateway/upstream_connection.py
@@ -8,7 +8,6 @@
 
 from gentiantrestle.gateway.model import Upstream
 from gentiantrestle.gateway.ports import Dialect, Reply
-from gentiantrestle.gateway.quarantine.watch import RequestWatch
 from gentiantrestle.http.link import (
     Link,
     LinkLostError,
@@ -16,6 +15,7 @@
     open_link,
 )
 from gentiantrestle.http.probe import accepts_connections
+from gentiantrestle.quarantine.watch import RequestWatch
 
 # Two round trips between regions, with time for one lost packet.
 CONNECT_TIMEOUT = 0.3  # seconds
@@ -133,7 +133,8 @@
             return False
         if not await _refuses_connections(self._upstream):
             return False
-        self._watch.note_crash(self._upstream)
+        upstream = self._upstream
+        self._watch.note_crash(f'{upstream.id}/{upstream.incarnation}')
         return True
 
     def close(self) -> None:
--- a/gentiantrestle/gateway/quarantine/codec.py
+++ b/gentiantrestle/quarantine/codec.py
@@ -1,8 +1,8 @@
 """Encodes and decodes findings about crashes; no I/O."""
 
-from gentiantrestle.gateway.quarantine.culprits import Crash
-from gentiantrestle.gateway.quarantine.evidence import Findings
-from gentiantrestle.gateway.quarantine.sound import SoundTrait
+from gentiantrestle.quarantine.culprits import Crash
+from gentiantrestle.quarantine.evidence import Findings
+from gentiantrestle.quarantine.sound import SoundTrait
 from gentiantrestle.wire.peer import ttypes
 
 
--- a/gentiantrestle/gateway/quarantine/evidence.py
+++ b/gentiantrestle/quarantine/evidence.py
@@ -8,13 +8,13 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
-from gentiantrestle.gateway.quarantine.culprits import (
+from gentiantrestle.quarantine.culprits import (
     Crash,
     Culprit,
     Traits,
     find_culprits,
 )
-from gentiantrestle.gateway.quarantine.sound import SoundTrait, SoundTraits
+from gentiantrestle.quarantine.sound import SoundTrait, SoundTraits
 
 CRASH_LIFETIME = 3600  # seconds that a crash is remembered
 # Crashes that explain nothing yet are passed on for this long.
--- a/gentiantrestle/gateway/quarantine/guard.py
+++ b/gentiantrestle/quarantine/guard.py
@@ -9,13 +9,13 @@
 from collections.abc import Callable, Iterable
 
 from gentiantrestle import events
-from gentiantrestle.gateway.quarantine.culprits import (
+from gentiantrestle.quarantine.culprits import (
     MIN_CRASHES,
     Crash,
     Culprit,
     Traits,
 )
-from gentiantrestle.gateway.quarantine.evidence import Evidence
+from gentiantrestle.quarantine.evidence import Evidence
 
 # Time after the last crash until such a request is tried again; longer by the
 # same time for each further crash.
--- a/gentiantrestle/gateway/quarantine/sound.py
+++ b/gentiantrestle/quarantine/sound.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-from gentiantrestle.gateway.quarantine.traits import is_fingerprint
+from gentiantrestle.quarantine.traits import is_fingerprint
 
 # A trait may begin to crash upstreams after a change of their software.
 SOUND_LIFETIME = 120  # seconds after a complete answer
--- a/gentiantrestle/gateway/quarantine/watch.py
+++ b/gentiantrestle/quarantine/watch.py
@@ -1,8 +1,8 @@
 """Follows one attempt on an upstream, for what it says about its request."""
 
-from gentiantrestle.gateway.batch.context import Clock
-from gentiantrestle.gateway.model import Upstream
-from gentiantrestle.gateway.quarantine.guard import RequestGuard
+from typing import Protocol
+
+from gentiantrestle.quarantine.guard import RequestGuard
 
 # An upstream that a request crashes ends while it begins the answer. Its first
 # events, or the head of a plain answer, may still arrive.
@@ -10,6 +10,16 @@
 SOUND_AFTER = 1.0  # seconds after the first event
 
 
+class Clock(Protocol):
+    """Monotonic time for intervals, and wall-clock time; in s."""
+
+    def now(self) -> float:
+        """Return the monotonic time."""
+
+    def wall(self) -> float:
+        """Return the wall-clock time."""
+
+
 class RequestWatch:
     """One attempt; all attempts pass ``check`` before they are sent."""
 
@@ -57,10 +67,11 @@
             return True
         return self._clock.now() - self._began_at < OPENING_TIME
 
-    def note_crash(self, upstream: Upstream) -> None:
-        """Note that the upstream ended while the answer was beginning."""
+    def note_crash(self, upstream_run: str) -> None:
+        """Note that a run of an upstream ended while the answer was beginning.
+
+        All instances must give the run the same name.
+        """
         self._guard.evidence.add_crash(
-            f'{upstream.id}/{upstream.incarnation}',
-            frozenset(self._traits),
-            self._clock.wall(),
+            upstream_run, frozenset(self._traits), self._clock.wall()
         )
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -4,16 +4,25 @@
 
 import pytest
 
-from gentiantrestle.gateway.quarantine.codec import (
+from gentiantrestle.gateway.retry_policy import (
+    MAX_CRASHES as MAX_CRASHES_OF_REQUEST,
+)
+from gentiantrestle.gateway.retry_policy import (
+    AttemptOutcome,
+    RequestProgress,
+    Step,
+    next_step,
+)
+from gentiantrestle.quarantine.codec import (
     pack_findings,
     unpack_findings,
 )
-from gentiantrestle.gateway.quarantine.culprits import (
+from gentiantrestle.quarantine.culprits import (
     MIN_CRASHES,
     Crash,
     find_culprits,
 )
-from gentiantrestle.gateway.quarantine.evidence import (
+from gentiantrestle.quarantine.evidence import (
     CRASH_LIFETIME,
     MAX_CRASHES,
     MAX_SUSPECTS,
@@ -21,25 +30,16 @@
     SHARING_TIME,
     Evidence,
 )
-from gentiantrestle.gateway.quarantine.guard import (
+from gentiantrestle.quarantine.guard import (
     OWED_INTERVAL,
     TRIAL_INTERVAL,
     QuarantinedError,
     RequestGuard,
 )
-from gentiantrestle.gateway.quarantine.sound import (
+from gentiantrestle.quarantine.sound import (
     MAX_SOUND,
     SOUND_LIFETIME,
 )
-from gentiantrestle.gateway.retry_policy import (
-    MAX_CRASHES as MAX_CRASHES_OF_REQUEST,
-)
-from gentiantrestle.gateway.retry_policy import (
-    AttemptOutcome,
-    RequestProgress,
-    Step,
-    next_step,
-)
 
 START = 1_700_000_000
 
--- a/tests/gateway/test_traits.py
+++ b/tests/gateway/test_traits.py
@@ -5,22 +5,20 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolFactory
 
 from gentiantrestle.gateway.model import Request
-from gentiantrestle.gateway.quarantine.codec import pack_findings
-from gentiantrestle.gateway.quarantine.culprits import MIN_CRASHES
-from gentiantrestle.gateway.quarantine.evidence import (
+from gentiantrestle.gateway.request_traits import request_traits
+from gentiantrestle.quarantine.codec import pack_findings
+from gentiantrestle.quarantine.culprits import MIN_CRASHES
+from gentiantrestle.quarantine.evidence import (
     MAX_CRASHES,
     MAX_SUSPECTS,
     Evidence,
 )
-from gentiantrestle.gateway.quarantine.guard import (
+from gentiantrestle.quarantine.guard import (
     QuarantinedError,
     RequestGuard,
 )
-from gentiantrestle.gateway.quarantine.sound import MAX_SOUND
-from gentiantrestle.gateway.quarantine.traits import (
-    is_fingerprint,
-    request_traits,
-)
+from gentiantrestle.quarantine.sound import MAX_SOUND
+from gentiantrestle.quarantine.traits import is_fingerprint
 
 START = 1_700_000_000
 MAX_DATAGRAM = 65507  # bytes
