Wire: a daemon's heartbeat can carry what it knows of crashes

Cause: daemons are to tell each other which requests crash upstreams, as entries do. Change: an optional field; nothing sends or reads it yet. Heartbeat stands after Findings in the file, since a structure can only be used after its definition.

--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -30,9 +30,6 @@
   12: required list<Load> loads,
 }
 
-struct Heartbeat {
-  1: required list<Member> members,
-}
 
 /* A changed object of the platform's store; without payload: deleted. */
 struct Change {
@@ -130,6 +127,12 @@
   2: required list<SoundPart> sound,
 }
 
+/* Heartbeat of a daemon. */
+struct Heartbeat {
+  1: required list<Member> members,
+  2: optional Findings findings,
+}
+
 /* Heartbeat of an instance, or what its zone's relay passes on. */
 struct Pulse {
   1: required InstanceRow sender,
--- a/gentiantrestle/wire/peer/ttypes.py
+++ b/gentiantrestle/wire/peer/ttypes.py
@@ -401,85 +401,6 @@
         return not (self == other)
 
 
-class Heartbeat(object):
-    """
-    Attributes:
-     - members
-
-    """
-
-    __slots__ = (
-        'members',
-    )
-
-
-    def __init__(self, members=None,):
-        self.members = members
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.LIST:
-                    self.members = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = Member()
-                        _elem12.read(iprot)
-                        self.members.append(_elem12)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('Heartbeat')
-        if self.members is not None:
-            oprot.writeFieldBegin('members', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter13 in self.members:
-                iter13.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        if self.members is None:
-            raise TProtocolException(message='Required field members is unset!')
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class Change(object):
     """
     Attributes:
@@ -689,11 +610,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = Change()
-                        _elem19.read(iprot)
-                        self.changes.append(_elem19)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = Change()
+                        _elem12.read(iprot)
+                        self.changes.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -718,8 +639,8 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter20 in self.changes:
-                iter20.write(oprot)
+            for iter13 in self.changes:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -890,11 +811,11 @@
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.headers = {}
-                    (_ktype22, _vtype23, _size21) = iprot.readMapBegin()
-                    for _i25 in range(_size21):
-                        _key26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val27 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.headers[_key26] = _val27
+                    (_ktype15, _vtype16, _size14) = iprot.readMapBegin()
+                    for _i18 in range(_size14):
+                        _key19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val20 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.headers[_key19] = _val20
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -931,9 +852,9 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.headers))
-            for kiter28, viter29 in self.headers.items():
-                oprot.writeString(kiter28.encode('utf-8') if sys.version_info[0] == 2 else kiter28)
-                oprot.writeString(viter29.encode('utf-8') if sys.version_info[0] == 2 else viter29)
+            for kiter21, viter22 in self.headers.items():
+                oprot.writeString(kiter21.encode('utf-8') if sys.version_info[0] == 2 else kiter21)
+                oprot.writeString(viter22.encode('utf-8') if sys.version_info[0] == 2 else viter22)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1006,11 +927,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype33, _size30) = iprot.readListBegin()
-                    for _i34 in range(_size30):
-                        _elem35 = Load()
-                        _elem35.read(iprot)
-                        self.loads.append(_elem35)
+                    (_etype26, _size23) = iprot.readListBegin()
+                    for _i27 in range(_size23):
+                        _elem28 = Load()
+                        _elem28.read(iprot)
+                        self.loads.append(_elem28)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1031,8 +952,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter36 in self.loads:
-                iter36.write(oprot)
+            for iter29 in self.loads:
+                iter29.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1267,11 +1188,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype40, _size37) = iprot.readListBegin()
-                    for _i41 in range(_size37):
-                        _elem42 = ReportRow()
-                        _elem42.read(iprot)
-                        self.rows.append(_elem42)
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = ReportRow()
+                        _elem35.read(iprot)
+                        self.rows.append(_elem35)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1288,8 +1209,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter43 in self.rows:
-                iter43.write(oprot)
+            for iter36 in self.rows:
+                iter36.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1440,20 +1361,20 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.ended = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.ended.append(_elem49)
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.ended.append(_elem42)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.taken = []
-                    (_etype53, _size50) = iprot.readListBegin()
-                    for _i54 in range(_size50):
-                        _elem55 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.taken.append(_elem55)
+                    (_etype46, _size43) = iprot.readListBegin()
+                    for _i47 in range(_size43):
+                        _elem48 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.taken.append(_elem48)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1519,15 +1440,15 @@
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.ended))
-            for iter56 in self.ended:
-                oprot.writeString(iter56.encode('utf-8') if sys.version_info[0] == 2 else iter56)
+            for iter49 in self.ended:
+                oprot.writeString(iter49.encode('utf-8') if sys.version_info[0] == 2 else iter49)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.taken is not None:
             oprot.writeFieldBegin('taken', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.taken))
-            for iter57 in self.taken:
-                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
+            for iter50 in self.taken:
+                oprot.writeString(iter50.encode('utf-8') if sys.version_info[0] == 2 else iter50)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age is not None:
@@ -1630,15 +1551,15 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = []
-                        (_etype67, _size64) = iprot.readListBegin()
-                        for _i68 in range(_size64):
-                            _elem69 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                            _elem63.append(_elem69)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = []
+                        (_etype60, _size57) = iprot.readListBegin()
+                        for _i61 in range(_size57):
+                            _elem62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _elem56.append(_elem62)
                         iprot.readListEnd()
-                        self.prompts.append(_elem63)
+                        self.prompts.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1663,10 +1584,10 @@
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 3)
             oprot.writeListBegin(TType.LIST, len(self.prompts))
-            for iter70 in self.prompts:
-                oprot.writeListBegin(TType.STRING, len(iter70))
-                for iter71 in iter70:
-                    oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
+            for iter63 in self.prompts:
+                oprot.writeListBegin(TType.STRING, len(iter63))
+                for iter64 in iter63:
+                    oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -1815,22 +1736,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = Crash()
-                        _elem77.read(iprot)
-                        self.crashes.append(_elem77)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = Crash()
+                        _elem70.read(iprot)
+                        self.crashes.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.sound = []
-                    (_etype81, _size78) = iprot.readListBegin()
-                    for _i82 in range(_size78):
-                        _elem83 = SoundPart()
-                        _elem83.read(iprot)
-                        self.sound.append(_elem83)
+                    (_etype74, _size71) = iprot.readListBegin()
+                    for _i75 in range(_size71):
+                        _elem76 = SoundPart()
+                        _elem76.read(iprot)
+                        self.sound.append(_elem76)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1847,15 +1768,15 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter84 in self.crashes:
-                iter84.write(oprot)
+            for iter77 in self.crashes:
+                iter77.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sound is not None:
             oprot.writeFieldBegin('sound', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.sound))
-            for iter85 in self.sound:
-                iter85.write(oprot)
+            for iter78 in self.sound:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1887,6 +1808,98 @@
         return not (self == other)
 
 
+class Heartbeat(object):
+    """
+    Attributes:
+     - members
+     - findings
+
+    """
+
+    __slots__ = (
+        'members',
+        'findings',
+    )
+
+
+    def __init__(self, members=None, findings=None,):
+        self.members = members
+        self.findings = findings
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = Member()
+                        _elem84.read(iprot)
+                        self.members.append(_elem84)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.findings = Findings()
+                    self.findings.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Heartbeat')
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter85 in self.members:
+                iter85.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.findings is not None:
+            oprot.writeFieldBegin('findings', TType.STRUCT, 2)
+            self.findings.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.members is None:
+            raise TProtocolException(message='Required field members is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Pulse(object):
     """
     Attributes:
@@ -4143,11 +4156,6 @@
     (11, TType.I64, 'store_revision', None, None, ),  # 11
     (12, TType.LIST, 'loads', (TType.STRUCT, [Load, None], False), None, ),  # 12
 )
-all_structs.append(Heartbeat)
-Heartbeat.thrift_spec = (
-    None,  # 0
-    (1, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 1
-)
 all_structs.append(Change)
 Change.thrift_spec = (
     None,  # 0
@@ -4242,6 +4250,12 @@
     (1, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 1
     (2, TType.LIST, 'sound', (TType.STRUCT, [SoundPart, None], False), None, ),  # 2
 )
+all_structs.append(Heartbeat)
+Heartbeat.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 1
+    (2, TType.STRUCT, 'findings', [Findings, None], None, ),  # 2
+)
 all_structs.append(Pulse)
 Pulse.thrift_spec = (
     None,  # 0
