Daemon: a request that an upstream may have run is never called not run

Callers saw: "run": "not run" and a status that promises it, for a request that an engine had run (test; operators' story: after an answer was lost, the caller was told that the work hadn't run). Cause: the answer's claim came from the last attempt alone. Where the first attempt was lost and the next upstream could not be reached or had no slot, the refusal of that was passed on. Evidence: test_request_that_an_engine_ran_is_not_called_not_run failed before: of 8 requests to an engine that cuts and one that is down, those that had run were called not run. Why this works: each attempt of unknown outcome is noted for its request, hedges included, and a refusal that claims "not run" becomes "outcome unknown" then.

--- a/gentiantrestle/daemon/online/relay.py
+++ b/gentiantrestle/daemon/online/relay.py
@@ -20,12 +20,16 @@
 from gentiantrestle.daemon.online.retries import (
     Failure,
     RetryBudget,
+    Stage,
     Verdict,
     classify_failure,
 )
 from gentiantrestle.daemon.upstreams.service import Upstream, UpstreamRegistry
 from gentiantrestle.errors import (
+    UPSTREAM_OUTCOME_UNKNOWN,
     RefusedError,
+    Run,
+    refuse,
 )
 from gentiantrestle.http.messages import (
     EVENT_STREAM,
@@ -34,6 +38,19 @@
 )
 
 
+class RelayProgress:
+    """What has been tried for a request so far.
+
+    ``may_have_run`` is set by an attempt of unknown outcome.
+    """
+
+    def __init__(self) -> None:
+        """Start before the first attempt."""
+        self.attempts = 0
+        self.excluded: set[str] = set()
+        self.may_have_run = False
+
+
 class Relay:
     """Relays each request to an upstream, with retries and hedging."""
 
@@ -57,25 +74,38 @@
         """
         budget = self._budgets.setdefault(request.client, RetryBudget())
         budget.record_request(self._ctx.now())
-        excluded: set[str] = set()
-        attempts = 0
+        progress = RelayProgress()
+        try:
+            return await self._try_upstreams(request, budget, progress)
+        except RefusedError as exc:
+            if progress.may_have_run and exc.refusal.kind.run is Run.NOT_RUN:
+                raise refuse(
+                    UPSTREAM_OUTCOME_UNKNOWN, exc.refusal.reason
+                ) from exc
+            raise
+
+    async def _try_upstreams(
+        self,
+        request: OnlineRequest,
+        budget: RetryBudget,
+        progress: RelayProgress,
+    ) -> Response:
         while True:
-            attempts += 1
+            progress.attempts += 1
             slot_request = SlotRequest(
                 request.client,
                 request.deployment,
                 request.prompt,
-                frozenset(excluded),
+                frozenset(progress.excluded),
             )
             upstream = await self._admission.acquire(slot_request)
             try:
-                return await self._race(request, upstream, slot_request, budget)
-            except AttemptError as exc:
-                failure = Failure(exc.stage, request.repeatable, attempts)
-                excluded.add(upstream.name)
-                self._raise_unless_retry(
-                    failure, exc, budget, len(excluded), request
+                return await self._race(
+                    request, upstream, slot_request, budget, progress
                 )
+            except AttemptError as exc:
+                progress.excluded.add(upstream.name)
+                self._raise_unless_retry(exc, budget, progress, request)
 
     async def _race(
         self,
@@ -83,6 +113,7 @@
         upstream: Upstream,
         slot_request: SlotRequest,
         budget: RetryBudget,
+        progress: RelayProgress,
     ) -> Response:
         """Try one upstream, and hedge with a second one if it is slow to start.
 
@@ -93,7 +124,8 @@
             request.prompt, repeatable=request.repeatable
         )
         started_at = self._ctx.now()
-        tasks = [asyncio.create_task(self._run_attempt(request, upstream))]
+        first = self._run_attempt(request, upstream, progress)
+        tasks = [asyncio.create_task(first)]
         try:
             done, _ = await asyncio.wait(tasks, timeout=delay)
             second = (
@@ -102,9 +134,8 @@
                 else self._acquire_second(slot_request, upstream, budget)
             )
             if second is not None:
-                tasks.append(
-                    asyncio.create_task(self._run_attempt(request, second))
-                )
+                hedge = self._run_attempt(request, second, progress)
+                tasks.append(asyncio.create_task(hedge))
             response = await first_success(tasks, delay or 0)
         finally:
             await cancel_losers(tasks)
@@ -136,14 +167,15 @@
 
     def _raise_unless_retry(
         self,
-        failure: Failure,
         exc: AttemptError,
         budget: RetryBudget,
-        tried_count: int,
+        progress: RelayProgress,
         request: OnlineRequest,
     ) -> None:
         """Raise the refusal unless another attempt may follow."""
-        has_untried = tried_count < len(request.deployment['upstreams'])
+        failure = Failure(exc.stage, request.repeatable, progress.attempts)
+        upstreams = request.deployment['upstreams']
+        has_untried = len(progress.excluded) < len(upstreams)
         within_budget = has_untried and budget.try_spend(self._ctx.now())
         if (
             classify_failure(failure, within_budget=within_budget)
@@ -153,6 +185,19 @@
         self._ctx.metrics.attempts.inc({'outcome': 'retry'})
 
     async def _run_attempt(
+        self,
+        request: OnlineRequest,
+        upstream: Upstream,
+        progress: RelayProgress,
+    ) -> Response:
+        try:
+            return await self._send_attempt(request, upstream)
+        except AttemptError as exc:
+            if exc.stage is not Stage.NOT_SENT:
+                progress.may_have_run = True
+            raise
+
+    async def _send_attempt(
         self, request: OnlineRequest, upstream: Upstream
     ) -> Response:
         attempt = Attempt(self._ctx, request, upstream)
--- a/tests/processes/test_online.py
+++ b/tests/processes/test_online.py
@@ -8,7 +8,7 @@
 from gentiantrestle.http.client import ConnectionLostError
 from standins.engine import token_text
 from tests.utils.fleet import OPERATOR_KEY, Fleet, job_lines
-from tests.utils.http import Reply, until
+from tests.utils.http import Reply, send, until
 
 PROMPT = 'sort a spare room'
 
@@ -97,6 +97,21 @@
     assert not end
 
 
+async def test_request_that_an_engine_ran_is_not_called_not_run(
+    start_fleet,
+) -> None:
+    fleet = await start_fleet('a1', 'a1')
+    await fleet.engine_process(1).end()
+    await fleet.control_engine(0, cut_after=0)
+    prompts = [f'note {number}' for number in range(8)]
+    replies = [await _complete(fleet, 0, prompt) for prompt in prompts]
+    stats = await send(fleet.engines[0], 'GET', '/stats')
+    ran = [prompt in stats.json()['runs'] for prompt in prompts]
+    errors = [reply.json()['error'] for reply in replies]
+    assert [error['run'] == 'unknown' for error in errors] == ran
+    assert any(ran)
+
+
 async def test_error_without_end_is_given_up_before_it_fills_memory(
     start_fleet,
 ) -> None:
