Daemon: hold back requests that crash upstreams

Cause: what a request did to its upstreams was forgotten with its last attempt; the gateway's gate was not in the daemon. Why this works: the same evidence, conclusions and gate (package quarantine); the traits of a request are hashes of its endpoint, path and body, without and with its client; findings go with the heartbeats, so that all instances hold it back. Two upstreams at most end under one request, so that it becomes no culprit by its own attempts. Remains: items are not watched, and an upstream's run has no name here, so that two ends within 2 s may count as one. An instance that has just started may send such a request on before the first heartbeat.

--- a/gentiantrestle/daemon/membership/service.py
+++ b/gentiantrestle/daemon/membership/service.py
@@ -19,6 +19,8 @@
 )
 from gentiantrestle.daemon.membership.view import Member, MembershipView, State
 from gentiantrestle.models import Address
+from gentiantrestle.quarantine.codec import pack_findings, unpack_findings
+from gentiantrestle.quarantine.evidence import Evidence
 from gentiantrestle.wire.peer.ttypes import Envelope, Heartbeat
 from gentiantrestle.wire.peer.ttypes import Member as WireMember
 
@@ -41,6 +43,8 @@
         """Handle heartbeats; other children register their own handlers."""
         self._ctx = ctx
         self.view = view
+        # Exchanged with the heartbeats.
+        self.evidence = Evidence()
         self.peers = PeerClient()
         self._handlers: dict[str, PeerHandler] = {
             'heartbeat': self._answer_heartbeat,
@@ -161,7 +165,10 @@
             self._merge(answer.heartbeat)
 
     def _heartbeat(self) -> Heartbeat:
-        return Heartbeat(members=list(map(self._to_wire, self.view.members())))
+        return Heartbeat(
+            members=list(map(self._to_wire, self.view.members())),
+            findings=pack_findings(self.evidence.findings(self._ctx.wall())),
+        )
 
     def _to_wire(self, member: Member) -> WireMember:
         """Convert a member to thrift; cached while the member is unchanged."""
@@ -172,6 +179,8 @@
         return cached.wire
 
     def _merge(self, heartbeat: Heartbeat) -> None:
+        findings = unpack_findings(heartbeat.findings)
+        self.evidence.merge(findings, self._ctx.wall())
         newer = [
             member_from_wire(member)
             for member in heartbeat.members
--- a/gentiantrestle/daemon/online/attempt.py
+++ b/gentiantrestle/daemon/online/attempt.py
@@ -1,7 +1,7 @@
 """Send one attempt of a request to one upstream and read the answer."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import aclosing
 from typing import NamedTuple
 from uuid import uuid4
@@ -18,10 +18,12 @@
     build_call,
     leaving_incarnation,
 )
+from gentiantrestle.daemon.upstreams.endings import refuses_connections
 from gentiantrestle.daemon.upstreams.service import Upstream
 from gentiantrestle.errors import (
     CUT_SHORT,
     NO_UPSTREAM,
+    QUARANTINED,
     UPSTREAM_FAILED,
     UPSTREAM_OUTCOME_UNKNOWN,
     ErrorKind,
@@ -37,10 +39,14 @@
     error_document,
 )
 from gentiantrestle.models import DeploymentDoc
+from gentiantrestle.quarantine.guard import TRIAL_INTERVAL, QuarantinedError
+from gentiantrestle.quarantine.watch import RequestWatch
 
 MAX_ERROR_BODY = 200  # bytes
 SERVER_ERROR = 500  # lowest HTTP status
 RETRY_AFTER = 1  # seconds
+# What instances notice within this time is the same end of an upstream.
+RESTART_TIME = 2.0  # seconds
 EVENTS_PER_SAMPLE = 4  # fewest stream events that one pace sample covers
 
 
@@ -66,13 +72,17 @@
 
 
 class AttemptError(Exception):
-    """An attempt failed at ``stage``."""
+    """An attempt failed at ``stage``.
+
+    ``crashed`` means that the upstream ended while it began the answer.
+    """
 
     def __init__(self, stage: Stage, refusal: Refusal) -> None:
         """Keep the refusal to answer with if no other attempt follows."""
         super().__init__(refusal.reason)
         self.stage = stage
         self.refusal = refusal
+        self.crashed = False
 
 
 class Attempt:
@@ -83,11 +93,13 @@
         ctx: Context,
         request: OnlineRequest,
         upstream: Upstream,
+        watch: RequestWatch,
     ) -> None:
-        """Assign an id; nothing is sent yet."""
+        """Assign an id; what ``watch`` holds back is not sent."""
         self._ctx = ctx
         self._request = request
         self.upstream = upstream
+        self._watch = watch
         self.client = request.client
         self.attempt_id = uuid4().hex
         self.started_at = ctx.now()
@@ -105,6 +117,7 @@
             method=self._request.method,
             content_type=self._request.content_type,
         )
+        self._check_quarantine()
         try:
             async with asyncio.timeout(self._ctx.cfg.answer_timeout):
                 answer = await self.upstream.pool.send(call)
@@ -113,9 +126,7 @@
                 Stage.NOT_SENT, NO_UPSTREAM, exc
             ) from exc
         except (ConnectionLostError, TimeoutError) as exc:
-            raise self._record_failure(
-                Stage.SENT, UPSTREAM_OUTCOME_UNKNOWN, exc
-            ) from exc
+            raise await self._record_loss(exc) from exc
         if answer.status >= SERVER_ERROR:
             raise await self._error_from(answer)
         return answer
@@ -125,13 +136,12 @@
 
         Raises ``AttemptError`` if the body does not arrive in time.
         """
+        self._watch.note_event()
         try:
             async with asyncio.timeout(self._ctx.cfg.answer_timeout):
                 body = await answer.read()
         except (ConnectionLostError, TimeoutError) as exc:
-            raise self._record_failure(
-                Stage.SENT, UPSTREAM_OUTCOME_UNKNOWN, exc
-            ) from exc
+            raise await self._record_loss(exc) from exc
         finally:
             self.upstream.pool.release(answer)
         now = self._ctx.now()
@@ -140,6 +150,7 @@
             now,
         )
         self.upstream.health.record_success()
+        self._watch.note_sound()
         return body
 
     async def stream(self, answer: ClientResponse) -> AsyncIterator[bytes]:
@@ -159,11 +170,11 @@
             self._ctx.metrics.tokens.add({}, monitor.event_count)
         if monitor.is_complete:
             self.upstream.health.record_success()
+            self._watch.note_sound()
             return
         if not monitor.event_count:
-            raise self._record_failure(
-                Stage.SENT, UPSTREAM_OUTCOME_UNKNOWN, error
-            )
+            raise await self._record_loss(error)
+        await self._check_crash()
         failure = self._record_failure(Stage.ANSWERING, CUT_SHORT, error)
         events.emit(events.ANSWER_CUT, attempt=self.attempt_id, error=error)
         yield _error_event(failure.refusal)
@@ -189,6 +200,7 @@
                     )
                     measured_at, measured_events = now, monitor.event_count
                 if whole:
+                    self._watch.note_event()
                     yield whole
 
     async def _error_from(self, answer: ClientResponse) -> AttemptError:
@@ -210,6 +222,31 @@
             f'status {answer.status}: {text}',
         )
 
+    def _check_quarantine(self) -> None:
+        try:
+            self._watch.check()
+        except QuarantinedError as exc:
+            refusal = Refusal(QUARANTINED, str(exc), TRIAL_INTERVAL)
+            raise AttemptError(Stage.NOT_SENT, refusal) from exc
+
+    async def _record_loss(self, error: object) -> AttemptError:
+        failure = self._record_failure(
+            Stage.SENT, UPSTREAM_OUTCOME_UNKNOWN, error
+        )
+        failure.crashed = await self._check_crash()
+        return failure
+
+    async def _check_crash(self) -> bool:
+        """Return whether the upstream ended while it began this answer."""
+        if not self._watch.is_opening:
+            return False
+        if not await refuses_connections(self.upstream.pool.address):
+            return False
+        name = self.upstream.name
+        period = int(self._ctx.wall() / RESTART_TIME)
+        self._watch.note_crash(f'{name}/{period}')
+        return True
+
     def _record_failure(
         self, stage: Stage, kind: ErrorKind, error: object
     ) -> AttemptError:
@@ -239,56 +276,6 @@
         self.incarnation = incarnation
 
 
-class AnswerStream:
-    """A streamed answer; closing it releases the slot and the connection.
-
-    A plain generator that is closed before its first step runs none of its
-    code and would release neither.
-    """
-
-    def __init__(
-        self,
-        attempt: Attempt,
-        answer: ClientResponse,
-        release: Callable[[Attempt], None],
-    ) -> None:
-        """Take over the slot; ``release`` is called once, on close."""
-        self._attempt = attempt
-        self._answer = answer
-        self._release: Callable[[Attempt], None] | None = release
-        self._parts = attempt.stream(answer)
-        self._first = b''
-
-    async def begin(self) -> None:
-        """Wait for the first part.
-
-        If the attempt fails before it comes, close and raise its error.
-        """
-        try:
-            self._first = await anext(self._parts, b'')
-        except BaseException:
-            await self.aclose()
-            raise
-
-    def __aiter__(self) -> AsyncIterator[bytes]:
-        """Iterate over the parts of the answer, from the first."""
-        return self._iterate()
-
-    async def aclose(self) -> None:
-        """Stop reading and release the slot; idempotent."""
-        await self._parts.aclose()
-        release = self._release
-        self._release = None
-        if release is not None:
-            self._attempt.upstream.pool.release(self._answer)
-            release(self._attempt)
-
-    async def _iterate(self) -> AsyncIterator[bytes]:
-        yield self._first
-        async for part in self._parts:
-            yield part
-
-
 def _error_event(refusal: Refusal) -> bytes:
     document = msgspec.json.encode(error_document(refusal))
     return b'event: error\ndata: %b\n\n' % document
--- a/gentiantrestle/daemon/online/relay.py
+++ b/gentiantrestle/daemon/online/relay.py
@@ -4,13 +4,14 @@
 
 from gentiantrestle.context import Context
 from gentiantrestle.daemon.online.admission import Admission, SlotRequest
+from gentiantrestle.daemon.online.answer_stream import AnswerStream
 from gentiantrestle.daemon.online.attempt import (
-    AnswerStream,
     Attempt,
     AttemptError,
     OnlineRequest,
     UpstreamLeavingError,
 )
+from gentiantrestle.daemon.online.crashes import CrashGuard
 from gentiantrestle.daemon.online.hedging import HedgeRule
 from gentiantrestle.daemon.online.race import (
     cancel_losers,
@@ -26,6 +27,7 @@
 )
 from gentiantrestle.daemon.upstreams.service import Upstream, UpstreamRegistry
 from gentiantrestle.errors import (
+    QUARANTINED,
     UPSTREAM_OUTCOME_UNKNOWN,
     RefusedError,
     Run,
@@ -41,12 +43,15 @@
 class RelayProgress:
     """What has been tried for a request so far.
 
-    ``may_have_run`` is set by an attempt of unknown outcome.
+    ``may_have_run`` is set by an attempt of unknown outcome. ``crashes`` counts
+    the upstreams that ended while they began the answer.
     """
 
-    def __init__(self) -> None:
-        """Start before the first attempt."""
+    def __init__(self, traits: tuple[str, ...]) -> None:
+        """Start before the first attempt of a request with these traits."""
+        self.traits = traits
         self.attempts = 0
+        self.crashes = 0
         self.excluded: set[str] = set()
         self.may_have_run = False
 
@@ -59,11 +64,16 @@
         ctx: Context,
         upstreams: UpstreamRegistry,
         admission: Admission,
+        crash_guard: CrashGuard,
     ) -> None:
-        """Start with a fresh retry budget for every client."""
+        """Start with a fresh retry budget for every client.
+
+        What ``crash_guard`` holds back is refused.
+        """
         self._ctx = ctx
         self._upstreams = upstreams
         self._admission = admission
+        self._crash_guard = crash_guard
         self._budgets: dict[str, RetryBudget] = {}
         self._hedge_rule = HedgeRule()
 
@@ -72,9 +82,9 @@
 
         The kind of its refusal tells whether the request may have run.
         """
+        progress = RelayProgress(self._crash_guard.admit(request))
         budget = self._budgets.setdefault(request.client, RetryBudget())
         budget.record_request(self._ctx.now())
-        progress = RelayProgress()
         try:
             return await self._try_upstreams(request, budget, progress)
         except RefusedError as exc:
@@ -173,7 +183,11 @@
         request: OnlineRequest,
     ) -> None:
         """Raise the refusal unless another attempt may follow."""
-        failure = Failure(exc.stage, request.repeatable, progress.attempts)
+        if exc.refusal.kind is QUARANTINED:
+            raise RefusedError(exc.refusal) from exc
+        failure = Failure(
+            exc.stage, request.repeatable, progress.attempts, progress.crashes
+        )
         upstreams = request.deployment['upstreams']
         has_untried = len(progress.excluded) < len(upstreams)
         within_budget = has_untried and budget.try_spend(self._ctx.now())
@@ -191,16 +205,21 @@
         progress: RelayProgress,
     ) -> Response:
         try:
-            return await self._send_attempt(request, upstream)
+            return await self._send_attempt(request, upstream, progress)
         except AttemptError as exc:
+            progress.crashes += exc.crashed
             if exc.stage is not Stage.NOT_SENT:
                 progress.may_have_run = True
             raise
 
     async def _send_attempt(
-        self, request: OnlineRequest, upstream: Upstream
+        self,
+        request: OnlineRequest,
+        upstream: Upstream,
+        progress: RelayProgress,
     ) -> Response:
-        attempt = Attempt(self._ctx, request, upstream)
+        watch = self._crash_guard.watch(progress.traits)
+        attempt = Attempt(self._ctx, request, upstream, watch)
         try:
             answer = await attempt.send()
         except UpstreamLeavingError as exc:
--- a/gentiantrestle/daemon/online/retries.py
+++ b/gentiantrestle/daemon/online/retries.py
@@ -4,6 +4,8 @@
 from typing import NamedTuple
 
 MAX_ATTEMPTS = 3
+# Upstreams that may end under one request while they begin its answer.
+MAX_CRASHES = 2
 BUDGET_RATIO = 0.2  # retries per recent request
 BUDGET_FLOOR = 10.0  # retries
 BUDGET_DECAY_TIME = 10.0  # seconds
@@ -31,11 +33,15 @@
 
 
 class Failure(NamedTuple):
-    """A failed attempt; ``attempts`` counts those so far, this one included."""
+    """A failed attempt; ``attempts`` counts those so far, this one included.
+
+    ``crashes`` counts the upstreams that ended while they began the answer.
+    """
 
     stage: Stage
     repeatable: bool
     attempts: int
+    crashes: int = 0
 
 
 def classify_failure(failure: Failure, *, within_budget: bool) -> Verdict:
@@ -47,6 +53,8 @@
     if failure.stage is Stage.ANSWERING:
         return Verdict.CUT
     may_repeat = failure.repeatable or failure.stage is Stage.NOT_SENT
+    if failure.crashes >= MAX_CRASHES:
+        may_repeat = False
     if may_repeat and within_budget and failure.attempts < MAX_ATTEMPTS:
         return Verdict.RETRY
     if failure.stage is Stage.NOT_SENT:
--- a/gentiantrestle/daemon/online/service.py
+++ b/gentiantrestle/daemon/online/service.py
@@ -8,6 +8,7 @@
 from gentiantrestle.daemon.online.at_most_once import AtMostOnceRunner
 from gentiantrestle.daemon.online.attempt import OnlineRequest
 from gentiantrestle.daemon.online.claims import IdempotencyKey, request_digest
+from gentiantrestle.daemon.online.crashes import CrashGuard
 from gentiantrestle.daemon.online.relay import Relay
 from gentiantrestle.daemon.report.service import Reporter
 from gentiantrestle.daemon.upstreams.service import UpstreamRegistry
@@ -33,7 +34,9 @@
         self._ctx = ctx
         self.reporter = reporter
         self.admission = Admission(ctx, upstreams)
-        self._relay = Relay(ctx, upstreams, self.admission)
+        self._relay = Relay(
+            ctx, upstreams, self.admission, CrashGuard(ctx, membership)
+        )
         self.at_most_once = AtMostOnceRunner(ctx, store, membership)
 
     async def run(self) -> None:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -1,6 +1,7 @@
 """Stand-in for a model engine with continuous batching."""
 
 import asyncio
+import os
 import time
 from collections import Counter, OrderedDict, deque
 from collections.abc import AsyncIterator, Mapping
@@ -30,7 +31,9 @@
 OCCUPANCY_COST = 1.0
 PREFIX_LENGTH = 64  # characters
 DONE = b'data: [DONE]\n\n'
-POISON = 'poison'
+POISON = 'poison'  # a prompt with it fails
+CRASH = 'crash'  # a prompt with it ends the engine
+CRASH_DELAY = 0.02  # seconds
 ENGINE_ERROR = HTTPStatus.INTERNAL_SERVER_ERROR
 STALE_TOKEN = HTTPStatus.CONFLICT
 COMPLETIONS = frozenset(('/v1/completions', '/v1/chat/completions'))
@@ -209,6 +212,8 @@
             return json_response(
                 {'error': 'prompt contains the word poison'}, ENGINE_ERROR
             )
+        if CRASH in stream.prompt:
+            asyncio.get_running_loop().call_later(CRASH_DELAY, os._exit, 1)
         self._waiting.append(stream)
         self._arrived.set()
         if body.get('stream'):
--- a/tests/decisions/test_policy.py
+++ b/tests/decisions/test_policy.py
@@ -13,6 +13,7 @@
 from gentiantrestle.daemon.online.hedging import HedgeRule
 from gentiantrestle.daemon.online.queue import FairQueue, Ticket
 from gentiantrestle.daemon.online.retries import (
+    MAX_CRASHES,
     Failure,
     RetryBudget,
     Stage,
@@ -181,6 +182,15 @@
     assert classify_failure(failure, within_budget=budget) is verdict
 
 
+@pytest.mark.parametrize('stage', [Stage.SENT, Stage.NOT_SENT])
+def test_request_under_which_two_upstreams_ended_is_not_repeated(
+    stage: Stage,
+) -> None:
+    failure = Failure(stage, repeatable=True, attempts=2, crashes=MAX_CRASHES)
+    verdict = classify_failure(failure, within_budget=True)
+    assert verdict is not Verdict.RETRY
+
+
 def test_retry_budget_limits_retries_during_an_outage() -> None:
     budget = RetryBudget()
     retried = 0
--- a/tests/utils/fleet.py
+++ b/tests/utils/fleet.py
@@ -165,6 +165,14 @@
         ]
         return engines[index]
 
+    async def restart_engine(self, index: int) -> None:
+        """Start an engine that has ended again."""
+        address = self.engines[index]
+        await self.engine_process(index).start(
+            'standins.core', 'engine', str(address.port), *self.engine_words
+        )
+        await until(lambda: _responds(address))
+
     async def write_object(self, name: str, document: dict[str, Any]) -> None:
         """Write an object straight to the platform, unconditionally."""
         target = f'/v1/objects/{name}'
