Daemon: give up streams that trickle without an event

Callers saw (test; operators' story: stalled streams that sent a byte now and then never ended): a stream whose engine sends a byte now and then, but no whole event, stayed open for ever, and an item of a job was held by it for ever. Cause: the pause was measured between parts of the body, and each byte is a part. Why this works: the pause is measured between whole events as well. A slow but sound stream brings an event within the time-out, as before.

--- a/gentiantrestle/daemon/batch/item_run.py
+++ b/gentiantrestle/daemon/batch/item_run.py
@@ -23,6 +23,7 @@
     leaving_incarnation,
 )
 from gentiantrestle.daemon.upstreams.service import UpstreamRegistry
+from gentiantrestle.daemon.upstreams.stalls import EventTimer
 from gentiantrestle.errors import (
     Refusal,
 )
@@ -168,10 +169,13 @@
 
     async def _read_stream(self, answer: ClientResponse) -> None:
         self._reader = TokenStreamReader()
-        timeout = self._services.ctx.cfg.stall_timeout
-        async with aclosing(answer.iter_body(timeout)) as parts:
+        ctx = self._services.ctx
+        timer = EventTimer(ctx.cfg.stall_timeout, ctx.now())
+        async with aclosing(answer.iter_body(timer.timeout)) as parts:
             async for part in parts:
-                self._tokens.extend(self._reader.feed(part))
+                texts = self._reader.feed(part)
+                timer.note_part(ctx.now(), has_event=bool(texts))
+                self._tokens.extend(texts)
                 if self._reader.is_overlong:
                     raise ConnectionLostError('an event without end')
 
--- a/gentiantrestle/daemon/online/attempt.py
+++ b/gentiantrestle/daemon/online/attempt.py
@@ -20,6 +20,7 @@
 )
 from gentiantrestle.daemon.upstreams.endings import refuses_connections
 from gentiantrestle.daemon.upstreams.service import Upstream
+from gentiantrestle.daemon.upstreams.stalls import EventTimer
 from gentiantrestle.errors import (
     CUT_SHORT,
     NO_UPSTREAM,
@@ -184,11 +185,12 @@
         answer: ClientResponse,
         monitor: StreamMonitor,
     ) -> AsyncIterator[bytes]:
-        stall_timeout = self._ctx.cfg.stall_timeout
         measured_at, measured_events = self._ctx.now(), 0
-        async with aclosing(answer.iter_body(stall_timeout)) as parts:
+        timer = EventTimer(self._ctx.cfg.stall_timeout, measured_at)
+        async with aclosing(answer.iter_body(timer.timeout)) as parts:
             async for part in parts:
                 whole = monitor.feed(part)
+                timer.note_part(self._ctx.now(), has_event=bool(whole))
                 if monitor.is_overlong:
                     raise ConnectionLostError('an event without end')
                 event_count = monitor.event_count - measured_events
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -21,6 +21,7 @@
     completion_document,
     endless_body,
     read_prompt,
+    trickled_event,
 )
 
 MAX_BODY = 16777216  # bytes
@@ -94,8 +95,8 @@
     ``POST /control`` sets the faults: ``slow`` multiplies the time of a step,
     ``cut_after`` cuts each stream after so many tokens and ``cut_inside`` bytes
     of the next event, ``leaving``, an incarnation, makes the engine refuse
-    requests with ``X-Leaving``, and ``endless`` makes it send errors without
-    end.
+    requests with ``X-Leaving``. ``endless`` makes it send errors without end,
+    and ``trickle`` events without end, a byte now and then.
     """
 
     def __init__(self, cfg: EngineConfig) -> None:
@@ -116,6 +117,7 @@
         self._cut_inside = 0
         self._leaving_incarnation: int | None = None
         self._endless = False
+        self._trickle = False
 
     @classmethod
     def from_config(cls, cfg: Mapping[str, str]) -> 'EngineStandin':
@@ -206,6 +208,8 @@
             )
         if self._endless:
             return Response(ENGINE_ERROR, endless_body())
+        if self._trickle:
+            return Response(HTTPStatus.OK, trickled_event(), EVENT_STREAM)
         stream = Stream(body)
         self._runs[stream.prompt] += 1
         if POISON in stream.prompt:
@@ -256,6 +260,7 @@
             'leaving', self._leaving_incarnation
         )
         self._endless = body.get('endless', self._endless)
+        self._trickle = body.get('trickle', self._trickle)
         return json_response({'slow': self._slowdown})
 
     def _accept_order(self, order: dict[str, Any]) -> Response:
--- a/standins/engine_bodies.py
+++ b/standins/engine_bodies.py
@@ -6,6 +6,7 @@
 
 ENDLESS_PART = 65536  # bytes
 ENDLESS_PAUSE = 0.001  # seconds
+TRICKLE_PAUSE = 0.1  # seconds
 
 
 def read_prompt(body: Mapping[str, Any]) -> str:
@@ -34,3 +35,11 @@
     while True:
         yield bytes(ENDLESS_PART)
         await asyncio.sleep(ENDLESS_PAUSE)
+
+
+async def trickled_event() -> AsyncIterator[bytes]:
+    """Yield an event that never ends, a byte now and then."""
+    yield b'data: '
+    while True:
+        yield b' '
+        await asyncio.sleep(TRICKLE_PAUSE)
--- a/tests/processes/test_batch.py
+++ b/tests/processes/test_batch.py
@@ -180,6 +180,19 @@
     assert all(runs[f'poison{index}'] == 3 for index in range(3))
 
 
+async def test_item_whose_stream_trickles_without_an_event_is_run_again(
+    start_fleet,
+) -> None:
+    fleet = await start_fleet('a1', daemon_flags=('--stall_timeout=1',))
+    await fleet.control_engine(0, trickle=True)
+    job = (await fleet.submit(0, job_lines(1), 'job')).json()['id']
+    await _wait_for_holder(fleet)
+    await asyncio.sleep(0.5)
+    await fleet.control_engine(0, trickle=False)
+    status = await fleet.wait_for_job(0, job)
+    assert status['request_counts']['completed'] == 1
+
+
 async def test_cancel_stops_calls_and_adds_no_result(start_fleet) -> None:
     fleet = await start_fleet(engine_words=SLOW_STEP)
     job = (await fleet.submit(0, job_lines(ITEMS, TOKENS), 'job')).json()['id']
--- a/tests/processes/test_online.py
+++ b/tests/processes/test_online.py
@@ -112,6 +112,16 @@
     assert any(ran)
 
 
+async def test_stream_that_trickles_without_an_event_is_given_up(
+    start_fleet,
+) -> None:
+    fleet = await start_fleet('a1', daemon_flags=('--stall_timeout=1',))
+    await fleet.control_engine(0, trickle=True)
+    async with asyncio.timeout(5):
+        reply = await _complete(fleet, 0)
+    assert reply.status == 502
+
+
 async def test_error_without_end_is_given_up_before_it_fills_memory(
     start_fleet,
 ) -> None:
