Resume requests and items whose stream trickles without an event

Callers saw (test; operators' story: stalled streams that sent a byte now and then never ended): a stream without an event until the caller's deadline, and an item that stayed open for ever, while its upstream sent a byte now and then. Cause: as in the daemon, the pause was measured between parts of the body. Evidence: test_stream_that_trickles_without_an_event_is_resumed (not whole within 2 s, when callers leave) and test_item_whose_stream_trickles_without_an_event_is_run_again (not completed within 10 s) failed before. Change: the timer of the daemon's streams is used in both systems (http/event_timer).

--- a/gentiantrestle/daemon/batch/item_run.py
+++ b/gentiantrestle/daemon/batch/item_run.py
@@ -23,7 +23,6 @@
     leaving_incarnation,
 )
 from gentiantrestle.daemon.upstreams.service import UpstreamRegistry
-from gentiantrestle.daemon.upstreams.stalls import EventTimer
 from gentiantrestle.errors import (
     Refusal,
 )
@@ -32,6 +31,7 @@
     ConnectionLostError,
     NotSentError,
 )
+from gentiantrestle.http.event_timer import EventTimer
 from gentiantrestle.http.messages import error_document
 from gentiantrestle.models import DeploymentDoc
 from gentiantrestle.store.client import (
--- a/gentiantrestle/daemon/online/attempt.py
+++ b/gentiantrestle/daemon/online/attempt.py
@@ -20,7 +20,6 @@
 )
 from gentiantrestle.daemon.upstreams.endings import refuses_connections
 from gentiantrestle.daemon.upstreams.service import Upstream
-from gentiantrestle.daemon.upstreams.stalls import EventTimer
 from gentiantrestle.errors import (
     CUT_SHORT,
     NO_UPSTREAM,
@@ -35,6 +34,7 @@
     ConnectionLostError,
     NotSentError,
 )
+from gentiantrestle.http.event_timer import EventTimer
 from gentiantrestle.http.messages import (
     JSON,
     error_document,
--- a/gentiantrestle/gateway/batch/item_progress.py
+++ b/gentiantrestle/gateway/batch/item_progress.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from gentiantrestle import events
-from gentiantrestle.gateway.batch.context import BatchContext
+from gentiantrestle.gateway.batch.context import BatchContext, Clock
 from gentiantrestle.gateway.batch.job_index import JobEntry
 from gentiantrestle.gateway.model import ItemResult, ItemSpec, Upstream
 from gentiantrestle.gateway.ports import Dialect, Reply
@@ -16,6 +16,7 @@
     UpstreamConnection,
     UpstreamRequest,
 )
+from gentiantrestle.http.event_timer import EventTimer
 from gentiantrestle.http.link import RequestNotSentError
 from gentiantrestle.quarantine.guard import QuarantinedError
 from gentiantrestle.quarantine.watch import RequestWatch
@@ -75,7 +76,7 @@
             await conn.connect(lease.upstream)
             reply = await self._start(conn, context.dialect, lease.upstream)
             context.slots.note_reply(lease, reply)
-            outcome = await self._read(conn, reply, watch)
+            outcome = await self._read(conn, reply, watch, context.clock)
         except (RequestNotSentError, ResponseLostError, TimeoutError) as exc:
             outcome = RunOutcome(None, repr(exc), SlotOutcome.FAILED)
             await conn.check_crash()
@@ -112,10 +113,14 @@
             return await conn.send(req)
 
     async def _read(
-        self, conn: UpstreamConnection, reply: Reply, watch: RequestWatch
+        self,
+        conn: UpstreamConnection,
+        reply: Reply,
+        watch: RequestWatch,
+        clock: Clock,
     ) -> RunOutcome:
         if reply.status == OK:
-            await self._collect(conn, watch)
+            await self._collect(conn, watch, clock)
             watch.note_sound()
             text = '\n'.join(self._texts)
             return RunOutcome(ItemResult(self.spec.id, True, text), 'whole')
@@ -129,11 +134,14 @@
         return RunOutcome(None, reason)
 
     async def _collect(
-        self, conn: UpstreamConnection, watch: RequestWatch
+        self, conn: UpstreamConnection, watch: RequestWatch, clock: Clock
     ) -> None:
         splitter = EventSplitter(self._last_event)
+        timer = EventTimer(STALL_TIMEOUT, clock.now())
         async for part in conn.iter_body(STALL_TIMEOUT):
-            for event in splitter.feed(part):
+            found = splitter.feed(part)
+            timer.note_part(clock.now(), has_event=bool(found))
+            for event in found:
                 self._texts.append(event.data)
                 self._last_event = splitter.last_id
                 watch.note_event()
--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -41,6 +41,7 @@
     UpstreamConnection,
     UpstreamRequest,
 )
+from gentiantrestle.http.event_timer import EventTimer, StalledError
 from gentiantrestle.http.link import RequestNotSentError
 from gentiantrestle.quarantine.guard import (
     TRIAL_INTERVAL,
@@ -234,7 +235,7 @@
                 await self._relay_stream(conn, reply)
             else:
                 await self._relay_whole(conn, reply)
-        except (ResponseLostError, EventStreamError) as exc:
+        except (ResponseLostError, EventStreamError, StalledError) as exc:
             raise AttemptFailedError(AttemptOutcome.LOST, repr(exc)) from exc
 
     async def _relay_whole(
@@ -255,8 +256,11 @@
         self, conn: UpstreamConnection, reply: Reply
     ) -> None:
         self._splitter = EventSplitter(self._splitter.last_id)
+        now = self._context.clock.now
+        timer = EventTimer(self._stall_timeout, now())
         async for part in conn.iter_body(self._stall_timeout):
             found = self._splitter.feed(part)
+            timer.note_part(now(), has_event=bool(found))
             self.received += len(found)
             if found:
                 self._watch.note_event()
--- a/gentiantrestle/daemon/upstreams/stalls.py
+++ b/gentiantrestle/http/event_timer.py
@@ -1,20 +1,28 @@
 """Notices streams that bring bytes but no events; no I/O."""
 
 
+class StalledError(TimeoutError):
+    """A stream has brought no whole event for too long."""
+
+
 class EventTimer:
     """Measures how long a stream has brought no whole event."""
 
-    def __init__(self, timeout: float, now: float) -> None:
-        """Start now; ``timeout`` is the longest pause between events in s."""
+    def __init__(self, timeout: float | None, now: float) -> None:
+        """Start now; ``timeout`` is the longest pause between events in s.
+
+        None allows any pause.
+        """
         self.timeout = timeout
         self._last_event = now
 
     def note_part(self, now: float, *, has_event: bool) -> None:
         """Note a part of the stream, and whether it completed an event.
 
-        Raises ``TimeoutError`` if no event was completed for too long.
+        Raises ``StalledError`` if no event was completed for too long.
         """
+        pause = now - self._last_event
         if has_event:
             self._last_event = now
-        elif now - self._last_event > self.timeout:
-            raise TimeoutError('bytes without the end of an event')
+        elif self.timeout is not None and pause > self.timeout:
+            raise StalledError('bytes without the end of an event')
