--- a/gentiantrestle/daemon/batch/chunk_run.py
+++ b/gentiantrestle/daemon/batch/chunk_run.py
@@ -1,12 +1,9 @@
 """Run the items of a claimed chunk and save their results."""
 
 import asyncio
-from collections.abc import Iterable
 from typing import Any
 from uuid import uuid4
 
-import msgspec
-
 from gentiantrestle import events
 from gentiantrestle.daemon.batch.item_run import (
     AttemptResult,
@@ -14,6 +11,7 @@
     ItemRun,
     Outcome,
     Services,
+    final_refusal,
 )
 from gentiantrestle.daemon.batch.records import (
     DONE,
@@ -27,9 +25,13 @@
     is_held_by,
     part_name,
 )
+from gentiantrestle.daemon.batch.result_parts import (
+    MAX_PART_BYTES,
+    encoded_size,
+    group_lines,
+)
 from gentiantrestle.errors import (
     TOO_LARGE,
-    UPSTREAM_FAILED,
     UPSTREAM_OUTCOME_UNKNOWN,
     Refusal,
 )
@@ -40,12 +42,10 @@
     VersionedDocument,
 )
 
-MAX_ATTEMPTS = 3
 RETRY_BACKOFF = 0.2  # seconds
 SAVE_CHECK_PERIOD = 1.0  # seconds
 MIN_SAVE_INTERVAL = 20.0  # seconds
 STORE_RETRY_DELAY = 0.5  # seconds
-MAX_PART_BYTES = 716800
 PART_ID_LENGTH = 12  # hex digits
 
 
@@ -133,7 +133,9 @@
                 Outcome.LOST,
                 Outcome.REJECTED,
             }
-            refusal = self._final_refusal(attempt, failures)
+            refusal = final_refusal(
+                attempt, failures, repeatable=self._chunk.job['repeatable']
+            )
             if refusal is not None:
                 self._unsaved[position] = item.failure(refusal)
                 return
@@ -143,23 +145,6 @@
                     RETRY_BACKOFF * (1 + failures) * (1 + jitter)
                 )
 
-    def _final_refusal(
-        self, attempt: AttemptResult, failures: int
-    ) -> Refusal | None:
-        """Return why an item must not be retried, or ``None``."""
-        if attempt.outcome is Outcome.REJECTED:
-            return Refusal(UPSTREAM_FAILED, attempt.reason)
-        if attempt.outcome is not Outcome.LOST:
-            return None
-        if not self._chunk.job['repeatable']:
-            return Refusal(UPSTREAM_OUTCOME_UNKNOWN, attempt.reason)
-        if failures >= MAX_ATTEMPTS:
-            return Refusal(
-                UPSTREAM_FAILED,
-                f'{failures} attempts failed; last error: {attempt.reason}',
-            )
-        return None
-
     async def _attempt(self, item: ItemRun, position: int) -> AttemptResult:
         allocator = self._services.allocator
         repeatable = self._chunk.job['repeatable']
@@ -177,7 +162,7 @@
 
     def _checked_result(self, item: ItemRun) -> ResultLine:
         line = item.result()
-        if len(msgspec.json.encode(line)) > MAX_PART_BYTES:
+        if encoded_size(line) > MAX_PART_BYTES:
             return item.failure(
                 Refusal(
                     TOO_LARGE,
@@ -215,7 +200,7 @@
             saved = dict(self._unsaved)
             parts = [
                 await self._write_part(lines)
-                for lines in _group_lines(saved.values())
+                for lines in group_lines(saved.values())
             ]
             failed = sum(line['error'] is not None for line in saved.values())
             await self._write_record(
@@ -304,18 +289,3 @@
         )
         jitter = self._services.ctx.random.random()
         await asyncio.sleep(STORE_RETRY_DELAY * (1 + jitter))
-
-
-def _group_lines(lines: Iterable[ResultLine]) -> Iterable[list[ResultLine]]:
-    """Group result lines so that each group fits into one object."""
-    group: list[ResultLine] = []
-    size = 0
-    for line in lines:
-        length = len(msgspec.json.encode(line))
-        if group and size + length > MAX_PART_BYTES:
-            yield group
-            group, size = [], 0
-        group.append(line)
-        size += length
-    if group:
-        yield group
--- a/gentiantrestle/daemon/batch/item_run.py
+++ b/gentiantrestle/daemon/batch/item_run.py
@@ -24,6 +24,8 @@
 )
 from gentiantrestle.daemon.upstreams.service import UpstreamRegistry
 from gentiantrestle.errors import (
+    UPSTREAM_FAILED,
+    UPSTREAM_OUTCOME_UNKNOWN,
     Refusal,
 )
 from gentiantrestle.http.client import (
@@ -39,6 +41,7 @@
 )
 
 MAX_REASON_BYTES = 200
+MAX_ATTEMPTS = 3
 CLIENT_ERROR = 400  # lowest HTTP status
 SERVER_ERROR = 500  # lowest HTTP status
 
@@ -210,3 +213,21 @@
     """Tell whether the chunk's task is cancelled, not only its slot's."""
     task = asyncio.current_task()
     return task is not None and task.cancelling() > 0
+
+
+def final_refusal(
+    attempt: AttemptResult, failures: int, *, repeatable: bool
+) -> Refusal | None:
+    """Return why an item must not be retried, or ``None``."""
+    if attempt.outcome is Outcome.REJECTED:
+        return Refusal(UPSTREAM_FAILED, attempt.reason)
+    if attempt.outcome is not Outcome.LOST:
+        return None
+    if not repeatable:
+        return Refusal(UPSTREAM_OUTCOME_UNKNOWN, attempt.reason)
+    if failures >= MAX_ATTEMPTS:
+        return Refusal(
+            UPSTREAM_FAILED,
+            f'{failures} attempts failed; last error: {attempt.reason}',
+        )
+    return None
