Stand-in upstreams have a software version

Servers of several software versions may serve side by side in one service, and their entries in the store say which (`version`). The stand-ins had none, so no test could see a stream that holds events of two versions.

With `version=` a stand-in upstream names its version in each event and, as the real ones, checks nothing. A test's fleet writes the version into the upstream's entry, may give upstreams another service, and can remove entries. Events of stand-ins without a version are as before.

--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import AsyncIterator, Mapping
 from http import HTTPStatus
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -24,6 +24,25 @@
 PAUSE = 0.01  # seconds between events
 
 
+class UpstreamConfig(NamedTuple):
+    """What an upstream is, and what it does by itself.
+
+    It sheds requests while all ``slots`` stream. With ``limit`` each answer
+    names so many requests a second as the most that the upstream takes. With
+    ``crash_on`` the process ends when it begins a stream for a prompt with that
+    part, within the event that follows the first ``crash_after``. With
+    ``version`` each event names that software version; nothing checks which
+    one has made the events before.
+    """
+
+    name: str
+    slots: int
+    crash_on: str
+    crash_after: int
+    limit: str
+    version: str
+
+
 class UpstreamStandin:
     """Answers requests and keeps a record of each run.
 
@@ -35,27 +54,14 @@
     ``fail`` answers 500, ``silent`` delays each answer by some seconds,
     ``cut_after`` cuts each stream after so many events, and ``answer_as``
     answers with another attempt id.
-
-    With ``limit`` each answer names so many requests a second as the most that
-    the upstream takes. With ``crash_on`` the process ends when it begins a
-    stream for a prompt with that part, within the event that follows the first
-    ``crash_after``.
     """
 
-    def __init__(
-        self,
-        name: str,
-        slots: int,
-        crash_on: str = '',
-        crash_after: int = 0,
-        limit: str = '',
-    ) -> None:
-        """Serve as instance ``name``; shed requests while all slots stream."""
-        self._name = name
-        self._slots = slots
-        self._crash_on = crash_on
-        self._crash_after = crash_after
-        self._limit_headers = (('Server-Limit', limit),) if limit else ()
+    def __init__(self, cfg: UpstreamConfig) -> None:
+        """Serve without faults."""
+        self._cfg = cfg
+        self._limit_headers = (
+            (('Server-Limit', cfg.limit),) if cfg.limit else ()
+        )
         self._running = 0
         self._faults: dict[str, Any] = {}
         self._runs: list[dict[str, Any]] = []
@@ -64,11 +70,14 @@
     def from_config(cls, cfg: Mapping[str, str]) -> 'UpstreamStandin':
         """Read the arguments by their names; ``name=`` is required."""
         return cls(
-            cfg['name'],
-            int(cfg.get('slots', '8')),
-            cfg.get('crash_on', ''),
-            int(cfg.get('crash_after', '0')),
-            cfg.get('limit', ''),
+            UpstreamConfig(
+                cfg['name'],
+                int(cfg.get('slots', '8')),
+                cfg.get('crash_on', ''),
+                int(cfg.get('crash_after', '0')),
+                cfg.get('limit', ''),
+                cfg.get('version', ''),
+            )
         )
 
     async def run(self) -> None:
@@ -85,9 +94,9 @@
 
     async def _serve(self, req: Request, body: bytes) -> Response:
         attempt_id = req.headers.get('x-attempt-id', '')
-        if req.headers.get('x-expect-instance') != self._name:
+        if req.headers.get('x-expect-instance') != self._cfg.name:
             return Response(HTTPStatus.MISDIRECTED_REQUEST)
-        if self._running >= self._slots or self._faults.get('shed'):
+        if self._running >= self._cfg.slots or self._faults.get('shed'):
             not_executed = (('X-Not-Executed', '1'),)
             return Response(
                 HTTPStatus.SERVICE_UNAVAILABLE, headers=not_executed
@@ -147,7 +156,7 @@
                     raise ConnectionResetError(
                         'stream cut by the cut_after fault'
                     )
-                event = encode_event(run['id'], number)
+                event = encode_event(run['id'], number, self._cfg.version)
                 if self._crashes(run, number):
                     yield event[: len(event) // 2]
                     await asyncio.sleep(FLUSH_TIME)
@@ -161,8 +170,8 @@
     def _crashes(self, run: dict[str, Any], number: int) -> bool:
         """Return whether the process ends within event ``number`` of a run."""
         parts = [entry.split(':')[0] for entry in run['prompt'].split(',')]
-        after = run['last'] + self._crash_after
-        return self._crash_on in parts[:-1] and number > after
+        after = run['last'] + self._cfg.crash_after
+        return self._cfg.crash_on in parts[:-1] and number > after
 
 
 def _print_run(run: dict[str, Any]) -> None:
@@ -172,6 +181,9 @@
     sys.stdout.flush()
 
 
-def encode_event(attempt_id: str, number: int) -> bytes:
+def encode_event(attempt_id: str, number: int, version: str = '') -> bytes:
     """Encode one server-sent event of an attempt's stream."""
-    return f'id: {number}\ndata: {attempt_id}-{number}\n\n'.encode()
+    text = f'{attempt_id}-{number}'
+    if version:
+        text = f'{text}@{version}'
+    return f'id: {number}\ndata: {text}\n\n'.encode()
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -4,17 +4,12 @@
 """
 
 import asyncio
-import os
-import signal
-import sys
-from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
-import msgspec
-
 from gentiantrestle.http.client import ConnectionLostError, NotSentError
 from gentiantrestle.models import Address
+from tests.gateway.child import Child
 from tests.gateway.wire import send_exact
 from tests.gateway.wire_samples import ROUTE_HOST, SERVICE, route_docs
 from tests.utils.http import Reply, send, until
@@ -24,6 +19,8 @@
 WRITE_RETRY_DELAY = 0.1  # seconds
 REQUEST_ENDED = 5104  # event number of the last log line of a request
 UPSTREAMS = 2
+VERSION = 'v1'
+STORE_ROOT = '/gentiantrestle/objects'
 UNREACHABLE = (NotSentError, ConnectionLostError)
 SETTINGS = """
 node-name = "{name}"
@@ -44,49 +41,6 @@
 """
 
 
-class Child:
-    """One process started by a test."""
-
-    def __init__(self, log: Path) -> None:
-        """Append the output of the process to the file ``log``."""
-        self.log = log
-        self.process: asyncio.subprocess.Process | None = None
-
-    async def start(self, *words: str, **environ: str) -> None:
-        """Run the module ``words[0]`` with the other words as arguments.
-
-        ``environ`` is added to the environment of this process.
-        """
-        with self.log.open('ab') as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                '-m',
-                *words,
-                stdout=log,
-                stderr=log,
-                env={**os.environ, **environ},
-            )
-
-    async def end(self, signum: signal.Signals = signal.SIGKILL) -> int:
-        """Send a signal, wait for the end, and return the exit status."""
-        with suppress(ProcessLookupError):
-            self.process.send_signal(signum)
-        return await self.process.wait()
-
-    @property
-    def running(self) -> bool:
-        """Tell whether the process has been started and has not ended."""
-        return self.process is not None and self.process.returncode is None
-
-    def log_lines(self) -> list[dict[str, Any]]:
-        """Return the JSON lines that the process has printed."""
-        return [
-            msgspec.json.decode(line)
-            for line in self.log.read_bytes().splitlines()
-            if line.startswith(b'{')
-        ]
-
-
 class GatewayFleet:
     """A store, upstreams, and entries on loopback addresses of their own.
 
@@ -113,6 +67,10 @@
         self.environ: dict[str, str] = {}
         # Added to the arguments of each upstream.
         self.upstream_words: tuple[str, ...] = ()
+        # Software versions of upstreams whose events name them, by number.
+        self.versions: dict[int, str] = {}
+        # Services of upstreams that serve another one, by number.
+        self.services: dict[int, str] = {}
 
     def upstream_id(self, upstream: int) -> str:
         """Return an upstream's id."""
@@ -161,6 +119,7 @@
             'upstream',
             self.upstreams[number],
             f'name={self.upstream_id(number)}',
+            f'version={self.versions.get(number, "")}',
             *self.upstream_words,
         )
 
@@ -253,15 +212,21 @@
     async def register(self, number: int, state: str = 'ready') -> None:
         """Write an upstream's record to the store as an upstream does."""
         spec = {
-            'service': SERVICE,
+            'service': self.services.get(number, SERVICE),
             'address': str(self.upstream_address(number)),
             'zone': 'a1',
+            'version': self.versions.get(number, VERSION),
             'slots': 8,
             'state': state,
             'born': self._incarnations[number],
         }
         await self.write('servers', self.upstream_id(number), spec)
 
+    async def unregister(self, number: int) -> None:
+        """Remove an upstream's record from the store."""
+        name = self.upstream_id(number)
+        await send(self.store, 'DELETE', f'{STORE_ROOT}/servers/{name}')
+
     async def configure(self, routes: list[dict[str, Any]]) -> None:
         """Write the next version of the configuration."""
         self.version += 1
@@ -274,7 +239,10 @@
         config = {
             'version': self.version,
             'routes': routes,
-            'services': [{'name': SERVICE, 'engine': {}}],
+            'services': [
+                {'name': name, 'engine': {}}
+                for name in sorted({SERVICE, *self.services.values()})
+            ],
             'limits': limits,
         }
         await self.write('config', 'main', config)
@@ -285,7 +253,7 @@
             await asyncio.sleep(WRITE_RETRY_DELAY)
 
     async def _try_write(self, kind: str, name: str, spec: Any) -> bool:
-        root = f'/gentiantrestle/objects/{kind}'
+        root = f'{STORE_ROOT}/{kind}'
         document = {'metadata': {'name': name}, 'spec': spec}
         reply = await send(self.store, 'POST', root, document)
         if reply.status == 409:
--- a/tests/gateway/test_process_crashes.py
+++ b/tests/gateway/test_process_crashes.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from tests.gateway.child import Child
 from tests.gateway.crowd import (
     CONTACT_TIME,
     CRASHING,
@@ -15,7 +16,7 @@
     Crowd,
     served_share,
 )
-from tests.gateway.fleet import Child, GatewayFleet
+from tests.gateway.fleet import GatewayFleet
 
 ENTRIES = 3
 UPSTREAMS = 5
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,7 +12,7 @@
 from contextlib import suppress
 
 from gentiantrestle.http.client import ConnectionLostError, NotSentError
-from tests.gateway.fleet import Child
+from tests.gateway.child import Child
 from tests.soak.proxy import DOWN, UP
 from tests.soak.soak_fleet import SoakFleet
 
