Gateway: read the software version of upstreams

An entry's `version` was dropped, so nothing could tell two builds of a service's upstreams apart. It is decoded as text now; without it, it is empty, and another type makes the entry unreadable, as for the other fields.

test_software_version_of_upstream_is_not_dropped and the two new cases of test_invalid_upstream_entry_decodes_to_none failed before.

--- a/gentiantrestle/gateway/model.py
+++ b/gentiantrestle/gateway/model.py
@@ -89,7 +89,11 @@
 
 
 class Upstream(NamedTuple):
-    """An upstream as discovered; ``incarnation`` changes when it restarts."""
+    """An upstream as discovered; ``incarnation`` changes when it restarts.
+
+    ``version`` is that of its software; what two versions write of one answer
+    doesn't fit together.
+    """
 
     id: str
     service: str
@@ -98,6 +102,7 @@
     slots: int
     draining: bool
     incarnation: int
+    version: str = ''
 
 
 class Request(NamedTuple):
--- a/gentiantrestle/platform/document_decoder.py
+++ b/gentiantrestle/platform/document_decoder.py
@@ -108,6 +108,7 @@
         slots=_checked_count(document['slots']),
         draining=DRAINING_BY_STATE[document['state']],
         incarnation=_checked_count(document.get('born', 0)),
+        version=_checked_text(document.get('version', '')),
     )
 
 
--- a/tests/gateway/test_adapter.py
+++ b/tests/gateway/test_adapter.py
@@ -85,6 +85,8 @@
         {'address': 'nowhere'},
         {'service': None},
         {'born': 1.5},
+        {'version': 2},
+        {'version': None},
     ],
 )
 def test_invalid_upstream_entry_decodes_to_none(
@@ -107,6 +109,18 @@
     assert (found.id, found.slots, found.draining) == ('u1', 8, False)
 
 
+@pytest.mark.parametrize(
+    ('changes', 'version'), [({}, ''), ({'version': 'v1.2'}, 'v1.2')]
+)
+def test_software_version_of_upstream_is_not_dropped(
+    changes: dict[str, str], version: str
+) -> None:
+    stored = StoredObject('u1', 3, {**ENTRY, **changes})
+    found = StoreDocumentDecoder().read_upstream(stored)
+    assert found is not None
+    assert found.version == version
+
+
 def test_configuration_is_decoded_with_times_in_seconds() -> None:
     found = StoreDocumentDecoder().read_table(StoredObject('main', 3, CONFIG))
     assert found is not None
