Gateway: slots on upstreams of one software version

A request for a slot named its service only, so whoever must stay at one software version (an answer that has begun) was granted any upstream, or was queued where its version never gets free.

Ask and SlotRequest take a version; empty is any. The coordinator grants, preempts and passes on within it. One queue stays for each service, so that the order and the expected waits of other requests are as before; a bound request that can't be placed holds up only those bound to the same version. A zone without the version refuses at once, also what waits already. The instance then chooses among the version's upstreams in all zones itself, and refuses at once if there are none (VersionGoneError).

Instances of the previous build serve beside this one.

--- a/benchmarks/slot_fleet.py
+++ b/benchmarks/slot_fleet.py
@@ -20,7 +20,7 @@
     Upstream,
 )
 from gentiantrestle.gateway.roster import Roster
-from gentiantrestle.gateway.slots.admission import Admission, SlotRequest
+from gentiantrestle.gateway.slots.admission import Admission
 from gentiantrestle.gateway.slots.batch_asks import BatchAsks, WantedSlot
 from gentiantrestle.gateway.slots.client import SlotClient, SlotLease
 from gentiantrestle.gateway.slots.coordinator import SlotCoordinator
@@ -32,6 +32,7 @@
     SlotSender,
     SlotService,
 )
+from gentiantrestle.gateway.slots.slot_request import SlotRequest
 from gentiantrestle.gateway.topology import Topology
 from gentiantrestle.models import Address
 
--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -28,13 +28,14 @@
     RequestProgress,
     Step,
 )
-from gentiantrestle.gateway.slots.admission import Admission, SlotRequest
+from gentiantrestle.gateway.slots.admission import Admission
 from gentiantrestle.gateway.slots.client import SlotLease
 from gentiantrestle.gateway.slots.messages import SlotOutcome
 from gentiantrestle.gateway.slots.queueing import (
     MIN_RETRY_AFTER,
     retry_after_seconds,
 )
+from gentiantrestle.gateway.slots.slot_request import SlotRequest
 from gentiantrestle.gateway.sse import EventSplitter, EventStreamError
 from gentiantrestle.gateway.upstream_connection import (
     ResponseLostError,
--- a/gentiantrestle/gateway/roster.py
+++ b/gentiantrestle/gateway/roster.py
@@ -64,19 +64,25 @@
         if now < self.lapse_until:
             self._lapsed[upstream_id] = LapsedEntry(upstream, self.lapse_until)
 
-    def usable_upstreams(self, service: str, now: float) -> list[Upstream]:
-        """List the upstreams of a service that may get new work."""
+    def usable_upstreams(
+        self, service: str, now: float, version: str = ''
+    ) -> list[Upstream]:
+        """List the upstreams of a service that may get new work.
+
+        Only those of ``version``, unless it is empty.
+        """
         self._expire(now)
         found = [
             upstream
             for upstream in self._listed.values()
             if upstream.service == service and not upstream.draining
         ]
-        return found + [
+        found += [
             lapsed.upstream
             for lapsed in self._lapsed.values()
             if lapsed.upstream.service == service
         ]
+        return [known for known in found if version in {'', known.version}]
 
     def find(self, upstream_id: str) -> Upstream | None:
         """Return an upstream that is listed or has lapsed; None without it."""
--- a/gentiantrestle/gateway/slots/admission.py
+++ b/gentiantrestle/gateway/slots/admission.py
@@ -8,12 +8,11 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import suppress
-from typing import NamedTuple
 
 from gentiantrestle import events
-from gentiantrestle.errors import NO_UPSTREAM, OVERLOADED, RefusedError, refuse
+from gentiantrestle.errors import RefusedError
 from gentiantrestle.gateway.membership.peers import Peer
-from gentiantrestle.gateway.model import Request, Route
+from gentiantrestle.gateway.model import Upstream
 from gentiantrestle.gateway.ports import Reply
 from gentiantrestle.gateway.roster import Roster
 from gentiantrestle.gateway.slots.client import (
@@ -33,6 +32,10 @@
     retry_after_seconds,
     wait_limit,
 )
+from gentiantrestle.gateway.slots.slot_request import (
+    SlotRequest,
+    build_refusal,
+)
 from gentiantrestle.gateway.topology import Topology
 
 # A zone's coordinator answers within a few ms, unless it is busy or gone.
@@ -47,19 +50,6 @@
 NO_UPSTREAM_RETRY_AFTER = 0.5  # seconds; about a discovery interval
 
 
-class SlotRequest(NamedTuple):
-    """A request that needs a slot of ``service``.
-
-    ``excluded`` holds the ids of upstreams that must not be chosen at once;
-    a request that has to wait may still be given a slot on one of them.
-    """
-
-    request: Request
-    route: Route
-    service: str
-    excluded: frozenset[str] = frozenset()
-
-
 class Admission:
     """Gets slots for callers' requests."""
 
@@ -83,18 +73,13 @@
         """Take a slot, waiting in the coordinator's queue if none is free.
 
         Raises ``RefusedError`` if the expected or the actual wait exceeds
-        the request's wait limit.
+        the request's wait limit, and ``VersionGoneError`` at once if no
+        upstream has its version.
         """
-        for _ in range(MAX_GRANTS):
-            lease = await self._try_acquire(slot_request)
-            usable = self._usable_ids(slot_request.service)
-            if lease.upstream.id in usable or not lease.host:
-                break
-            self._client.release(lease, SlotOutcome.UNKNOWN)
-            slot_request = slot_request._replace(
-                excluded=slot_request.excluded | {lease.upstream.id}
-            )
-        else:
+        if slot_request.version and not self._usable(slot_request):
+            raise self._refusal(slot_request, NO_UPSTREAM_RETRY_AFTER)
+        lease = await self._acquire_granted(slot_request)
+        if lease is None:
             pending = self._open(slot_request)
             lease = self._choose_alone(slot_request, pending)
         self._log_placed(slot_request, lease)
@@ -110,6 +95,23 @@
         """Note what the head of an answer says about its upstream."""
         self._client.note_reply(lease, reply)
 
+    async def _acquire_granted(
+        self, slot_request: SlotRequest
+    ) -> SlotLease | None:
+        """Take a slot; None if what is granted can't be used."""
+        for _ in range(MAX_GRANTS):
+            lease = await self._try_acquire(slot_request)
+            if not lease.host or lease.upstream in self._usable(slot_request):
+                return lease
+            self._client.release(lease, SlotOutcome.UNKNOWN)
+            # Coordinators of an earlier build don't know of versions.
+            if not slot_request.allows(lease.upstream):
+                return None
+            slot_request = slot_request._replace(
+                excluded=slot_request.excluded | {lease.upstream.id}
+            )
+        return None
+
     async def _try_acquire(self, slot_request: SlotRequest) -> SlotLease:
         pending = self._open(slot_request)
         self.waiting += 1
@@ -131,10 +133,23 @@
         upstream = self._roster.find(answer.upstream)
         if answer.verdict is Verdict.GRANTED and upstream is not None:
             return self._client.hold(pending, upstream, answer.host)
-        if answer.verdict is Verdict.GRANTED:
+        if answer.verdict is Verdict.GRANTED or (
+            slot_request.version and self._is_elsewhere(slot_request, answer)
+        ):
             return self._choose_alone(slot_request, pending)
         raise self._refusal(slot_request, answer.wait)
 
+    def _is_elsewhere(self, slot_request: SlotRequest, answer: Answer) -> bool:
+        """Return whether a coordinator has none of the usable upstreams."""
+        now = self._now()
+        zones = {known.zone for known in self._usable(slot_request)}
+        hosts = {
+            peer.host
+            for zone in zones
+            for peer in self._client.targets(zone, now)
+        }
+        return answer.host not in hosts
+
     async def _ask_coordinators(self, pending: PendingAsk) -> bool:
         """Ask one coordinator after the other; return whether one answered."""
         targets = self._client.targets(self._topology.zone, self._now())
@@ -181,6 +196,7 @@
                 retry=limit.is_retry,
                 wait=limit.seconds,
                 excluded=slot_request.excluded | suspended,
+                version=slot_request.version,
             )
         )
 
@@ -188,7 +204,7 @@
         self, slot_request: SlotRequest, pending: PendingAsk
     ) -> SlotLease:
         now = self._now()
-        known = self._roster.usable_upstreams(slot_request.service, now)
+        known = self._usable(slot_request)
         usable = [
             upstream
             for upstream in self._client.health.usable(known, now)
@@ -209,29 +225,27 @@
             raise self._refusal(slot_request, NO_UPSTREAM_RETRY_AFTER)
         return self._client.hold(pending, upstream, '')
 
-    def _usable_ids(self, service: str) -> set[str]:
-        known = self._roster.usable_upstreams(service, self._now())
-        return {upstream.id for upstream in known}
+    def _usable(self, slot_request: SlotRequest) -> list[Upstream]:
+        return self._roster.usable_upstreams(
+            slot_request.service, self._now(), slot_request.version
+        )
 
     def _refusal(
         self, slot_request: SlotRequest, expected: float
     ) -> RefusedError:
         req, now = slot_request.request, self._now()
-        known = self._usable_ids(slot_request.service)
+        known = self._usable(slot_request)
         delay = retry_after_seconds(expected, req, now)
         events.emit(
             events.REQUEST_REFUSED,
             request=req.id,
             service=slot_request.service,
+            version=slot_request.version,
             upstreams=len(known),
             expected_ms=round(expected * 1000),
             retry_after=delay,
         )
-        if not known:
-            return refuse(
-                NO_UPSTREAM, 'No upstream of this service is available', delay
-            )
-        return refuse(OVERLOADED, 'All slots of this service are in use', delay)
+        return build_refusal(slot_request, delay, is_known=bool(known))
 
     def _log_placed(self, slot_request: SlotRequest, lease: SlotLease) -> None:
         now = self._now()
@@ -239,6 +253,7 @@
             events.REQUEST_PLACED,
             request=slot_request.request.id,
             upstream=lease.upstream.id,
+            version=lease.upstream.version,
             coordinator=lease.host,
             roster=self._roster.revision,
             waited_ms=round((now - slot_request.request.received) * 1000),
--- a/gentiantrestle/gateway/slots/codec.py
+++ b/gentiantrestle/gateway/slots/codec.py
@@ -54,6 +54,7 @@
         slack=int(ask.slack * MS_PER_S),
         tokens_left=ask.tokens_left,
         passed_on=ask.passed_on,
+        version=ask.version or None,
     )
 
 
@@ -72,6 +73,7 @@
         ask.slack / MS_PER_S,
         ask.tokens_left,
         ask.passed_on,
+        ask.version or '',
     )
 
 
--- a/gentiantrestle/gateway/slots/coordinator.py
+++ b/gentiantrestle/gateway/slots/coordinator.py
@@ -7,6 +7,7 @@
 slots in use, and overbooks until their holders report them.
 """
 
+from collections import defaultdict
 from collections.abc import Callable, Iterator
 
 from gentiantrestle.gateway.roster import Roster
@@ -30,8 +31,12 @@
     URGENT_SLACK,
     Pool,
 )
-from gentiantrestle.gateway.slots.queueing import AskQueue, HoldTime
-from gentiantrestle.gateway.slots.remote_zones import RemoteZones
+from gentiantrestle.gateway.slots.queueing import (
+    MIN_CAPACITY,
+    AskQueue,
+    HoldTime,
+)
+from gentiantrestle.gateway.slots.remote_zones import RemoteZones, Target
 from gentiantrestle.gateway.slots.yields import YieldNotices
 
 # Refusals while a service has no upstream; about the time between two
@@ -54,8 +59,8 @@
         self._roster = roster
         self._ledger = Ledger()
         self._health = HealthTable()
-        self._queues: dict[str, AskQueue] = {}
-        self._hold_times: dict[str, HoldTime] = {}
+        self._queues: defaultdict[str, AskQueue] = defaultdict(AskQueue)
+        self._hold_times: defaultdict[str, HoldTime] = defaultdict(HoldTime)
         self._notices = YieldNotices(self._ledger)
         self._placer = SlotPlacer(
             scope, self._ledger, self._notices, remote, rand
@@ -67,7 +72,7 @@
         A request that is repeated gets the same answer again.
         """
         known = self._ledger.get(ask.key)
-        queue = self._queue(ask.service)
+        queue = self._queues[ask.service]
         if known:
             yield self._placer.answer(ask, Verdict.GRANTED, known.upstream)
         elif ask.key in queue:
@@ -123,17 +128,8 @@
 
     def dispatch(self, now: float) -> Iterator[Outgoing]:
         """Grant free slots to those that wait, or pass them on."""
-        for service, queue in self._queues.items():
-            ask = queue.first(now)
-            while ask is not None:
-                messages = self._placer.place(
-                    ask, self._pool(service, now), now
-                )
-                if not messages:
-                    break
-                queue.remove(ask.key)
-                yield from messages
-                ask = queue.first(now)
+        for queue in self._queues.values():
+            yield from self._dispatch_queue(queue, now)
 
     @property
     def zone(self) -> str:
@@ -162,7 +158,7 @@
 
     def _service_sums(self, service: str, now: float) -> ServiceSums:
         pool = self._pool(service, now)
-        queue = self._queue(service)
+        queue = self._queues[service]
         return ServiceSums(
             service,
             max(0, pool.free_for_batch(URGENT_SLACK) - queue.online),
@@ -174,38 +170,68 @@
     def _ask_new(
         self, ask: Ask, queue: AskQueue, now: float
     ) -> Iterator[Outgoing]:
-        pool = self._pool(ask.service, now)
-        ahead = queue.online
-        if ask.batch:
-            ahead += queue.batch
-        messages: tuple[Outgoing, ...] = ()
-        if not ahead:
-            messages = self._placer.place(ask, pool, now)
+        pool = self._pool(ask.service, now, ask.version)
+        ahead = queue.is_ahead(ask)
+        messages = () if ahead else self._place(ask, pool, now)
         if messages:
             yield from messages
             return
-        wait = self._expected_wait(ask.service, queue, pool)
+        wait = self._expected_wait(ask, queue, pool, now)
         # The zone that a batch item comes from queues it better itself.
-        refused = wait > ask.wait
-        if ask.batch:
-            refused = ask.passed_on
-        if refused:
-            if not ahead:
-                messages = self._placer.grant_again(ask, pool, now)
-            if not messages:
-                yield self._placer.answer(ask, Verdict.REFUSED, wait=wait)
-            yield from messages
+        refused = ask.passed_on if ask.batch else wait > ask.wait
+        if not refused and not _is_stranded(ask, pool):
+            queue.put(ask, now)
+            yield self._placer.answer(ask, Verdict.QUEUED, wait=wait)
             return
-        queue.put(ask, now)
-        yield self._placer.answer(ask, Verdict.QUEUED, wait=wait)
+        if not ahead:
+            messages = self._placer.grant_again(ask, pool, now)
+        if not messages:
+            yield self._placer.answer(ask, Verdict.REFUSED, wait=wait)
+        yield from messages
+
+    def _dispatch_queue(
+        self, queue: AskQueue, now: float
+    ) -> Iterator[Outgoing]:
+        held_up: set[str] = set()
+        ask = queue.first(now)
+        while ask is not None:
+            messages = self._place_queued(ask, now)
+            if messages:
+                queue.remove(ask.key)
+                yield from messages
+            elif ask.version:
+                held_up.add(ask.version)
+            else:
+                return
+            ask = queue.first(now, held_up)
+
+    def _place_queued(self, ask: Ask, now: float) -> tuple[Outgoing, ...]:
+        """Return what places or ends a request that waits; empty if nothing."""
+        pool = self._pool(ask.service, now, ask.version)
+        messages = self._place(ask, pool, now)
+        if messages or not _is_stranded(ask, pool):
+            return messages
+        refused = self._placer.answer(
+            ask, Verdict.REFUSED, wait=NO_UPSTREAM_WAIT
+        )
+        return (refused,)
+
+    def _place(self, ask: Ask, pool: Pool, now: float) -> tuple[Outgoing, ...]:
+        target = Target(ask.service)
+        if ask.version:
+            known = self._roster.usable_upstreams(ask.service, now, ask.version)
+            zones = frozenset(upstream.zone for upstream in known)
+            target = Target(ask.service, zones)
+        return self._placer.place(ask, pool, target, now)
 
     def _record_use(
         self, lease: Lease, outcome: SlotOutcome, now: float
     ) -> None:
         self._health.record(lease.upstream, outcome, now)
         if not lease.batch:
-            service = self._service_of(lease.upstream)
-            self._hold_time(service).record(now - lease.granted_at)
+            known = self._roster.find(lease.upstream)
+            service = known.service if known else ''
+            self._hold_times[service].record(now - lease.granted_at)
 
     def _preempt_overbooked(self, now: float) -> Iterator[Outgoing]:
         for service in self._roster.services():
@@ -215,19 +241,27 @@
                     yield self._notices.add(victim, now)
 
     def _expected_wait(
-        self, service: str, queue: AskQueue, pool: Pool
+        self, ask: Ask, queue: AskQueue, pool: Pool, now: float
     ) -> float:
         if not pool.upstreams:
             return NO_UPSTREAM_WAIT
-        hold_time = self._hold_time(service)
+        hold_time = self._hold_times[ask.service]
         capacity = pool.capacity(hold_time.mean)
-        return hold_time.expected_wait(queue.online, capacity)
+        ahead: float = queue.online
+        if ask.version:
+            # Those that may go anywhere take their share of these upstreams.
+            whole = self._pool(ask.service, now).capacity(hold_time.mean)
+            share = capacity / max(capacity, whole, MIN_CAPACITY)
+            ahead = (
+                queue.waiting_for(ask.version) + queue.waiting_for('') * share
+            )
+        return hold_time.expected_wait(ahead, capacity)
 
-    def _pool(self, service: str, now: float) -> Pool:
+    def _pool(self, service: str, now: float, version: str = '') -> Pool:
         zones = self._scope.zones(now)
         found = [
             upstream
-            for upstream in self._roster.usable_upstreams(service, now)
+            for upstream in self._roster.usable_upstreams(service, now, version)
             if upstream.zone in zones
         ]
         usable = tuple(self._health.usable(found, now))
@@ -235,12 +269,7 @@
         allowances = self._ledger.rates.allowances(names, now)
         return Pool(usable, self._ledger, allowances)
 
-    def _service_of(self, upstream: str) -> str:
-        known = self._roster.find(upstream)
-        return known.service if known else ''
-
-    def _queue(self, service: str) -> AskQueue:
-        return self._queues.setdefault(service, AskQueue())
 
-    def _hold_time(self, service: str) -> HoldTime:
-        return self._hold_times.setdefault(service, HoldTime())
+def _is_stranded(ask: Ask, pool: Pool) -> bool:
+    """Return whether an ask waits for a version that nothing here has."""
+    return bool(ask.version) and not pool.upstreams
--- a/gentiantrestle/gateway/slots/messages.py
+++ b/gentiantrestle/gateway/slots/messages.py
@@ -28,6 +28,7 @@
     ``host`` gets the answer. ``wait`` is how long it may be queued; batch
     items wait without a limit, in the order of ``slack`` and
     ``tokens_left``. ``passed_on`` means that another zone had no free slot.
+    Only upstreams of ``version`` will do, unless it is empty.
     """
 
     key: LeaseKey
@@ -41,6 +42,7 @@
     slack: float = 0
     tokens_left: int = 0
     passed_on: bool = False
+    version: str = ''
 
 
 class Verdict(Enum):
--- a/gentiantrestle/gateway/slots/placing.py
+++ b/gentiantrestle/gateway/slots/placing.py
@@ -17,7 +17,7 @@
     Verdict,
 )
 from gentiantrestle.gateway.slots.pool import Pool
-from gentiantrestle.gateway.slots.remote_zones import RemoteZones
+from gentiantrestle.gateway.slots.remote_zones import RemoteZones, Target
 from gentiantrestle.gateway.slots.yields import YieldNotices
 
 
@@ -53,21 +53,27 @@
         self._remote = remote
         self._rand = rand
 
-    def place(self, ask: Ask, pool: Pool, now: float) -> tuple[Outgoing, ...]:
-        """Return the messages that give a request its slot; none if full."""
+    def place(
+        self, ask: Ask, pool: Pool, target: Target, now: float
+    ) -> tuple[Outgoing, ...]:
+        """Return the messages that give a request its slot; none if full.
+
+        ``pool`` are the upstreams here that will do, and ``target`` says what
+        will do in other zones.
+        """
         pool = pool.without(ask.excluded)
         if ask.batch:
             if pool.free_for_batch(ask.slack) > 0:
                 return self._grant_free(ask, pool, now)
             if ask.passed_on:
                 return ()
-            zone = self._remote.choose_for_batch(ask.service, now)
+            zone = self._remote.choose_for_batch(target, now)
             return self._pass_on(ask, zone, now)
         return (
             self._grant_free(ask, pool, now)
-            or self._pass_near(ask, now)
+            or self._pass_near(ask, target, now)
             or self._preempt(ask, pool, now)
-            or self._pass_far(ask, pool, now)
+            or self._pass_far(ask, pool, target, now)
         )
 
     def grant_again(
@@ -115,25 +121,27 @@
         notice = self._notices.add(victim, now)
         return notice, self._grant(ask, victim.upstream, now)
 
-    def _pass_near(self, ask: Ask, now: float) -> tuple[Outgoing, ...]:
+    def _pass_near(
+        self, ask: Ask, target: Target, now: float
+    ) -> tuple[Outgoing, ...]:
         if ask.passed_on:
             return ()
-        zone = self._remote.choose_free(ask.service, now, near=True)
+        zone = self._remote.choose_free(target, now, near=True)
         return self._pass_on(ask, zone, now)
 
     def _pass_far(
-        self, ask: Ask, pool: Pool, now: float
+        self, ask: Ask, pool: Pool, target: Target, now: float
     ) -> tuple[Outgoing, ...]:
         if ask.passed_on:
             return ()
-        remote, service = self._remote, ask.service
+        remote = self._remote
         zone = (
-            remote.choose_preemptible(service, now, near=True)
-            or remote.choose_free(service, now, near=False)
-            or remote.choose_preemptible(service, now, near=False)
+            remote.choose_preemptible(target, now, near=True)
+            or remote.choose_free(target, now, near=False)
+            or remote.choose_preemptible(target, now, near=False)
         )
         if zone is None and not pool.slots:
-            zone = remote.choose_any(service, now)
+            zone = remote.choose_any(target, now)
         return self._pass_on(ask, zone, now)
 
     def _pass_on(
--- a/gentiantrestle/gateway/slots/queueing.py
+++ b/gentiantrestle/gateway/slots/queueing.py
@@ -8,6 +8,8 @@
 goes first, so that most are in time.
 """
 
+from collections import Counter
+from collections.abc import Container
 from itertools import count
 from typing import NamedTuple
 
@@ -70,7 +72,7 @@
         """Add the hold time of one request."""
         self.mean += SMOOTHING * (seconds - self.mean)
 
-    def expected_wait(self, ahead: int, slots: float) -> float:
+    def expected_wait(self, ahead: float, slots: float) -> float:
         """Estimate the wait in s behind ``ahead`` requests for ``slots``."""
         return (ahead + 1) * self.mean / max(MIN_CAPACITY, slots)
 
@@ -98,14 +100,24 @@
         return (0, int(not ask.retry), ask.priority, self.number)
 
 
+class Group(NamedTuple):
+    """The requests, or the batch items, that are bound to one version."""
+
+    version: str
+    batch: bool
+
+
 class AskQueue:
-    """Requests and batch items that wait for a slot of one service."""
+    """Requests and batch items that wait for a slot of one service.
+
+    An ask that is bound to a version holds up only those bound to it.
+    """
 
     def __init__(self) -> None:
         """Start with an empty queue."""
         self._queued: dict[LeaseKey, QueuedAsk] = {}
         self._numbers = count()
-        self.online = 0
+        self._waiting: Counter[Group] = Counter()
 
     def __contains__(self, key: LeaseKey) -> bool:
         """Return whether a request waits."""
@@ -116,11 +128,33 @@
         """Return whether anything waits."""
         return bool(self._queued)
 
+    @property
+    def online(self) -> int:
+        """Count the waiting requests."""
+        return sum(
+            waiting
+            for group, waiting in self._waiting.items()
+            if not group.batch
+        )
+
     @property
     def batch(self) -> int:
         """Count the waiting batch items."""
         return len(self._queued) - self.online
 
+    def waiting_for(self, version: str) -> int:
+        """Count the waiting requests that are bound to a version, or none."""
+        return self._waiting[Group(version, batch=False)]
+
+    def is_ahead(self, ask: Ask) -> bool:
+        """Return whether anything waits that holds up a new request."""
+        return any(
+            waiting
+            for group, waiting in self._waiting.items()
+            if group.version in {'', ask.version}
+            and (ask.batch or not group.batch)
+        )
+
     def put(self, ask: Ask, now: float) -> None:
         """Add a request; one that waits already keeps its place.
 
@@ -130,23 +164,32 @@
         ask = ask._replace(excluded=frozenset())
         known = self._queued.get(ask.key)
         number = next(self._numbers) if known is None else known.number
-        if known is None:
-            self.online += int(not ask.batch)
+        self.remove(ask.key)
+        self._waiting[Group(ask.version, ask.batch)] += 1
         self._queued[ask.key] = QueuedAsk(ask, number, now, now + ask.slack)
 
     def remove(self, key: LeaseKey) -> None:
         """Remove a request, if it waits."""
         queued = self._queued.pop(key, None)
         if queued is not None:
-            self.online -= int(not queued.ask.batch)
+            self._waiting[Group(queued.ask.version, queued.ask.batch)] -= 1
 
-    def first(self, now: float) -> Ask | None:
-        """Return the request that is served next; None if none waits."""
-        if not self._queued:
-            return None
+    def first(self, now: float, held_up: Container[str] = ()) -> Ask | None:
+        """Return the request that is served next; None if none waits.
+
+        Those bound to a version in ``held_up`` are passed over.
+        """
         queued = min(
-            self._queued.values(), key=lambda waiting: waiting.sort_key(now)
+            (
+                waiting
+                for waiting in self._queued.values()
+                if waiting.ask.version not in held_up
+            ),
+            key=lambda waiting: waiting.sort_key(now),
+            default=None,
         )
+        if queued is None:
+            return None
         return queued.ask._replace(slack=queued.slack_until - now)
 
     def remove_expired(self, now: float) -> None:
--- a/gentiantrestle/gateway/slots/remote_zones.py
+++ b/gentiantrestle/gateway/slots/remote_zones.py
@@ -1,6 +1,7 @@
 """Free slots of the other zones, as their coordinators sum them up; no I/O."""
 
 from collections.abc import Callable, Iterator
+from typing import NamedTuple
 
 from gentiantrestle.gateway.slots.messages import ServiceSums, ZoneSums
 from gentiantrestle.gateway.topology import Topology
@@ -9,6 +10,17 @@
 SUMS_LIFETIME = 1.5  # seconds
 
 
+class Target(NamedTuple):
+    """A service, and the zones that will do; all if ``zones`` is None."""
+
+    service: str
+    zones: frozenset[str] | None = None
+
+    def allows(self, zone: str) -> bool:
+        """Return whether a zone will do."""
+        return self.zones is None or zone in self.zones
+
+
 class RemoteZones:
     """The sums of all other zones.
 
@@ -33,35 +45,35 @@
         self._received[sums.zone] = now
 
     def choose_free(
-        self, service: str, now: float, *, near: bool
+        self, target: Target, now: float, *, near: bool
     ) -> str | None:
         """Return a zone with free slots; None if there is none.
 
         ``near`` zones are those of the own region, all others are far.
         """
-        return self._choose(service, now, near, lambda sums: sums.free)
+        return self._choose(target, now, near, lambda sums: sums.free)
 
     def choose_preemptible(
-        self, service: str, now: float, *, near: bool
+        self, target: Target, now: float, *, near: bool
     ) -> str | None:
         """Return a zone where batch items would yield; None without one."""
-        return self._choose(service, now, near, lambda sums: sums.batch)
+        return self._choose(target, now, near, lambda sums: sums.batch)
 
-    def choose_for_batch(self, service: str, now: float) -> str | None:
+    def choose_for_batch(self, target: Target, now: float) -> str | None:
         """Return a zone with free slots in which nobody waits, or None."""
         return self._choose(
-            service, now, near=True, weigh=_spare
-        ) or self._choose(service, now, near=False, weigh=_spare)
+            target, now, near=True, weigh=_spare
+        ) or self._choose(target, now, near=False, weigh=_spare)
 
-    def choose_any(self, service: str, now: float) -> str | None:
+    def choose_any(self, target: Target, now: float) -> str | None:
         """Return the zone with the shortest queue that has the service."""
         return min(
             (
                 zone
                 for near in (True, False)
-                for zone, _ in self._fresh(service, now, near)
+                for zone, _ in self._fresh(target, now, near)
             ),
-            key=lambda zone: self._sums[zone][service].waiting,
+            key=lambda zone: self._sums[zone][target.service].waiting,
             default=None,
         )
 
@@ -76,14 +88,14 @@
 
     def _choose(
         self,
-        service: str,
+        target: Target,
         now: float,
         near: bool,
         weigh: Callable[[ServiceSums], int],
     ) -> str | None:
         """Return the zone that weighs most; None if all weigh nothing."""
         weights = {
-            zone: weigh(sums) for zone, sums in self._fresh(service, now, near)
+            zone: weigh(sums) for zone, sums in self._fresh(target, now, near)
         }
         return max(
             (zone for zone, weight in weights.items() if weight > 0),
@@ -92,16 +104,17 @@
         )
 
     def _fresh(
-        self, service: str, now: float, near: bool
+        self, target: Target, now: float, near: bool
     ) -> Iterator[tuple[str, ServiceSums]]:
         for zone, services in self._sums.items():
             fresh = now - self._received[zone] < SUMS_LIFETIME
             if (
                 fresh
-                and service in services
+                and target.allows(zone)
+                and target.service in services
                 and self._topology.is_near(zone) == near
             ):
-                yield zone, services[service]
+                yield zone, services[target.service]
 
 
 def _spare(sums: ServiceSums) -> int:
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -163,6 +163,8 @@
   11: required i32 tokens_left,
   /* Passed on by the coordinator of another zone. */
   12: required bool passed_on,
+  /* Version of the upstream's software; absent if any will do. */
+  13: optional string version,
 }
 
 enum SlotVerdict {
--- a/gentiantrestle/wire/peer/ttypes.py
+++ b/gentiantrestle/wire/peer/ttypes.py
@@ -2050,6 +2050,7 @@
      - slack
      - tokens_left
      - passed_on
+     - version
 
     """
 
@@ -2066,10 +2067,11 @@
         'slack',
         'tokens_left',
         'passed_on',
+        'version',
     )
 
 
-    def __init__(self, holder=None, lease=None, host=None, service_name=None, batch=None, priority=None, retry=None, wait=None, excluded=None, slack=None, tokens_left=None, passed_on=None,):
+    def __init__(self, holder=None, lease=None, host=None, service_name=None, batch=None, priority=None, retry=None, wait=None, excluded=None, slack=None, tokens_left=None, passed_on=None, version=None,):
         self.holder = holder
         self.lease = lease
         self.host = host
@@ -2082,6 +2084,7 @@
         self.slack = slack
         self.tokens_left = tokens_left
         self.passed_on = passed_on
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2157,6 +2160,11 @@
                     self.passed_on = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2218,6 +2226,10 @@
             oprot.writeFieldBegin('passed_on', TType.BOOL, 12)
             oprot.writeBool(self.passed_on)
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 13)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4280,6 +4292,7 @@
     (10, TType.I32, 'slack', None, None, ),  # 10
     (11, TType.I32, 'tokens_left', None, None, ),  # 11
     (12, TType.BOOL, 'passed_on', None, None, ),  # 12
+    (13, TType.STRING, 'version', 'UTF8', None, ),  # 13
 )
 all_structs.append(SlotAnswer)
 SlotAnswer.thrift_spec = (
