Heed upstreams whose answers say that they are leaving

Callers' requests reached upstreams later than drain-ms after this machine had passed on an answer with Server-Leaving: the header wasn't read, and only the entry in the store was looked at. An upstream may never report that it drains, and the store may be out of reach.

The dialect decodes the header of answers of all kinds; the client of the slots, through which all requests, streams and items pass, marks the incarnation of the upstream that answered. The roster leaves marked upstreams out, so a grant of one is given back, an item isn't started there, and none is chosen without a coordinator. Only where no other upstream of the service is listed do marked ones serve on, until 0.5 s before drain-ms after the first such answer is over. Marks outlive entries that lapse or come back, and are bounded. An answer of another server at the address (421) marks nothing.

The tests failed before: all 15 of test_process_leaving.py, with runs at the leaving upstream. No change in the daemon: its engines say X-Leaving in refusals only, and it heeds these.

--- a/gentiantrestle/gateway/assembly.py
+++ b/gentiantrestle/gateway/assembly.py
@@ -52,6 +52,7 @@
     client = SlotClient(
         fleet.run_name, identity.host, directory, sender.send, fleet.clock.now
     )
+    client.mark_leaving = roster.leaving.add
     parts = SlotParts(
         SlotCoordinator(scope, roster, remote, rng.random),
         client,
--- a/gentiantrestle/gateway/fleet_context.py
+++ b/gentiantrestle/gateway/fleet_context.py
@@ -23,7 +23,8 @@
     """Identity, location and addresses of an instance.
 
     ``http_address`` is where callers connect, ``grace`` the time in s that a
-    stop may take, ``seeds`` are hosts of other instances.
+    stop may take, ``drain_time`` the one that a leaving upstream serves for,
+    and ``seeds`` are hosts of other instances.
     """
 
     instance: str
@@ -33,6 +34,7 @@
     peer_port: int
     seeds: tuple[str, ...]
     grace: float
+    drain_time: float
 
 
 class FleetContext(NamedTuple):
--- a/gentiantrestle/gateway/fleet_state.py
+++ b/gentiantrestle/gateway/fleet_state.py
@@ -19,10 +19,14 @@
         decoder: DocumentDecoder,
         config_name: str,
         now: Callable[[], float],
+        drain_time: float = 0,
     ) -> None:
-        """Decode with ``decoder``; nothing is known yet."""
+        """Decode with ``decoder``; nothing is known yet.
+
+        Upstreams that are leaving serve for ``drain_time`` s.
+        """
         self.router = Router()
-        self.roster = Roster()
+        self.roster = Roster(drain_time)
         self._decoder = decoder
         self._config_name = config_name
         self._now = now
--- a/gentiantrestle/gateway/ports.py
+++ b/gentiantrestle/gateway/ports.py
@@ -84,7 +84,8 @@
     from an upstream. ``not_run`` means that the request was not executed,
     ``wrong_instance`` that it reached another instance than intended.
     ``rate_limit`` is the most requests a second that the upstream takes from
-    all instances together, 0 for no limit.
+    all instances together, 0 for no limit. ``leaving`` means that the upstream
+    will end soon.
     """
 
     status: int
@@ -94,6 +95,7 @@
     not_run: bool
     wrong_instance: bool
     rate_limit: float = 0
+    leaving: bool = False
 
 
 class ReadResults(NamedTuple):
--- a/gentiantrestle/gateway/roster.py
+++ b/gentiantrestle/gateway/roster.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from gentiantrestle.gateway.leaving import LeavingUpstreams
 from gentiantrestle.gateway.model import Upstream
 
 # Entries that lapsed during an outage of the store return within about this.
@@ -24,13 +25,14 @@
 class Roster:
     """The upstreams by id, listed in the store or lapsed during an outage."""
 
-    def __init__(self) -> None:
-        """Start empty; nothing is known of the store yet."""
+    def __init__(self, drain_time: float = 0) -> None:
+        """Start empty; leaving upstreams serve for ``drain_time`` s."""
         self._listed: dict[str, Upstream] = {}
         self._lapsed: dict[str, LapsedEntry] = {}
         # An entry that vanishes before this time counts as lapsed.
         self.lapse_until = float(0)
         self.revision = 0
+        self.leaving = LeavingUpstreams(drain_time)
 
     def note_outage(self, now: float) -> None:
         """Note that the store is unreachable; entries may lapse."""
@@ -82,7 +84,8 @@
             for lapsed in self._lapsed.values()
             if lapsed.upstream.service == service
         ]
-        return [known for known in found if version in {'', known.version}]
+        fitting = [known for known in found if version in {'', known.version}]
+        return self.leaving.usable(fitting, now)
 
     def find(self, upstream_id: str) -> Upstream | None:
         """Return an upstream that is listed or has lapsed; None without it."""
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -56,7 +56,10 @@
         incarnation = time.time_ns()
         self._rng = random.Random(incarnation)
         self._state = FleetState(
-            adapter.decoder, adapter.kinds.config_name, self._clock.now
+            adapter.decoder,
+            adapter.kinds.config_name,
+            self._clock.now,
+            cfg.drain_time,
         )
         self._state.on_change = self._dispatch_work
         self._fleet = FleetContext.from_config(
--- a/gentiantrestle/gateway/slots/client.py
+++ b/gentiantrestle/gateway/slots/client.py
@@ -114,6 +114,8 @@
         self._lossy_until = float(0)
         self.health = HealthTable()
         self.rates = RateLimits()
+        # Called with an upstream whose answer says that it is leaving.
+        self.mark_leaving: Callable[[Upstream, float], None] = _mark_nothing
 
     @property
     def is_busy(self) -> bool:
@@ -196,14 +198,17 @@
         self._send_release(lease.number, hosts - {''}, outcome)
 
     def note_reply(self, lease: SlotLease, reply: Reply) -> None:
-        """Tell the coordinators of a limit that they don't know.
+        """Note what the head of an answer says about its upstream.
 
-        An answer without a limit lifts it; a refusal says nothing.
+        The coordinators are told of a limit that they don't know. An answer
+        without a limit lifts it; a refusal says nothing.
         """
+        now = self._now()
+        if reply.leaving and not reply.wrong_instance:
+            self.mark_leaving(lease.upstream, now)
         limit = reply.rate_limit
         if reply.not_run and not limit:
             return
-        now = self._now()
         upstream = lease.upstream
         self.rates.name(upstream.id, limit, now)
         if limit == lease.rate_limit:
@@ -283,5 +288,9 @@
         )
 
 
+def _mark_nothing(upstream: Upstream, now: float) -> None:
+    """Do nothing until the roster is known."""
+
+
 def _ignore(answer: Answer) -> None:
     """Do nothing until a handler is set."""
--- a/gentiantrestle/platform/dialect.py
+++ b/gentiantrestle/platform/dialect.py
@@ -35,6 +35,7 @@
 WAIT = b'x-wait-ms'
 LENGTH = b'content-length'
 RATE_LIMIT = b'server-limit'
+LEAVING = b'server-leaving'
 # The parts of the prompt in order, as ID:TOKENS; the last is the request's own.
 PROMPT_PARTS = b'x-prompt-prefix'
 MAX_PART_ID = 64  # characters
@@ -169,6 +170,7 @@
             genuine=authentic or head.status_code >= FIRST_NON_SUCCESS,
             not_run=not_run,
             wrong_instance=head.status_code == MISDIRECTED,
+            leaving=fields.get(LEAVING) == b'1',
             rate_limit=_rate(fields.get(RATE_LIMIT, b'')),
         )
 
--- a/gentiantrestle/platform/roles.py
+++ b/gentiantrestle/platform/roles.py
@@ -62,6 +62,7 @@
             node.peer_port,
             node.seeds,
             node.grace,
+            node.drain_time,
         ),
         Adapter(
             ObjectClient(node.store_address),
--- a/gentiantrestle/platform/settings.py
+++ b/gentiantrestle/platform/settings.py
@@ -9,6 +9,7 @@
 
 SETTINGS_VARIABLE = 'GENTIANTRESTLE_SETTINGS'
 REMEDY = 'Have the platform write the settings file again'
+MS = 0.001  # seconds
 
 
 class SettingsError(Exception):
@@ -16,7 +17,10 @@
 
 
 class NodeSettings(NamedTuple):
-    """Settings of one process from the platform; times are in s."""
+    """Settings of one process from the platform; times are in s.
+
+    ``drain_time`` is how long a leaving server serves, 0 if it isn't set.
+    """
 
     instance: str
     zone: str
@@ -28,6 +32,7 @@
     seeds: tuple[str, ...]
     store_address: Address
     grace: float
+    drain_time: float
     retires_storage: bool
 
     @classmethod
@@ -65,6 +70,7 @@
             ),
             store_address=Address.parse(config['platform']['address']),
             grace=float(config['bounds']['grace-s']),
+            drain_time=float(config['bounds'].get('drain-ms', 0)) * MS,
             retires_storage='edge' in config['serves'],
         )
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -52,8 +52,9 @@
 
     ``POST /control`` replaces the faults: ``shed`` refuses each request,
     ``fail`` answers 500, ``silent`` delays each answer by some seconds,
-    ``cut_after`` cuts each stream after so many events, and ``answer_as``
-    answers with another attempt id.
+    ``cut_after`` cuts each stream after so many events, ``answer_as`` answers
+    with another attempt id, and with ``leaving`` each answer says that the
+    upstream is leaving.
     """
 
     def __init__(self, cfg: UpstreamConfig) -> None:
@@ -97,7 +98,7 @@
         if req.headers.get('x-expect-instance') != self._cfg.name:
             return Response(HTTPStatus.MISDIRECTED_REQUEST)
         if self._running >= self._cfg.slots or self._faults.get('shed'):
-            not_executed = (('X-Not-Executed', '1'),)
+            not_executed = (('X-Not-Executed', '1'), *self._leaving_headers)
             return Response(
                 HTTPStatus.SERVICE_UNAVAILABLE, headers=not_executed
             )
@@ -124,12 +125,18 @@
             await asyncio.sleep(self._faults['silent'])
         return self._answer(payload, run)
 
+    @property
+    def _leaving_headers(self) -> tuple[tuple[str, str], ...]:
+        leaving = self._faults.get('leaving')
+        return (('Server-Leaving', '1'),) if leaving else ()
+
     def _answer(self, payload: dict[str, Any], run: dict[str, Any]) -> Response:
         answered_id = self._faults.get('answer_as', run['id'])
         headers = (
             ('X-Attempt-Id', answered_id),
             ('X-Server-Stamp', 'stamp'),
             *self._limit_headers,
+            *self._leaving_headers,
         )
         if payload.get(POISON):
             status = HTTPStatus.UNPROCESSABLE_ENTITY
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -36,6 +36,7 @@
 ready-addr = "{host}:{ready}"
 [bounds]
 grace-s = 6
+drain-ms = 2500
 [platform]
 address = "{store}"
 """
