Gateway: a stream goes on only at the version that began it

Once an event has been passed on, all further attempts ask for slots of that upstream's version, and the log names it (5101, 5103). If no upstream of it is left, the answer is cut at once, with step and reason in event 5108. An answer that another request began takes its version from the caller of Forwarder.answer.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -168,6 +168,11 @@
 REQUEST_QUARANTINED = _define(
     5106, LEVEL_INFO, 'request {request} refused: {reason}'
 )
+ANSWER_ABANDONED = _define(
+    5108,
+    LEVEL_INFO,
+    'answer to request {request} cut, no slot to go on: {reason}',
+)
 REQUEST_PLACED = _define(
     5101,
     LEVEL_INFO,
--- a/gentiantrestle/gateway/forward.py
+++ b/gentiantrestle/gateway/forward.py
@@ -27,12 +27,17 @@
         route: Route,
         service: str,
         exchange: Exchange,
+        version: str = '',
     ) -> str:
         """Answer the exchange; return the outcome of the last attempt.
 
+        An answer that another request began goes on at upstreams of its
+        ``version`` only, unless it is empty.
         Raises ``RefusedError`` if the caller still has to be refused.
         """
-        forwarded = ForwardedRequest(self._context, req, route, exchange)
+        forwarded = ForwardedRequest(
+            self._context, req, route, exchange, version
+        )
         while True:
             lease = await forwarded.acquire_slot(service)
             outcome = await forwarded.attempt(lease)
@@ -42,6 +47,7 @@
                 events.ATTEMPT_ENDED,
                 request=req.id,
                 upstream=lease.upstream.id,
+                version=lease.upstream.version,
                 outcome=outcome.value,
                 reason=forwarded.reason,
                 received=forwarded.received,
--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -5,9 +5,6 @@
 
 from gentiantrestle import events
 from gentiantrestle.errors import (
-    ANSWER_TIMEOUT,
-    NO_UPSTREAM,
-    QUARANTINED,
     UPSTREAM_OUTCOME_UNKNOWN,
     RefusedError,
     refuse,
@@ -22,6 +19,7 @@
 from gentiantrestle.gateway.exchange import CONTENT_LENGTH, Exchange
 from gentiantrestle.gateway.model import Request, Route, RouteKind
 from gentiantrestle.gateway.ports import Dialect, Reply
+from gentiantrestle.gateway.refusals import final_refusal, refuse_quarantined
 from gentiantrestle.gateway.request_traits import request_traits
 from gentiantrestle.gateway.retry_policy import (
     AttemptOutcome,
@@ -31,10 +29,6 @@
 from gentiantrestle.gateway.slots.admission import Admission
 from gentiantrestle.gateway.slots.client import SlotLease
 from gentiantrestle.gateway.slots.messages import SlotOutcome
-from gentiantrestle.gateway.slots.queueing import (
-    MIN_RETRY_AFTER,
-    retry_after_seconds,
-)
 from gentiantrestle.gateway.slots.slot_request import SlotRequest
 from gentiantrestle.gateway.sse import EventSplitter, EventStreamError
 from gentiantrestle.gateway.upstream_connection import (
@@ -45,10 +39,8 @@
 from gentiantrestle.http.event_timer import EventTimer, StalledError
 from gentiantrestle.http.link import RequestNotSentError
 from gentiantrestle.quarantine.guard import (
-    TRIAL_INTERVAL,
     QuarantinedError,
     RequestGuard,
-    describe,
 )
 from gentiantrestle.quarantine.watch import RequestWatch
 
@@ -74,8 +66,13 @@
         req: Request,
         route: Route,
         exchange: Exchange,
+        version: str = '',
     ) -> None:
-        """Answer ``exchange``; nothing has been sent yet."""
+        """Answer ``exchange``; nothing has been sent yet.
+
+        An answer that goes on after the caller's last event takes the
+        ``version`` of the upstream that began it; empty if it may be any.
+        """
         self._context = context
         self._req = req
         self._route = route
@@ -85,6 +82,7 @@
         self._progress = RequestProgress(route.idempotent, route.max_attempts)
         self._splitter = EventSplitter(req.last_event)
         self._held_response: HeldResponse | None = None
+        self.version = version
         self.reason = ''
         # Events that the attempt has received, and the framing of its answer.
         self.received = 0
@@ -102,13 +100,15 @@
         Raises ``RefusedError``; it reports an unknown outcome if an earlier
         attempt may have been executed.
         """
-        slot_request = SlotRequest(self._req, self._route, service, self._tried)
+        slot_request = SlotRequest(
+            self._req, self._route, service, self._tried, self.version
+        )
         try:
             self._refuse_quarantined()
             lease = await self._context.admission.acquire(slot_request)
         except RefusedError as exc:
             if self._exchange.started:
-                self._exchange.abort()
+                self._cut(exc.refusal.reason)
             if not self._progress.runs:
                 raise
             raise refuse(UPSTREAM_OUTCOME_UNKNOWN, exc.refusal.reason) from exc
@@ -123,6 +123,8 @@
             health = UPSTREAM_HEALTH.get(outcome, health)
         finally:
             self._context.admission.release(lease, health)
+            if self._exchange.started:
+                self.version = lease.upstream.version
         return outcome
 
     async def finish(self, step: Step, outcome: AttemptOutcome) -> None:
@@ -133,7 +135,19 @@
             reply, body = self._held_response
             await self._exchange.respond(reply.status, reply.headers, body)
         elif step is not Step.FINISH:
-            raise self._refusal(step, outcome)
+            now = self._context.clock.now()
+            raise final_refusal(step, outcome, self.reason, self._req, now)
+
+    def _cut(self, reason: str) -> None:
+        """Abort an answer that has begun, as no slot can be had to go on."""
+        events.emit(
+            events.ANSWER_ABANDONED,
+            request=self._req.id,
+            version=self.version,
+            reason=reason,
+            step=Step.CUT.value,
+        )
+        self._exchange.abort()
 
     def _new_watch(self) -> RequestWatch:
         return RequestWatch(
@@ -141,27 +155,8 @@
         )
 
     def _refuse_quarantined(self) -> None:
-        """Raise ``RefusedError`` if the request can't be served for long."""
         wall = self._context.clock.wall()
-        culprit = self._context.guard.find_refused(self.traits, wall)
-        if culprit is None:
-            return
-        reason = describe(culprit)
-        events.emit(
-            events.REQUEST_QUARANTINED, request=self._req.id, reason=reason
-        )
-        raise refuse(QUARANTINED, reason, TRIAL_INTERVAL)
-
-    def _refusal(self, step: Step, outcome: AttemptOutcome) -> RefusedError:
-        if step is Step.REFUSE and outcome is AttemptOutcome.QUARANTINED:
-            return refuse(QUARANTINED, self.reason, TRIAL_INTERVAL)
-        if step is Step.REFUSE:
-            now = self._context.clock.now()
-            delay = retry_after_seconds(MIN_RETRY_AFTER, self._req, now)
-            return refuse(NO_UPSTREAM, self.reason, delay)
-        if outcome is AttemptOutcome.EXPIRED:
-            return refuse(ANSWER_TIMEOUT, self.reason)
-        return refuse(UPSTREAM_OUTCOME_UNKNOWN, self.reason)
+        refuse_quarantined(self._context.guard, self._req, self.traits, wall)
 
     async def _run_attempt(self, lease: SlotLease) -> AttemptOutcome:
         self._watch = self._new_watch()
