Gateway: tell a waiting request that its version is gone, whoever is ahead

The coordinator looked no further once a request that may go anywhere could not be placed, so one behind it whose version had just left waited out its limit before it was refused. Each version is looked at now, whatever holds up the others.

test_waiting_ask_is_told_when_the_last_upstream_of_its_version_goes, now with a request ahead, failed before.

--- a/gentiantrestle/gateway/slots/coordinator.py
+++ b/gentiantrestle/gateway/slots/coordinator.py
@@ -199,10 +199,8 @@
             if messages:
                 queue.remove(ask.key)
                 yield from messages
-            elif ask.version:
-                held_up.add(ask.version)
             else:
-                return
+                held_up.add(ask.version)
             ask = queue.first(now, held_up)
 
     def _place_queued(self, ask: Ask, now: float) -> tuple[Outgoing, ...]:
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -126,10 +126,11 @@
 ):
     desk = make_mixed_desk()
     desk.fill(2 * SLOTS)
-    desk.ask(1, wait=1, version=OLD)
+    desk.ask(1, wait=1)
+    desk.ask(2, wait=1, version=OLD)
     desk.roster.remove('u1', 0)
     assert desk.tick(0.05) == Verdict.REFUSED.name
-    assert desk.sent[-1].message.key.number == 1
+    assert desk.sent[-1].message.key.number == 2
 
 
 def test_ask_is_passed_on_only_to_a_zone_that_has_its_version() -> None:
