Gateway: a stream that is taken up goes on at the version that began it

Cause: nothing linked a take-up to the attempt that began the stream, whose header wasn't read, and nothing remembered which version that was. A take-up has an id of its own, so on a split route it could even go to another service.

Change: instances remember where their streams began, tell the coordinators of their zone while a service is mixed, and the first of these writes it to the store each 0.25 s, beside a list of the versions in use. A take-up is looked up in memory, then in the store. An unknown one is bound to the only version in use, else refused as not run. A service with one version costs no message and no call.

Not covered: a route that is moved as a whole while a stream that nobody has recorded is taken up again.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -198,6 +198,15 @@
 BAD_REQUEST_REFUSED = _define(
     5105, LEVEL_INFO, 'invalid or incomplete request refused: {status} {reason}'
 )
+STREAM_TAKEN_UP = _define(
+    5107,
+    LEVEL_INFO,
+    'request {request} takes up the stream of {attempt}: {service} {version}, '
+    'known from {source}: {known}',
+)
+VERSIONS_LISTED = _define(
+    2012, LEVEL_INFO, 'versions in use of {versions} services stored'
+)
 ITEM_RUN_ENDED = _define(
     6101,
     LEVEL_INFO,
--- a/gentiantrestle/gateway/assembly.py
+++ b/gentiantrestle/gateway/assembly.py
@@ -22,6 +22,7 @@
     SlotSender,
     SlotService,
 )
+from gentiantrestle.gateway.streams.service import StreamOrigins
 
 
 class WorkComponents(NamedTuple):
@@ -31,6 +32,7 @@
     admission: Admission
     runner: Runner
     slots: SlotService
+    streams: StreamOrigins
 
 
 def build_slots(fleet: FleetContext, rng: random.Random) -> SlotService:
@@ -86,9 +88,18 @@
         clock,
         fleet.build_guard(),
     )
-    admission = Admission(
-        fleet.topology, state.roster, slots.parts.client, rng.random, clock.now
-    )
     runner = Runner(batch_context, fleet.run_name)
     slots.preempt = runner.run_table.preempt
-    return WorkComponents(batch_context, admission, runner, slots)
+    return WorkComponents(
+        batch_context,
+        Admission(
+            fleet.topology,
+            state.roster,
+            slots.parts.client,
+            rng.random,
+            clock.now,
+        ),
+        runner,
+        slots,
+        StreamOrigins(fleet, slots.parts.directory, adapter.store),
+    )
--- a/gentiantrestle/gateway/forward.py
+++ b/gentiantrestle/gateway/forward.py
@@ -25,19 +25,26 @@
         self,
         req: Request,
         route: Route,
-        service: str,
         exchange: Exchange,
-        version: str = '',
     ) -> str:
         """Answer the exchange; return the outcome of the last attempt.
 
-        An answer that another request began goes on at upstreams of its
-        ``version`` only, unless it is empty.
         Raises ``RefusedError`` if the caller still has to be refused.
         """
+        streams = self._context.streams
+        origin = await streams.find(req, route)
         forwarded = ForwardedRequest(
-            self._context, req, route, exchange, version
+            self._context, req, route, exchange, origin.version
         )
+        try:
+            return await self._attempt(req, forwarded, origin.service)
+        finally:
+            streams.end(req)
+
+    async def _attempt(
+        self, req: Request, forwarded: ForwardedRequest, service: str
+    ) -> str:
+        """Try upstreams until the request is answered."""
         while True:
             lease = await forwarded.acquire_slot(service)
             outcome = await forwarded.attempt(lease)
--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -17,7 +17,12 @@
 )
 from gentiantrestle.gateway.batch.context import Clock
 from gentiantrestle.gateway.exchange import CONTENT_LENGTH, Exchange
-from gentiantrestle.gateway.model import Request, Route, RouteKind
+from gentiantrestle.gateway.model import (
+    Request,
+    Route,
+    RouteKind,
+    Upstream,
+)
 from gentiantrestle.gateway.ports import Dialect, Reply
 from gentiantrestle.gateway.refusals import final_refusal, refuse_quarantined
 from gentiantrestle.gateway.request_traits import request_traits
@@ -31,6 +36,7 @@
 from gentiantrestle.gateway.slots.messages import SlotOutcome
 from gentiantrestle.gateway.slots.slot_request import SlotRequest
 from gentiantrestle.gateway.sse import EventSplitter, EventStreamError
+from gentiantrestle.gateway.streams.service import StreamOrigins
 from gentiantrestle.gateway.upstream_connection import (
     ResponseLostError,
     UpstreamConnection,
@@ -55,6 +61,7 @@
     dialect: Dialect
     clock: Clock
     guard: RequestGuard
+    streams: StreamOrigins
 
 
 class ForwardedRequest:
@@ -83,6 +90,7 @@
         self._splitter = EventSplitter(req.last_event)
         self._held_response: HeldResponse | None = None
         self.version = version
+        self._upstream: Upstream | None = None
         self.reason = ''
         # Events that the attempt has received, and the framing of its answer.
         self.received = 0
@@ -118,6 +126,7 @@
     async def attempt(self, lease: SlotLease) -> AttemptOutcome:
         """Try one upstream and give its slot back."""
         health = SlotOutcome.UNKNOWN
+        self._upstream = lease.upstream
         try:
             outcome = await self._run_attempt(lease)
             health = UPSTREAM_HEALTH.get(outcome, health)
@@ -272,6 +281,7 @@
         if self._exchange.started:
             await self._exchange.send_part(part)
             return
+        self._context.streams.begin(self._req, self._route, self._upstream)
         headers = [pair for pair in reply.headers if pair[0] != CONTENT_LENGTH]
         await self._exchange.start_stream(reply.status, headers, part)
 
--- a/gentiantrestle/gateway/model.py
+++ b/gentiantrestle/gateway/model.py
@@ -111,7 +111,8 @@
     ``is_retry`` means that the caller has probably been refused before, and
     ``last_event`` is the id of the last event that it has received, or 0.
     ``prompt_parts`` are the ids of the prompt's parts that other requests may
-    share: all but the last.
+    share: all but the last. ``resumes`` is the id of the attempt that brought
+    the first event of a stream that is taken up again, if the caller names it.
     """
 
     id: str
@@ -125,6 +126,7 @@
     is_retry: bool = False
     last_event: int = 0
     prompt_parts: tuple[str, ...] = ()
+    resumes: str = ''
 
 
 class ItemSpec(NamedTuple):
--- a/gentiantrestle/gateway/ports.py
+++ b/gentiantrestle/gateway/ports.py
@@ -73,6 +73,11 @@
     ) -> bool:
         """Replace a status; False if the object has changed since."""
 
+    async def replace(
+        self, kind: str, stored: StoredObject, content: Any
+    ) -> StoredObject | None:
+        """Replace an object's content; None if it has changed or is gone."""
+
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object; does nothing if it does not exist."""
 
--- a/gentiantrestle/gateway/request_handler.py
+++ b/gentiantrestle/gateway/request_handler.py
@@ -20,7 +20,7 @@
     JobOperation,
     ReadBody,
 )
-from gentiantrestle.gateway.routing import Router, choose_service
+from gentiantrestle.gateway.routing import Router
 
 # A request with this much less time left than its route's timeout is a retry.
 # The gap allows for the time that a first request spends on its way.
@@ -110,8 +110,7 @@
             deadline=req.received + min(left, route.timeout),
             is_retry=left < route.timeout - RETRY_TIME_GAP,
         )
-        service = choose_service(route, req.id)
-        return await self._forwarder.answer(bounded, route, service, exchange)
+        return await self._forwarder.answer(bounded, route, exchange)
 
     def _record(
         self,
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -118,6 +118,7 @@
     def _children(self) -> Iterable[Child]:
         yield Child('datagrams', self._fleet.port.run)
         yield Child('slots', self._components.slots.run)
+        yield from self._components.streams.children()
         yield from self._peering.children()
         for kind, follower in self._followers.items():
             yield Child(f'follow {kind}', follower.run)
@@ -214,6 +215,7 @@
             dialect,
             self._clock,
             self._batch_context.guard,
+            self._components.streams,
         )
         api = JobApi(
             self._batch_context,
@@ -225,7 +227,11 @@
         forwarder = Forwarder(context)
         forwarder.record_attempt = self.metrics.record_attempt
         request_handler = RequestHandler(
-            self._state.router, forwarder, api, dialect, self._clock
+            self._state.router,
+            forwarder,
+            api,
+            dialect,
+            self._clock,
         )
         request_handler.is_prepared = self._is_prepared
         request_handler.record_request = self.metrics.record_request
@@ -283,6 +289,7 @@
         self._runner.wake()
 
     def _dispatch_work(self) -> None:
+        self._components.streams.note_upstreams()
         self._runner.wake()
 
 
--- /dev/null
+++ b/gentiantrestle/gateway/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Which software version of an upstream began which stream."""
--- /dev/null
+++ b/gentiantrestle/gateway/streams/records.py
@@ -0,0 +1,77 @@
+"""Formats of what instances store about streams; no I/O."""
+
+from collections.abc import Iterable, Iterator
+from typing import Any, NamedTuple
+
+from gentiantrestle import events
+from gentiantrestle.gateway.ports import StoredObject
+from gentiantrestle.gateway.streams.origins import StreamOrigin
+from gentiantrestle.gateway.streams.versions import Versions
+
+STREAM_KIND = 'gentiantrestle-streams'
+# The object with the list of versions; the others are named after their zones.
+VERSIONS_NAME = 'versions'
+ZONE_PREFIX = 'zone-'
+VERSIONS = 'versions'
+STREAMS = 'streams'
+DECODE_ERRORS = (LookupError, TypeError, ValueError, AttributeError)
+
+
+class StoredStreams(NamedTuple):
+    """All that the store has about streams."""
+
+    versions: Versions
+    origins: dict[str, StreamOrigin]
+
+
+def versions_to_content(versions: Versions) -> dict[str, Any]:
+    """Encode the list of versions."""
+    listed = {
+        service: sorted(names) for service, names in sorted(versions.items())
+    }
+    return {VERSIONS: listed}
+
+
+def versions_from_content(content: Any) -> Versions:
+    """Decode the list of versions; raise one of ``DECODE_ERRORS``."""
+    return {
+        str(service): frozenset(map(str, names))
+        for service, names in content[VERSIONS].items()
+    }
+
+
+def origins_to_content(origins: Iterable[StreamOrigin]) -> dict[str, Any]:
+    """Encode streams, grouped by service and version."""
+    grouped: dict[str, Any] = {}
+    for origin in origins:
+        versions = grouped.setdefault(origin.service, {})
+        versions.setdefault(origin.version, []).append(origin.attempt_id)
+    return {STREAMS: grouped}
+
+
+def origins_from_content(content: Any) -> Iterator[StreamOrigin]:
+    """Decode streams; raise one of ``DECODE_ERRORS``."""
+    for service, versions in content[STREAMS].items():
+        for version, attempt_ids in versions.items():
+            for attempt_id in attempt_ids:
+                yield StreamOrigin(str(attempt_id), service, version)
+
+
+def read_stored(found: Iterable[StoredObject]) -> StoredStreams:
+    """Decode all objects of the kind; unreadable ones are logged."""
+    versions: Versions = {}
+    origins: dict[str, StreamOrigin] = {}
+    for stored in found:
+        try:
+            if stored.name == VERSIONS_NAME:
+                versions = versions_from_content(stored.content)
+            else:
+                origins |= {
+                    origin.attempt_id: origin
+                    for origin in origins_from_content(stored.content)
+                }
+        except DECODE_ERRORS as exc:
+            events.emit(
+                events.ENTRY_UNREADABLE, name=stored.name, error=repr(exc)
+            )
+    return StoredStreams(versions, origins)
--- /dev/null
+++ b/gentiantrestle/gateway/streams/saving.py
@@ -0,0 +1,145 @@
+"""Keeps in the store what is needed if all instances end at once.
+
+Each zone's first coordinator writes one object with the streams that it was
+told of, and keeps the fleet's list of versions right. Two of them at once write
+nearly the same, under the object's revision.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from gentiantrestle import events
+from gentiantrestle.gateway.ports import ObjectStore, StoredObject
+from gentiantrestle.gateway.streams.origins import OriginLog
+from gentiantrestle.gateway.streams.records import (
+    DECODE_ERRORS,
+    STREAM_KIND,
+    VERSIONS_NAME,
+    ZONE_PREFIX,
+    origins_from_content,
+    origins_to_content,
+    versions_from_content,
+    versions_to_content,
+)
+from gentiantrestle.gateway.streams.versions import (
+    VersionHistory,
+    VersionRegister,
+)
+from gentiantrestle.store.client import (
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+
+# A stream that began this long before all instances ended may be unknown after.
+SAVE_INTERVAL = 0.25  # seconds
+FAILURE_PAUSE = 0.5  # seconds after a failed call
+
+
+class StreamSaver:
+    """Writes the streams of a zone and the versions of all services."""
+
+    def __init__(
+        self,
+        zone: str,
+        store: ObjectStore,
+        log: OriginLog,
+        history: VersionHistory,
+        now: Callable[[], float],
+    ) -> None:
+        """Save ``log``, the streams that this instance was told of."""
+        self._zone_name = f'{ZONE_PREFIX}{zone}'
+        self._store = store
+        self._log = log
+        self._history = history
+        self._now = now
+        self._register = VersionRegister()
+        self._written: dict[str, StoredObject] = {}
+        self._saved_changes = 0
+        # Whether this instance is the one that saves for its zone.
+        self.is_leading: Callable[[float], bool] = _is_never_leading
+
+    async def run(self) -> None:
+        """Save until cancelled."""
+        while True:
+            pause = SAVE_INTERVAL
+            try:
+                await self.save(self._now())
+            except (StoreUnavailableError, StoreOutcomeUnknownError) as exc:
+                events.emit(
+                    events.STORE_CALL_FAILED, name=STREAM_KIND, error=repr(exc)
+                )
+                self._written.clear()
+                pause = FAILURE_PAUSE
+            await asyncio.sleep(pause)
+
+    async def save(self, now: float) -> None:
+        """Write what has changed, if this instance saves for its zone.
+
+        Raises ``StoreUnavailableError`` and ``StoreOutcomeUnknownError``.
+        """
+        if not self.is_leading(now):
+            self._written.clear()
+            self._register.reset()
+            return
+        await self._save_versions(now)
+        await self._save_streams(now)
+
+    async def _save_versions(self, now: float) -> None:
+        stored = await self._load(VERSIONS_NAME, versions_to_content({}))
+        try:
+            listed = versions_from_content(stored.content)
+        except DECODE_ERRORS as exc:
+            _log_unreadable(stored, exc)
+            listed = {}
+        wanted = self._register.revise(listed, self._history.recent(now), now)
+        if wanted != listed:
+            await self._replace(stored, versions_to_content(wanted))
+            events.emit(events.VERSIONS_LISTED, versions=len(wanted))
+
+    async def _save_streams(self, now: float) -> None:
+        changes = self._log.changes
+        if changes == self._saved_changes:
+            return
+        stored = self._written.get(self._zone_name)
+        if stored is None:
+            stored = await self._load(self._zone_name, origins_to_content(()))
+            self._merge(stored, now)
+        content = origins_to_content(self._log.recent(now))
+        if await self._replace(stored, content):
+            self._saved_changes = changes
+
+    def _merge(self, stored: StoredObject, now: float) -> None:
+        """Take over streams that an earlier run, or another one, has saved."""
+        try:
+            for origin in origins_from_content(stored.content):
+                self._log.add(origin, now)
+        except DECODE_ERRORS as exc:
+            _log_unreadable(stored, exc)
+
+    async def _load(self, name: str, default: object) -> StoredObject:
+        """Return an object as last written or read here; create it if new."""
+        known = self._written.get(name)
+        while known is None:
+            known = await self._store.get(STREAM_KIND, name)
+            if known is None:
+                await self._store.create(STREAM_KIND, name, default)
+        self._written[name] = known
+        return known
+
+    async def _replace(self, stored: StoredObject, content: object) -> bool:
+        """Replace an object unless it has changed; return whether it did."""
+        written = await self._store.replace(STREAM_KIND, stored, content)
+        if written is None:
+            self._written.pop(stored.name, None)
+            return False
+        self._written[stored.name] = written
+        return True
+
+
+def _log_unreadable(stored: StoredObject, exc: Exception) -> None:
+    events.emit(events.ENTRY_UNREADABLE, name=stored.name, error=repr(exc))
+
+
+def _is_never_leading(now: float) -> bool:
+    """Return false until this is set."""
+    return False
--- /dev/null
+++ b/gentiantrestle/gateway/streams/service.py
@@ -0,0 +1,146 @@
+"""Remembers where streams begin, and finds it out when they are taken up."""
+
+import asyncio
+from collections.abc import Iterable, Iterator
+
+from gentiantrestle.gateway.fleet_context import FleetContext
+from gentiantrestle.gateway.model import (
+    Request,
+    Route,
+    RouteKind,
+    Upstream,
+)
+from gentiantrestle.gateway.ports import ObjectStore
+from gentiantrestle.gateway.routing import choose_service
+from gentiantrestle.gateway.slots.directory import SlotDirectory
+from gentiantrestle.gateway.streams.origins import (
+    ANY_VERSION,
+    OriginLog,
+    StreamOrigin,
+)
+from gentiantrestle.gateway.streams.resolving import (
+    OriginResolver,
+    StreamReader,
+)
+from gentiantrestle.gateway.streams.saving import StreamSaver
+from gentiantrestle.gateway.streams.sharing import OriginSharer, StreamBatch
+from gentiantrestle.gateway.streams.versions import VersionHistory
+from gentiantrestle.supervisor import Child
+from gentiantrestle.wire.peer import ttypes
+
+BEGUN_STREAMS = 'begun_streams'  # field of the envelope
+SHARE_INTERVAL = 0.05  # seconds between two batches
+IDLE_INTERVAL = 0.25  # seconds between two looks while nothing is shared
+# The one that saves, and the one that takes over if it is silent.
+COORDINATORS_TOLD = 2
+
+
+class StreamOrigins:
+    """The streams of this instance, of its zone, and those in the store."""
+
+    def __init__(
+        self,
+        fleet: FleetContext,
+        directory: SlotDirectory,
+        store: ObjectStore,
+    ) -> None:
+        """Tell the coordinators of ``directory``; nothing is known yet."""
+        self._fleet = fleet
+        self._directory = directory
+        now = fleet.clock.now
+        self._now = now
+        self._history = VersionHistory(now())
+        self._own = OriginLog()
+        self._told = OriginLog()
+        self._sharer = OriginSharer(self._own)
+        self._saver = StreamSaver(
+            fleet.identity.zone, store, self._told, self._history, now
+        )
+        self._saver.is_leading = self._is_leading
+        self._resolver = OriginResolver(
+            (self._own, self._told),
+            self._history,
+            StreamReader(store, now),
+            now,
+        )
+        self._resolver.has_peers = self._has_peers
+        fleet.port.on(BEGUN_STREAMS, self._receive)
+
+    def children(self) -> Iterator[Child]:
+        """Yield the children that share and save streams."""
+        yield Child('share streams', self._run_sharing)
+        yield Child('save streams', self._saver.run)
+
+    def note_upstreams(self) -> None:
+        """Note that the upstreams may have changed."""
+        now = self._now()
+        changed = self._history.note(self._fleet.state.roster.entries(), now)
+        self._sharer.share_services(changed, now)
+
+    def begin(self, req: Request, route: Route, upstream: Upstream) -> None:
+        """Note the first event of an answer, before its caller gets it."""
+        if not route.resumable:
+            return
+        now = self._now()
+        attempt_id = req.resumes or req.id
+        self._own.open(
+            StreamOrigin(attempt_id, upstream.service, upstream.version)
+        )
+        is_mixed = self._history.is_mixed(upstream.service, now)
+        if is_mixed or len(route.shares) > 1:
+            self._sharer.share(attempt_id, now)
+
+    def end(self, req: Request) -> None:
+        """Note that an answer has ended, in whatever way."""
+        attempt_id = req.resumes or req.id
+        self._own.close(attempt_id, self._now())
+        self._sharer.close(attempt_id)
+
+    async def find(self, req: Request, route: Route) -> StreamOrigin:
+        """Return the service of a request, and the version it is bound to.
+
+        Raises ``RefusedError`` if it takes up a stream of unknown origin.
+        """
+        is_take_up = route.kind is RouteKind.STREAM and req.last_event > 0
+        if not is_take_up or not route.resumable:
+            service = choose_service(route, req.id)
+            return StreamOrigin(req.id, service, ANY_VERSION)
+        self.note_upstreams()
+        return await self._resolver.resolve(req, route)
+
+    async def _run_sharing(self) -> None:
+        while True:
+            self.note_upstreams()
+            now = self._now()
+            self._own.expire(now)
+            self._send(self._sharer.next_batches(now), now)
+            busy = self._sharer.is_busy
+            await asyncio.sleep(SHARE_INTERVAL if busy else IDLE_INTERVAL)
+
+    def _send(self, batches: Iterable[StreamBatch], now: float) -> None:
+        zone = self._fleet.identity.zone
+        ranked = self._directory.coordinators(zone, now)
+        hosts = [peer.host for peer in ranked[:COORDINATORS_TOLD]]
+        for batch in batches:
+            message = ttypes.BegunStreams(
+                batch.service, batch.version, list(batch.attempt_ids)
+            )
+            self._fleet.port.send(hosts, BEGUN_STREAMS, message)
+
+    def _receive(self, message: ttypes.BegunStreams) -> None:
+        now = self._now()
+        for attempt_id in message.attempts:
+            origin = StreamOrigin(
+                attempt_id, message.service_name, message.version
+            )
+            self._told.add(origin, now)
+
+    def _is_leading(self, now: float) -> bool:
+        zone = self._fleet.identity.zone
+        first = self._directory.coordinators(zone, now)[:1]
+        return (
+            bool(first) and first[0].instance == self._fleet.identity.instance
+        )
+
+    def _has_peers(self, now: float) -> bool:
+        return any(True for _ in self._fleet.peers.alive(now))
--- a/gentiantrestle/platform/dialect.py
+++ b/gentiantrestle/platform/dialect.py
@@ -31,6 +31,8 @@
 STAMP = b'x-server-stamp'
 NOT_RUN = b'x-not-executed'
 LAST_EVENT = b'last-event-id'
+# The attempt that brought the first event of a stream that is taken up.
+RESUMED_ATTEMPT = b'resumes'
 ENCODING = b'content-encoding'
 WAIT = b'x-wait-ms'
 LENGTH = b'content-length'
@@ -105,6 +107,7 @@
             now + timeout,
             last_event=_number(fields.get(LAST_EVENT)),
             prompt_parts=_shared_parts(fields.get(PROMPT_PARTS, b'')),
+            resumes=_optional_id(fields.get(RESUMED_ATTEMPT, b'')),
         )
 
     def read_items(self, body: bytes) -> tuple[ItemSpec, ...]:
@@ -233,6 +236,11 @@
     return raw
 
 
+def _optional_id(raw: bytes) -> str:
+    text = raw.decode('latin-1')
+    return text if ID_PATTERN.fullmatch(text) else ''
+
+
 def _shared_parts(raw: bytes) -> tuple[str, ...]:
     entries = raw.decode('latin-1').split(',')[:-1]
     return tuple(
--- a/gentiantrestle/platform/object_client.py
+++ b/gentiantrestle/platform/object_client.py
@@ -105,6 +105,24 @@
         status_code, _ = await self._call('PUT', path, body=document)
         return status_code not in {CONFLICT, NOT_FOUND}
 
+    async def replace(
+        self, kind: str, stored: StoredObject, content: Any
+    ) -> StoredObject | None:
+        """Replace an object's content; None if it has changed or is gone."""
+        document = {
+            'metadata': {
+                'name': stored.name,
+                'revision': stored.revision,
+                'finalizers': [],
+            },
+            'spec': content,
+        }
+        path = _path(kind, stored.name)
+        status_code, body = await self._call('PUT', path, body=document)
+        if status_code in {CONFLICT, NOT_FOUND}:
+            return None
+        return _decode_object(body)
+
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object; idempotent."""
         await self._call('DELETE', _path(kind, name))
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -242,6 +242,14 @@
   2: required list<ServiceSums> services,
 }
 
+/* Streams that an instance began at upstreams of one software version, by the
+ * attempts that brought their first events. */
+struct BegunStreams {
+  1: required string service_name,
+  2: required string version,
+  3: required list<string> attempts,
+}
+
 /* An object of the platform's store, as the sender knows it. */
 struct KnownObject {
   1: required string name,
@@ -311,4 +319,5 @@
   19: optional SlotReport slot_report,
   20: optional ZoneSums zone_sums,
   21: optional RateLimitNotice rate_limit_notice,
+  22: optional BegunStreams begun_streams,
 }
--- a/gentiantrestle/wire/peer/ttypes.py
+++ b/gentiantrestle/wire/peer/ttypes.py
@@ -3163,6 +3163,112 @@
         return not (self == other)
 
 
+class BegunStreams(object):
+    """
+    Attributes:
+     - service_name
+     - version
+     - attempts
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'version',
+        'attempts',
+    )
+
+
+    def __init__(self, service_name=None, version=None, attempts=None,):
+        self.service_name = service_name
+        self.version = version
+        self.attempts = attempts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.attempts = []
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.attempts.append(_elem98)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BegunStreams')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 2)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.attempts is not None:
+            oprot.writeFieldBegin('attempts', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.attempts))
+            for iter99 in self.attempts:
+                oprot.writeString(iter99.encode('utf-8') if sys.version_info[0] == 2 else iter99)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.attempts is None:
+            raise TProtocolException(message='Required field attempts is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class KnownObject(object):
     """
     Attributes:
@@ -3841,6 +3947,7 @@
      - slot_report
      - zone_sums
      - rate_limit_notice
+     - begun_streams
 
     """
 
@@ -3866,10 +3973,11 @@
         'slot_report',
         'zone_sums',
         'rate_limit_notice',
+        'begun_streams',
     )
 
 
-    def __init__(self, call=None, heartbeat=None, changes_request=None, changes=None, answer_request=None, answer=None, load_report=None, report_request=None, report=None, pulse=None, results_request=None, results=None, copy_request=None, copy=None, slot_ask=None, slot_answer=None, slot_release=None, slot_yield=None, slot_report=None, zone_sums=None, rate_limit_notice=None,):
+    def __init__(self, call=None, heartbeat=None, changes_request=None, changes=None, answer_request=None, answer=None, load_report=None, report_request=None, report=None, pulse=None, results_request=None, results=None, copy_request=None, copy=None, slot_ask=None, slot_answer=None, slot_release=None, slot_yield=None, slot_report=None, zone_sums=None, rate_limit_notice=None, begun_streams=None,):
         self.call = call
         self.heartbeat = heartbeat
         self.changes_request = changes_request
@@ -3891,6 +3999,7 @@
         self.slot_report = slot_report
         self.zone_sums = zone_sums
         self.rate_limit_notice = rate_limit_notice
+        self.begun_streams = begun_streams
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4026,6 +4135,12 @@
                     self.rate_limit_notice.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.STRUCT:
+                    self.begun_streams = BegunStreams()
+                    self.begun_streams.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4120,6 +4235,10 @@
             oprot.writeFieldBegin('rate_limit_notice', TType.STRUCT, 21)
             self.rate_limit_notice.write(oprot)
             oprot.writeFieldEnd()
+        if self.begun_streams is not None:
+            oprot.writeFieldBegin('begun_streams', TType.STRUCT, 22)
+            self.begun_streams.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4356,6 +4475,13 @@
     (1, TType.STRING, 'zone', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'services', (TType.STRUCT, [ServiceSums, None], False), None, ),  # 2
 )
+all_structs.append(BegunStreams)
+BegunStreams.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'attempts', (TType.STRING, 'UTF8', False), None, ),  # 3
+)
 all_structs.append(KnownObject)
 KnownObject.thrift_spec = (
     None,  # 0
@@ -4425,6 +4551,7 @@
     (19, TType.STRUCT, 'slot_report', [SlotReport, None], None, ),  # 19
     (20, TType.STRUCT, 'zone_sums', [ZoneSums, None], None, ),  # 20
     (21, TType.STRUCT, 'rate_limit_notice', [RateLimitNotice, None], None, ),  # 21
+    (22, TType.STRUCT, 'begun_streams', [BegunStreams, None], None, ),  # 22
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/gateway/memory.py
+++ b/tests/gateway/memory.py
@@ -68,6 +68,18 @@
         self._finish_call()
         return True
 
+    async def replace(
+        self, kind: str, stored: StoredObject, content: Any
+    ) -> StoredObject | None:
+        """Replace a content; return None if the revision has changed."""
+        self._start_call('replace')
+        known = self.kinds.get(kind, {}).get(stored.name)
+        if known is None or known.revision != stored.revision:
+            return None
+        self.write(kind, known._replace(content=content))
+        self._finish_call()
+        return self.kinds[kind][stored.name]
+
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object."""
         self._start_call('delete')
