Gateway: streams go on at the last upstreams of their version while these drain

When all upstreams of a version begin to drain at once, a stream of theirs that broke off was refused or cut at once, though they serve for drain-ms yet: with a release that replaces all at once that was every stream that broke in it.

A request that is bound to a version may use upstreams of it that drain, if no other is left, until 1.5 s before the end of drain-ms, counted from when this instance saw them begin; one that was draining when it was first seen is not used. New work never goes there, as before.

--- a/gentiantrestle/gateway/fleet_state.py
+++ b/gentiantrestle/gateway/fleet_state.py
@@ -131,6 +131,8 @@
         if upstream is None:
             self.roster.remove(stored.name, now)
         else:
+            if upstream.draining:
+                self.roster.note_draining(upstream, now)
             self.roster.put(upstream)
 
     def _remove(self, name: str, now: float) -> None:
--- a/gentiantrestle/gateway/roster.py
+++ b/gentiantrestle/gateway/roster.py
@@ -13,6 +13,12 @@
 
 # Entries that lapsed during an outage of the store return within about this.
 LAPSE_GRACE = 2.0  # seconds
+# An instance learns this late, at the most, that an upstream is draining, and
+# work that it places then takes time on its way.
+DRAIN_MARGIN = 1.5  # seconds
+
+
+NEVER = float('-inf')
 
 
 class LapsedEntry(NamedTuple):
@@ -33,6 +39,9 @@
         self.lapse_until = float(0)
         self.revision = 0
         self.leaving = LeavingUpstreams(drain_time)
+        self._drain_time = drain_time
+        # When upstreams were seen to begin draining; monotonic times in s.
+        self._draining_since: dict[str, float] = {}
 
     def note_outage(self, now: float) -> None:
         """Note that the store is unreachable; entries may lapse."""
@@ -55,11 +64,22 @@
         self._listed[upstream.id] = upstream
         self._lapsed.pop(upstream.id, None)
 
+    def note_draining(self, upstream: Upstream, now: float) -> None:
+        """Note an upstream that is draining, before it is put.
+
+        One that was so when it was first seen may have been so for long.
+        """
+        known = self._listed.get(upstream.id)
+        is_new = known is None or known.incarnation != upstream.incarnation
+        if not is_new and not known.draining:
+            self._draining_since[upstream.id] = now
+
     def remove(self, upstream_id: str, now: float) -> None:
         """Remove an upstream; one whose entry lapsed stays in use a while.
 
         A draining one is always removed at once.
         """
+        self._draining_since.pop(upstream_id, None)
         upstream = self._listed.pop(upstream_id, None)
         if upstream is None or upstream.draining:
             return
@@ -71,7 +91,8 @@
     ) -> list[Upstream]:
         """List the upstreams of a service that may get new work.
 
-        Only those of ``version``, unless it is empty.
+        Only those of ``version``, unless it is empty. Where none of it is left
+        but those that are draining, they serve for a while yet.
         """
         self._expire(now)
         found = [
@@ -85,7 +106,8 @@
             if lapsed.upstream.service == service
         ]
         fitting = [known for known in found if version in {'', known.version}]
-        return self.leaving.usable(fitting, now)
+        usable = self.leaving.usable(fitting, now)
+        return usable or self._draining_upstreams(service, version, now)
 
     def find(self, upstream_id: str) -> Upstream | None:
         """Return an upstream that is listed or has lapsed; None without it."""
@@ -104,6 +126,19 @@
         """Return the upstreams whose entries are in the store."""
         return tuple(self._listed.values())
 
+    def _draining_upstreams(
+        self, service: str, version: str, now: float
+    ) -> list[Upstream]:
+        until = now + DRAIN_MARGIN - self._drain_time
+        return [
+            upstream
+            for upstream in self._listed.values()
+            if version
+            and (upstream.service, upstream.version) == (service, version)
+            and upstream.draining
+            and self._draining_since.get(upstream.id, NEVER) > until
+        ]
+
     def _expire(self, now: float) -> None:
         for upstream_id, lapsed in tuple(self._lapsed.items()):
             if now >= lapsed.until:
