Gateway: a batch item goes on only at the version that began it

The output now knows its service and version.

A waiting item asks for a slot of that version, unless the roster has no usable upstream of it, or it has waited for longer than the item has run (2 s at least). Placed at another version, also by a coordinator that doesn't know of versions, it drops its output and starts again (event 6105). The wait is counted from the last event, so failing runs don't prolong it, and includes what was dropped, so that an item doesn't start again and again.

On the code before, both process tests fail: test_cut_item_goes_on_at_the_version_that_began_it (events of both versions in one result) and test_item_starts_again_when_its_version_is_gone.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -207,6 +207,12 @@
 VERSIONS_LISTED = _define(
     2012, LEVEL_INFO, 'versions in use of {versions} services stored'
 )
+ITEM_RESTARTED = _define(
+    6105,
+    LEVEL_INFO,
+    'item {item} starts again on {upstream}: its output began at version '
+    '{began_at}',
+)
 ITEM_RUN_ENDED = _define(
     6101,
     LEVEL_INFO,
--- a/gentiantrestle/gateway/batch/item_progress.py
+++ b/gentiantrestle/gateway/batch/item_progress.py
@@ -5,6 +5,7 @@
 
 from gentiantrestle import events
 from gentiantrestle.gateway.batch.context import BatchContext, Clock
+from gentiantrestle.gateway.batch.item_output import Build, ItemOutput
 from gentiantrestle.gateway.batch.job_index import JobEntry
 from gentiantrestle.gateway.model import ItemResult, ItemSpec, Upstream
 from gentiantrestle.gateway.ports import Dialect, Reply
@@ -43,7 +44,10 @@
 
 
 class ItemProgress:
-    """Runs an item; keeps its output so far when a run is cut off."""
+    """Runs an item; keeps its output so far when a run is cut off.
+
+    The output of one build goes on at no other: there, the item starts again.
+    """
 
     def __init__(
         self, entry: JobEntry, spec: ItemSpec, max_failures: int
@@ -53,11 +57,16 @@
         self.spec = spec
         self._max_failures = max_failures
         self._failures = 0
-        self._texts: list[str] = []
-        self._last_event = 0
+        self._output = ItemOutput(Build('', ''))
         self._empty_answers = 0
+        self._started = float(0)
+        self._lost_time = float(0)
         self.run_time = float(0)
 
+    def wanted_build(self, now: float) -> Build | None:
+        """Return the build that an item waits for; None if any will do."""
+        return self._output.build if self._output.is_awaited(now) else None
+
     async def run(
         self,
         lease: SlotLease,
@@ -67,11 +76,12 @@
 
         Failures of the upstream are returned; only cancellation is raised.
         """
+        self._begin_at(lease.upstream, context.clock.now())
         parts = context.dialect.item_prompt_parts(self.spec)
         watch = RequestWatch(context.guard, parts, context.clock, owed=True)
         conn = UpstreamConnection(context.dialect, watch)
-        started = context.clock.now()
-        before = len(self._texts)
+        started = self._started
+        before = len(self._output.texts)
         try:
             await conn.connect(lease.upstream)
             reply = await self._start(conn, context.dialect, lease.upstream)
@@ -85,7 +95,7 @@
         finally:
             conn.close()
             self.run_time += context.clock.now() - started
-        received = len(self._texts) - before
+        received = len(self._output.texts) - before
         self._log(lease.upstream, outcome, received, conn.framing, parts)
         return outcome
 
@@ -94,6 +104,27 @@
         events.emit(events.ITEM_FAILED, item=self.spec.id, error=reason)
         return ItemResult(self.spec.id, completed=False, output='')
 
+    def _begin_at(self, upstream: Upstream, now: float) -> None:
+        """Begin a run; drop the output so far if it is of another build."""
+        self._started = now
+        build = Build.from_upstream(upstream)
+        if build == self._output.build:
+            return
+        if self._output.texts:
+            events.emit(
+                events.ITEM_RESTARTED,
+                item=self.spec.id,
+                job=self.entry.job.id,
+                upstream=upstream.id,
+                version=upstream.version,
+                began_at=self._output.build.version,
+                dropped=len(self._output.texts),
+            )
+            self._lost_time += self.run_time
+            self.run_time = float(0)
+        self._output = ItemOutput(build)
+        self._empty_answers = 0
+
     async def _start(
         self,
         conn: UpstreamConnection,
@@ -105,7 +136,10 @@
             'POST',
             self.spec.path,
             dialect.item_headers(
-                self.spec, self.entry.job.host, upstream, self._last_event
+                self.spec,
+                self.entry.job.host,
+                upstream,
+                self._output.last_event,
             ),
             self.spec.body,
         )
@@ -122,7 +156,7 @@
         if reply.status == OK:
             await self._collect(conn, watch, clock)
             watch.note_sound()
-            text = '\n'.join(self._texts)
+            text = '\n'.join(self._output.texts)
             return RunOutcome(ItemResult(self.spec.id, True, text), 'whole')
         reason = f'status {reply.status}'
         if reply.status == UNPROCESSABLE:
@@ -136,15 +170,18 @@
     async def _collect(
         self, conn: UpstreamConnection, watch: RequestWatch, clock: Clock
     ) -> None:
-        splitter = EventSplitter(self._last_event)
+        splitter = EventSplitter(self._output.last_event)
         timer = EventTimer(STALL_TIMEOUT, clock.now())
         async for part in conn.iter_body(STALL_TIMEOUT):
             found = splitter.feed(part)
-            timer.note_part(clock.now(), has_event=bool(found))
+            now = clock.now()
+            timer.note_part(now, has_event=bool(found))
             for event in found:
-                self._texts.append(event.data)
-                self._last_event = splitter.last_id
+                self._output.add(event.data, splitter.last_id)
                 watch.note_event()
+            if found:
+                run_time = self.run_time + now - self._started
+                self._output.note_time(now, run_time + self._lost_time)
         if splitter.remainder or self._is_cut_before_an_event(conn):
             raise ResponseLostError('the stream ended within an event')
 
@@ -156,7 +193,9 @@
         if not conn.ended_empty:
             return False
         self._empty_answers += 1
-        return not self._last_event or self._empty_answers < MAX_EMPTY_ANSWERS
+        if not self._output.last_event:
+            return True
+        return self._empty_answers < MAX_EMPTY_ANSWERS
 
     def _log(
         self,
@@ -172,7 +211,8 @@
             job=self.entry.job.id,
             upstream=upstream.id,
             reason=outcome.reason,
-            last_event=self._last_event,
+            version=upstream.version,
+            last_event=self._output.last_event,
             received=received,
             framing=framing,
             prompt_parts=parts,
--- a/gentiantrestle/gateway/batch/run_table.py
+++ b/gentiantrestle/gateway/batch/run_table.py
@@ -59,6 +59,7 @@
             item=item_id,
             job=queued.entry.job.id,
             upstream=lease.upstream.id,
+            version=lease.upstream.version,
             coordinator=lease.host,
             spare_ms=round(queued.slack * 1000),
             roster=self._context.roster.revision,
@@ -67,6 +68,21 @@
         now = self._context.clock.now()
         self._active[item_id] = _ActiveRun(lease, task, now)
 
+    def wanted_version(self, item_id: str, service: str) -> str:
+        """Return the version at which an item waits to go on.
+
+        Empty if any will do, or if no upstream of it is left.
+        """
+        progress = self._progress.get(item_id)
+        now = self._context.clock.now()
+        build = progress and progress.wanted_build(now)
+        if not build or build.service != service:
+            return ''
+        usable = self._context.roster.usable_upstreams(
+            service, now, build.version
+        )
+        return build.version if usable else ''
+
     def cancel(self, item_id: str) -> None:
         """Cancel a run; its slot counts as free at once."""
         active = self._active.pop(item_id)
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -123,11 +123,14 @@
         for queued in waiting:
             route = self._route(queued)
             if route is not None:
+                item_id = queued.spec.id
+                service = choose_service(route, item_id)
                 yield WantedSlot(
-                    queued.spec.id,
-                    choose_service(route, queued.spec.id),
+                    item_id,
+                    service,
                     queued.slack,
                     queued.tokens_left,
+                    self.run_table.wanted_version(item_id, service),
                 )
 
     def _start_granted(self, item_id: str, lease: SlotLease) -> bool:
--- a/gentiantrestle/gateway/slots/batch_asks.py
+++ b/gentiantrestle/gateway/slots/batch_asks.py
@@ -33,12 +33,16 @@
 
 
 class WantedSlot(NamedTuple):
-    """An item that waits; ``slack`` is in s."""
+    """An item that waits; ``slack`` is in s.
+
+    Only upstreams of ``version`` will do, unless it is empty.
+    """
 
     item_id: str
     service: str
     slack: float
     tokens_left: int
+    version: str = ''
 
 
 class _OpenAsk:
@@ -49,6 +53,17 @@
         self.asked_at = float('-inf')
         self.tries = 0
 
+    def update(self, slot: WantedSlot) -> None:
+        """Ask for what the item needs now; at once if its version changes."""
+        ask = self.pending.ask
+        if ask.version != slot.version:
+            self.asked_at = float('-inf')
+        self.pending.ask = ask._replace(
+            slack=slot.slack,
+            tokens_left=slot.tokens_left,
+            version=slot.version,
+        )
+
     def is_due(self, now: float) -> bool:
         """Return whether the request has to be sent again."""
         elapsed = now - self.asked_at
@@ -94,9 +109,7 @@
             if known is None:
                 self._open[item_id] = self._open_ask(slot)
             else:
-                known.pending.ask = known.pending.ask._replace(
-                    slack=slot.slack, tokens_left=slot.tokens_left
-                )
+                known.update(slot)
         self.send_due(self._now())
 
     def send_due(self, now: float) -> None:
@@ -125,6 +138,7 @@
                 excluded=self._client.health.suspended(self._now()),
                 slack=slot.slack,
                 tokens_left=slot.tokens_left,
+                version=slot.version,
             )
         )
         pending.on_answer = lambda answer: self._receive(slot.item_id, answer)
