Daemon: a batch item goes on only at the version that began it

Deployments name the version of a model, and upstreams had none of their own.

An upstream's settings may name the `version` of its software. Upstreams without one count as one version, as before. Slots are still given without regard to the version: items that are preempted between versions lose their tokens, not their result. Streams for callers are never resumed: the relay tries another upstream only before the first event.

test_item_holds_no_tokens_of_two_software_versions failed before in its two cases of two versions.

--- a/gentiantrestle/daemon/batch/item_run.py
+++ b/gentiantrestle/daemon/batch/item_run.py
@@ -99,14 +99,17 @@
         self._chunk = chunk
         self._item = chunk.items[position]
         self._tokens: list[str] = []
+        self._version = ''
         self._reader = TokenStreamReader()
 
     async def attempt(self, slot: Slot) -> AttemptResult:
         """Make one attempt, resuming after the tokens already received.
 
+        At an upstream of another software version the item starts again.
         The caller releases the slot. Raises ``CancelledError`` if the chunk is
         cancelled; a preempted slot only ends the attempt.
         """
+        self._drop_other_version(slot.upstream.name)
         slot.task = asyncio.create_task(self._stream(slot))
         try:
             return await slot.task
@@ -150,6 +153,21 @@
             error=error_document(refusal)['error'],
         )
 
+    def _drop_other_version(self, name: str) -> None:
+        settings = self._services.upstreams.settings(name)
+        version = settings.get('version', '') if settings else ''
+        if self._tokens and version != self._version:
+            events.emit(
+                events.ITEM_RESTARTED,
+                item=self._item['custom_id'],
+                upstream=name,
+                version=version,
+                began_at=self._version,
+                dropped=len(self._tokens),
+            )
+            self._tokens.clear()
+        self._version = version
+
     async def _stream(self, slot: Slot) -> AttemptResult:
         call = build_call(
             self._item['url'],
--- a/gentiantrestle/library/draft.py
+++ b/gentiantrestle/library/draft.py
@@ -32,7 +32,7 @@
         self.document['revision'] = in_force['revision']
 
     def upstream(self, name: str, **fields: Any) -> 'Draft':
-        """Set an upstream: zone, address, kind, slots, checks_fencing."""
+        """Set an upstream; ``UpstreamDoc`` lists its fields."""
         return self.put('upstreams', name, UpstreamDoc(**fields))
 
     def deployment(self, name: str, **fields: Any) -> 'Draft':
--- a/gentiantrestle/models.py
+++ b/gentiantrestle/models.py
@@ -21,13 +21,14 @@
 
 
 class UpstreamDoc(TypedDict):
-    """Settings of one upstream."""
+    """Settings of one upstream; ``version`` is that of its software."""
 
     zone: str
     address: str
     kind: str
     slots: int
     checks_fencing: NotRequired[bool]
+    version: NotRequired[str]
 
 
 class DeploymentDoc(TypedDict):
