Gateway: resume a stream after the events that were passed on, not after all read

When an upstream sent an event out of order, the valid events before it in the same bytes were dropped with the attempt, but counted as received: the next attempt was asked to go on after them, and callers never got them (a piece missing, ORDER).

EventSplitter.feed counts the events of a part only if it returns them. test_events_before_one_out_of_order_are_not_skipped_on_resumption failed before.

--- a/gentiantrestle/gateway/sse.py
+++ b/gentiantrestle/gateway/sse.py
@@ -1,5 +1,6 @@
 """Splits a stream of server-sent events and reads their ids and data."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 EVENT_END = b'\n\n'
@@ -44,25 +45,26 @@
     def feed(self, part: bytes) -> list[ServerSentEvent]:
         """Return the events that ``part`` completes.
 
-        Raises ``EventOrderError`` or ``EventTooLongError``.
+        Raises ``EventOrderError`` or ``EventTooLongError``; then none of them
+        counts in ``last_id``.
         """
         pieces = (self._partial + part).split(EVENT_END)
         self._partial = pieces.pop()
         if len(self._partial) > MAX_EVENT:
             raise EventTooLongError(f'no end of an event in {MAX_EVENT} bytes')
         parsed = [parse_event(piece) for piece in pieces]
-        for event in parsed:
-            self._check(event)
+        self.last_id = _last_id(parsed, self.last_id)
         return parsed
 
-    def _check(self, event: ServerSentEvent) -> None:
-        if not event.event_id:
-            return
-        if event.event_id <= self.last_id:
-            raise EventOrderError(
-                f'event {event.event_id} after {self.last_id}'
-            )
-        self.last_id = event.event_id
+
+def _last_id(found: Iterable[ServerSentEvent], before: int) -> int:
+    """Return the id of the last event; ids rise from event to event."""
+    last_id = before
+    for event in found:
+        if event.event_id and event.event_id <= last_id:
+            raise EventOrderError(f'event {event.event_id} after {last_id}')
+        last_id = event.event_id or last_id
+    return last_id
 
 
 def parse_event(raw: bytes) -> ServerSentEvent:
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -147,3 +147,10 @@
     splitter = EventSplitter(4)
     with pytest.raises(EventOrderError):
         splitter.feed(b'id: 4\ndata: a\n\n')
+
+
+def test_events_before_one_out_of_order_are_not_skipped_on_resumption() -> None:
+    splitter = EventSplitter(4)
+    with pytest.raises(EventOrderError):
+        splitter.feed(b'id: 5\ndata: a\n\nid: 6\ndata: b\n\nid: 6\ndata: c\n\n')
+    assert splitter.last_id == 4
