Failing tests: silence, a moment without room, or a close end no accepted request

Evidence, on: upstreams that are silent for 1.2 s, on a route with a target of 300 ms and two attempts, have a begun stream cut and another request answered 502; one upstream alone is reset and its stream cut. A stream that its upstream broke off is cut at once where no upstream takes it for 0.6 s, with seconds left. A connection is closed with a request in it: as the idle time ends, at a planned stop, after a longer idle limit has come into force; a late body is answered by a close. The daemon's server does the first two as well. Change: tests, and a stand-in that falls silent within its streams.

--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -51,7 +51,8 @@
     ``crash`` ends the process so many seconds after it has begun the request.
 
     ``POST /control`` replaces the faults: ``shed`` refuses each request,
-    ``fail`` answers 500, ``silent`` delays each answer by some seconds,
+    ``fail`` answers 500, ``silent`` delays each answer by some seconds, or
+    with ``silent_after`` pauses each stream after so many of its events,
     ``cut_after`` cuts each stream after so many events, ``answer_as`` answers
     with another attempt id, and with ``leaving`` each answer says that the
     upstream is leaving.
@@ -121,8 +122,8 @@
         if crash_delay is not None:
             await asyncio.sleep(crash_delay)
             os._exit(CRASHED)
-        if self._faults.get('silent'):
-            await asyncio.sleep(self._faults['silent'])
+        if 'silent_after' not in self._faults:
+            await asyncio.sleep(self._faults.get('silent', 0))
         return self._answer(payload, run)
 
     @property
@@ -159,6 +160,7 @@
         try:
             for number in range(run['last'] + 1, payload['events'] + 1):
                 await asyncio.sleep(payload.get('pause', PAUSE))
+                await self._pause_after(number - 1 - run['last'])
                 if cut_after is not None and number > run['last'] + cut_after:
                     raise ConnectionResetError(
                         'stream cut by the cut_after fault'
@@ -174,6 +176,10 @@
             run['active'] = False
             self._running -= 1
 
+    async def _pause_after(self, sent: int) -> None:
+        if sent == self._faults.get('silent_after'):
+            await asyncio.sleep(self._faults.get('silent', 0))
+
     def _crashes(self, run: dict[str, Any], number: int) -> bool:
         """Return whether the process ends within event ``number`` of a run."""
         parts = [entry.split(':')[0] for entry in run['prompt'].split(',')]
--- /dev/null
+++ b/tests/gateway/test_http_server.py
@@ -0,0 +1,144 @@
+"""Connections of callers that are closed beside requests that have arrived."""
+
+import asyncio
+import socket
+import time
+from collections.abc import AsyncIterator
+
+import pytest
+
+from gentiantrestle.errors import Refusal
+from gentiantrestle.gateway.exchange import Exchange
+from gentiantrestle.gateway.http_server import HttpServer
+from gentiantrestle.gateway.model import CallerLimits
+from gentiantrestle.http.link import HeaderPairs
+from gentiantrestle.models import Address
+from tests.utils.ports import HOST, free_ports
+
+IDLE_TIMEOUT = 0.3  # seconds
+LONGER = 2.0  # seconds
+REQUEST = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+UPLOAD = b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n'
+HALF = len(REQUEST) // 2
+OK = b'HTTP/1.1 200'
+
+
+class App:
+    """A server that answers each request, and callers' raw connections."""
+
+    def __init__(self) -> None:
+        self.limits = CallerLimits(idle_timeout=IDLE_TIMEOUT)
+        self.server = HttpServer(_answer, _refuse, lambda: self.limits)
+        self._address = Address(HOST, free_ports(1)[0])
+        self._sockets: list[socket.socket] = []
+
+    async def start(self) -> None:
+        """Listen."""
+        await self.server.start(*self._address)
+
+    async def connect(self) -> socket.socket:
+        """Return a connection that the server has accepted."""
+        sock = socket.socket()
+        self._sockets.append(sock)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, self._address)
+        await asyncio.sleep(IDLE_TIMEOUT / 10)
+        return sock
+
+    def stop(self) -> None:
+        """Close all connections."""
+        self.server.close_idle()
+        for sock in self._sockets:
+            sock.close()
+
+
+async def _answer(exchange: Exchange) -> None:
+    await exchange.respond(200, [], exchange.body)
+
+
+def _refuse(refusal: Refusal) -> tuple[int, HeaderPairs, bytes]:
+    return refusal.kind.status, [], b''
+
+
+@pytest.fixture
+async def app() -> AsyncIterator[App]:
+    """Start the server, and stop it after the test."""
+    running = App()
+    await running.start()
+    yield running
+    running.stop()
+
+
+async def _read(sock: socket.socket) -> bytes:
+    """Return the next bytes; empty if the connection is closed or reset."""
+    async with asyncio.timeout(LONGER):
+        try:
+            return await asyncio.get_running_loop().sock_recv(sock, 4096)
+        except ConnectionError:
+            return b''
+
+
+def _block_loop(seconds: float) -> None:
+    time.sleep(seconds)
+
+
+async def test_request_that_arrives_as_the_idle_time_ends_is_answered(
+    app: App,
+) -> None:
+    sock = await app.connect()
+    sock.send(REQUEST)
+    _block_loop(IDLE_TIMEOUT)
+    assert (await _read(sock)).startswith(OK)
+
+
+async def test_idle_connection_stays_open_for_a_longer_limit_set_meanwhile(
+    app: App,
+) -> None:
+    sock = await app.connect()
+    app.limits = CallerLimits(idle_timeout=LONGER)
+    await asyncio.sleep(IDLE_TIMEOUT * 2)
+    sock.send(REQUEST)
+    assert (await _read(sock)).startswith(OK)
+
+
+async def test_idle_connection_is_closed_after_its_limit(app: App) -> None:
+    sock = await app.connect()
+    assert await _read(sock) == b''
+
+
+@pytest.mark.parametrize('turns', [0, 1, 2])
+async def test_request_that_has_arrived_is_answered_by_a_stopping_server(
+    app: App, turns: int
+) -> None:
+    sock = await app.connect()
+    sock.send(REQUEST)
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    app.server.stopping = True
+    app.server.close_idle()
+    assert (await _read(sock)).startswith(OK)
+
+
+async def test_stopping_server_waits_for_the_rest_of_a_head(app: App) -> None:
+    sock = await app.connect()
+    sock.send(REQUEST[:HALF])
+    await asyncio.sleep(IDLE_TIMEOUT / 3)
+    app.server.stopping = True
+    app.server.close_idle()
+    assert app.server.in_flight
+    sock.send(REQUEST[HALF:])
+    assert (await _read(sock)).startswith(OK)
+
+
+async def test_stopping_server_closes_idle_connections(app: App) -> None:
+    app.limits = CallerLimits(idle_timeout=LONGER)
+    sock = await app.connect()
+    app.server.stopping = True
+    app.server.close_idle()
+    assert await _read(sock) == b''
+
+
+async def test_body_that_does_not_arrive_in_time_is_refused(app: App) -> None:
+    sock = await app.connect()
+    sock.send(UPLOAD)
+    assert (await _read(sock)).startswith(b'HTTP/1.1 408')
--- /dev/null
+++ b/tests/gateway/test_process_silence.py
@@ -0,0 +1,148 @@
+"""Upstreams that fall silent, and streams that none takes for a while."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from tests.gateway.fleet import UPSTREAMS, GatewayFleet
+from tests.gateway.wire_samples import expected_stream
+from tests.utils.http import Reply, until
+
+SHORT_SILENCE = 1.2  # seconds that a sound upstream may be silent
+LONG_SILENCE = 2.5  # seconds
+EVENTS = 10
+SILENT_AFTER = 3  # events
+CUT_AFTER = 5  # events
+# Seconds without an event after which callers abandon a stream.
+CALLER_PATIENCE = 2.0
+AWAY_TIME = 0.6  # seconds
+DRAINING = 3003  # event number
+
+
+@pytest.fixture
+async def lone(tmp_path: Path) -> AsyncIterator[GatewayFleet]:
+    """Start one entry before one upstream."""
+    started = GatewayFleet(tmp_path, 1, 1)
+    try:
+        await started.start()
+        yield started
+    finally:
+        await started.stop()
+
+
+@pytest.fixture
+async def pair(tmp_path: Path) -> AsyncIterator[GatewayFleet]:
+    """Start one entry before two upstreams."""
+    started = GatewayFleet(tmp_path, 1, UPSTREAMS)
+    try:
+        await started.start()
+        yield started
+    finally:
+        await started.stop()
+
+
+async def _fall_silent(fleet: GatewayFleet, **faults: float) -> None:
+    for number, _ in enumerate(fleet.upstreams):
+        await fleet.set_faults(number, **faults)
+
+
+async def test_stream_of_silent_upstreams_is_not_cut(
+    pair: GatewayFleet,
+) -> None:
+    await _fall_silent(pair, silent=SHORT_SILENCE, silent_after=SILENT_AFTER)
+    reply = await pair.request(0, 'r1', body={'events': EVENTS})
+    assert reply.body == expected_stream('r1', EVENTS)
+
+
+@pytest.mark.parametrize('path', ['/chat/1', '/get/1'])
+async def test_answer_of_silent_upstreams_is_not_replaced_by_an_error(
+    pair: GatewayFleet, path: str
+) -> None:
+    await _fall_silent(pair, silent=SHORT_SILENCE)
+    reply = await pair.request(0, 'r1', path, {})
+    assert (reply.status, reply.body) == (200, b'plain')
+
+
+async def test_last_attempt_of_a_stream_outlasts_a_long_silence(
+    pair: GatewayFleet,
+) -> None:
+    await _fall_silent(pair, silent=LONG_SILENCE, silent_after=SILENT_AFTER)
+    reply = await pair.request(0, 'r1', body={'events': EVENTS})
+    assert reply.body == expected_stream('r1', EVENTS)
+    assert len(await pair.runs()) == UPSTREAMS
+
+
+async def test_silent_upstream_is_not_given_up_without_another_one(
+    lone: GatewayFleet,
+) -> None:
+    await _fall_silent(lone, silent=LONG_SILENCE, silent_after=SILENT_AFTER)
+    reply = await lone.request(0, 'r1', body={'events': EVENTS})
+    assert reply.body == expected_stream('r1', EVENTS)
+    assert len(await lone.runs()) == 1
+
+
+async def test_stream_of_a_dark_upstream_is_resumed_before_callers_leave(
+    pair: GatewayFleet,
+) -> None:
+    await pair.set_faults(0, silent=9, silent_after=SILENT_AFTER)
+    began = time.monotonic()
+    replies = await asyncio.gather(
+        *(
+            pair.request(0, f'r{number}', body={'events': EVENTS})
+            for number in range(4)
+        )
+    )
+    assert time.monotonic() - began < CALLER_PATIENCE
+    for number, reply in enumerate(replies):
+        assert reply.body == expected_stream(f'r{number}', EVENTS)
+    assert {run['last'] for run in await pair.runs()} == {0, SILENT_AFTER}
+
+
+async def _drain(fleet: GatewayFleet, number: int) -> None:
+    await fleet.register(number, 'draining')
+    await until(
+        lambda: any(
+            line['code'] == DRAINING
+            and line['upstream'] == fleet.upstream_id(number)
+            for line in fleet.entries[0].log_lines()
+        )
+    )
+
+
+async def test_cut_stream_waits_for_an_upstream_that_takes_it(
+    pair: GatewayFleet,
+) -> None:
+    await _drain(pair, 1)
+    await pair.set_faults(0, cut_after=CUT_AFTER)
+    asking = asyncio.create_task(
+        pair.request(0, 'r1', body={'events': EVENTS, 'pause': 0.3})
+    )
+    await until(pair.runs)
+    await _drain(pair, 0)
+    await until(lambda: _is_cut(pair))
+    await asyncio.sleep(AWAY_TIME)
+    await pair.register(1)
+    assert (await asking).body == expected_stream('r1', EVENTS)
+
+
+async def _is_cut(fleet: GatewayFleet) -> bool:
+    return not any(run['active'] for run in await fleet.runs())
+
+
+async def test_cut_stream_outlasts_upstreams_that_are_full_for_a_while(
+    pair: GatewayFleet,
+) -> None:
+    await _fall_silent(pair, cut_after=CUT_AFTER)
+    asking = asyncio.create_task(
+        pair.request(0, 'r1', body={'events': EVENTS, 'pause': 0.1})
+    )
+    await until(pair.runs)
+    await _fall_silent(pair, shed=True)
+    await until(lambda: _is_cut(pair))
+    await asyncio.sleep(AWAY_TIME)
+    await _fall_silent(pair)
+    reply: Reply = await asking
+    assert reply.body == expected_stream('r1', EVENTS)
