Silence of an upstream ends no answer

Cause: an attempt was lost after 3 latency targets of silence, 0.9 s with one of 300 ms, though a sound server may pause for a second or so. When the attempts that the route allows were used up, a begun stream was cut and another request answered 502. With one upstream, its run was reset each time. Change: after 1.4 s of silence, or the latency target if that is longer, another slot is sought. The attempt goes on meanwhile and is given up only for a slot on another upstream; if it speaks first, the slot goes back. The last attempt that the route allows may be silent until the deadline or until its caller leaves. Where bytes without an event arrive, the same upstream may be asked again. The old connection is reset before the next attempt is sent.

--- a/gentiantrestle/gateway/attempt.py
+++ b/gentiantrestle/gateway/attempt.py
@@ -3,7 +3,6 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
-from gentiantrestle.gateway.model import Route
 from gentiantrestle.gateway.ports import Reply
 from gentiantrestle.gateway.retry_policy import AttemptOutcome
 from gentiantrestle.gateway.slots.messages import SlotOutcome
@@ -19,12 +18,6 @@
 )
 
 
-# An idempotent request is retried elsewhere if the upstream sends nothing for
-# this many latency targets. Callers abandon a silent stream after 2 s.
-STALL_TIMEOUT_TARGETS = 3.0
-MAX_STALL_TIMEOUT = 1.0  # seconds
-
-
 class HeldResponse(NamedTuple):
     """A complete upstream response, held back while a retry may follow."""
 
@@ -40,13 +33,3 @@
         super().__init__(reason)
         self.outcome = outcome
         self.reason = reason
-
-
-def stall_timeout(route: Route) -> float | None:
-    """Return the longest silence of an upstream, in s.
-
-    None if the route is not idempotent: then only the deadline counts.
-    """
-    if not route.idempotent:
-        return None
-    return min(MAX_STALL_TIMEOUT, route.latency_target * STALL_TIMEOUT_TARGETS)
--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -1,6 +1,7 @@
 """One request of a caller over all its attempts on upstreams."""
 
 import asyncio
+from functools import partial
 from typing import NamedTuple
 
 from gentiantrestle import events
@@ -13,7 +14,6 @@
     UPSTREAM_HEALTH,
     AttemptFailedError,
     HeldResponse,
-    stall_timeout,
 )
 from gentiantrestle.gateway.batch.context import Clock
 from gentiantrestle.gateway.exchange import CONTENT_LENGTH, Exchange
@@ -25,16 +25,22 @@
 )
 from gentiantrestle.gateway.ports import Dialect, Reply
 from gentiantrestle.gateway.refusals import final_refusal, refuse_quarantined
+from gentiantrestle.gateway.request_slots import RequestSlots
 from gentiantrestle.gateway.request_traits import request_traits
 from gentiantrestle.gateway.retry_policy import (
     AttemptOutcome,
     RequestProgress,
     Step,
 )
+from gentiantrestle.gateway.silence import (
+    Silence,
+    SlotSearch,
+    WatchedAttempt,
+    silence_limit,
+)
 from gentiantrestle.gateway.slots.admission import Admission
 from gentiantrestle.gateway.slots.client import SlotLease
 from gentiantrestle.gateway.slots.messages import SlotOutcome
-from gentiantrestle.gateway.slots.slot_request import SlotRequest
 from gentiantrestle.gateway.sse import EventSplitter, EventStreamError
 from gentiantrestle.gateway.streams.service import StreamOrigins
 from gentiantrestle.gateway.upstream_connection import (
@@ -42,7 +48,6 @@
     UpstreamConnection,
     UpstreamRequest,
 )
-from gentiantrestle.http.event_timer import EventTimer, StalledError
 from gentiantrestle.http.link import RequestNotSentError
 from gentiantrestle.quarantine.guard import (
     QuarantinedError,
@@ -84,8 +89,8 @@
         self._req = req
         self._route = route
         self._exchange = exchange
-        self._stall_timeout = stall_timeout(route)
-        self._tried: frozenset[str] = frozenset()
+        self._silence = Silence(None)
+        self._slots = RequestSlots(context.admission, req, route)
         self._progress = RequestProgress(route.idempotent, route.max_attempts)
         self._splitter = EventSplitter(req.last_event)
         self._held_response: HeldResponse | None = None
@@ -108,20 +113,20 @@
         Raises ``RefusedError``; it reports an unknown outcome if an earlier
         attempt may have been executed.
         """
-        slot_request = SlotRequest(
-            self._req, self._route, service, self._tried, self.version
-        )
         try:
-            self._refuse_quarantined()
-            lease = await self._context.admission.acquire(slot_request)
+            refuse_quarantined(
+                self._context.guard,
+                self._req,
+                self.traits,
+                self._context.clock.wall(),
+            )
+            return await self._slots.take(service, self.version)
         except RefusedError as exc:
             if self._exchange.started:
                 self._cut(exc.refusal.reason)
             if not self._progress.runs:
                 raise
             raise refuse(UPSTREAM_OUTCOME_UNKNOWN, exc.refusal.reason) from exc
-        self._tried |= {lease.upstream.id}
-        return lease
 
     async def attempt(self, lease: SlotLease) -> AttemptOutcome:
         """Try one upstream and give its slot back."""
@@ -131,13 +136,14 @@
             outcome = await self._run_attempt(lease)
             health = UPSTREAM_HEALTH.get(outcome, health)
         finally:
-            self._context.admission.release(lease, health)
+            self._slots.release(lease, health)
             if self._exchange.started:
                 self.version = lease.upstream.version
         return outcome
 
     async def finish(self, step: Step, outcome: AttemptOutcome) -> None:
         """End the exchange after the last attempt; may raise a refusal."""
+        self._slots.release_kept()
         if step is Step.CUT:
             self._exchange.abort()
         elif step is Step.PASS_ON and self._held_response is not None:
@@ -163,19 +169,24 @@
             self._context.guard, self.traits, self._context.clock
         )
 
-    def _refuse_quarantined(self) -> None:
-        wall = self._context.clock.wall()
-        refuse_quarantined(self._context.guard, self._req, self.traits, wall)
-
     async def _run_attempt(self, lease: SlotLease) -> AttemptOutcome:
         self._watch = self._new_watch()
         conn = UpstreamConnection(self._context.dialect, self._watch)
         left = self._req.deadline - self._context.clock.now()
         self.reason = ''
         self.received = 0
+        self._silence = Silence(
+            silence_limit(self._route, self.progress(), left)
+        )
+        find = partial(self._find_other, lease)
+        watched = WatchedAttempt(
+            self._silence,
+            SlotSearch(find, self._slots.release),
+            self._context.clock.now,
+        )
         try:
             async with asyncio.timeout(left):
-                await self._send(conn, lease)
+                successor = await watched.run(self._send(conn, lease))
         except AttemptFailedError as exc:
             self.reason = exc.reason
             if exc.outcome is AttemptOutcome.LOST:
@@ -187,7 +198,17 @@
         finally:
             self.framing = conn.framing
             conn.close()
-        return AttemptOutcome.DONE
+        if successor is None:
+            return AttemptOutcome.DONE
+        self._slots.keep(successor)
+        self.reason = 'silent; there is another upstream'
+        return AttemptOutcome.LOST
+
+    async def _find_other(self, lease: SlotLease) -> SlotLease | None:
+        version = self.version
+        if self._exchange.started:
+            version = lease.upstream.version
+        return await self._slots.find_other(lease, self._silence, version)
 
     async def _check_crash(self, conn: UpstreamConnection) -> None:
         if await conn.check_crash():
@@ -221,16 +242,18 @@
         # From here on the request counts as executed, unless the upstream
         # says that it was not.
         self._progress = before._replace(runs=before.runs + 1)
+        self._await_upstream()
         try:
-            async with asyncio.timeout(self._stall_timeout):
-                return await conn.send(self._build_request(lease))
+            return await conn.send(self._build_request(lease))
         except QuarantinedError as exc:
             self._progress = before
             raise AttemptFailedError(
                 AttemptOutcome.QUARANTINED, str(exc)
             ) from exc
-        except (ResponseLostError, TimeoutError) as exc:
+        except ResponseLostError as exc:
             raise AttemptFailedError(AttemptOutcome.LOST, repr(exc)) from exc
+        finally:
+            self._silence.end()
 
     async def _relay_response(
         self, conn: UpstreamConnection, reply: Reply
@@ -240,14 +263,16 @@
                 await self._relay_stream(conn, reply)
             else:
                 await self._relay_whole(conn, reply)
-        except (ResponseLostError, EventStreamError, StalledError) as exc:
+        except (ResponseLostError, EventStreamError) as exc:
             raise AttemptFailedError(AttemptOutcome.LOST, repr(exc)) from exc
 
     async def _relay_whole(
         self, conn: UpstreamConnection, reply: Reply
     ) -> None:
         self._watch.note_event()
-        body = await conn.read_body(self._stall_timeout)
+        self._await_upstream()
+        body = await conn.read_body(self._await_upstream)
+        self._silence.end()
         if reply.status >= SERVER_ERROR or self._exchange.started:
             self._held_response = HeldResponse(reply, body)
             raise AttemptFailedError(
@@ -261,15 +286,17 @@
         self, conn: UpstreamConnection, reply: Reply
     ) -> None:
         self._splitter = EventSplitter(self._splitter.last_id)
-        now = self._context.clock.now
-        timer = EventTimer(self._stall_timeout, now())
-        async for part in conn.iter_body(self._stall_timeout):
+        self._await_upstream()
+        async for part in conn.iter_body():
             found = self._splitter.feed(part)
-            timer.note_part(now(), has_event=bool(found))
+            self._silence.trickles = True
             self.received += len(found)
             if found:
                 self._watch.note_event()
+                self._silence.end()
                 await self._write(reply, b''.join(event.raw for event in found))
+                self._await_upstream()
+        self._silence.end()
         if self._splitter.remainder or conn.ended_empty:
             raise ResponseLostError('the stream ended within an event')
         if not self._exchange.started:
@@ -277,6 +304,9 @@
         self._watch.note_sound()
         await self._exchange.finish_stream()
 
+    def _await_upstream(self) -> None:
+        self._silence.begin(self._context.clock.now())
+
     async def _write(self, reply: Reply, part: bytes) -> None:
         if self._exchange.started:
             await self._exchange.send_part(part)
--- a/gentiantrestle/gateway/upstream_connection.py
+++ b/gentiantrestle/gateway/upstream_connection.py
@@ -1,7 +1,7 @@
 """A connection to an upstream that carries one request."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import NamedTuple
 
 import h11
@@ -92,7 +92,7 @@
         return reply
 
     async def iter_body(
-        self, stall_timeout: float | None
+        self, stall_timeout: float | None = None
     ) -> AsyncIterator[bytes]:
         """Yield the parts of the body until it is complete.
 
@@ -106,13 +106,15 @@
             event = await self._next_body_event(stall_timeout)
         await self._confirm_end()
 
-    async def read_body(self, stall_timeout: float | None) -> bytes:
-        """Return the complete body; like ``iter_body`` otherwise.
+    async def read_body(self, note_part: Callable[[], None]) -> bytes:
+        """Return the complete body; call ``note_part`` for each part of it.
 
-        One of more than ``MAX_BODY`` is taken for one without end.
+        One of more than ``MAX_BODY`` is taken for one without end. Raises
+        ``ResponseLostError``.
         """
         parts = []
-        async for part in self.iter_body(stall_timeout):
+        async for part in self.iter_body():
+            note_part()
             if self._body_size > MAX_BODY:
                 raise ResponseLostError(f'no end of a body in {MAX_BODY} bytes')
             parts.append(part)
