Close no caller's connection beside a request that has arrived

Cause: a connection was closed without a look at what had arrived on it. At a planned stop all links were closed whose head hadn't been parsed, so those with a request in the buffer and those with half a head; and as the idle time ended, a request that arrived in the same turn of the loop was dropped. uvloop runs timers before it reads sockets, so a process that was busy for a while finds the time-out first and the request after it. Evidence: 5 cases of test_http_server.py, closed without an answer. Change: a connection is closed after one more wait of 50 ms, in which the loop reads what has arrived; a link is busy from the first byte of a head on. A stop waits until no connection is left.

--- a/gentiantrestle/gateway/http_server.py
+++ b/gentiantrestle/gateway/http_server.py
@@ -34,6 +34,9 @@
 # After a refusal the connection stays open this long, so that a reset does
 # not discard the refusal before the caller has read it.
 LINGER_TIME = 0.3  # seconds
+# A busy process finds an idle limit exceeded before it has read what arrived
+# meanwhile, so it waits once more before it closes a connection.
+LAST_WAIT = 0.05  # seconds
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
@@ -58,6 +61,8 @@
         self._limits = limits
         self._links: dict[Link, asyncio.Task[None]] = {}
         self._busy: set[Link] = set()
+        self._waits: dict[Link, asyncio.Timeout] = {}
+        self._closing = False
         self._server: asyncio.Server | None = None
         self.stopping = False
 
@@ -66,6 +71,11 @@
         """Count the connections with a request in flight."""
         return len(self._busy)
 
+    @property
+    def is_drained(self) -> bool:
+        """Return whether no connection is left."""
+        return not self._links
+
     async def start(self, host: str, port: int) -> None:
         """Listen for callers at an address and port."""
         self._server = await asyncio.get_running_loop().create_server(
@@ -76,12 +86,17 @@
         )
 
     def close_idle(self) -> None:
-        """Stop listening and close the connections that are idle."""
+        """Stop listening and close the connections that are idle.
+
+        A request that has arrived, even in part, is answered.
+        """
         if self._server is not None:
             self._server.close()
-        for link in tuple(self._links):
-            if link not in self._busy:
-                link.close()
+        self._closing = True
+        now = asyncio.get_running_loop().time()
+        for wait in self._waits.values():
+            if not wait.expired():
+                wait.reschedule(now + LAST_WAIT)
 
     def _create_link(self) -> Link:
         return Link(
@@ -112,7 +127,6 @@
             head = await self._read_head(link)
             if head is None:
                 return
-            self._busy.add(link)
             body = await self._read_body(link, head)
             exchange = Exchange(link, head, body)
             exchange.close_after = self.stopping
@@ -123,12 +137,11 @@
             link.machine.start_next_cycle()
 
     async def _read_head(self, link: Link) -> h11.Request | None:
-        limits = self._limits()
-        async with asyncio.timeout(limits.idle_timeout):
-            if not await link.wait_readable():
-                return None
+        if not await self._is_requested(link):
+            return None
+        self._busy.add(link)
         try:
-            async with asyncio.timeout(limits.header_timeout):
+            async with asyncio.timeout(self._limits().header_timeout):
                 event = await self._read_event(link)
         except TimeoutError:
             raise refuse(
@@ -136,6 +149,24 @@
             ) from None
         return event if isinstance(event, h11.Request) else None
 
+    async def _is_requested(self, link: Link) -> bool:
+        """Wait for a request as long as an idle connection stays open."""
+        idle_timeout = self._limits().idle_timeout
+        if not self._closing and await self._wait_readable(link, idle_timeout):
+            return True
+        return await self._wait_readable(link, LAST_WAIT)
+
+    async def _wait_readable(self, link: Link, seconds: float) -> bool:
+        try:
+            async with asyncio.timeout(seconds) as wait:
+                self._waits[link] = wait
+                await link.wait_readable()
+        except TimeoutError:
+            return link.has_input
+        finally:
+            self._waits.pop(link, None)
+        return link.has_input
+
     async def _read_body(self, link: Link, head: h11.Request) -> bytes:
         _check_framing(head)
         if link.machine.they_are_waiting_for_100_continue:
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -111,7 +111,7 @@
 
     async def _wait_until(self, deadline: float, *, idle: bool) -> None:
         while self._clock.now() < deadline:
-            if idle and not self.server.in_flight:
+            if idle and self.server.is_drained:
                 return
             await asyncio.sleep(STOP_POLL_INTERVAL)
 
--- a/gentiantrestle/http/link.py
+++ b/gentiantrestle/http/link.py
@@ -100,6 +100,11 @@
         """Whether the peer has sent EOF or the connection is lost."""
         return self.eof_seen or self.lost
 
+    @property
+    def has_input(self) -> bool:
+        """Whether bytes have arrived that no event contains yet."""
+        return bool(self.machine.trailing_data[0])
+
     def cancel_on_disconnect(self, task: asyncio.Task[None] | None) -> None:
         """Cancel ``task`` once the peer disconnects; None: cancel nothing."""
         self._task_to_cancel = task
@@ -108,7 +113,7 @@
 
     async def wait_readable(self) -> bool:
         """Wait for the first bytes of a message; False if none will come."""
-        while not self.machine.trailing_data[0]:
+        while not self.has_input:
             if self.disconnected:
                 return False
             await self._receive()
