Idle connections stay open for the limit in force

Cause: the idle limit was taken once, when a wait began. After a configuration with a longer one, connections still closed by the old one, while callers reuse them for up to four fifths of the new one and meet the close. Evidence: a connection that is idle for twice the old limit, with a longer one in force, is closed (test_http_server.py). Change: when the time is over, the limit in force is read again, and the wait goes on for what is left. A shorter limit holds from the next wait on, which harms no caller.

--- a/gentiantrestle/gateway/http_server.py
+++ b/gentiantrestle/gateway/http_server.py
@@ -150,10 +150,15 @@
         return event if isinstance(event, h11.Request) else None
 
     async def _is_requested(self, link: Link) -> bool:
-        """Wait for a request as long as an idle connection stays open."""
-        idle_timeout = self._limits().idle_timeout
-        if not self._closing and await self._wait_readable(link, idle_timeout):
-            return True
+        """Wait for a request as long as the idle limit in force allows."""
+        now = asyncio.get_running_loop().time
+        began = now()
+        while not self._closing and not link.disconnected:
+            left = began + self._limits().idle_timeout - now()
+            if left <= 0:
+                break
+            if await self._wait_readable(link, left):
+                return True
         return await self._wait_readable(link, LAST_WAIT)
 
     async def _wait_readable(self, link: Link, seconds: float) -> bool:
