Refuse a request whose body doesn't arrive in time

Cause: the time-out within the body closed the connection; only the one within the head was answered. Evidence: test_body_that_does_not_arrive_in_time_is_refused got no byte. Change: 408, which says that the request wasn't run; it has not been sent anywhere.

--- a/gentiantrestle/gateway/http_server.py
+++ b/gentiantrestle/gateway/http_server.py
@@ -180,19 +180,26 @@
                     status_code=HTTPStatus.CONTINUE, headers=[]
                 ),
             )
+        try:
+            async with asyncio.timeout(self._limits().idle_timeout):
+                return await self._collect_body(link)
+        except TimeoutError:
+            raise refuse(
+                REQUEST_TIMEOUT, 'The request body was not complete in time'
+            ) from None
+
+    async def _collect_body(self, link: Link) -> bytes:
         limit = self._limits().body_bytes
         body = bytearray()
-        async with asyncio.timeout(self._limits().idle_timeout):
-            while True:
-                event = await self._read_event(link)
-                if not isinstance(event, h11.Data):
-                    break
-                body += event.data
-                if len(body) > limit:
-                    raise refuse(
-                        TOO_LARGE,
-                        f'The request body exceeds {limit} bytes',
-                    )
+        while True:
+            event = await self._read_event(link)
+            if not isinstance(event, h11.Data):
+                break
+            body += event.data
+            if len(body) > limit:
+                raise refuse(
+                    TOO_LARGE, f'The request body exceeds {limit} bytes'
+                )
         if not isinstance(event, h11.EndOfMessage):
             raise LinkLostError('connection ended within the request body')
         return bytes(body)
