Daemon: close no connection beside a request that has arrived

Cause: a planned stop cancelled all connections whose head hadn't been parsed, and the end of the idle time dropped a request that arrived in the same turn of the loop. Evidence: 4 cases of test_http_closing.py, closed without an answer. Change: as in the gateway: a connection is closed after one more wait of 50 ms, in which the loop reads what has arrived, and counts as busy from the first bytes of a request on. Result: the cases pass, 93 tests of the interfaces in all.

--- a/gentiantrestle/http/connection.py
+++ b/gentiantrestle/http/connection.py
@@ -22,6 +22,9 @@
 MAX_WRITE_BUFFER = 65536  # bytes
 MAX_HEADER = 16384  # bytes
 LINGER_TIME = 0.5  # seconds of reading after a last response
+# A busy process finds an idle limit exceeded before it has read what arrived
+# meanwhile, so it waits once more before it closes a connection.
+LAST_WAIT = 0.05  # seconds
 
 Handler: TypeAlias = Callable[[Request], Awaitable[Response]]
 
@@ -56,11 +59,17 @@
             h11.SERVER,
             max_incomplete_event_size=MAX_HEADER,
         )
+        # Whether a request has begun to arrive and isn't answered yet.
         self.busy = False
+        self._idle_wait: asyncio.Timeout | None = None
 
     async def serve(self, handle: Handler, stopping: asyncio.Event) -> None:
-        """Handle requests until either side closes or ``stopping`` is set."""
-        while not stopping.is_set():
+        """Handle requests until either side closes.
+
+        While ``stopping`` is set, the next request is the last one, and one
+        that hasn't begun to arrive is not waited for.
+        """
+        while True:
             head = await self._read_head(stopping)
             if head is None:
                 return
@@ -78,12 +87,18 @@
             await self._send(response, close=True)
             await self._linger()
 
+    def end_idle(self) -> None:
+        """End the wait for a request if none has begun to arrive."""
+        wait = self._idle_wait
+        if wait is not None and not wait.expired():
+            now = asyncio.get_running_loop().time()
+            wait.reschedule(now + LAST_WAIT)
+
     def close(self) -> None:
         """Close the connection without waiting."""
         self._writer.close()
 
     async def _read_head(self, stopping: asyncio.Event) -> h11.Request | None:
-        timeout = self._limits.idle_timeout
         while True:
             event = self._next_event()
             if isinstance(event, h11.Request):
@@ -91,26 +106,44 @@
             if event is not h11.NEED_DATA:
                 return None
             if self._h11.trailing_data[0]:
-                timeout = self._limits.header_timeout
-            await self._receive(timeout, stopping)
+                await self._receive(self._limits.header_timeout)
+            else:
+                await self._receive_first(stopping)
 
-    async def _receive(
-        self,
-        timeout: float,
-        stopping: asyncio.Event | None = None,
-    ) -> None:
+    async def _receive_first(self, stopping: asyncio.Event) -> None:
+        """Wait for the first bytes of a request."""
+        idle_timeout = 0 if stopping.is_set() else self._limits.idle_timeout
+        for timeout in (idle_timeout, LAST_WAIT):
+            with suppress(TimeoutError):
+                received = await self._read_idle(timeout)
+                self.busy = bool(received)
+                self._h11.receive_data(received)
+                return
+        raise ConnectionClosedError('idle')
+
+    async def _read_idle(self, timeout: float) -> bytes:
+        self._idle_wait = asyncio.timeout(timeout)
+        try:
+            async with self._idle_wait:
+                return await self._read()
+        finally:
+            self._idle_wait = None
+
+    async def _receive(self, timeout: float) -> None:
         try:
             async with asyncio.timeout(timeout):
-                received = await self._reader.read(READ_SIZE)
+                received = await self._read()
         except TimeoutError:
-            if not self._h11.trailing_data[0] and stopping is not None:
-                raise ConnectionClosedError('idle') from None
             raise refuse(
                 REQUEST_TIMEOUT, 'The request did not arrive in time'
             ) from None
+        self._h11.receive_data(received)
+
+    async def _read(self) -> bytes:
+        try:
+            return await self._reader.read(READ_SIZE)
         except ConnectionError as exc:
             raise ConnectionClosedError('reset') from exc
-        self._h11.receive_data(received)
 
     def _next_event(self) -> h11.Event | type[h11.NEED_DATA]:
         try:
--- a/gentiantrestle/http/server.py
+++ b/gentiantrestle/http/server.py
@@ -52,13 +52,15 @@
         return self._server.sockets[0].getsockname()[1]
 
     async def stop(self, grace: float) -> int:
-        """Wait up to ``grace`` s for requests; return how many were cut off."""
+        """Wait up to ``grace`` s for requests; return how many were cut off.
+
+        A request that has arrived, even in part, is answered.
+        """
         self._stopping.set()
         if self._server is not None:
             self._server.close()
-        for task, conn in tuple(self._connections.items()):
-            if not conn.busy:
-                task.cancel()
+        for conn in self._connections.values():
+            conn.end_idle()
         if self._connections:
             await asyncio.wait(tuple(self._connections), timeout=grace)
         cut = self.active
