A request waits for a slot that is just becoming free

A request was refused as not run, 84 ms after it came and with 4.9 s left, though its upstream had a slot some ms later: four refusals of one upstream (X-Not- Executed) in a row used up its attempts. Seen in test_process_leaving beside load, where items had just been told to yield, and with streams that were taken up while the runs before were ending (test_process_versions, split route).

Before an upstream that has refused the request is sent it again, there is a pause now, 50 ms and doubled with each refusal. Another upstream is tried at once.

--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -114,6 +114,7 @@
         health = SlotOutcome.UNKNOWN
         self._upstream = lease.upstream
         try:
+            await self._slots.pause_before_repeat(self._progress)
             outcome = await self._run_attempt(lease)
             health = UPSTREAM_HEALTH.get(outcome, health)
         finally:
--- a/gentiantrestle/gateway/request_slots.py
+++ b/gentiantrestle/gateway/request_slots.py
@@ -22,6 +22,9 @@
 # Pause before a request whose response has been started is sent, or a slot for
 # it is asked for, again.
 STARTED_INTERVAL = 0.25  # seconds
+# Pause before an upstream that has refused a request is sent it again, doubled
+# with each refusal: slots that items give back are free within tens of ms.
+REPEAT_PAUSE = 0.05  # seconds
 
 
 class RequestSlots:
@@ -42,6 +45,7 @@
         self._tried: frozenset[str] = frozenset()
         # Taken while the attempt before was silent.
         self._next: SlotLease | None = None
+        self._is_repeat = False
 
     async def take(
         self, service: str, version: str, progress: RequestProgress
@@ -66,6 +70,13 @@
                     raise
             await asyncio.sleep(STARTED_INTERVAL)
 
+    async def pause_before_repeat(self, progress: RequestProgress) -> None:
+        """Wait if the slot taken last is on an upstream that may be full."""
+        if self._is_repeat and progress.refusals:
+            pause = REPEAT_PAUSE * 2 ** min(progress.refusals - 1, MAX_REFUSALS)
+            left = self._req.deadline - self._context.clock.now()
+            await asyncio.sleep(min(pause, left / 4))
+
     async def find_other(
         self, lease: SlotLease, silence: Silence, version: str
     ) -> SlotLease | None:
@@ -106,6 +117,7 @@
         self._next = None
         if lease is None:
             lease = await self._context.admission.acquire(slot_request)
+        self._is_repeat = lease.upstream.id in self._tried
         self._tried |= {lease.upstream.id}
         return lease
 
--- a/tests/gateway/test_process_requests.py
+++ b/tests/gateway/test_process_requests.py
@@ -69,6 +69,18 @@
     assert await fleet.runs() == []
 
 
+async def test_request_waits_for_a_slot_that_is_just_becoming_free(
+    fleet: GatewayFleet,
+) -> None:
+    for number in range(UPSTREAMS):
+        await fleet.set_faults(number, shed=True)
+    sending = asyncio.create_task(fleet.request(0, 'r1', body={'events': 3}))
+    await asyncio.sleep(0.12)
+    for number in range(UPSTREAMS):
+        await fleet.set_faults(number)
+    assert (await sending).status == 200
+
+
 async def test_caller_disconnect_during_stream_ends_the_run(
     fleet: GatewayFleet,
 ) -> None:
