Gateway: read a queue for slots once for each dispatch

Requests bound to versions made the coordinator look for the next request once more for each version that waits. The queue is read once now, as a heap.

--- a/gentiantrestle/gateway/slots/coordinator.py
+++ b/gentiantrestle/gateway/slots/coordinator.py
@@ -193,15 +193,17 @@
         self, queue: AskQueue, now: float
     ) -> Iterator[Outgoing]:
         held_up: set[str] = set()
-        ask = queue.first(now)
-        while ask is not None:
+        for ask in queue.in_order(now):
+            if ask.version in held_up:
+                continue
             messages = self._place_queued(ask, now)
             if messages:
                 queue.remove(ask.key)
                 yield from messages
             else:
                 held_up.add(ask.version)
-            ask = queue.first(now, held_up)
+            if held_up >= queue.versions():
+                return
 
     def _place_queued(self, ask: Ask, now: float) -> tuple[Outgoing, ...]:
         """Return what places or ends a request that waits; empty if nothing."""
--- a/gentiantrestle/gateway/slots/queueing.py
+++ b/gentiantrestle/gateway/slots/queueing.py
@@ -8,8 +8,9 @@
 goes first, so that most are in time.
 """
 
+import heapq
 from collections import Counter
-from collections.abc import Container
+from collections.abc import Iterator
 from itertools import count
 from typing import NamedTuple
 
@@ -174,23 +175,21 @@
         if queued is not None:
             self._waiting[Group(queued.ask.version, queued.ask.batch)] -= 1
 
-    def first(self, now: float, held_up: Container[str] = ()) -> Ask | None:
-        """Return the request that is served next; None if none waits.
-
-        Those bound to a version in ``held_up`` are passed over.
-        """
-        queued = min(
-            (
-                waiting
-                for waiting in self._queued.values()
-                if waiting.ask.version not in held_up
-            ),
-            key=lambda waiting: waiting.sort_key(now),
-            default=None,
-        )
-        if queued is None:
-            return None
-        return queued.ask._replace(slack=queued.slack_until - now)
+    def in_order(self, now: float) -> Iterator[Ask]:
+        """Yield the requests that wait now, the next one to serve first."""
+        waiting = [
+            (queued.sort_key(now), queued) for queued in self._queued.values()
+        ]
+        heapq.heapify(waiting)
+        while waiting:
+            _, queued = heapq.heappop(waiting)
+            yield queued.ask._replace(slack=queued.slack_until - now)
+
+    def versions(self) -> set[str]:
+        """Return the versions that anything waits for; '' for any."""
+        return {
+            group.version for group, waiting in self._waiting.items() if waiting
+        }
 
     def remove_expired(self, now: float) -> None:
         """Drop the requests whose holders have stopped asking."""
