Gateway: an item doesn't wait for a version whose upstreams all drain

Since requests bound to a version may use its last upstreams while they drain, a waiting item asked for a slot there too. By the code, it would be granted one, give it back, as items don't start on what is draining or leaving, and ask again at once, until it gives its version up 2 s or more later.

An item asks for its version only while an upstream of it may get new work; else it starts again wherever it is granted a slot. test_item_waits_for_no_version_whose_upstreams_all_drain failed before.

--- a/gentiantrestle/gateway/batch/run_table.py
+++ b/gentiantrestle/gateway/batch/run_table.py
@@ -71,17 +71,16 @@
     def wanted_version(self, item_id: str, service: str) -> str:
         """Return the version at which an item waits to go on.
 
-        Empty if any will do, or if no upstream of it is left.
+        Empty if any will do, or if no upstream of it may get new work.
         """
         progress = self._progress.get(item_id)
         now = self._context.clock.now()
         build = progress and progress.wanted_build(now)
         if not build or build.service != service:
             return ''
-        usable = self._context.roster.usable_upstreams(
-            service, now, build.version
-        )
-        return build.version if usable else ''
+        usable = self._context.roster.usable_upstreams(service, now)
+        versions = {upstream.version for upstream in usable}
+        return build.version if build.version in versions else ''
 
     def cancel(self, item_id: str) -> None:
         """Cancel a run; its slot counts as free at once."""
--- a/tests/gateway/test_item_versions.py
+++ b/tests/gateway/test_item_versions.py
@@ -1,16 +1,30 @@
 """Batch items before upstreams of two software versions: what they ask for."""
 
+from types import SimpleNamespace
+
 import pytest
 
+from gentiantrestle.gateway.batch.context import Clock
 from gentiantrestle.gateway.batch.item_output import (
     MIN_PATIENCE,
     Build,
     ItemOutput,
 )
+from gentiantrestle.gateway.batch.item_progress import ItemProgress
+from gentiantrestle.gateway.batch.job_index import JobEntry
+from gentiantrestle.gateway.batch.records import JobRecord
+from gentiantrestle.gateway.batch.run_table import RunTable
+from gentiantrestle.gateway.batch.scheduling import QueuedItem
+from gentiantrestle.gateway.roster import Roster
 from gentiantrestle.gateway.slots.batch_asks import BatchAsks, WantedSlot
-from gentiantrestle.gateway.slots.client import SlotClient
+from gentiantrestle.gateway.slots.client import SlotClient, SlotLease
 from gentiantrestle.gateway.slots.messages import Outgoing
-from tests.gateway.samples import ENGINES
+from tests.gateway.samples import (
+    ENGINES,
+    make_batch_route,
+    make_job,
+    make_upstream,
+)
 from tests.gateway.test_version_admission import Desks
 
 SPENT = 5 * MIN_PATIENCE
@@ -46,3 +60,29 @@
     for version in ('v1.1', 'v1.1', ''):
         asks.want([WANTED._replace(version=version)])
     assert [outgoing.message.version for outgoing in sent] == ['v1.1', '']
+
+
+@pytest.mark.parametrize(('draining', 'wanted'), [(True, ''), (False, 'v1.1')])
+async def test_item_waits_for_no_version_whose_upstreams_all_drain(
+    monkeypatch: pytest.MonkeyPatch, draining: bool, wanted: str
+) -> None:
+    build = Build(ENGINES, 'v1.1')
+    monkeypatch.setattr(ItemProgress, 'wanted_build', lambda item, now: build)
+    roster = Roster(drain_time=10)
+    old = make_upstream('u1', version='v1.1')
+    roster.put(old)
+    roster.put(make_upstream('u2', version='v1.2'))
+    context = SimpleNamespace(
+        roster=roster,
+        clock=Clock(float, float),
+        slots=SimpleNamespace(release=lambda lease, outcome: None),
+    )
+    job = make_job()
+    queued = QueuedItem(0, 9, JobEntry(JobRecord(job, None)), job.items[0])
+    table = RunTable(context, lambda item, outcome: None, lambda: None)
+    table.start(queued, make_batch_route(), SlotLease(1, old, '', 0))
+    table.cancel(job.items[0].id)
+    if draining:
+        roster.note_draining(old._replace(draining=True), 0)
+        roster.put(old._replace(draining=True))
+    assert table.wanted_version(job.items[0].id, ENGINES) == wanted
