Tell slot coordinators of upstreams that are leaving

A coordinator went on granting slots of an upstream that only the asking instance knew to be leaving. Requests gave up to three such grants back, then chose alone, past the coordinator's count; items asked again at once, so that an item and a coordinator sent each other messages without a pause.

Whoever reads such an answer, or gives such a grant back, tells the first two coordinators of the upstream's zone and the one that granted the slot (LeavingNotice: id and incarnation); they mark it in their own rosters. It is an optimisation: the instance that read the answer doesn't depend on it. Marks are kept by run of an upstream, so that the order in which they arrive doesn't matter.

test_process_leaving.py fails without the notice: no other entry learns of it.

--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -143,6 +143,8 @@
         now = self._context.clock.now()
         usable = self._context.roster.usable_upstreams(service or '', now)
         if lease.upstream not in usable:
+            if lease.upstream in self._context.roster.leaving:
+                self._context.slots.report_leaving(lease)
             self.wake()
             return False
         self.run_table.start(queued, route, lease)
--- a/gentiantrestle/gateway/model.py
+++ b/gentiantrestle/gateway/model.py
@@ -104,6 +104,11 @@
     incarnation: int
     version: str = ''
 
+    @property
+    def run(self) -> tuple[str, int]:
+        """Name one run of the upstream, from its start to its end."""
+        return self.id, self.incarnation
+
 
 class Request(NamedTuple):
     """A caller's request; times are monotonic, in s.
--- a/gentiantrestle/gateway/slots/admission.py
+++ b/gentiantrestle/gateway/slots/admission.py
@@ -15,11 +15,7 @@
 from gentiantrestle.gateway.model import Upstream
 from gentiantrestle.gateway.ports import Reply
 from gentiantrestle.gateway.roster import Roster
-from gentiantrestle.gateway.slots.client import (
-    PendingAsk,
-    SlotClient,
-    SlotLease,
-)
+from gentiantrestle.gateway.slots.client import SlotClient, SlotLease
 from gentiantrestle.gateway.slots.fallback import choose_alone
 from gentiantrestle.gateway.slots.messages import (
     Answer,
@@ -28,6 +24,7 @@
     SlotOutcome,
     Verdict,
 )
+from gentiantrestle.gateway.slots.pending import PendingAsk
 from gentiantrestle.gateway.slots.queueing import (
     retry_after_seconds,
     wait_limit,
@@ -103,6 +100,8 @@
             lease = await self._try_acquire(slot_request)
             if not lease.host or lease.upstream in self._usable(slot_request):
                 return lease
+            if lease.upstream in self._roster.leaving:
+                self._client.report_leaving(lease)
             self._client.release(lease, SlotOutcome.UNKNOWN)
             # Coordinators of an earlier build don't know of versions.
             if not slot_request.allows(lease.upstream):
--- a/gentiantrestle/gateway/slots/batch_asks.py
+++ b/gentiantrestle/gateway/slots/batch_asks.py
@@ -9,11 +9,7 @@
 from typing import NamedTuple
 
 from gentiantrestle.gateway.model import Upstream
-from gentiantrestle.gateway.slots.client import (
-    PendingAsk,
-    SlotClient,
-    SlotLease,
-)
+from gentiantrestle.gateway.slots.client import SlotClient, SlotLease
 from gentiantrestle.gateway.slots.messages import (
     Answer,
     Ask,
@@ -21,6 +17,7 @@
     SlotOutcome,
     Verdict,
 )
+from gentiantrestle.gateway.slots.pending import PendingAsk
 
 # Items of one instance that wait in the coordinators' queues.
 MAX_ASKS = 24
--- a/gentiantrestle/gateway/slots/client.py
+++ b/gentiantrestle/gateway/slots/client.py
@@ -1,10 +1,9 @@
 """The slots that this instance holds and asks for, at all coordinators."""
 
-import asyncio
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from itertools import count
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from gentiantrestle import events
 from gentiantrestle.gateway.membership.peers import Peer
@@ -13,6 +12,7 @@
 from gentiantrestle.gateway.slots.health import HealthTable
 from gentiantrestle.gateway.slots.messages import (
     ASK,
+    LEAVING,
     RATE_LIMIT,
     RELEASE,
     REPORT,
@@ -20,6 +20,7 @@
     Ask,
     HeldSlot,
     LeaseKey,
+    LeavingNotice,
     Outgoing,
     RateLimitNotice,
     Release,
@@ -27,6 +28,7 @@
     SlotOutcome,
     Verdict,
 )
+from gentiantrestle.gateway.slots.pending import PendingAsk
 from gentiantrestle.gateway.slots.rates import RateLimits
 from gentiantrestle.gateway.slots.reports import ReportSchedule
 
@@ -65,30 +67,6 @@
         """Order the instances that coordinate a zone's upstreams."""
 
 
-class PendingAsk:
-    """A request for a slot until it is granted, refused or withdrawn."""
-
-    def __init__(self, ask: Ask) -> None:
-        """Start unanswered."""
-        self.ask = ask
-        self.answer: Answer | None = None
-        self.answered = asyncio.Event()
-        # Called with each answer; online requests wait for the event instead.
-        self.on_answer: Callable[[Answer], None] = _ignore
-
-    @property
-    def refused(self) -> bool:
-        """Return whether the last answer was a refusal."""
-        answer = self.answer
-        return answer is not None and answer.verdict is Verdict.REFUSED
-
-    def settle(self, answer: Answer) -> None:
-        """Note an answer."""
-        self.answer = answer
-        self.answered.set()
-        self.on_answer(answer)
-
-
 class SlotClient:
     """Asks coordinators for slots, gives them back and reports them."""
 
@@ -114,8 +92,9 @@
         self._lossy_until = float(0)
         self.health = HealthTable()
         self.rates = RateLimits()
-        # Called with an upstream whose answer says that it is leaving.
-        self.mark_leaving: Callable[[Upstream, float], None] = _mark_nothing
+        # Called with the id and incarnation of each upstream whose answer says
+        # that it is leaving.
+        self.mark_leaving: Callable[[str, int, float], None] = _mark_nothing
 
     @property
     def is_busy(self) -> bool:
@@ -205,7 +184,8 @@
         """
         now = self._now()
         if reply.leaving and not reply.wrong_instance:
-            self.mark_leaving(lease.upstream, now)
+            self.mark_leaving(*lease.upstream.run, now)
+            self.report_leaving(lease)
         limit = reply.rate_limit
         if reply.not_run and not limit:
             return
@@ -214,11 +194,13 @@
         if limit == lease.rate_limit:
             return
         events.emit(events.RATE_LIMIT_NAMED, upstream=upstream.id, limit=limit)
-        ranked = self._directory.coordinators(upstream.zone, now)
-        hosts = {peer.host for peer in ranked[:COORDINATORS_TOLD]}
         notice = RateLimitNotice(upstream.id, limit)
-        for host in (hosts | {lease.host}) - {''}:
-            self._send(Outgoing(host, RATE_LIMIT, notice))
+        self._tell_coordinators(lease, RATE_LIMIT, notice)
+
+    def report_leaving(self, lease: SlotLease) -> None:
+        """Tell the coordinators that the upstream of a slot is leaving."""
+        notice = LeavingNotice(*lease.upstream.run)
+        self._tell_coordinators(lease, LEAVING, notice)
 
     def receive(self, answer: Answer) -> None:
         """Apply an answer; a slot that nobody waits for is given back."""
@@ -260,11 +242,21 @@
     ) -> dict[tuple[str, ...], list[SlotLease]]:
         groups: dict[tuple[str, ...], list[SlotLease]] = {}
         for lease in self._held.values():
-            ranked = self._directory.coordinators(lease.upstream.zone, now)
-            hosts = tuple(peer.host for peer in ranked[:COORDINATORS_TOLD])
+            hosts = self._told_hosts(lease.upstream.zone, now)
             groups.setdefault(hosts, []).append(lease)
         return groups
 
+    def _told_hosts(self, zone: str, now: float) -> tuple[str, ...]:
+        ranked = self._directory.coordinators(zone, now)
+        return tuple(peer.host for peer in ranked[:COORDINATORS_TOLD])
+
+    def _tell_coordinators(
+        self, lease: SlotLease, kind: str, notice: Any
+    ) -> None:
+        hosts = self._told_hosts(lease.upstream.zone, self._now())
+        for host in {*hosts, lease.host} - {''}:
+            self._send(Outgoing(host, kind, notice))
+
     def _send_release(
         self,
         number: int,
@@ -288,9 +280,5 @@
         )
 
 
-def _mark_nothing(upstream: Upstream, now: float) -> None:
+def _mark_nothing(upstream: str, incarnation: int, now: float) -> None:
     """Do nothing until the roster is known."""
-
-
-def _ignore(answer: Answer) -> None:
-    """Do nothing until a handler is set."""
--- a/gentiantrestle/gateway/slots/codec.py
+++ b/gentiantrestle/gateway/slots/codec.py
@@ -9,6 +9,7 @@
     Ask,
     HeldSlot,
     LeaseKey,
+    LeavingNotice,
     RateLimitNotice,
     Release,
     Report,
@@ -118,6 +119,18 @@
     return RateLimitNotice(notice.upstream, notice.rate_limit)
 
 
+@_register(PACKERS, kinds.LEAVING)
+def pack_leaving(notice: LeavingNotice) -> ttypes.LeavingNotice:
+    """Encode the notice of a leaving upstream."""
+    return ttypes.LeavingNotice(*notice)
+
+
+@_register(UNPACKERS, kinds.LEAVING)
+def unpack_leaving(notice: ttypes.LeavingNotice) -> LeavingNotice:
+    """Decode the notice of a leaving upstream."""
+    return LeavingNotice(notice.upstream, notice.incarnation)
+
+
 @_register(PACKERS, kinds.RELEASE)
 def pack_release(release: Release) -> ttypes.SlotRelease:
     """Encode the end of a lease."""
--- a/gentiantrestle/gateway/slots/messages.py
+++ b/gentiantrestle/gateway/slots/messages.py
@@ -13,6 +13,7 @@
 REPORT = 'slot_report'
 SUMS = 'zone_sums'
 RATE_LIMIT = 'rate_limit_notice'
+LEAVING = 'leaving_notice'
 
 
 class LeaseKey(NamedTuple):
@@ -77,6 +78,13 @@
     rate_limit: float
 
 
+class LeavingNotice(NamedTuple):
+    """An upstream whose answers say that this run of it is leaving."""
+
+    upstream: str
+    incarnation: int
+
+
 class SlotOutcome(Enum):
     """What the use of a slot says about the health of its upstream."""
 
--- a/gentiantrestle/gateway/slots/service.py
+++ b/gentiantrestle/gateway/slots/service.py
@@ -13,6 +13,7 @@
 from gentiantrestle.gateway.slots.messages import (
     ANSWER,
     ASK,
+    LEAVING,
     RATE_LIMIT,
     RELEASE,
     REPORT,
@@ -87,6 +88,9 @@
             RATE_LIMIT,
             lambda notice: self._decide(coordinator.note_rate_limit, notice),
         )
+        self._on(
+            LEAVING, lambda notice: client.mark_leaving(*notice, self._now())
+        )
         self._on(REPORT, lambda report: self._decide(coordinator.apply, report))
         self._on(SUMS, self._receive_sums)
         self._on(ANSWER, client.receive)
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -193,6 +193,12 @@
   2: required double rate_limit,
 }
 
+/* Tells a coordinator of an upstream whose answers say that it is leaving. */
+struct LeavingNotice {
+  1: required string upstream,
+  2: required i64 incarnation,
+}
+
 enum SlotOutcome {
   UNKNOWN = 0,
   SERVED = 1,
@@ -320,4 +326,5 @@
   20: optional ZoneSums zone_sums,
   21: optional RateLimitNotice rate_limit_notice,
   22: optional BegunStreams begun_streams,
+  23: optional LeavingNotice leaving_notice,
 }
--- a/gentiantrestle/wire/peer/ttypes.py
+++ b/gentiantrestle/wire/peer/ttypes.py
@@ -2529,6 +2529,90 @@
         return not (self == other)
 
 
+class LeavingNotice(object):
+    """
+    Attributes:
+     - upstream
+     - incarnation
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'incarnation',
+    )
+
+
+    def __init__(self, upstream=None, incarnation=None,):
+        self.upstream = upstream
+        self.incarnation = incarnation
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeavingNotice')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.upstream is None:
+            raise TProtocolException(message='Required field upstream is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SlotRelease(object):
     """
     Attributes:
@@ -3948,6 +4032,7 @@
      - zone_sums
      - rate_limit_notice
      - begun_streams
+     - leaving_notice
 
     """
 
@@ -3974,10 +4059,11 @@
         'zone_sums',
         'rate_limit_notice',
         'begun_streams',
+        'leaving_notice',
     )
 
 
-    def __init__(self, call=None, heartbeat=None, changes_request=None, changes=None, answer_request=None, answer=None, load_report=None, report_request=None, report=None, pulse=None, results_request=None, results=None, copy_request=None, copy=None, slot_ask=None, slot_answer=None, slot_release=None, slot_yield=None, slot_report=None, zone_sums=None, rate_limit_notice=None, begun_streams=None,):
+    def __init__(self, call=None, heartbeat=None, changes_request=None, changes=None, answer_request=None, answer=None, load_report=None, report_request=None, report=None, pulse=None, results_request=None, results=None, copy_request=None, copy=None, slot_ask=None, slot_answer=None, slot_release=None, slot_yield=None, slot_report=None, zone_sums=None, rate_limit_notice=None, begun_streams=None, leaving_notice=None,):
         self.call = call
         self.heartbeat = heartbeat
         self.changes_request = changes_request
@@ -4000,6 +4086,7 @@
         self.zone_sums = zone_sums
         self.rate_limit_notice = rate_limit_notice
         self.begun_streams = begun_streams
+        self.leaving_notice = leaving_notice
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4141,6 +4228,12 @@
                     self.begun_streams.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.STRUCT:
+                    self.leaving_notice = LeavingNotice()
+                    self.leaving_notice.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4239,6 +4332,10 @@
             oprot.writeFieldBegin('begun_streams', TType.STRUCT, 22)
             self.begun_streams.write(oprot)
             oprot.writeFieldEnd()
+        if self.leaving_notice is not None:
+            oprot.writeFieldBegin('leaving_notice', TType.STRUCT, 23)
+            self.leaving_notice.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4431,6 +4528,12 @@
     (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
     (2, TType.DOUBLE, 'rate_limit', None, None, ),  # 2
 )
+all_structs.append(LeavingNotice)
+LeavingNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+)
 all_structs.append(SlotRelease)
 SlotRelease.thrift_spec = (
     None,  # 0
@@ -4552,6 +4655,7 @@
     (20, TType.STRUCT, 'zone_sums', [ZoneSums, None], None, ),  # 20
     (21, TType.STRUCT, 'rate_limit_notice', [RateLimitNotice, None], None, ),  # 21
     (22, TType.STRUCT, 'begun_streams', [BegunStreams, None], None, ),  # 22
+    (23, TType.STRUCT, 'leaving_notice', [LeavingNotice, None], None, ),  # 23
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/gateway/test_process_leaving.py
+++ b/tests/gateway/test_process_leaving.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.gateway.fleet import UNREACHABLE, UPSTREAMS, GatewayFleet
+from tests.gateway.fleet import ENTRIES, UNREACHABLE, UPSTREAMS, GatewayFleet
 from tests.gateway.wire_samples import job_doc
 from tests.utils.http import until
 
@@ -25,6 +25,13 @@
     )
 
 
+def others_know(fleet: GatewayFleet) -> bool:
+    """Return whether another entry than entry 0 knows of the upstream."""
+    return any(
+        knows_leaving(fleet, entry, LEAVING) for entry in range(1, ENTRIES)
+    )
+
+
 async def make_known(
     fleet: GatewayFleet, kind: str, upstream: str = LEAVING
 ) -> None:
@@ -43,10 +50,8 @@
 
 
 async def send_all(fleet: GatewayFleet, label: str) -> set[int]:
-    """Send a job and then requests to entry 0; return the statuses."""
-    job = job_doc(f'{label}-j', 20, 5)
-    reply = await fleet.request(0, f'{label}-j', '/lists/j', job)
-    statuses = {reply.status}
+    """Send requests and then a job to entry 0; return the statuses."""
+    statuses: set[int] = set()
     for number in range(0, REQUESTS, TOGETHER):
         replies = await asyncio.gather(
             *(
@@ -55,7 +60,9 @@
             )
         )
         statuses |= {reply.status for reply in replies}
-    return statuses
+    job = job_doc(f'{label}-j', 20, 5)
+    reply = await fleet.request(0, f'{label}-j', '/lists/j', job)
+    return statuses | {reply.status}
 
 
 def run_times(fleet: GatewayFleet, *upstreams: int) -> list[float]:
@@ -88,6 +95,8 @@
         await fleet.set_store_faults(down=True)
     await make_known(fleet, kind)
     assert knows_leaving(fleet, 0, LEAVING)
+    # One coordinator at least is another entry.
+    await until(lambda: others_know(fleet))
     known_at = time.time()
     await fleet.set_faults(0, leaving=True)
     await fleet.set_store_faults()
--- a/tests/gateway/test_slots.py
+++ b/tests/gateway/test_slots.py
@@ -17,6 +17,7 @@
     Ask,
     HeldSlot,
     LeaseKey,
+    LeavingNotice,
     Outgoing,
     RateLimitNotice,
     Release,
@@ -488,6 +489,7 @@
         'slot_release': Release(key, SlotOutcome.FAILED),
         YIELD: key,
         'rate_limit_notice': RateLimitNotice('u', 2.25),
+        'leaving_notice': LeavingNotice('u', 1700000000000),
         'slot_report': Report('run', 'h', (HeldSlot(1, 'u', True, -2.5, 3),)),
         'zone_sums': _sums('a2', free=3, spare=1),
     }
