--- a/standins/objects.py
+++ b/standins/objects.py
@@ -11,6 +11,7 @@
 from gentiantrestle.http.messages import Request, Response, json_response
 
 ROOT = '/gentiantrestle/objects/'
+RAW_ROOT = '/raw/'
 MAX_BODY = 2097152  # bytes
 STATUS = 'status'
 GONE = HTTPStatus.GONE
@@ -29,7 +30,8 @@
     ``POST /control`` replaces the faults: ``down`` refuses each call, ``slow``
     delays each by some seconds, ``lose`` holds back the answers of so many
     writes for ``silence`` seconds after they took effect, and ``compact``
-    forgets the changes so far, so that older watches get 410.
+    forgets the changes so far, so that older watches get 410. ``POST
+    /raw/KIND/NAME`` stores the body as a spec without looking at it.
     """
 
     def __init__(self) -> None:
@@ -69,19 +71,35 @@
             await asyncio.sleep(self._faults.get('silence', 5))
         return answer
 
+    async def _store_raw(self, req: Request) -> Response:
+        kind, _, name = req.path.removeprefix(RAW_ROOT).partition('/')
+        spec = msgspec.Raw(await req.read(MAX_BODY))
+        await self._store((kind, name), {'spec': spec, STATUS: None})
+        return json_response({})
+
     async def _dispatch(self, req: Request) -> Response:
+        if req.method == 'GET':
+            return await self._read(req)
+        return await self._change(req)
+
+    async def _change(self, req: Request) -> Response:
+        if req.path.startswith(RAW_ROOT):
+            return await self._store_raw(req)
         kind, _, rest = req.path.removeprefix(ROOT).partition('/')
         name, _, subresource = rest.partition('/')
-        if req.method == 'GET' and name:
-            return self._get((kind, name))
-        if req.method == 'GET':
-            return await self._list(kind, dict(req.query))
         if req.method == 'DELETE':
             return await self._delete((kind, name))
         document = await req.read_json(MAX_BODY)
         if req.method == 'POST':
             return await self._create(kind, document)
-        return await self._put((kind, name), document, subresource == STATUS)
+        is_status = subresource == STATUS
+        return await self._put((kind, name), document, is_status)
+
+    async def _read(self, req: Request) -> Response:
+        kind, _, name = req.path.removeprefix(ROOT).partition('/')
+        if name:
+            return self._get((kind, name))
+        return await self._list(kind, dict(req.query))
 
     def _get(self, key: tuple[str, str]) -> Response:
         found = self._documents.get(key)
@@ -169,8 +187,8 @@
         self, key: tuple[str, str], document: dict[str, Any], *, deleted: bool
     ) -> None:
         self._revision += 1
-        snapshot = msgspec.json.decode(msgspec.json.encode(document))
-        snapshot['metadata']['revision'] = self._revision
+        metadata = {**document['metadata'], 'revision': self._revision}
+        snapshot = {**document, 'metadata': metadata}
         self._history.append((self._revision, key[0], snapshot, deleted))
         async with self._changed:
             self._changed.notify_all()
