Bench that weighs ways to bind streams to a software version

A caller that takes a stream up reaches any instance, perhaps after all have ended at once, and the stream may go on only at the version that began it.

--- a/benchmarks/core.py
+++ b/benchmarks/core.py
@@ -13,6 +13,7 @@
     quarantine_arms,
     recovery,
     slot_arms,
+    version_arms,
 )
 
 MEASUREMENTS: dict[str, Callable[[Path], Awaitable[list[str]]]] = {
@@ -30,6 +31,7 @@
     'control': capacity.measure_control,
     'slots': slot_arms.measure_arms,
     'quarantine': quarantine_arms.measure_arms,
+    'versions': version_arms.measure_arms,
 }
 
 
