Read the store's pages object by object; check the values of entries

What callers saw: nothing but closed connections. One entry of another writer among those of the upstreams (nested very deep, a number too large, bytes that are not UTF-8) ended the processes of all instances that list or watch.

Cause: a page was decoded as a whole, and msgspec raises RecursionError or DecodeError for all of it; the follower's child failed more often than its restart limit allows. Slots of 10**30, a port of 99999, a zone of 100 KB were accepted and met integers of 32 bits, connect() and datagrams later.

Evidence: tests/gateway/test_process_odd_entries.py, against the stand-in store that takes any text as a spec.

Change: the page is split first, in msgspec.Raw or, where a part is nested too deep even for that, by a scanner without recursion. Objects are decoded one by one; one whose content can't be read keeps its name and revision, so that it replaces a readable earlier one, and the page's revision counts. Depth is limited, since a copy for another instance encodes the content again. Slots, birth, port, address and the lengths of texts are checked when an entry is decoded. An object without a readable name is logged once.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -119,6 +119,9 @@
 STORE_CALL_FAILED = _define(
     2009, LEVEL_WARNING, 'store call for {name} failed: {error}'
 )
+STORE_ANSWER_UNREADABLE = _define(
+    2010, LEVEL_ERROR, 'unreadable store answer to a read of {name}: {error}'
+)
 ENTRY_UNREADABLE = _define(
     3004, LEVEL_WARNING, 'ignoring unusable entry {name}: {error}'
 )
--- a/gentiantrestle/gateway/ports.py
+++ b/gentiantrestle/gateway/ports.py
@@ -21,13 +21,23 @@
 
 
 class StoredObject(NamedTuple):
-    """An object of the store; ``content`` and ``status`` are decoded JSON."""
+    """An object of the store; ``content`` and ``status`` are decoded JSON.
+
+    ``error`` says why they could not be decoded; they are None then.
+    """
 
     name: str
     revision: int
     content: Any
     status: Any = None
     deleted: bool = False
+    error: str = ''
+
+    def require_content(self) -> Any:
+        """Return the content; raise ``ValueError`` if it is unreadable."""
+        if self.error:
+            raise ValueError(self.error)
+        return self.content
 
 
 class Page(NamedTuple):
--- a/gentiantrestle/models.py
+++ b/gentiantrestle/models.py
@@ -2,6 +2,10 @@
 
 from typing import NamedTuple, NotRequired, TypedDict
 
+# Largest integers that instances tell each other.
+MAX_INT32 = 2147483647
+MAX_INT64 = 9223372036854775807
+
 
 class Address(NamedTuple):
     """IP address and port that a process listens on."""
--- a/gentiantrestle/platform/object_client.py
+++ b/gentiantrestle/platform/object_client.py
@@ -1,7 +1,8 @@
 """Client of the platform's object store."""
 
 import asyncio
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -15,6 +16,10 @@
     NotSentError,
 )
 from gentiantrestle.models import Address
+from gentiantrestle.platform.object_decoder import (
+    ObjectDecoder,
+    StoreAnswerError,
+)
 from gentiantrestle.store.client import (
     StoreOutcomeUnknownError,
     StoreUnavailableError,
@@ -32,6 +37,7 @@
 CONFLICT = 409
 GONE = 410
 REJECTED_STATUSES = frozenset((429, 503))  # the store did nothing
+Answer = TypeVar('Answer')
 FINAL_STATUSES = frozenset((OK, CREATED, 204, NOT_FOUND, CONFLICT, GONE))
 
 
@@ -45,6 +51,7 @@
     def __init__(self, address: Address) -> None:
         """Prepare for calls; connections are opened on demand."""
         self._pool = ConnectionPool(address, POOL_SIZE, CALL_TIMEOUT)
+        self._decoder = ObjectDecoder()
         self.calls = 0
 
     async def list_page(
@@ -59,11 +66,7 @@
         if stale:
             query['stale-ok'] = '1'
         body = (await self._call('GET', _path(kind), query))[1]
-        return Page(
-            tuple(_decode_object(entry) for entry in body.get('items', ())),
-            body['as-of'],
-            bool(body.get('has-more')),
-        )
+        return _decode_answer(kind, self._decoder.decode_list, body)
 
     async def watch(self, kind: str, revision: int, wait: float) -> Page:
         """Wait up to ``wait`` s for changes of a kind after a revision.
@@ -76,16 +79,14 @@
         )
         if status == GONE:
             raise HistoryGoneError(kind)
-        changes = tuple(
-            _decode_object(event['object'], deleted=bool(event.get('deleted')))
-            for event in body['events']
-        )
-        return Page(changes, body['as-of'])
+        return _decode_answer(kind, self._decoder.decode_changes, body)
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Read an object; None if it does not exist."""
         status, body = await self._call('GET', _path(kind, name))
-        return None if status == NOT_FOUND else _decode_object(body)
+        if status == NOT_FOUND:
+            return None
+        return _decode_answer(name, self._decoder.decode_object, body)
 
     async def create(self, kind: str, name: str, content: Any) -> bool:
         """Create an object; return False if it exists."""
@@ -139,7 +140,7 @@
         *,
         body: Any = None,
         timeout: float = CALL_TIMEOUT,
-    ) -> tuple[int, Any]:
+    ) -> tuple[int, bytes]:
         self.calls += 1
         target = f'{path}?{urlencode(query)}' if query else path
         req = _build_request(method, target, body)
@@ -151,7 +152,7 @@
         except (ConnectionLostError, TimeoutError) as exc:
             raise _lost_call_error(method, exc) from exc
         if response.status in FINAL_STATUSES:
-            return response.status, msgspec.json.decode(received or b'null')
+            return response.status, received
         if response.status not in REJECTED_STATUSES:
             events.emit(
                 events.STORE_UNEXPECTED_STATUS,
@@ -184,15 +185,11 @@
     )
 
 
-def _decode_object(
-    document: dict[str, Any], *, deleted: bool = False
-) -> StoredObject:
-    metadata = document['metadata']
-    return StoredObject(
-        metadata['name'],
-        metadata['revision'],
-        document.get('spec'),
-        document.get('status'),
-        # An object that only waits for its finalizers counts as deleted.
-        deleted or bool(metadata.get('deleting')),
-    )
+def _decode_answer(
+    name: str, decode: Callable[[bytes], Answer], body: bytes
+) -> Answer:
+    try:
+        return decode(body)
+    except StoreAnswerError as exc:
+        events.emit(events.STORE_ANSWER_UNREADABLE, name=name, error=str(exc))
+        raise StoreUnavailableError(f'unreadable answer: {exc}') from exc
