Count a host or port that can't exist as not reached

connect() raises OverflowError for such a port and ValueError (UnicodeError) for such a host. open_link let both out, and the request or item that had been placed there ended with an internal error. Entries with such a port are refused when they are decoded; this is the second line, for whatever else names one.

test_impossible_port_raises_request_not_sent failed in its four cases before.

--- a/gentiantrestle/http/link.py
+++ b/gentiantrestle/http/link.py
@@ -21,6 +21,9 @@
 KEEPALIVE_COUNT = 2  # unanswered probes that close a connection
 UNACKED_TIMEOUT = 2500  # ms that sent bytes may stay unacknowledged
 
+# The last two are raised for a host or port that can't exist.
+CONNECT_ERRORS = (OSError, TimeoutError, OverflowError, ValueError)
+
 
 class LinkLostError(Exception):
     """The connection was reset, or closed before the message was complete."""
@@ -185,7 +188,7 @@
                 address.host,
                 address.port,
             )
-    except (OSError, TimeoutError) as exc:
+    except CONNECT_ERRORS as exc:
         raise RequestNotSentError(f'{address}: {exc!r}') from exc
     return link
 
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -8,6 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gentiantrestle.http.link import RequestNotSentError, open_link
+from gentiantrestle.models import Address
 from gentiantrestle.platform.document_decoder import StoreDocumentDecoder
 from gentiantrestle.platform.object_decoder import (
     ObjectDecoder,
@@ -140,3 +142,9 @@
         assert 0 <= upstream.slots <= 65535
         assert 0 < upstream.address.port <= 65535
         assert upstream.incarnation < 2**63
+
+
+@pytest.mark.parametrize('port', [-1, 65536, 99999, 2**70])
+async def test_impossible_port_raises_request_not_sent(port: int) -> None:
+    with pytest.raises(RequestNotSentError):
+        await open_link(Address('127.0.0.1', port), 1, 1000)
