Bound the numbers in a caller's request and job

int() raises ValueError for more than 4,300 digits, which ended the request with an internal error; a job of any nesting raised RecursionError likewise. A token-count beyond 32 bits was accepted with its job and could not be encoded in a request for a slot afterwards.

--- a/gentiantrestle/platform/dialect.py
+++ b/gentiantrestle/platform/dialect.py
@@ -21,6 +21,7 @@
 )
 from gentiantrestle.http.link import HeaderPairs
 from gentiantrestle.http.messages import error_document
+from gentiantrestle.models import MAX_INT32
 
 HOST = b'host'
 REQUEST_ID = b'x-attempt-id'
@@ -51,6 +52,7 @@
 DEFAULT_TIMEOUT = 60.0  # seconds, for requests without a deadline
 MAX_ITEMS = 200  # items in one job
 MS = 0.001  # seconds
+MAX_DIGITS = 15  # of a number in a header field
 MIN_RATE = 0.01  # requests a second; stands for a limit of 0
 RATE_PATTERN = re.compile(rb'\d{1,9}(\.\d{1,9})?')
 ID_PATTERN = re.compile(r'[\w.-]{1,128}')
@@ -59,7 +61,14 @@
 COMPLETED = 'completed'
 DEAD_LETTERED = 'dead_lettered'
 # msgspec and base64 raise subclasses of ValueError.
-DECODE_ERRORS = (LookupError, TypeError, ValueError, AttributeError)
+DECODE_ERRORS = (
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 class PlatformDialect:
@@ -78,7 +87,7 @@
         if match and head.method == b'GET':
             after = query_values.get('after', ['0'])[0]
             wait = _number(dict(head.headers).get(WAIT)) * MS
-            position = int(after) if after.isdigit() else 0
+            position = _number(after.encode())
             return ReadResults(match[1], position, min(MAX_WAIT, wait))
         return None
 
@@ -223,13 +232,20 @@
     headers = dict(document.get('headers') or {})
     return ItemSpec(
         _checked_id(document['id']),
-        int(document.get('token-count', 0)),
+        _checked_tokens(document.get('token-count', 0)),
         document['path'],
         {str(name): str(text) for name, text in headers.items()},
         base64.b64decode(document.get('body') or '', validate=True),
     )
 
 
+def _checked_tokens(raw: Any) -> int:
+    tokens = int(raw)
+    if not 0 <= tokens <= MAX_INT32:
+        raise ValueError('token-count is out of range')
+    return tokens
+
+
 def _checked_id(raw: Any) -> str:
     if not isinstance(raw, str) or not ID_PATTERN.fullmatch(raw):
         raise ValueError(f'{raw!r} is not a valid id')
@@ -257,4 +273,7 @@
 
 
 def _number(raw: bytes | None) -> int:
-    return int(raw) if raw and raw.isdigit() else 0
+    """Decode digits; 0 if they are missing, unreadable or too many."""
+    if raw and raw.isdigit() and len(raw) <= MAX_DIGITS:
+        return int(raw)
+    return 0
--- a/tests/gateway/test_adapter.py
+++ b/tests/gateway/test_adapter.py
@@ -143,6 +143,9 @@
         b'{"items":[{"id":"a b","path":"/x","body":""}]}',
         b'{"items":[{"id":"a","path":"/x","body":"%%%"}]}',
         b'{"items":[{"id":"a","path":"/x"},{"id":"a","path":"/x"}]}',
+        b'{"items":[{"id":"a","path":"/x","token-count":-1}]}',
+        b'{"items":[{"id":"a","path":"/x","token-count":2147483648}]}',
+        b'{"items":' + b'[' * 5000 + b']' * 5000 + b'}',
     ],
 )
 def test_malformed_job_is_refused_with_status_bad_request(body: bytes) -> None:
@@ -201,6 +204,22 @@
     }
 
 
+@pytest.mark.parametrize('digits', ['9' * 16, '9' * 5000, 'x'])
+def test_numbers_of_absurd_length_count_as_missing(digits: str) -> None:
+    head = _head(
+        'POST',
+        '/chat/1',
+        ('X-Attempt-Id', 'r1'),
+        ('X-Deadline-Ms', digits),
+        ('Last-Event-Id', digits),
+    )
+    req = PlatformDialect().read_request(head, b'', 100)
+    assert (req.deadline, req.last_event) == (160, 0)
+    target = f'/gentiantrestle/lots/j1?after={"9" * 5000}'
+    operation = PlatformDialect().read_job_operation(_head('GET', target))
+    assert operation == ReadResults('j1', 0, 0)
+
+
 def test_request_without_id_is_refused() -> None:
     with pytest.raises(RefusedError):
         PlatformDialect().read_request(_head('GET', '/'), b'', 0)
