Let a follower outlive an error in applying changes

Any exception of a handler ended the follower's task; after five restarts in a minute the process ended, and its restarts met the same change again.

It is logged as 2011 (ERROR) now, and the kind is listed again after a growing pause, so that what the change left half applied is put right. The pause has a back-off of its own: the store answers, which resets the other one.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -122,6 +122,11 @@
 STORE_ANSWER_UNREADABLE = _define(
     2010, LEVEL_ERROR, 'unreadable store answer to a read of {name}: {error}'
 )
+FOLLOWER_FAILED = _define(
+    2011,
+    LEVEL_ERROR,
+    'applying changes of {kind} failed; listing again: {error}',
+)
 ENTRY_UNREADABLE = _define(
     3004, LEVEL_WARNING, 'ignoring unusable entry {name}: {error}'
 )
--- a/gentiantrestle/gateway/follower.py
+++ b/gentiantrestle/gateway/follower.py
@@ -99,6 +99,7 @@
         self._rng = rng
         self._gate = gate
         self._backoff = Backoff(rng)
+        self._failure_backoff = Backoff(rng)
         self._revision: int | None = None
         self.connected = False
 
@@ -108,15 +109,28 @@
             if not self._gate.is_set() and not self._needs_first_read:
                 self._reset()
                 await self._gate.wait()
-            try:
-                await self._step()
-            except StoreUnavailableError as exc:
-                self._note_disconnected(exc)
-                await asyncio.sleep(self._backoff.next_pause())
-            except HistoryGoneError:
-                events.emit(events.HISTORY_GONE, kind=self._kind)
-                self._revision = NO_REVISION
-                await asyncio.sleep(self._rng.random() * RELIST_SPREAD)
+            pause = await self._try_step()
+            if pause:
+                await asyncio.sleep(pause)
+
+    async def _try_step(self) -> float:
+        """Take one step; return the pause in s after a failure, or 0."""
+        try:
+            await self._step()
+        except StoreUnavailableError as exc:
+            self._note_disconnected(exc)
+            return self._backoff.next_pause()
+        except HistoryGoneError:
+            events.emit(events.HISTORY_GONE, kind=self._kind)
+            self._revision = NO_REVISION
+            return self._rng.random() * RELIST_SPREAD
+        except Exception as exc:  # noqa: BLE001 (logged, and listed again)
+            events.emit(
+                events.FOLLOWER_FAILED, kind=self._kind, error=repr(exc)
+            )
+            self._revision = NO_REVISION
+            return self._failure_backoff.next_pause()
+        return 0
 
     async def _step(self) -> None:
         if self._revision is None:
@@ -130,6 +144,7 @@
         self._revision = page.revision
         if page.entries:
             self._handlers.change(page.entries, page.revision)
+            self._failure_backoff.reset()
             await asyncio.sleep(self._spec.pause)
 
     async def _list(self) -> None:
@@ -144,6 +159,7 @@
             found.extend(page.entries)
         self._note_connected()
         self._handlers.replace(found, revision)
+        self._failure_backoff.reset()
         self._revision = revision
 
     @property
