Drop what can't be read of a copy from another instance, not the copy

An object that can't be decoded ended the task that copies state, and the process after five of them. An object that can't be encoded ended the answer for the other instance, which then never got any state. Both are left without content now: such an object names no upstream, and the others are copied.

test_copy_with_unreadable_objects_raises_nothing failed in its six cases before.

--- a/gentiantrestle/gateway/state_copier.py
+++ b/gentiantrestle/gateway/state_copier.py
@@ -4,9 +4,11 @@
 """
 
 from collections.abc import Callable, Iterable
+from typing import Any
 
 import msgspec
 
+from gentiantrestle import events
 from gentiantrestle.gateway.batch.job_store import JobStore
 from gentiantrestle.gateway.fleet_state import FleetState
 from gentiantrestle.gateway.ports import StoredObject
@@ -14,6 +16,8 @@
 from gentiantrestle.wire.peer import ttypes
 
 MS_PER_S = 1000
+ENCODE_ERRORS = (TypeError, ValueError, OverflowError, RecursionError)
+DECODE_ERRORS = (TypeError, ValueError, RecursionError)
 
 
 class StateCopier:
@@ -86,12 +90,22 @@
 
 
 def _pack(stored: StoredObject) -> ttypes.KnownObject:
-    content = msgspec.json.encode([stored.content, stored.status])
+    """Encode an object; without its content if that can't be encoded."""
+    try:
+        content = msgspec.json.encode([stored.content, stored.status])
+    except ENCODE_ERRORS as exc:
+        events.emit(events.ENTRY_UNREADABLE, name=stored.name, error=repr(exc))
+        content = msgspec.json.encode([None, None])
     return ttypes.KnownObject(stored.name, stored.revision, content)
 
 
 def _unpack(known_object: ttypes.KnownObject) -> StoredObject:
-    content, status = msgspec.json.decode(known_object.content)
-    return StoredObject(
-        known_object.name, known_object.revision, content, status
-    )
+    """Decode an object; one that can't be decoded says so."""
+    stored = StoredObject(known_object.name, known_object.revision, None)
+    try:
+        content, status = msgspec.json.decode(
+            known_object.content, type=list[Any]
+        )
+    except DECODE_ERRORS as exc:
+        return stored._replace(error=repr(exc))
+    return stored._replace(content=content, status=status)
--- a/tests/gateway/test_odd_records.py
+++ b/tests/gateway/test_odd_records.py
@@ -4,6 +4,11 @@
 import random
 from typing import Any
 
+import pytest
+
+from gentiantrestle.gateway.batch.job_index import JobIndex
+from gentiantrestle.gateway.batch.job_store import JobStore
+from gentiantrestle.gateway.fleet_state import FleetState
 from gentiantrestle.gateway.follower import (
     Follower,
     StoreHandlers,
@@ -11,12 +16,65 @@
     WatchSpec,
 )
 from gentiantrestle.gateway.ports import StoredObject
+from gentiantrestle.gateway.state_copier import StateCopier
+from gentiantrestle.platform.document_decoder import StoreDocumentDecoder
+from gentiantrestle.platform.object_decoder import ObjectDecoder
+from gentiantrestle.wire.peer import ttypes
 from tests.gateway.memory import MemoryStore
+from tests.gateway.odd_entries import (
+    ODD_ENTRIES,
+    good_entry,
+    make_list,
+    make_object,
+)
 from tests.utils.virtual_time import run_virtual
 
 KIND = 'kind'
 
 
+def _job_store(store: MemoryStore) -> JobStore:
+    return JobStore(store, JobIndex(), random.Random(1), lambda: 0)
+
+
+def _copier() -> tuple[StateCopier, FleetState, JobStore]:
+    state = FleetState(StoreDocumentDecoder(), 'main', lambda: 0)
+    store = _job_store(MemoryStore())
+    return StateCopier(state, store, lambda: 0), state, store
+
+
+@pytest.mark.parametrize('kind', ODD_ENTRIES)
+def test_copy_with_an_odd_entry_carries_the_others(kind: str) -> None:
+    odd = make_object('odd', 2, ODD_ENTRIES[kind])
+    page = ObjectDecoder().decode_list(make_list(good_entry('a'), odd))
+    source, source_state, _ = _copier()
+    source_state.replace_upstreams(page.entries, page.revision)
+    target, target_state, _ = _copier()
+    target.apply_copy(source.build_copy(target.build_request()))
+    assert target.revisions == source.revisions
+    assert set(target_state.upstreams) == {'a', 'odd'}
+    assert [entry.id for entry in target_state.roster.entries()] == ['a']
+
+
+@pytest.mark.parametrize(
+    'content', [b'', b'{}', b'[]', b'[1]', b'\xff', b'[' * 5000 + b']' * 5000]
+)
+def test_copy_with_unreadable_objects_raises_nothing(content: bytes) -> None:
+    target, state, _ = _copier()
+    odd = ttypes.KnownObject('odd', 3, content)
+    target.apply_copy(
+        ttypes.Copy(
+            config=odd,
+            upstreams_revision=5,
+            upstreams=[odd],
+            jobs_revision=4,
+            jobs=[odd],
+            lapse_left=0,
+        )
+    )
+    assert state.upstreams_revision == 5
+    assert not state.roster.entries()
+
+
 class _Faulty:
     """Handlers that fail some times, and then note what they get."""
 
