Check the records of jobs when they are read

A job whose status was no object ended the follower of jobs; one whose times or tokens were of another type was accepted, and ended the runner's rounds or the requests for slots. A malformed chunk of results or object of bodies ended the task that reads it: nobody would run or list the rest of the job.

The records are decoded with types and bounds. A job that can't be read is left out and logged once for each revision; one with an odd status stays open. An unreadable chunk or object of bodies counts as a failed read of the store: it is read again, and callers get 503, since what it held isn't known to be gone.

--- a/gentiantrestle/gateway/batch/api.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -15,7 +15,7 @@
 )
 from gentiantrestle.gateway.batch.context import BatchContext
 from gentiantrestle.gateway.batch.job_index import JobEntry
-from gentiantrestle.gateway.batch.job_store import encoded_size
+from gentiantrestle.gateway.batch.records import encoded_size
 from gentiantrestle.gateway.batch.result_reader import ResultReader
 from gentiantrestle.gateway.batch.runner import Runner
 from gentiantrestle.gateway.model import Job, Request, Route
--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -3,14 +3,14 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterable
-
-import msgspec
+from typing import Any, TypeVar
 
 from gentiantrestle import events
 from gentiantrestle.gateway.batch.job_index import JobEntry, JobIndex
 from gentiantrestle.gateway.batch.records import (
     BODY_KIND,
     CANCELLED,
+    DECODE_ERRORS,
     DONE,
     JOB_KIND,
     RESULT_KIND,
@@ -20,6 +20,7 @@
     job_to_content,
     results_from_content,
     results_to_content,
+    state_of,
     with_bodies,
 )
 from gentiantrestle.gateway.follower import Backoff
@@ -33,7 +34,7 @@
 # Results that a client has read at any instance must be readable at all
 # others within a second.
 REFRESH_INTERVAL = 0.5  # seconds
-DECODE_ERRORS = (LookupError, TypeError, ValueError)
+Decoded = TypeVar('Decoded')
 
 
 class _Refresh:
@@ -67,6 +68,8 @@
         self._result_store = result_store or store
         self._now = now
         self._refreshes: dict[str, _Refresh] = {}
+        # Revisions of the objects that were logged as unreadable.
+        self._unreadable: dict[str, int] = {}
         self._store = store
         self.index = index
         self._rng = rng
@@ -78,13 +81,12 @@
         """
         if stored.deleted:
             self.index.entries.pop(stored.name, None)
+            self._unreadable.pop(stored.name, None)
             return None
         try:
             return self.index.put(job_from_stored(stored))
         except DECODE_ERRORS as exc:
-            events.emit(
-                events.ENTRY_UNREADABLE, name=stored.name, error=repr(exc)
-            )
+            self._log_unreadable(stored, exc)
             return None
 
     def apply_changes(
@@ -131,7 +133,9 @@
                 error='the bodies of the job are missing in the store',
             )
             return
-        entry.load_bodies(with_bodies(entry.job, stored.content))
+        entry.load_bodies(
+            _decode(stored, lambda content: with_bodies(entry.job, content))
+        )
 
     async def relist(self) -> None:
         """Read all jobs, without bodies and results, into the index.
@@ -218,6 +222,13 @@
                 )
                 await asyncio.sleep(backoff.next_pause())
 
+    def _log_unreadable(self, stored: StoredObject, exc: Exception) -> None:
+        if self._unreadable.get(stored.name) != stored.revision:
+            self._unreadable[stored.name] = stored.revision
+            events.emit(
+                events.ENTRY_UNREADABLE, name=stored.name, error=repr(exc)
+            )
+
     async def _adopt(self, job: Job) -> None:
         """Keep the bodies if this process accepted the job before.
 
@@ -240,7 +251,7 @@
                 continue
             if stored is None:
                 break
-            entry.add_chunk(results_from_content(stored.content))
+            entry.add_chunk(_decode(stored, results_from_content))
         entry.results_loaded = True
 
     async def _write_chunk(
@@ -275,13 +286,13 @@
     def _is_final(self, stored: StoredObject) -> bool:
         """Update the index; return whether the state is final or unreadable."""
         entry = self.apply(stored)
-        return entry is None or entry.job.done or _state_of(stored) == CANCELLED
-
-
-def _state_of(stored: StoredObject) -> str:
-    return (stored.status or {}).get('state', '')
+        return entry is None or entry.job.done or state_of(stored) == CANCELLED
 
 
-def encoded_size(job: Job) -> int:
-    """Return the size in bytes of the store object with a job's bodies."""
-    return len(msgspec.json.encode(bodies_to_content(job)))
+def _decode(stored: StoredObject, decode: Callable[[Any], Decoded]) -> Decoded:
+    """Decode a part of a job; raise ``StoreUnavailableError`` if unreadable."""
+    try:
+        return decode(stored.require_content())
+    except DECODE_ERRORS as exc:
+        events.emit(events.ENTRY_UNREADABLE, name=stored.name, error=repr(exc))
+        raise StoreUnavailableError(f'{stored.name} is unreadable') from exc
--- a/gentiantrestle/gateway/batch/records.py
+++ b/gentiantrestle/gateway/batch/records.py
@@ -1,18 +1,54 @@
 """Encodes batch jobs and their results in this project's store format."""
 
 import base64
-from typing import Any, NamedTuple
+from typing import Annotated, Any, NamedTuple
+
+import msgspec
 
 from gentiantrestle.gateway.model import ItemResult, ItemSpec, Job
 from gentiantrestle.gateway.ports import StoredObject
+from gentiantrestle.models import MAX_INT32, MAX_INT64
 
 JOB_KIND = 'batch-jobs'
 BODY_KIND = 'batch-bodies'
 RESULT_KIND = 'batch-results'
+# What anybody may have written is checked before it is used; msgspec raises
+# subclasses of ValueError.
+DECODE_ERRORS = (LookupError, TypeError, ValueError, AttributeError)
+Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT32)]
+Version = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT64)]
 CANCELLED = 'ended'  # by the client
 DONE = 'done'  # every item has a result
 
 
+class _ItemContent(msgspec.Struct, array_like=True):
+    id: str
+    tokens: Tokens
+
+
+class _BodyContent(msgspec.Struct, array_like=True):
+    path: str
+    headers: dict[str, str]
+    body: str  # in base64
+
+
+class _JobContent(msgspec.Struct):
+    host: str
+    path: str
+    submitted: float
+    acceptor: str
+    version: Version
+    items: list[_ItemContent]  # noqa: WPS110 (as in the store)
+
+
+class _BodiesContent(msgspec.Struct):
+    bodies: list[_BodyContent]  # in the order of the job's items
+
+
+class _ResultsContent(msgspec.Struct):
+    results: list[ItemResult]
+
+
 class JobRecord(NamedTuple):
     """A decoded job and its object, which is needed to write its status."""
 
@@ -56,34 +92,44 @@
 def job_from_stored(stored: StoredObject) -> JobRecord:
     """Decode a job and its state; its items have no bodies.
 
-    Raises ``LookupError``, ``TypeError`` or ``ValueError`` if the content is
-    malformed.
+    Raises one of ``DECODE_ERRORS`` if it is malformed.
     """
-    content = stored.content
-    state = (stored.status or {}).get('state', '')
+    content = msgspec.convert(stored.require_content(), _JobContent)
+    state = state_of(stored)
     job = Job(
         id=stored.name,
-        host=content['host'],
-        path=content['path'],
-        submitted=content['submitted'],
-        acceptor=content['acceptor'],
-        items=tuple(
-            ItemSpec(name, tokens) for name, tokens in content['items']
-        ),
-        version=content['version'],
+        host=content.host,
+        path=content.path,
+        submitted=content.submitted,
+        acceptor=content.acceptor,
+        items=tuple(ItemSpec(spec.id, spec.tokens) for spec in content.items),
+        version=content.version,
         cancelled=state == CANCELLED,
         done=state == DONE,
     )
     return JobRecord(job, stored)
 
 
-def with_bodies(job: Job, content: dict[str, Any]) -> tuple[ItemSpec, ...]:
-    """Return a job's items with the bodies decoded from ``content``."""
+def state_of(stored: StoredObject) -> str:
+    """Return the state in a job's status; empty if it has none."""
+    if not isinstance(stored.status, dict):
+        return ''
+    return stored.status.get('state', '')
+
+
+def with_bodies(job: Job, content: Any) -> tuple[ItemSpec, ...]:
+    """Return a job's items with the bodies decoded from ``content``.
+
+    Raises one of ``DECODE_ERRORS`` if it is malformed.
+    """
+    bodies = msgspec.convert(content, _BodiesContent).bodies
     return tuple(
-        spec._replace(path=path, headers=headers, body=base64.b64decode(body))
-        for spec, (path, headers, body) in zip(
-            job.items, content['bodies'], strict=True
+        spec._replace(
+            path=stored.path,
+            headers=stored.headers,
+            body=base64.b64decode(stored.body),
         )
+        for spec, stored in zip(job.items, bodies, strict=True)
     )
 
 
@@ -92,6 +138,14 @@
     return {'results': [list(result) for result in results]}
 
 
-def results_from_content(content: dict[str, Any]) -> tuple[ItemResult, ...]:
-    """Decode one chunk of a job's results."""
-    return tuple(ItemResult(*row) for row in content['results'])
+def results_from_content(content: Any) -> tuple[ItemResult, ...]:
+    """Decode one chunk of a job's results.
+
+    Raises one of ``DECODE_ERRORS`` if it is malformed.
+    """
+    return tuple(msgspec.convert(content, _ResultsContent).results)
+
+
+def encoded_size(job: Job) -> int:
+    """Return the size in bytes of the store object with a job's bodies."""
+    return len(msgspec.json.encode(bodies_to_content(job)))
--- a/tests/gateway/test_odd_records.py
+++ b/tests/gateway/test_odd_records.py
@@ -5,9 +5,18 @@
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from gentiantrestle.gateway.batch.job_index import JobIndex
 from gentiantrestle.gateway.batch.job_store import JobStore
+from gentiantrestle.gateway.batch.records import (
+    BODY_KIND,
+    JOB_KIND,
+    RESULT_KIND,
+    chunk_name,
+    job_to_content,
+)
 from gentiantrestle.gateway.fleet_state import FleetState
 from gentiantrestle.gateway.follower import (
     Follower,
@@ -19,19 +28,29 @@
 from gentiantrestle.gateway.state_copier import StateCopier
 from gentiantrestle.platform.document_decoder import StoreDocumentDecoder
 from gentiantrestle.platform.object_decoder import ObjectDecoder
+from gentiantrestle.store.client import StoreUnavailableError
 from gentiantrestle.wire.peer import ttypes
 from tests.gateway.memory import MemoryStore
 from tests.gateway.odd_entries import (
+    JSON_VALUES,
     ODD_ENTRIES,
     good_entry,
     make_list,
     make_object,
 )
+from tests.gateway.samples import make_job
 from tests.utils.virtual_time import run_virtual
 
 KIND = 'kind'
 
 
+@given(st.dictionaries(st.text(), JSON_VALUES) | JSON_VALUES)
+def test_configuration_and_job_of_any_shape_raise_nothing(found: Any) -> None:
+    stored = StoredObject('main', 1, found, found)
+    StoreDocumentDecoder().read_table(stored)
+    _job_store(MemoryStore()).apply(stored)
+
+
 def _job_store(store: MemoryStore) -> JobStore:
     return JobStore(store, JobIndex(), random.Random(1), lambda: 0)
 
@@ -75,6 +94,53 @@
     assert not state.roster.entries()
 
 
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'submitted': 'now'},
+        {'items': [['a', 2**31]]},
+        {'items': [['a', -1]]},
+        {'items': [['a']]},
+        {'items': [[['a'], 1]]},
+        {'version': 2**63},
+        {'acceptor': None},
+    ],
+)
+def test_malformed_job_is_not_indexed(changes: dict[str, Any]) -> None:
+    store = _job_store(MemoryStore())
+    content = {**job_to_content(make_job()), **changes}
+    assert store.apply(StoredObject('job1', 1, content)) is None
+    assert store.apply(StoredObject('job1', 1, None, error='odd')) is None
+    assert not store.index.entries
+
+
+@pytest.mark.parametrize('status', ['done', [], 7, {'state': []}])
+def test_job_with_odd_status_stays_open(status: Any) -> None:
+    store = _job_store(MemoryStore())
+    stored = StoredObject('job1', 1, job_to_content(make_job()), status)
+    assert store.apply(stored).open
+
+
+@pytest.mark.parametrize(
+    'content',
+    [None, [], {}, {'bodies': 7}, {'bodies': [[1]]}, {'results': [1]}],
+)
+async def test_unreadable_part_of_a_job_is_not_taken_for_missing(
+    content: Any,
+) -> None:
+    store = MemoryStore()
+    job_store = _job_store(store)
+    store.write(JOB_KIND, StoredObject('job1', 0, job_to_content(make_job())))
+    entry = await job_store.find('job1')
+    store.write(BODY_KIND, StoredObject('job1', 0, content))
+    store.write(RESULT_KIND, StoredObject(chunk_name('job1', 0), 0, content))
+    with pytest.raises(StoreUnavailableError):
+        await job_store.load_bodies(entry)
+    with pytest.raises(StoreUnavailableError):
+        await job_store.refresh(entry)
+    assert not entry.results
+
+
 class _Faulty:
     """Handlers that fail some times, and then note what they get."""
 
