Daemon: read the store's documents one by one

One document of another writer (nested deep, a number too large, not UTF-8) made every list and watch that contained it unreadable: the configuration child ended until its restart limit took the daemon down, and no change arrived any more. The same documents, sent by a peer, ended the child likewise.

Lists are decoded object by object, as the gateway does; what can't be read is left out and logged once, and what was known of it stays in force. A listener that meets another shape than it expects is logged, and the other changes are applied. A fleet document of another shape is not put in force, and a port above 65535 is refused where addresses are parsed.

--- a/gentiantrestle/daemon/configuration/mirror.py
+++ b/gentiantrestle/daemon/configuration/mirror.py
@@ -3,7 +3,11 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple
 
+from gentiantrestle import events
+
 Document = dict[str, Any]
+# Raised by listeners for documents of another shape than they expect.
+SHAPE_ERRORS = (LookupError, TypeError, ValueError, AttributeError)
 
 
 class MirroredObject(NamedTuple):
@@ -53,7 +57,7 @@
         self._copies[mirrored.name] = mirrored
         for listener in self._listeners:
             if mirrored.name.startswith(listener.prefix):
-                listener.callback(mirrored)
+                _notify(listener, mirrored)
         return True
 
     def get(self, name: str) -> MirroredObject | None:
@@ -81,3 +85,12 @@
             expired = mirrored.document is None and mirrored.version < before
             if expired and name.startswith(prefix):
                 self._copies.pop(name)
+
+
+def _notify(listener: Listener, mirrored: MirroredObject) -> None:
+    try:
+        listener.callback(mirrored)
+    except SHAPE_ERRORS as exc:
+        events.emit(
+            events.ENTRY_UNREADABLE, name=mirrored.name, error=repr(exc)
+        )
--- a/gentiantrestle/daemon/configuration/service.py
+++ b/gentiantrestle/daemon/configuration/service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from contextlib import suppress
 
 import msgspec
@@ -16,11 +16,15 @@
 from gentiantrestle.daemon.membership.view import Member
 from gentiantrestle.models import EMPTY_FLEET, FleetDoc
 from gentiantrestle.store.client import (
-    ListedObject,
-    ObjectList,
     StoreClient,
     StoreUnavailableError,
 )
+from gentiantrestle.store.listing import (
+    DECODE_ERRORS,
+    ListedObject,
+    ObjectList,
+    decode_document,
+)
 from gentiantrestle.wire.peer.ttypes import (
     Change,
     Changes,
@@ -143,7 +147,7 @@
         if answer.changes is None:
             raise PeerError(f'{member.instance} sent no changes')
         self._apply(
-            map(_from_wire, answer.changes.changes), answer.changes.revision
+            _read_changes(answer.changes.changes), answer.changes.revision
         )
 
     async def _resync(self) -> None:
@@ -178,6 +182,8 @@
         fleet = mirrored.document
         if fleet is None or fleet['revision'] <= self.fleet['revision']:
             return
+        # Raises if another writer left a document of another shape.
+        msgspec.convert(fleet, FleetDoc)
         self.fleet = fleet
         self.applied_at = self._ctx.wall()
         self._membership.view.update_local(config_revision=fleet['revision'])
@@ -189,10 +195,21 @@
     return MirroredObject(listed['name'], listed['version'], listed.get('body'))
 
 
+def _read_changes(changes: Iterable[Change]) -> Iterator[MirroredObject]:
+    """Yield the changes that can be read; log the others."""
+    for change in changes:
+        try:
+            yield _from_wire(change)
+        except DECODE_ERRORS as exc:
+            events.emit(
+                events.ENTRY_UNREADABLE, name=change.name, error=repr(exc)
+            )
+
+
 def _from_wire(change: Change) -> MirroredObject:
     document = None
     if change.payload is not None:
-        document = msgspec.json.decode(change.payload)
+        document = decode_document(change.payload)
     return MirroredObject(change.name, change.version, document)
 
 
--- a/gentiantrestle/models.py
+++ b/gentiantrestle/models.py
@@ -5,6 +5,7 @@
 # Largest integers that instances tell each other.
 MAX_INT32 = 2147483647
 MAX_INT64 = 9223372036854775807
+MAX_PORT = 65535
 
 
 class Address(NamedTuple):
@@ -15,8 +16,10 @@
 
     @classmethod
     def parse(cls, text: str) -> 'Address':
-        """Parse ``IP:PORT``; raise ``ValueError`` if PORT is not a number."""
+        """Parse ``IP:PORT``; raise ``ValueError`` if PORT is not a port."""
         host, _, port = text.rpartition(':')
+        if not 0 <= int(port) <= MAX_PORT:
+            raise ValueError(f'{text!r} has no valid port')
         return cls(host, int(port))
 
     def __str__(self) -> str:
--- a/gentiantrestle/platform/document_decoder.py
+++ b/gentiantrestle/platform/document_decoder.py
@@ -17,7 +17,7 @@
     Upstream,
 )
 from gentiantrestle.gateway.ports import StoredObject
-from gentiantrestle.models import MAX_INT32, MAX_INT64, Address
+from gentiantrestle.models import MAX_INT32, MAX_INT64, MAX_PORT, Address
 
 CONFIG_KIND = 'config'
 CONFIG_NAME = 'main'
@@ -49,7 +49,6 @@
 # Sent as the value of a header field.
 ID_PATTERN = re.compile(r'[!-~]{1,128}')
 PORT_PATTERN = re.compile('[0-9]{1,5}')
-MAX_PORT = 65535
 Decoded = TypeVar('Decoded')
 
 
--- a/gentiantrestle/platform/object_decoder.py
+++ b/gentiantrestle/platform/object_decoder.py
@@ -13,7 +13,7 @@
 from gentiantrestle import events
 from gentiantrestle.gateway.ports import Page, StoredObject
 from gentiantrestle.models import MAX_INT64
-from gentiantrestle.platform.raw_json import (
+from gentiantrestle.store.raw_json import (
     exceeds_depth,
     split_array,
     split_object,
--- a/gentiantrestle/store/client.py
+++ b/gentiantrestle/store/client.py
@@ -1,7 +1,9 @@
 """Client of the object API; its wire format is used only here."""
 
 import asyncio
-from typing import Any, NamedTuple, NotRequired, TypedDict
+import re
+from collections.abc import Callable
+from typing import Any, NamedTuple, TypeVar
 from urllib.parse import quote, urlencode
 from uuid import uuid4
 
@@ -11,10 +13,18 @@
 from gentiantrestle.context import Context
 from gentiantrestle.http.client import (
     ClientRequest,
+    ClientResponse,
     ConnectionLostError,
     ConnectionPool,
     NotSentError,
 )
+from gentiantrestle.store.listing import (
+    DECODE_ERRORS,
+    ListDecoder,
+    ListedObject,
+    ObjectList,
+    decode_document,
+)
 
 ABSENT = 0  # expected version of an object that must not exist yet
 WRITE_TOKEN = 'token'
@@ -23,9 +33,11 @@
 WATCH_WAIT = 10.0  # seconds
 RETRY_DELAY = 0.1  # seconds; doubled with each attempt
 MAX_WRITE_ATTEMPTS = 5
+VERSION_PATTERN = re.compile(r'[0-9]{1,18}')
 NOT_FOUND = 404
 PRECONDITION_FAILED = 412
 Document = dict[str, Any]
+Decoded = TypeVar('Decoded')
 
 
 class StoreUnavailableError(Exception):
@@ -62,22 +74,6 @@
         return False
 
 
-class ListedObject(TypedDict):
-    """One object in the response to a list or watch call."""
-
-    name: str
-    version: int
-    body: NotRequired[Document]
-    deleted: NotRequired[bool]
-
-
-class ObjectList(TypedDict):
-    """Response to a list or watch call."""
-
-    revision: int
-    objects: list[ListedObject]  # noqa: WPS110 (the object API's word)
-
-
 class StoreClient:
     """Reads objects and writes them conditionally.
 
@@ -91,6 +87,7 @@
         address = ctx.cfg.store_address
         self._call_pool = ConnectionPool(address, POOL_SIZE, timeout)
         self._watch_pool = ConnectionPool(address, 1, timeout)
+        self._decoder = ListDecoder()
         self.reachable = True
 
     async def get(self, name: str) -> VersionedDocument | None:
@@ -98,7 +95,8 @@
         reply = await self._call('get', _get_request(name))
         if reply.status == NOT_FOUND:
             return None
-        return VersionedDocument(reply.version, msgspec.json.decode(reply.body))
+        document = _decode(name, decode_document, reply.body)
+        return VersionedDocument(reply.version, document)
 
     async def list_names(self, prefix: str) -> list[ListedObject]:
         """List names and versions under a prefix."""
@@ -186,7 +184,7 @@
             raise StoreOutcomeUnknownError(name) from exc
         is_ours = (
             found is not None
-            and found.document[WRITE_TOKEN] == written[WRITE_TOKEN]
+            and found.document.get(WRITE_TOKEN) == written[WRITE_TOKEN]
         )
         outcome = 'done' if is_ours else 'conflict'
         events.emit(events.WRITE_OUTCOME_RESOLVED, name=name, outcome=outcome)
@@ -208,12 +206,12 @@
             pool=self._watch_pool if wait else self._call_pool,
             timeout=wait + self._ctx.cfg.store_timeout,
         )
-        return msgspec.json.decode(reply.body, type=ObjectList)
+        return _decode('changes', self._decoder.decode, reply.body)
 
     async def _list(self, query: list[tuple[str, str]]) -> ObjectList:
         target = f'{ROOT}?{urlencode(query)}'
         reply = await self._call('list', ClientRequest('GET', target))
-        return msgspec.json.decode(reply.body, type=ObjectList)
+        return _decode('a list', self._decoder.decode, reply.body)
 
     async def _call(
         self,
@@ -241,8 +239,7 @@
                 raise StoreOutcomeUnknownError(repr(exc)) from exc
             raise StoreUnavailableError(repr(exc)) from exc
         self._set_reachable(reachable=True)
-        version = int(response.header('X-Version') or 0)
-        return StoreReply(response.status, version, body)
+        return StoreReply(response.status, _version(response), body)
 
     def _set_reachable(self, *, reachable: bool, error: str = '') -> None:
         if reachable and not self.reachable:
@@ -252,6 +249,21 @@
         self.reachable = reachable
 
 
+def _decode(
+    name: str, decode: Callable[[bytes], Decoded], body: bytes
+) -> Decoded:
+    try:
+        return decode(body)
+    except DECODE_ERRORS as exc:
+        events.emit(events.STORE_ANSWER_UNREADABLE, name=name, error=repr(exc))
+        raise StoreUnavailableError(f'unreadable answer: {exc!r}') from exc
+
+
+def _version(response: ClientResponse) -> int:
+    version = response.header('X-Version')
+    return int(version) if VERSION_PATTERN.fullmatch(version) else 0
+
+
 def _target(name: str) -> str:
     return f'{ROOT}/{quote(name)}'
 
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -15,7 +15,7 @@
     ObjectDecoder,
     StoreAnswerError,
 )
-from gentiantrestle.platform.raw_json import split_array, split_object
+from gentiantrestle.store.raw_json import split_array, split_object
 from tests.gateway.odd_entries import (
     ENTRY,
     JSON_VALUES,
