Log messages between instances that can't be handled, and go on

Bytes that thrift's decoder answers with OverflowError got past BadFrameError: the task that reads a peer's answers ended without closing its connection. An exception in handling a call or a copy ended its task with nothing but a message of asyncio, and a copy also counted against the restart limit of its child; thrift checks required fields of the outermost structure only, so that a message of another build can be decoded and not handled.

Such frames are bad frames now, and what can't be handled is logged as 3016 and dropped; pulses, copies and calls are repeated by their senders.

test_invalid_payload_raises_bad_frame_error (two cases) and test_datagram_that_can_not_be_handled_raises_nothing failed before. That a repeated answer is not taken for that of the next call held before, by the number of the call; its test is new.

--- a/gentiantrestle/daemon/membership/codec.py
+++ b/gentiantrestle/daemon/membership/codec.py
@@ -19,6 +19,7 @@
     ValueError,
     LookupError,
     TypeError,
+    OverflowError,
     struct.error,
 )
 
--- a/gentiantrestle/daemon/membership/peers.py
+++ b/gentiantrestle/daemon/membership/peers.py
@@ -170,6 +170,8 @@
             return
         except asyncio.CancelledError:
             return
+        except Exception as exc:  # noqa: BLE001 (logged; the caller is told)
+            events.emit(events.MESSAGE_FAILED, error=repr(exc))
         finally:
             self._connection_tasks.discard(task)
             with suppress(ConnectionError):
--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -173,6 +173,9 @@
     LEVEL_INFO,
     'upstream {upstream} takes {limit} requests a second (0: no limit)',
 )
+MESSAGE_FAILED = _define(
+    3016, LEVEL_ERROR, 'handling a message of an instance failed: {error}'
+)
 REQUEST_QUARANTINED = _define(
     5106, LEVEL_INFO, 'request {request} refused: {reason}'
 )
--- a/gentiantrestle/gateway/datagrams.py
+++ b/gentiantrestle/gateway/datagrams.py
@@ -74,13 +74,20 @@
         for kind, handler in self._handlers.items():
             message = getattr(envelope, kind)
             if message is not None:
-                handler(message)
+                _handle(handler, message)
 
     def error_received(self, exc: Exception) -> None:
         """Log that a host could not be reached; lost messages are repeated."""
         events.emit(events.DATAGRAM_UNSENT, error=repr(exc))
 
 
+def _handle(handler: Handler, message: Any) -> None:
+    try:
+        handler(message)
+    except Exception as exc:  # noqa: BLE001 (logged; senders repeat messages)
+        events.emit(events.MESSAGE_FAILED, error=repr(exc))
+
+
 def _encode(kind: str, message: Any) -> bytes:
     envelope = ttypes.Envelope(call=0, **{kind: message})
     return encode(envelope)[LENGTH.size :]
--- a/gentiantrestle/gateway/peer_calls.py
+++ b/gentiantrestle/gateway/peer_calls.py
@@ -98,9 +98,14 @@
                 events.PEER_FAILED, instance=peer.instance, error=repr(exc)
             )
             return
-        if copy is not None:
+        if copy is None:
+            return
+        try:
             self._copier.apply_copy(copy)
-            self._log_copied(peer)
+        except Exception as exc:  # noqa: BLE001 (logged; copied again)
+            events.emit(events.MESSAGE_FAILED, error=repr(exc))
+            return
+        self._log_copied(peer)
 
     def _log_copied(self, peer: Peer) -> None:
         revisions = self._copier.revisions
--- a/tests/gateway/test_odd_records.py
+++ b/tests/gateway/test_odd_records.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gentiantrestle.daemon.membership.codec import LENGTH, encode
 from gentiantrestle.gateway.batch.job_index import JobIndex
 from gentiantrestle.gateway.batch.job_store import JobStore
 from gentiantrestle.gateway.batch.records import (
@@ -17,6 +18,7 @@
     chunk_name,
     job_to_content,
 )
+from gentiantrestle.gateway.datagrams import DatagramPort
 from gentiantrestle.gateway.fleet_state import FleetState
 from gentiantrestle.gateway.follower import (
     Follower,
@@ -26,6 +28,7 @@
 )
 from gentiantrestle.gateway.ports import StoredObject
 from gentiantrestle.gateway.state_copier import StateCopier
+from gentiantrestle.models import Address
 from gentiantrestle.platform.document_decoder import StoreDocumentDecoder
 from gentiantrestle.platform.object_decoder import ObjectDecoder
 from gentiantrestle.store.client import StoreUnavailableError
@@ -187,3 +190,18 @@
     faulty = run_virtual(run())
     assert set(faulty.names) == {'one', 'two', 'three'}
     assert faulty.lists == 3
+
+
+def test_datagram_that_can_not_be_handled_raises_nothing() -> None:
+    port = DatagramPort(Address('127.0.0.1', 1))
+    received: list[Any] = []
+
+    def handle(message: Any) -> None:
+        received.append(message)
+        raise ZeroDivisionError
+
+    port.on('slot_ask', handle)
+    ask = ttypes.Envelope(call=0, slot_ask=ttypes.SlotAsk())
+    for payload in (encode(ask)[LENGTH.size :], b'\xff' * 9):
+        port.datagram_received(payload, ('127.0.0.1', 1))
+    assert len(received) == 1
--- a/tests/interfaces/test_peers.py
+++ b/tests/interfaces/test_peers.py
@@ -1,8 +1,11 @@
 """Framing and calls of the protocol between instances."""
 
 import asyncio
+from contextlib import nullcontext, suppress
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from gentiantrestle.daemon.membership.codec import (
     LENGTH,
@@ -11,6 +14,7 @@
     encode,
     member_from_wire,
     member_to_wire,
+    read_frame,
 )
 from gentiantrestle.daemon.membership.peers import (
     PeerClient,
@@ -75,13 +79,72 @@
 
 @pytest.mark.parametrize(
     'payload',
-    [b'', b'\x00', b'no thrift at all', b'\xff' * 64],
+    [
+        b'',
+        b'\x00',
+        b'no thrift at all',
+        b'\xff' * 64,
+        # A number of more bytes than its type has, and a negative length.
+        b'\x16\x02\xcc\x16\x86(u\xe7\xb2\x99\x89\xf7\x8f*\x02\x16\x04\x00\x00',
+        b'\x16\x02\xdc\x16\x02\x16\x029\x1c\x18\xe3\xc5\xba\xf3\x7fx\x00',
+        b'\x1c' * 100000,
+    ],
 )
 def test_invalid_payload_raises_bad_frame_error(payload: bytes) -> None:
     with pytest.raises(BadFrameError):
         decode(payload)
 
 
+@given(st.binary(), st.integers(0, 40), st.binary(max_size=3))
+def test_any_bytes_decode_or_raise_bad_frame_error(
+    payload: bytes, position: int, changed: bytes
+) -> None:
+    whole = encode(
+        Envelope(heartbeat=Heartbeat(members=[member_to_wire(MEMBER)]))
+    )[LENGTH.size :]
+    end = position + len(changed)
+    for raw in (payload, whole[:position] + changed + whole[end:]):
+        with suppress(BadFrameError):
+            decode(raw)
+
+
+async def test_call_that_fails_closes_its_connection_only() -> None:
+    async def fail(envelope: Envelope) -> Envelope:
+        raise ZeroDivisionError
+
+    address = Address(HOST, free_ports(1)[0])
+    task = asyncio.create_task(PeerServer(fail).run(address))
+    await until(lambda: _is_open(address))
+    client = PeerClient()
+    for _ in range(2):
+        with pytest.raises(PeerError):
+            await client.call(address, Envelope())
+    assert not task.done()
+    client.close()
+    task.cancel()
+
+
+async def test_repeated_answer_is_not_taken_for_that_of_the_next_call() -> None:
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        first = encode(await read_frame(reader))
+        writer.write(first + first)
+        await read_frame(reader)
+        writer.write(first)
+        writer.close()
+
+    address = Address(HOST, free_ports(1)[0])
+    server = await asyncio.start_server(answer, *address)
+    client = PeerClient()
+    for after, expected in ((1, None), (2, PeerError)):
+        envelope = Envelope(changes_request=ChangesRequest(after=after))
+        with pytest.raises(expected) if expected else nullcontext():
+            await client.call(address, envelope)
+    client.close()
+    server.close()
+
+
 async def test_answers_are_matched_to_their_calls() -> None:
     task, address = await _serve()
     client = PeerClient()
