Take a refusal for "not run" only if it bears the request's id

An upstream that writes an earlier refusal before the answer to the request that it runs made the gateway send that request to the next upstream, and to two more (runs: 4, allowed: 1), and could have had it answered 503 "not run".

Cause: an answer without X-Attempt-Id counted as that of the request. Upstreams echo the id; only a request that came without one is refused without one (400), and the gateway sends none such. Any refusal, 421 included, has to bear the id now; else its outcome is unknown: repeatable requests and items run again, others get 502. Answers that are no refusals are taken as before: they promise nothing.

Bytes that lie unread before the request is sent are no answer to it, even with its id: nothing is sent on that connection, and another upstream is tried. An answer that comes before the whole body is sent may be one, as each connection carries one request.

--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -163,6 +163,9 @@
             if exc.outcome is AttemptOutcome.LOST:
                 await self._check_crash(conn)
             return exc.outcome
+        except RequestNotSentError as exc:
+            self.reason = repr(exc)
+            return AttemptOutcome.UNREACHED
         except TimeoutError:
             self.reason = 'deadline'
             return AttemptOutcome.EXPIRED
@@ -188,18 +191,14 @@
 
     async def _send(self, conn: UpstreamConnection, lease: SlotLease) -> None:
         before = self._progress
-        self._progress = before._replace(refusals=before.refusals + 1)
-        try:
-            await conn.connect(lease.upstream)
-        except RequestNotSentError as exc:
-            raise AttemptFailedError(
-                AttemptOutcome.UNREACHED, repr(exc)
-            ) from exc
+        refused = before._replace(refusals=before.refusals + 1)
+        self._progress = refused
+        await conn.connect(lease.upstream)
         self._progress = before
         reply = await self._send_head(conn, lease)
         self._context.admission.note_reply(lease, reply)
         if reply.not_run:
-            self._progress = before._replace(refusals=before.refusals + 1)
+            self._progress = refused
             raise AttemptFailedError(
                 AttemptOutcome.NOT_RUN, f'status {reply.status}'
             )
@@ -221,6 +220,9 @@
             raise AttemptFailedError(
                 AttemptOutcome.QUARANTINED, str(exc)
             ) from exc
+        except RequestNotSentError:
+            self._progress = before._replace(refusals=before.refusals + 1)
+            raise
         except ResponseLostError as exc:
             raise AttemptFailedError(AttemptOutcome.LOST, repr(exc)) from exc
         finally:
--- a/gentiantrestle/gateway/upstream_connection.py
+++ b/gentiantrestle/gateway/upstream_connection.py
@@ -73,10 +73,13 @@
         """Send the request and wait for the head of a genuine response.
 
         Raises ``ResponseLostError``, ``RequestNotSentError`` if the request
-        can't be encoded as HTTP, or ``QuarantinedError``.
+        can't be encoded as HTTP or something else was answered already, or
+        ``QuarantinedError``.
         """
         head = _encode_head(req)
         self._watch.check()
+        if self._link.has_input:
+            raise RequestNotSentError('bytes arrived before the request')
         try:
             await self._link.send(
                 head, h11.Data(data=req.body), h11.EndOfMessage()
@@ -84,10 +87,7 @@
             reply = await self._read_head()
         except (LinkLostError, h11.ProtocolError) as exc:
             raise ResponseLostError(repr(exc)) from exc
-        if not reply.genuine or reply.request_id not in {
-            '',
-            req.request_id,
-        }:
+        if not _answers(reply, req):
             raise ResponseLostError('not a genuine response to this request')
         return reply
 
@@ -174,6 +174,17 @@
                 raise LinkLostError('connection closed before the response')
 
 
+def _answers(reply: Reply, req: UpstreamRequest) -> bool:
+    """Return whether a response is genuine and belongs to a request.
+
+    A refusal without the request's id may be a late one to another request,
+    while this one runs.
+    """
+    if reply.not_run:
+        return reply.request_id == req.request_id
+    return reply.genuine and reply.request_id in {'', req.request_id}
+
+
 def _framing(head: h11.Response) -> str:
     names = {name for name, _ in head.headers}
     if b'transfer-encoding' in names:
--- a/gentiantrestle/platform/object_client.py
+++ b/gentiantrestle/platform/object_client.py
@@ -122,7 +122,7 @@
         status_code, body = await self._call('PUT', path, body=document)
         if status_code in {CONFLICT, NOT_FOUND}:
             return None
-        return _decode_object(body)
+        return _decode_answer(stored.name, self._decoder.decode_object, body)
 
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object; idempotent."""
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -96,12 +96,13 @@
 
     async def _serve(self, req: Request, body: bytes) -> Response:
         attempt_id = req.headers.get('x-attempt-id', '')
+        echo = (('X-Attempt-Id', attempt_id), *self._leaving_headers)
         if req.headers.get('x-expect-instance') != self._cfg.name:
-            return Response(HTTPStatus.MISDIRECTED_REQUEST)
+            return Response(HTTPStatus.MISDIRECTED_REQUEST, headers=echo)
         if self._running >= self._cfg.slots or self._faults.get('shed'):
-            not_executed = (('X-Not-Executed', '1'), *self._leaving_headers)
             return Response(
-                HTTPStatus.SERVICE_UNAVAILABLE, headers=not_executed
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                headers=(*echo, ('X-Not-Executed', '1')),
             )
         payload = msgspec.json.decode(body or b'{}')
         last_event = int(req.headers.get('last-event-id', '0'))
