Don't read an earlier answer as that to the next request on a connection

A server that wrote a refusal once more on a kept connection had it read as the answer to the next request: by the daemon a request that ran was called not run and sent to another engine, a write to the store was taken for not done (503, so that a job was refused and ran) or for a conflict, and a read for not found.

Cause: a connection was reused whatever lay unread on it, and whatever it had answered; engines and stores echo no id that an answer could be known by.

Change: the client is built on Link, as the gateway's connections are, and sees what arrives between requests. Bytes unread on an idle connection close it. An answer that arrives while the request is still being written is none on a connection that had one before; on a new one it counts, and the connection is closed after it. A connection is closed after any answer but a 2xx: a refusal that is repeated there meets nobody. What must not be taken for run or not run by mistake has a connection of its own, which costs a round trip: writes to either store, requests that may not be repeated, and items. Bytes that lie there before such a request are no answer to it, and it is not sent.

--- a/gentiantrestle/daemon/batch/item_run.py
+++ b/gentiantrestle/daemon/batch/item_run.py
@@ -176,7 +176,8 @@
         )
         pool = slot.upstream.pool
         async with asyncio.timeout(self._services.ctx.cfg.answer_timeout):
-            answer = await pool.send(call)
+            # An item may belong to a job whose items must not be repeated.
+            answer = await pool.send(call, fresh=True)
         try:
             if answer.status >= CLIENT_ERROR:
                 return await self._read_error(slot, answer)
--- a/gentiantrestle/daemon/online/attempt.py
+++ b/gentiantrestle/daemon/online/attempt.py
@@ -121,7 +121,9 @@
         self._check_quarantine()
         try:
             async with asyncio.timeout(self._ctx.cfg.answer_timeout):
-                answer = await self.upstream.pool.send(call)
+                answer = await self.upstream.pool.send(
+                    call, fresh=not self._request.repeatable
+                )
         except NotSentError as exc:
             raise self._record_failure(
                 Stage.NOT_SENT, NO_UPSTREAM, exc
--- a/gentiantrestle/http/client.py
+++ b/gentiantrestle/http/client.py
@@ -7,15 +7,23 @@
 
 import h11
 
+from gentiantrestle.http.link import (
+    Link,
+    LinkLostError,
+    RequestNotSentError,
+    open_link,
+)
 from gentiantrestle.http.messages import HeaderPairs
 from gentiantrestle.http.probe import accepts_connections
 from gentiantrestle.models import Address
 
-READ_SIZE = 65536  # bytes
 MAX_IDLE = 64  # connections
 MAX_HEADER = 65536  # bytes
 MAX_BODY = 33554432  # bytes of a body that is read whole
 PROBE_TIMEOUT = 1.0  # seconds
+FIRST_NON_SUCCESS = 300
+BOTH_IDLE = (h11.IDLE, h11.IDLE)
+BOTH_DONE = (h11.DONE, h11.DONE)
 # Header fields that tell where a body ends.
 FRAMING = frozenset((b'content-length', b'transfer-encoding'))
 
@@ -40,50 +48,43 @@
 class ClientConnection:
     """One connection to a server; it carries one request at a time."""
 
-    def __init__(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        address: Address,
-    ) -> None:
-        """Wrap the streams in an h11 client state machine."""
-        self._reader = reader
-        self._writer = writer
+    def __init__(self, link: Link, address: Address) -> None:
+        """Use an open link to a server."""
+        self._link = link
         self._address = address
         self._ends_by_close = False
-        self._h11 = h11.Connection(
-            h11.CLIENT,
-            max_incomplete_event_size=MAX_HEADER,
-        )
+        self._has_answered = False
+        # Whether another request may follow the present one.
+        self._keep = True
 
     @classmethod
     async def open(cls, address: Address, timeout: float) -> 'ClientConnection':
         """Connect within ``timeout`` s, or raise ``NotSentError``."""
         try:
-            async with asyncio.timeout(timeout):
-                streams = await asyncio.open_connection(
-                    address.host,
-                    address.port,
-                    limit=READ_SIZE,
-                )
-        except (OSError, TimeoutError) as exc:
-            raise NotSentError(f'{address}: {exc!r}') from exc
-        return cls(*streams, address)
+            link = await open_link(address, timeout, MAX_HEADER)
+        except RequestNotSentError as exc:
+            raise NotSentError(str(exc)) from exc
+        return cls(link, address)
 
     @property
     def usable(self) -> bool:
-        """Whether another request can be sent on this connection."""
-        return (
-            self._h11.our_state is h11.IDLE
-            and self._h11.their_state is h11.IDLE
-            and not self._reader.at_eof()
-            and not self._writer.transport.is_closing()
-        )
+        """Whether another request can be sent on this connection.
+
+        Bytes that have arrived since the last answer belong to no request.
+        """
+        machine = self._link.machine
+        is_idle = (machine.our_state, machine.their_state) == BOTH_IDLE
+        is_open = not self._link.disconnected
+        return self._keep and is_idle and is_open and not self._link.has_unread
+
+    def end_after_answer(self) -> None:
+        """Let no further request follow on this connection."""
+        self._keep = False
 
     async def send(self, req: ClientRequest, host: str) -> 'ClientResponse':
         """Send a request; return its response once the head has arrived.
 
-        Raises ``ConnectionLostError``.
+        Raises ``NotSentError`` and ``ConnectionLostError``.
         """
         head = h11.Request(
             method=req.method,
@@ -94,22 +95,21 @@
                 *req.headers,
             ],
         )
-        payload = self._h11.send(head)
-        payload += self._h11.send(h11.Data(data=req.body))
-        payload += self._h11.send(h11.EndOfMessage())
+        if self._link.has_unread:
+            raise NotSentError(f'{host}: bytes arrived before the request')
         try:
-            self._writer.write(payload)
-            await self._writer.drain()
-        except ConnectionError as exc:
+            await self._link.send(
+                head, h11.Data(data=req.body), h11.EndOfMessage()
+            )
+        except (LinkLostError, h11.ProtocolError) as exc:
             raise ConnectionLostError(f'{host}: {exc!r}') from exc
-        while True:
+        event = await self._next_event()
+        while not isinstance(event, h11.Response):
             event = await self._next_event()
-            if isinstance(event, h11.Response):
-                names = {name for name, _ in event.headers}
-                self._ends_by_close = not names & FRAMING
-                return ClientResponse(
-                    event.status_code, event.headers.raw_items(), self
-                )
+        self._check_head(event)
+        return ClientResponse(
+            event.status_code, event.headers.raw_items(), self
+        )
 
     async def iter_body(self) -> AsyncIterator[bytes]:
         """Yield the response body until it is complete.
@@ -128,26 +128,40 @@
 
     def close(self) -> None:
         """Close the connection without waiting."""
-        self._writer.close()
+        self._link.close()
+
+    def _check_head(self, head: h11.Response) -> None:
+        """Raise ``ConnectionLostError`` for what is no answer to the request.
+
+        A server may write an earlier answer once more. It may also answer
+        before it has read the whole request, but not twice on a connection.
+        """
+        if self._link.read_while_writing:
+            if self._has_answered:
+                raise ConnectionLostError('answered before the request ended')
+            self._keep = False
+        if head.status_code >= FIRST_NON_SUCCESS:
+            # Written once more, it would look like the next answer.
+            self._keep = False
+        self._has_answered = True
+        names = {name for name, _ in head.headers}
+        self._ends_by_close = not names & FRAMING
 
     async def _confirm_end(self) -> None:
-        if not self._ends_by_close or not self._reader.at_eof():
+        if not self._ends_by_close or not self._link.eof_seen:
             return
         if not await accepts_connections(self._address, PROBE_TIMEOUT):
             raise ConnectionLostError('the server ended with its response')
 
     def _reset_when_done(self) -> None:
-        states = (self._h11.our_state, self._h11.their_state)
-        if states == (h11.DONE, h11.DONE):
-            self._h11.start_next_cycle()
+        machine = self._link.machine
+        if (machine.our_state, machine.their_state) == BOTH_DONE:
+            machine.start_next_cycle()
 
     async def _next_event(self) -> h11.Event:
         try:
-            event = self._h11.next_event()
-            while event is h11.NEED_DATA:
-                self._h11.receive_data(await self._reader.read(READ_SIZE))
-                event = self._h11.next_event()
-        except (h11.RemoteProtocolError, ConnectionError) as exc:
+            event = await self._link.next_event()
+        except (LinkLostError, h11.RemoteProtocolError) as exc:
             raise ConnectionLostError(repr(exc)) from exc
         if isinstance(event, h11.ConnectionClosed):
             raise ConnectionLostError(
@@ -213,15 +227,20 @@
         self._semaphore = asyncio.Semaphore(size)
         self._idle: list[ClientConnection] = []
 
-    async def send(self, req: ClientRequest) -> ClientResponse:
+    async def send(
+        self, req: ClientRequest, *, fresh: bool = False
+    ) -> ClientResponse:
         """Send a request; the caller must ``release`` its response.
 
-        Raises ``NotSentError`` and ``ConnectionLostError``.
+        With ``fresh``, for what may not be taken for run or not run by mistake,
+        it gets a connection of its own: nothing that the server wrote for
+        another request can be read as its answer. Raises ``NotSentError`` and
+        ``ConnectionLostError``.
         """
         await self._semaphore.acquire()
         conn = None
         try:
-            conn = await self._connect()
+            conn = await self._connect(fresh=fresh)
             return await conn.send(req, str(self.address))
         except BaseException:
             self._semaphore.release()
@@ -237,9 +256,11 @@
             return
         response.conn.close()
 
-    async def fetch(self, req: ClientRequest) -> tuple[ClientResponse, bytes]:
-        """Send a request and read its whole response."""
-        response = await self.send(req)
+    async def fetch(
+        self, req: ClientRequest, *, fresh: bool = False
+    ) -> tuple[ClientResponse, bytes]:
+        """Send a request as ``send`` does, and read its whole response."""
+        response = await self.send(req, fresh=fresh)
         try:
             body = await response.read()
         finally:
@@ -251,10 +272,13 @@
         while self._idle:
             self._idle.pop().close()
 
-    async def _connect(self) -> ClientConnection:
-        while self._idle:
+    async def _connect(self, *, fresh: bool) -> ClientConnection:
+        while self._idle and not fresh:
             conn = self._idle.pop()
             if conn.usable:
                 return conn
             conn.close()
-        return await ClientConnection.open(self.address, self._timeout)
+        conn = await ClientConnection.open(self.address, self._timeout)
+        if fresh:
+            conn.end_after_answer()
+        return conn
--- a/gentiantrestle/http/link.py
+++ b/gentiantrestle/http/link.py
@@ -52,6 +52,8 @@
             max_incomplete_event_size=header_limit,
         )
         self.eof_seen = False
+        # Whether bytes arrived while some of ours were not sent yet.
+        self.read_while_writing = False
         self.lost = False
         self._task_to_cancel: asyncio.Task[None] | None = None
         self._transport: asyncio.Transport | None = None
@@ -70,6 +72,8 @@
     def data_received(self, received: bytes) -> None:
         """Feed the state machine; pause reading above the high-water mark."""
         self.machine.receive_data(received)
+        if self._transport.get_write_buffer_size():
+            self.read_while_writing = True
         self._unread += len(received)
         if self._unread > HIGH_WATER:
             self._transport.pause_reading()
--- a/gentiantrestle/platform/object_client.py
+++ b/gentiantrestle/platform/object_client.py
@@ -146,7 +146,9 @@
         req = _build_request(method, target, body)
         try:
             async with asyncio.timeout(timeout):
-                response, received = await self._pool.fetch(req)
+                response, received = await self._pool.fetch(
+                    req, fresh=method != 'GET'
+                )
         except NotSentError as exc:
             raise StoreUnavailableError(str(exc)) from exc
         except (ConnectionLostError, TimeoutError) as exc:
--- a/gentiantrestle/store/client.py
+++ b/gentiantrestle/store/client.py
@@ -228,7 +228,7 @@
         try:
             async with asyncio.timeout(timeout or self._ctx.cfg.store_timeout):
                 response, body = await (pool or self._call_pool).fetch(
-                    zoned_req
+                    zoned_req, fresh=verb == 'write'
                 )
         except NotSentError as exc:
             self._set_reachable(reachable=False, error=str(exc))
