--- a/tests/gateway/test_version_admission.py
+++ b/tests/gateway/test_version_admission.py
@@ -16,6 +16,7 @@
 from gentiantrestle.gateway.forward import Forwarder
 from gentiantrestle.gateway.forwarding_context import ForwardingContext
 from gentiantrestle.gateway.membership.peers import Peer
+from gentiantrestle.gateway.model import Request, Route
 from gentiantrestle.gateway.roster import Roster
 from gentiantrestle.gateway.slots.admission import Admission
 from gentiantrestle.gateway.slots.client import SlotClient, SlotLease
@@ -31,6 +32,7 @@
     SlotRequest,
     VersionGoneError,
 )
+from gentiantrestle.gateway.streams.origins import StreamOrigin
 from gentiantrestle.gateway.topology import Topology
 from gentiantrestle.quarantine.evidence import Evidence
 from gentiantrestle.quarantine.guard import RequestGuard
@@ -164,6 +166,17 @@
         raise VersionGoneError(Refusal(NO_UPSTREAM, 'gone'))
 
 
+class KnownStreams:
+    """Knows that all streams began at the old version."""
+
+    async def find(self, req: Request, route: Route) -> StreamOrigin:
+        """Return the origin of a stream."""
+        return StreamOrigin('r0', ENGINES, OLD)
+
+    def end(self, req: Request) -> None:
+        """Do nothing."""
+
+
 def test_answer_that_another_request_began_keeps_to_its_version() -> None:
     admission = GoneVersions()
     context = ForwardingContext(
@@ -171,11 +184,10 @@
         None,
         Clock(virtual_now, virtual_now),
         RequestGuard(Evidence(), lambda key: True),
+        KnownStreams(),
     )
     exchange = Exchange(None, None, b'')
     req, route = make_request('r1', last_event=7), make_route()
     with pytest.raises(VersionGoneError):
-        run_virtual(
-            Forwarder(context).answer(req, route, ENGINES, exchange, OLD)
-        )
+        run_virtual(Forwarder(context).answer(req, route, exchange))
     assert admission.versions == [OLD]
