The client asks its link for unread input by the name that it has

ClientConnection still asked for the other, so each call to a store, engine or peer failed with AttributeError. No test changed.

--- a/gentiantrestle/http/client.py
+++ b/gentiantrestle/http/client.py
@@ -75,7 +75,7 @@
         machine = self._link.machine
         is_idle = (machine.our_state, machine.their_state) == BOTH_IDLE
         is_open = not self._link.disconnected
-        return self._keep and is_idle and is_open and not self._link.has_unread
+        return self._keep and is_idle and is_open and not self._link.has_input
 
     def end_after_answer(self) -> None:
         """Let no further request follow on this connection."""
@@ -95,7 +95,7 @@
                 *req.headers,
             ],
         )
-        if self._link.has_unread:
+        if self._link.has_input:
             raise NotSentError(f'{host}: bytes arrived before the request')
         try:
             await self._link.send(
