Gateway: coordinators that are new are told of streams begun before

A stream was refused to its caller as unknown 0.9 s after it had begun, though its version served (test_stream_that_is_taken_up_twice, beside load, once). In the logs of that run entry-1 becomes the zone's first coordinator between 829.38 and 830.28: entry-0 told itself and entry-2 of four streams, saved two of them, and then no longer saved; entry-1 had never been told.

Whoever is new among the first two is told of all that was shared and is remembered.

--- a/gentiantrestle/gateway/streams/origins.py
+++ b/gentiantrestle/gateway/streams/origins.py
@@ -65,6 +65,11 @@
         entry = self._entries.get(attempt_id)
         return entry and entry.origin
 
+    def is_open(self, attempt_id: str) -> bool:
+        """Return whether a stream is running here."""
+        entry = self._entries.get(attempt_id)
+        return entry is not None and entry.expires_at == NEVER
+
     def recent(self, now: float) -> Iterator[StreamOrigin]:
         """Yield the streams that are remembered."""
         self.expire(now)
--- a/gentiantrestle/gateway/streams/service.py
+++ b/gentiantrestle/gateway/streams/service.py
@@ -1,7 +1,8 @@
 """Remembers where streams begin, and finds it out when they are taken up."""
 
 import asyncio
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
+from contextlib import suppress
 
 from gentiantrestle.gateway.fleet_context import FleetContext
 from gentiantrestle.gateway.model import (
@@ -23,7 +24,7 @@
     StreamReader,
 )
 from gentiantrestle.gateway.streams.saving import StreamSaver
-from gentiantrestle.gateway.streams.sharing import OriginSharer, StreamBatch
+from gentiantrestle.gateway.streams.sharing import OriginSharer
 from gentiantrestle.gateway.streams.versions import VersionHistory
 from gentiantrestle.supervisor import Child
 from gentiantrestle.wire.peer import ttypes
@@ -64,6 +65,7 @@
             now,
         )
         self._resolver.has_peers = self._has_peers
+        self._wake = asyncio.Event()
         fleet.port.on(BEGUN_STREAMS, self._receive)
 
     def children(self) -> Iterator[Child]:
@@ -89,12 +91,11 @@
         is_mixed = self._history.is_mixed(upstream.service, now)
         if is_mixed or len(route.shares) > 1:
             self._sharer.share(attempt_id, now)
+            self._wake.set()
 
     def end(self, req: Request) -> None:
         """Note that an answer has ended, in whatever way."""
-        attempt_id = req.resumes or req.id
-        self._own.close(attempt_id, self._now())
-        self._sharer.close(attempt_id)
+        self._own.close(req.resumes or req.id, self._now())
 
     async def find(self, req: Request, route: Route) -> StreamOrigin:
         """Return the service of a request, and the version it is bound to.
@@ -113,15 +114,23 @@
             self.note_upstreams()
             now = self._now()
             self._own.expire(now)
-            self._send(self._sharer.next_batches(now), now)
-            busy = self._sharer.is_busy
-            await asyncio.sleep(SHARE_INTERVAL if busy else IDLE_INTERVAL)
-
-    def _send(self, batches: Iterable[StreamBatch], now: float) -> None:
+            self._share(now)
+            await asyncio.sleep(SHARE_INTERVAL)
+            if not self._sharer.is_busy:
+                await self._wait_for_work()
+
+    async def _wait_for_work(self) -> None:
+        self._wake.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(IDLE_INTERVAL):
+                await self._wake.wait()
+
+    def _share(self, now: float) -> None:
         zone = self._fleet.identity.zone
         ranked = self._directory.coordinators(zone, now)
         hosts = [peer.host for peer in ranked[:COORDINATORS_TOLD]]
-        for batch in batches:
+        self._sharer.tell(hosts, now)
+        for batch in self._sharer.next_batches(now):
             message = ttypes.BegunStreams(
                 batch.service, batch.version, list(batch.attempt_ids)
             )
--- a/gentiantrestle/gateway/streams/sharing.py
+++ b/gentiantrestle/gateway/streams/sharing.py
@@ -35,8 +35,9 @@
         """Share streams of ``log``, those that this instance began."""
         self._log = log
         self._copies_left: dict[str, int] = {}
-        # Open streams that were shared, and when; monotonic times in s.
+        # Remembered streams that were shared, and when; monotonic times in s.
         self._shared_at: dict[str, float] = {}
+        self._told: frozenset[str] = frozenset()
 
     @property
     def is_busy(self) -> bool:
@@ -55,9 +56,13 @@
             if origin.service in wanted:
                 self.share(origin.attempt_id, now)
 
-    def close(self, attempt_id: str) -> None:
-        """Stop repeating a stream that has ended."""
-        self._shared_at.pop(attempt_id, None)
+    def tell(self, hosts: Iterable[str], now: float) -> None:
+        """Note who is told; whoever is new gets all that was shared."""
+        told = frozenset(hosts)
+        if told - self._told:
+            for attempt_id in tuple(self._shared_at):
+                self.share(attempt_id, now)
+        self._told = told
 
     def next_batches(self, now: float) -> Iterator[StreamBatch]:
         """Yield what is to be sent now, a batch for each datagram."""
@@ -73,7 +78,12 @@
 
     def _repeat_open(self, now: float) -> None:
         for attempt_id, shared_at in tuple(self._shared_at.items()):
-            if now - shared_at > RESHARE_INTERVAL:
+            if self._log.find(attempt_id) is None:
+                self._shared_at.pop(attempt_id)
+            elif (
+                self._log.is_open(attempt_id)
+                and now - shared_at > RESHARE_INTERVAL
+            ):
                 self.share(attempt_id, now)
 
 
