Gateway: a stream that is taken up waits for a slot as a retry does

A take-up was refused as overloaded after 183 ms, its wait limit as a new request, while the runs that the same callers had just left were ending (once, in test_taken_up_stream_of_a_split_route, beside load). Its caller has had the beginning of the answer and gives up when it is refused.

--- a/gentiantrestle/gateway/request_handler.py
+++ b/gentiantrestle/gateway/request_handler.py
@@ -105,11 +105,7 @@
             answer = await self._api.submit(req, route, submission)
             await _respond(exchange, answer)
             return 'accepted'
-        left = req.deadline - req.received
-        bounded = req._replace(
-            deadline=req.received + min(left, route.timeout),
-            is_retry=left < route.timeout - RETRY_TIME_GAP,
-        )
+        bounded = within_timeout(req, route)
         return await self._forwarder.answer(bounded, route, exchange)
 
     def _record(
@@ -132,6 +128,19 @@
         )
 
 
+def within_timeout(req: Request, route: Route) -> Request:
+    """Return a request with its deadline within the route's timeout.
+
+    It counts as a retry if its caller has been waiting, or has had the
+    beginning of a stream.
+    """
+    left = req.deadline - req.received
+    return req._replace(
+        deadline=req.received + min(left, route.timeout),
+        is_retry=req.last_event > 0 or left < route.timeout - RETRY_TIME_GAP,
+    )
+
+
 async def _respond(exchange: Exchange, answer: Response) -> None:
     await exchange.respond(answer.status, answer.headers, answer.body)
 
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -6,6 +6,7 @@
 
 from gentiantrestle.errors import RefusedError
 from gentiantrestle.gateway.model import Request, Route, Share
+from gentiantrestle.gateway.request_handler import within_timeout
 from gentiantrestle.gateway.streams.origins import (
     RETENTION,
     OriginLog,
@@ -283,6 +284,11 @@
     assert (await Instance(store, clock).resolve('first')).version == 'v1'
 
 
+def test_stream_that_is_taken_up_waits_for_a_slot_as_retries_do() -> None:
+    assert within_timeout(_take_up('first'), ROUTE).is_retry
+    assert not within_timeout(make_request('new'), ROUTE).is_retry
+
+
 def test_a_new_version_has_the_running_streams_shared() -> None:
     log = OriginLog()
     sharer = OriginSharer(log)
