--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -303,6 +303,7 @@
             stream.first,
             response.left,
             response.leaving,
+            response.reached,
         )
         self._history.requests.append(req)
         return req
--- a/tests/soak/exchange.py
+++ b/tests/soak/exchange.py
@@ -17,6 +17,8 @@
     def __init__(self) -> None:
         """Start without a response."""
         self.status = 0
+        # The entry has accepted the connection.
+        self.reached = False
         self.complete = False
         # The caller has closed the connection.
         self.left = False
@@ -51,6 +53,7 @@
         Leave after so many events, unless that is 0.
         """
         conn = await self._connect(entry)
+        response.reached = True
         try:
             await _read(conn, message, response, leave_after)
         finally:
