Cut a stream whose upstreams are gone; wait only for those that are full

Callers saw: none yet. A process that has ended doesn't come back at its address as the same upstream. Evidence: test_process_versions.py::test_answer_never_goes_on_at_another_version [draining] and [gone] failed three times each; the log of a stream shows five refused connections to the same upstream in 1 s, and the next step retry.

--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -192,7 +192,7 @@
     async def _send(self, conn: UpstreamConnection, lease: SlotLease) -> None:
         before = self._progress
         refused = before._replace(refusals=before.refusals + 1)
-        self._progress = refused
+        self._progress = refused._replace(unreached=before.unreached + 1)
         await conn.connect(lease.upstream)
         self._progress = before
         reply = await self._send_head(conn, lease)
--- a/gentiantrestle/gateway/retry_policy.py
+++ b/gentiantrestle/gateway/retry_policy.py
@@ -3,8 +3,8 @@
 from enum import Enum
 from typing import NamedTuple
 
-# Attempts of one request that may end without being executed, unless its
-# response has been started.
+# Attempts of one request that may end without being executed. Once its response
+# has been started, only those count that reached no upstream.
 MAX_REFUSALS = 4
 # With less time left than this, another attempt is not worth its cost.
 MIN_TIME_LEFT = 0.05  # seconds
@@ -56,8 +56,9 @@
     """The attempts of one request so far.
 
     ``runs`` counts attempts that the upstream may have executed, and
-    ``refusals`` those that no upstream executed. ``crashes`` counts upstreams
-    that ended while they began the answer.
+    ``refusals`` those that no upstream executed, ``unreached`` of these those
+    that met none. ``crashes`` counts upstreams that ended while they began the
+    answer.
     """
 
     idempotent: bool
@@ -66,6 +67,12 @@
     refusals: int = 0
     response_started: bool = False
     crashes: int = 0
+    unreached: int = 0
+
+    @property
+    def fruitless(self) -> int:
+        """Count the refusals that suggest that no upstream will do."""
+        return self.unreached if self.response_started else self.refusals
 
 
 def next_step(
@@ -98,7 +105,7 @@
     if progress.crashes >= MAX_CRASHES:
         return False
     if outcome in {AttemptOutcome.NOT_RUN, AttemptOutcome.UNREACHED}:
-        if progress.refusals >= MAX_REFUSALS and not progress.response_started:
+        if progress.fruitless >= MAX_REFUSALS:
             return False
         return progress.idempotent or not progress.runs
     return progress.idempotent and progress.runs < progress.max_attempts
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -120,6 +120,28 @@
     assert next_step(outcome, progress, 1.0) is step
 
 
+@pytest.mark.parametrize(
+    ('outcome', 'unreached', 'step'),
+    [
+        (AttemptOutcome.NOT_RUN, 0, Step.RETRY),
+        (AttemptOutcome.UNREACHED, 3, Step.RETRY),
+        (AttemptOutcome.UNREACHED, 4, Step.CUT),
+    ],
+)
+def test_started_response_is_cut_if_upstreams_are_gone_not_if_they_are_full(
+    outcome: AttemptOutcome, unreached: int, step: Step
+) -> None:
+    progress = RequestProgress(
+        idempotent=True,
+        max_attempts=2,
+        runs=1,
+        refusals=9,
+        response_started=True,
+        unreached=unreached,
+    )
+    assert next_step(outcome, progress, 1.0) is step
+
+
 def test_wait_limit_is_below_target_and_longer_for_retries() -> None:
     assert 0 < wait_limit(make_request('c'), make_route(), 0).seconds < 0.3
     limit = wait_limit(make_request('c', is_retry=True), make_route(), 0)
