Gateway: give back the slot of a silent attempt's successor that isn't used

A slot that was taken while an attempt was silent stayed in use for the life of the process when its request ended before the next attempt: quarantined meanwhile, or left by its caller in the pause after refusals. Each such case makes one slot of a sound upstream unusable for all, as it is reported to the coordinators as held.

Cause: only the end after an attempt (ForwardedRequest.finish) gave a kept slot back; take() could raise with the slot still kept.

Change: take() gives a kept slot back unless it is the one that is taken.

--- a/gentiantrestle/gateway/request_slots.py
+++ b/gentiantrestle/gateway/request_slots.py
@@ -54,21 +54,13 @@
 
         Only upstreams of ``version`` will do, unless it is empty. For a
         response that has been started a slot is sought until the deadline,
-        unless the request is quarantined or its version is gone.
+        unless the request is quarantined or its version is gone. A slot that
+        was kept is given back if it isn't taken.
         """
-        if progress.refusals >= MAX_REFUSALS:
-            await asyncio.sleep(STARTED_INTERVAL)
-        slot_request = self._ask(service, version)
-        if progress.response_started:
-            req = self._req._replace(is_retry=True)
-            slot_request = slot_request._replace(request=req)
-        while True:
-            try:
-                return await self._take(slot_request)
-            except RefusedError as exc:
-                if not self._may_wait(progress, exc):
-                    raise
-            await asyncio.sleep(STARTED_INTERVAL)
+        try:
+            return await self._seek(service, version, progress)
+        finally:
+            self.release_kept()
 
     async def pause_before_repeat(self, progress: RequestProgress) -> None:
         """Wait if the slot taken last is on an upstream that may be full."""
@@ -110,6 +102,23 @@
             self.release(self._next)
             self._next = None
 
+    async def _seek(
+        self, service: str, version: str, progress: RequestProgress
+    ) -> SlotLease:
+        if progress.refusals >= MAX_REFUSALS:
+            await asyncio.sleep(STARTED_INTERVAL)
+        slot_request = self._ask(service, version)
+        if progress.response_started:
+            req = self._req._replace(is_retry=True)
+            slot_request = slot_request._replace(request=req)
+        while True:
+            try:
+                return await self._take(slot_request)
+            except RefusedError as exc:
+                if not self._may_wait(progress, exc):
+                    raise
+            await asyncio.sleep(STARTED_INTERVAL)
+
     async def _take(self, slot_request: SlotRequest) -> SlotLease:
         wall = self._context.clock.wall()
         refuse_quarantined(self._context.guard, self._req, self._traits, wall)
--- /dev/null
+++ b/tests/gateway/test_request_slots.py
@@ -0,0 +1,73 @@
+"""Slots that a request keeps between two of its attempts."""
+
+import asyncio
+import time
+from types import SimpleNamespace
+
+import pytest
+
+from gentiantrestle.errors import RefusedError
+from gentiantrestle.gateway.batch.context import Clock
+from gentiantrestle.gateway.request_slots import RequestSlots
+from gentiantrestle.gateway.retry_policy import MAX_REFUSALS, RequestProgress
+from gentiantrestle.gateway.slots.client import SlotLease
+from gentiantrestle.gateway.slots.messages import SlotOutcome
+from gentiantrestle.quarantine.culprits import Culprit
+from tests.gateway.samples import (
+    ENGINES,
+    make_request,
+    make_route,
+    make_upstream,
+)
+
+KEPT = SlotLease(1, make_upstream('u-1'), '', 0)
+CULPRIT = Culprit(frozenset(('t',)), 0, 0)
+PROGRESS = RequestProgress(True, 2, response_started=True)
+
+
+class Held:
+    """The slots of a request that keeps one, and what was given back."""
+
+    def __init__(self, culprit: Culprit | None = None) -> None:
+        self.released: list[SlotLease] = []
+        guard = SimpleNamespace(find_refused=lambda traits, wall: culprit)
+        context = SimpleNamespace(
+            admission=SimpleNamespace(release=self._release),
+            clock=Clock(time.monotonic, time.time),
+            guard=guard,
+        )
+        now = time.monotonic()
+        req = make_request('r1', now)
+        self._slots = RequestSlots(context, req, make_route(), ('t',))
+        self._slots.keep(KEPT)
+
+    async def take(self, refusals: int = 0) -> SlotLease:
+        """Take the slot of the next attempt."""
+        progress = PROGRESS._replace(refusals=refusals)
+        return await self._slots.take(ENGINES, '', progress)
+
+    def _release(self, lease: SlotLease, health: SlotOutcome) -> None:
+        self.released.append(lease)
+
+
+async def test_kept_slot_is_taken_by_the_next_attempt() -> None:
+    held = Held()
+    assert await held.take() == KEPT
+    assert not held.released
+
+
+async def test_kept_slot_of_a_quarantined_request_is_released() -> None:
+    held = Held(CULPRIT)
+    with pytest.raises(RefusedError):
+        await held.take()
+    assert held.released == [KEPT]
+
+
+async def test_kept_slot_is_released_when_the_caller_leaves() -> None:
+    held = Held()
+    taking = asyncio.create_task(held.take(MAX_REFUSALS))
+    await asyncio.sleep(0)
+    taking.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await taking
+    assert held.released == [KEPT]
