Gateway: take-ups share a look-up that the store doesn't answer

While the store hung, take-ups waited for one another: each asked the store anew after the one before had given up, so the n-th was held for n times 0.6 s.

Cause: StreamReader shared what a call returned, but not that it failed.

Change: a failed call is the result of all that asked before it began.

--- a/gentiantrestle/gateway/streams/resolving.py
+++ b/gentiantrestle/gateway/streams/resolving.py
@@ -42,7 +42,7 @@
         self._now = now
         self._lock = asyncio.Lock()
         self._started_at = float('-inf')
-        self._last = StoredStreams({}, {})
+        self._last: StoredStreams | None = None
 
     async def read(self) -> StoredStreams:
         """Return what the store has now; raise ``StoreUnavailableError``."""
@@ -50,10 +50,21 @@
         async with self._lock:
             if self._started_at < asked_at:
                 started_at = self._now()
-                self._last = read_stored(await self._list())
+                self._last = await self._try_read()
                 self._started_at = started_at
+        if self._last is None:
+            raise StoreUnavailableError(STREAM_KIND)
         return self._last
 
+    async def _try_read(self) -> StoredStreams | None:
+        try:
+            return read_stored(await self._list())
+        except StoreUnavailableError as exc:
+            events.emit(
+                events.STORE_CALL_FAILED, name=STREAM_KIND, error=repr(exc)
+            )
+        return None
+
     async def _list(self) -> list[StoredObject]:
         found: list[StoredObject] = []
         try:
@@ -128,10 +139,7 @@
                 await asyncio.sleep(SECOND_LOOK_AFTER)
                 stored = await self._reader.read()
                 origin = self._conclude(attempt_id, route, stored)
-        except StoreUnavailableError as exc:
-            events.emit(
-                events.STORE_CALL_FAILED, name=STREAM_KIND, error=repr(exc)
-            )
+        except StoreUnavailableError:
             return self._conclude_alone(attempt_id, route)
         return origin
 
