Gateway: a look-up of a stream ends well before the deadline of its take-up

A take-up of a stream that isn't known here could wait for the store beyond its own deadline and its route's timeout: for two reads of 0.6 s and a pause, and for reads of others before it. No time-out stood around it.

Change: the look-up gets half of the time that is left. If the store has answered it once and didn't know the stream, a second look that fails or is cut decides nothing.

--- a/gentiantrestle/gateway/streams/resolving.py
+++ b/gentiantrestle/gateway/streams/resolving.py
@@ -31,6 +31,8 @@
 READ_TIMEOUT = 0.6  # seconds
 # Streams that began just now are saved within this time.
 SECOND_LOOK_AFTER = 0.35  # seconds
+# Share of the time until its deadline that a request may spend on a look-up.
+LOOK_UP_SHARE = 0.5
 
 
 class StreamReader:
@@ -109,7 +111,10 @@
         source = 'memory'
         if origin is None:
             source = 'store'
-            origin = await self._look_up(attempt_id, route)
+            left = max(0, req.deadline - self._now())
+            origin = await self._look_up(
+                attempt_id, route, left * LOOK_UP_SHARE
+            )
         shares = {share.service for share in route.shares}
         known = origin is not None and origin.service in shares
         events.emit(
@@ -130,17 +135,22 @@
         return next((origin for origin in found if origin is not None), None)
 
     async def _look_up(
-        self, attempt_id: str, route: Route
+        self, attempt_id: str, route: Route, seconds: float
     ) -> StreamOrigin | None:
+        stored = None
         try:
-            stored = await self._reader.read()
-            origin = self._conclude(attempt_id, route, stored)
-            if origin is None:
-                await asyncio.sleep(SECOND_LOOK_AFTER)
+            async with asyncio.timeout(seconds):
                 stored = await self._reader.read()
                 origin = self._conclude(attempt_id, route, stored)
-        except StoreUnavailableError:
-            return self._conclude_alone(attempt_id, route)
+                if origin is None:
+                    await asyncio.sleep(SECOND_LOOK_AFTER)
+                    stored = await self._reader.read()
+                    origin = self._conclude(attempt_id, route, stored)
+        except (StoreUnavailableError, TimeoutError):
+            # What the store has shown before outweighs what is known here.
+            if stored is None:
+                return self._conclude_alone(attempt_id, route)
+            return None
         return origin
 
     def _conclude(
--- a/tests/gateway/test_stream_look_up.py
+++ b/tests/gateway/test_stream_look_up.py
@@ -5,10 +5,16 @@
 
 import pytest
 
+from gentiantrestle.errors import RefusedError
 from gentiantrestle.gateway.ports import Page
-from gentiantrestle.gateway.streams.resolving import StreamReader
+from gentiantrestle.gateway.streams.resolving import (
+    OriginResolver,
+    StreamReader,
+)
+from gentiantrestle.gateway.streams.versions import VersionHistory
 from gentiantrestle.store.client import StoreUnavailableError
 from tests.gateway.memory import MemoryStore
+from tests.gateway.samples import make_request, make_route
 
 RESOLVING = 'gentiantrestle.gateway.streams.resolving'
 PATIENCE = 2.0  # seconds
@@ -38,3 +44,14 @@
     found = await asyncio.gather(*reads, return_exceptions=True)
     assert {type(exc) for exc in found} == {StoreUnavailableError}
     assert len(store.calls) <= 2
+
+
+async def test_take_up_is_refused_before_its_deadline() -> None:
+    now = time.monotonic
+    reader = StreamReader(HangingStore(), now)
+    resolver = OriginResolver((), VersionHistory(now()), reader, now)
+    deadline = now() + READ_TIMEOUT
+    req = make_request('r1', now(), last_event=3, deadline=deadline)
+    with pytest.raises(RefusedError):
+        await resolver.resolve(req, make_route())
+    assert now() < deadline
