Daemon: read what arrives as the last wait for a request ends

A request that arrived in the turn of the loop in which the last wait of 50 ms ended was dropped with its connection, as one at the end of the idle time was before: the window had moved, not closed. The gateway looks at its buffer after each wait.

Change: what is in the reader's buffer is taken before the connection is closed.

--- a/gentiantrestle/http/connection.py
+++ b/gentiantrestle/http/connection.py
@@ -113,7 +113,8 @@
     async def _receive_first(self, stopping: asyncio.Event) -> None:
         """Wait for the first bytes of a request."""
         idle_timeout = 0 if stopping.is_set() else self._limits.idle_timeout
-        for timeout in (idle_timeout, LAST_WAIT):
+        # The third one reads what arrived as the second one ended.
+        for timeout in (idle_timeout, LAST_WAIT, 0):
             with suppress(TimeoutError):
                 received = await self._read_idle(timeout)
                 self.busy = bool(received)
--- a/tests/interfaces/test_http_closing.py
+++ b/tests/interfaces/test_http_closing.py
@@ -7,12 +7,13 @@
 
 import pytest
 
-from gentiantrestle.http.connection import ServerLimits
+from gentiantrestle.http.connection import LAST_WAIT, ServerLimits
 from gentiantrestle.http.messages import Request, Response
 from gentiantrestle.http.server import Server
 from tests.utils.ports import HOST, free_ports
 
 IDLE_TIMEOUT = 0.3  # seconds
+BLOCKED_TIME = LAST_WAIT * 2  # seconds
 PATIENCE = 2.0  # seconds
 REQUEST = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
 HALF = len(REQUEST) // 2
@@ -73,6 +74,15 @@
     assert (await app.read()).startswith(OK)
 
 
+async def test_request_that_arrives_as_the_last_wait_ends_is_answered(
+    app: App,
+) -> None:
+    await asyncio.sleep(IDLE_TIMEOUT - IDLE_TIMEOUT / 10 + LAST_WAIT / 2)
+    app.sock.send(REQUEST)
+    _block_loop(BLOCKED_TIME)
+    assert (await app.read()).startswith(OK)
+
+
 @pytest.mark.parametrize('turns', [0, 1, 2])
 async def test_request_that_has_arrived_is_answered_by_a_stopping_server(
     app: App, turns: int
