Gateway: a stopping instance waits until its answers are written

A caller that reads slowly got an answer that ended early when the instance stopped: up to 64 KiB of it were still in the process's write buffer as it exited, and it was not counted as cut.

Cause: a connection counted as gone once its last answer had been handed to the transport, and the process exits as soon as none is left.

Change: a connection is gone when it is closed with all bytes written. A caller that reads nothing is ended by TCP_USER_TIMEOUT or by the end of the grace time.

--- a/gentiantrestle/gateway/http_server.py
+++ b/gentiantrestle/gateway/http_server.py
@@ -121,6 +121,7 @@
             link.close()
         finally:
             self._busy.discard(link)
+        await link.wait_closed()
 
     async def _serve_requests(self, link: Link) -> None:
         while True:
--- a/gentiantrestle/http/link.py
+++ b/gentiantrestle/http/link.py
@@ -156,6 +156,12 @@
         if self._transport is not None:
             self._transport.close()
 
+    async def wait_closed(self) -> None:
+        """Wait until the connection is closed, with all bytes written."""
+        while not self.lost:
+            self._arrived.clear()
+            await self._arrived.wait()
+
     def reset_on_close(self, *, enabled: bool) -> None:
         """Let a close be a reset, for a body that ends with the connection."""
         if self._transport is not None:
