--- a/gentiantrestle/gateway/streams/saving.py
+++ b/gentiantrestle/gateway/streams/saving.py
@@ -31,7 +31,8 @@
 )
 
 # A stream that began this long before all instances ended may be unknown after.
-SAVE_INTERVAL = 0.25  # seconds
+SAVE_INTERVAL = 0.1  # seconds
+VERSIONS_INTERVAL = 0.3  # seconds between two looks at the list of versions
 FAILURE_PAUSE = 0.5  # seconds after a failed call
 
 
@@ -55,6 +56,7 @@
         self._register = VersionRegister()
         self._written: dict[str, StoredObject] = {}
         self._saved_changes = 0
+        self._looked_at = float('-inf')
         # Whether this instance is the one that saves for its zone.
         self.is_leading: Callable[[float], bool] = _is_never_leading
 
@@ -77,11 +79,16 @@
 
         Raises ``StoreUnavailableError`` and ``StoreOutcomeUnknownError``.
         """
+        is_due = now - self._looked_at >= VERSIONS_INTERVAL
+        if not is_due and self._log.changes == self._saved_changes:
+            return
         if not self.is_leading(now):
             self._written.clear()
             self._register.reset()
             return
-        await self._save_versions(now)
+        if is_due:
+            self._looked_at = now
+            await self._save_versions(now)
         await self._save_streams(now)
 
     async def _save_versions(self, now: float) -> None:
