A request left by a silent upstream waits for one that is full

The silent attempt was given up for a slot on the other upstream, whose four refusals then ended the request: a silence ended an answer after all.

A request that may have been executed can't be refused as not run any more, so 502 is all that is left to say. As one whose response has been started, it now seeks a slot until its deadline; four attempts that reach no upstream end it.

test_request_of_a_silent_upstream_outlasts_a_full_successor failed before.

--- a/gentiantrestle/gateway/request_slots.py
+++ b/gentiantrestle/gateway/request_slots.py
@@ -19,9 +19,9 @@
     VersionGoneError,
 )
 
-# Pause before a request whose response has been started is sent, or a slot for
+# Pause before a request that may have been executed is sent, or a slot for
 # it is asked for, again.
-STARTED_INTERVAL = 0.25  # seconds
+OWED_INTERVAL = 0.25  # seconds
 # Pause before an upstream that has refused a request is sent it again, doubled
 # with each refusal: slots that items give back are free within tens of ms.
 REPEAT_PAUSE = 0.05  # seconds
@@ -53,7 +53,7 @@
         """Take the slot of the next attempt; raise ``RefusedError``.
 
         Only upstreams of ``version`` will do, unless it is empty. For a
-        response that has been started a slot is sought until the deadline,
+        request that may have been executed it is sought until the deadline,
         unless the request is quarantined or its version is gone. A slot that
         was kept is given back if it isn't taken.
         """
@@ -106,9 +106,9 @@
         self, service: str, version: str, progress: RequestProgress
     ) -> SlotLease:
         if progress.refusals >= MAX_REFUSALS:
-            await asyncio.sleep(STARTED_INTERVAL)
+            await asyncio.sleep(OWED_INTERVAL)
         slot_request = self._ask(service, version)
-        if progress.response_started:
+        if progress.is_owed:
             req = self._req._replace(is_retry=True)
             slot_request = slot_request._replace(request=req)
         while True:
@@ -117,7 +117,7 @@
             except RefusedError as exc:
                 if not self._may_wait(progress, exc):
                     raise
-            await asyncio.sleep(STARTED_INTERVAL)
+            await asyncio.sleep(OWED_INTERVAL)
 
     async def _take(self, slot_request: SlotRequest) -> SlotLease:
         wall = self._context.clock.wall()
@@ -135,9 +135,9 @@
             return False
         left = self._req.deadline - self._context.clock.now()
         return (
-            progress.response_started
+            progress.is_owed
             and exc.refusal.kind is not QUARANTINED
-            and left > STARTED_INTERVAL + MIN_TIME_LEFT
+            and left > OWED_INTERVAL + MIN_TIME_LEFT
         )
 
     def _ask(self, service: str, version: str) -> SlotRequest:
--- a/gentiantrestle/gateway/retry_policy.py
+++ b/gentiantrestle/gateway/retry_policy.py
@@ -3,8 +3,8 @@
 from enum import Enum
 from typing import NamedTuple
 
-# Attempts of one request that may end without being executed. Once its response
-# has been started, only those count that reached no upstream.
+# Attempts of one request that may end without being executed. Once it may have
+# been executed, only those count that reached no upstream.
 MAX_REFUSALS = 4
 # With less time left than this, another attempt is not worth its cost.
 MIN_TIME_LEFT = 0.05  # seconds
@@ -69,10 +69,15 @@
     crashes: int = 0
     unreached: int = 0
 
+    @property
+    def is_owed(self) -> bool:
+        """Whether it is too late to say that the request was not run."""
+        return self.response_started or self.runs > 0
+
     @property
     def fruitless(self) -> int:
         """Count the refusals that suggest that no upstream will do."""
-        return self.unreached if self.response_started else self.refusals
+        return self.unreached if self.is_owed else self.refusals
 
 
 def next_step(
--- a/tests/gateway/test_process_silence.py
+++ b/tests/gateway/test_process_silence.py
@@ -58,6 +58,32 @@
     assert reply.body == expected_stream('r1', EVENTS)
 
 
+async def test_upstream_that_is_silent_for_about_a_second_is_not_left(
+    pair: GatewayFleet,
+) -> None:
+    await _fall_silent(pair, silent=SHORT_SILENCE)
+    await asyncio.gather(
+        *(pair.request(0, f'r{one}', body={'events': 2}) for one in range(4))
+    )
+    names = [run['id'] for run in await pair.runs()]
+    assert sorted(names) == ['r0', 'r1', 'r2', 'r3']
+
+
+async def test_request_of_a_silent_upstream_outlasts_a_full_successor(
+    pair: GatewayFleet,
+) -> None:
+    await pair.set_faults(0, silent=LONG_SILENCE)
+    await pair.set_faults(1, shed=True)
+    asking = [
+        asyncio.create_task(pair.request(0, f'r{one}', '/get/1', {}))
+        for one in range(4)
+    ]
+    await asyncio.sleep(LONG_SILENCE)
+    await _fall_silent(pair)
+    replies = await asyncio.gather(*asking)
+    assert {reply.status for reply in replies} == {200}
+
+
 @pytest.mark.parametrize(
     ('path', 'body', 'expected'),
     [
