--- a/tests/decisions/test_item_run.py
+++ b/tests/decisions/test_item_run.py
@@ -70,7 +70,9 @@
         self.asked: list[int] = []
         self._version = version
 
-    async def send(self, call: ClientRequest) -> CutAnswer:
+    async def send(
+        self, call: ClientRequest, *, fresh: bool = False
+    ) -> CutAnswer:
         """Note the first token that is asked for; answer."""
         first = msgspec.json.decode(call.body).get('resume_from', 0)
         self.asked.append(first)
