--- a/tests/gateway/test_process_silence.py
+++ b/tests/gateway/test_process_silence.py
@@ -8,8 +8,17 @@
 
 import pytest
 
-from tests.gateway.fleet import UPSTREAMS, GatewayFleet
-from tests.gateway.wire_samples import expected_stream
+from tests.gateway.fleet import (
+    UPSTREAMS,
+    GatewayFleet,
+    has_applied_config,
+)
+from tests.gateway.wire_samples import (
+    expected_output,
+    expected_stream,
+    job_doc,
+    route_doc,
+)
 from tests.utils.http import Reply, until
 
 SHORT_SILENCE = 1.2  # seconds that a sound upstream may be silent
@@ -180,3 +189,40 @@
     await _fall_silent(pair)
     reply: Reply = await asking
     assert reply.body == expected_stream('r1', EVENTS)
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'timeout_ms': 500},
+        {'path_prefix': '/moved/'},
+        {'service': 'others'},
+    ],
+)
+async def test_stream_outlasts_a_change_of_its_route(
+    pair: GatewayFleet, changes: dict[str, Any]
+) -> None:
+    await _fall_silent(pair, silent=SHORT_SILENCE, silent_after=SILENT_AFTER)
+    asking = asyncio.create_task(pair.request(0, 'r1', body={'events': EVENTS}))
+    await until(pair.runs)
+    await pair.configure([route_doc(**changes)])
+    await until(lambda: has_applied_config(pair, 0, pair.version))
+    assert (await asking).body == expected_stream('r1', EVENTS)
+
+
+async def test_item_of_a_silent_upstream_is_not_run_again(
+    pair: GatewayFleet,
+) -> None:
+    await _fall_silent(pair, silent=SHORT_SILENCE, silent_after=SILENT_AFTER)
+    job = job_doc('j', 1, EVENTS)
+    await pair.request(0, 'j', '/lists/1', job)
+
+    async def results() -> list[dict[str, Any]]:
+        reply = await pair.request(
+            0, 'x', '/gentiantrestle/lots/j?after=0', method='GET'
+        )
+        return reply.json()['results']
+
+    outputs = [item['output'] for item in await until(results)]
+    assert outputs == [expected_output('j-0', EVENTS)]
+    assert len(await pair.runs()) == 1
