--- a/gentiantrestle/platform/document_decoder.py
+++ b/gentiantrestle/platform/document_decoder.py
@@ -127,7 +127,7 @@
         slots=_checked_count(document['slots'], MAX_SLOTS),
         draining=DRAINING_BY_STATE[document['state']],
         incarnation=_checked_count(document.get('born', 0)),
-        version=_checked_text(document.get('version', '')),
+        version=_checked_text(document.get('version', ''), shortest=0),
     )
 
 
@@ -151,10 +151,10 @@
     return raw
 
 
-def _checked_text(raw: Any) -> str:
+def _checked_text(raw: Any, shortest: int = 1) -> str:
     if not isinstance(raw, str):
         raise TypeError(f'{raw!r} is not a string')
-    if not 0 < len(raw) <= MAX_TEXT:
+    if not shortest <= len(raw) <= MAX_TEXT:
         raise ValueError(f'a text has {len(raw)} characters')
     return raw
 
