Gateway: streams are shared while a version that has gone is still listed

Cause: an instance that has seen one version only doesn't share its streams, while the stored list still named the version that had left before it started, so that an unknown stream couldn't be bound. A new first coordinator also kept such a version listed for another 12 s.

An instance reads the list once when it starts, or was paused, and counts what it names as seen then; until it has, it shares all streams. A coordinator that has looked for 12 s itself keeps a version that it doesn't see for 4 s only.

A service with one version still costs no message and no call but that one.

--- a/gentiantrestle/gateway/streams/saving.py
+++ b/gentiantrestle/gateway/streams/saving.py
@@ -98,7 +98,7 @@
         except DECODE_ERRORS as exc:
             _log_unreadable(stored, exc)
             listed = {}
-        wanted = self._register.revise(listed, self._history.recent(now), now)
+        wanted = self._register.revise(listed, self._history, now)
         if wanted != listed:
             await self._replace(stored, versions_to_content(wanted))
             events.emit(events.VERSIONS_LISTED, versions=len(wanted))
--- a/gentiantrestle/gateway/streams/service.py
+++ b/gentiantrestle/gateway/streams/service.py
@@ -26,11 +26,13 @@
 from gentiantrestle.gateway.streams.saving import StreamSaver
 from gentiantrestle.gateway.streams.sharing import OriginSharer
 from gentiantrestle.gateway.streams.versions import VersionHistory
+from gentiantrestle.store.client import StoreUnavailableError
 from gentiantrestle.supervisor import Child
 from gentiantrestle.wire.peer import ttypes
 
 BEGUN_STREAMS = 'begun_streams'  # field of the envelope
 SHARE_INTERVAL = 0.05  # seconds between two batches
+LEARN_INTERVAL = 1.0  # seconds between two looks whether that is to be done
 IDLE_INTERVAL = 0.25  # seconds between two looks while nothing is shared
 # The one that saves, and the one that takes over if it is silent.
 COORDINATORS_TOLD = 2
@@ -58,10 +60,11 @@
             fleet.identity.zone, store, self._told, self._history, now
         )
         self._saver.is_leading = self._is_leading
+        self._reader = StreamReader(store, now)
         self._resolver = OriginResolver(
             (self._own, self._told),
             self._history,
-            StreamReader(store, now),
+            self._reader,
             now,
         )
         self._resolver.has_peers = self._has_peers
@@ -72,6 +75,7 @@
         """Yield the children that share and save streams."""
         yield Child('share streams', self._run_sharing)
         yield Child('save streams', self._saver.run)
+        yield Child('learn versions', self._run_learning)
 
     def note_upstreams(self) -> None:
         """Note that the upstreams may have changed."""
@@ -88,8 +92,8 @@
         self._own.open(
             StreamOrigin(attempt_id, upstream.service, upstream.version)
         )
-        is_mixed = self._history.is_mixed(upstream.service, now)
-        if is_mixed or len(route.shares) > 1:
+        may_be_mixed = self._history.may_be_mixed(upstream.service, now)
+        if may_be_mixed or len(route.shares) > 1:
             self._sharer.share(attempt_id, now)
             self._wake.set()
 
@@ -119,6 +123,15 @@
             if not self._sharer.is_busy:
                 await self._wait_for_work()
 
+    async def _run_learning(self) -> None:
+        """Learn of versions that had gone before this run, or its pause."""
+        while True:
+            if not self._history.is_informed:
+                with suppress(StoreUnavailableError):
+                    stored = await self._reader.read()
+                    self._history.adopt(stored.versions, self._now())
+            await asyncio.sleep(LEARN_INTERVAL)
+
     async def _wait_for_work(self) -> None:
         self._wake.clear()
         with suppress(TimeoutError):
--- a/gentiantrestle/gateway/streams/versions.py
+++ b/gentiantrestle/gateway/streams/versions.py
@@ -8,6 +8,8 @@
 
 # A run that did not look for this long was paused, and has missed changes.
 MAX_LOOK_GAP = 3.0  # seconds
+# An instance may see an upstream this much later than another one does.
+VIEW_LAG = 4.0  # seconds
 Versions = Mapping[str, frozenset[str]]
 NO_VERSIONS: frozenset[str] = frozenset()
 
@@ -26,6 +28,8 @@
         """Start at a monotonic time in s; nothing has been seen yet."""
         self._complete_from = started_at + RETENTION
         self._looked_at = started_at
+        # Whether versions that were gone when this run began are known.
+        self.is_informed = False
         self._last_seen: dict[ServiceVersion, float] = {}
 
     def note(self, upstreams: Iterable[Upstream], now: float) -> frozenset[str]:
@@ -39,6 +43,7 @@
         }
         if now - self._looked_at > MAX_LOOK_GAP:
             self._complete_from = now + RETENTION
+            self.is_informed = False
         self._looked_at = now
         before = self.recent(now)
         self._last_seen.update(dict.fromkeys(present, now))
@@ -48,6 +53,11 @@
             if key.service in before and key.version not in before[key.service]
         )
 
+    def adopt(self, listed: Versions, now: float) -> None:
+        """Take over versions that other instances have seen lately."""
+        self._last_seen.update(dict.fromkeys(_flatten(listed), now))
+        self.is_informed = True
+
     def recent(self, now: float) -> Versions:
         """Return the versions of each service that were seen lately."""
         found: dict[str, frozenset[str]] = {}
@@ -59,8 +69,10 @@
                 found[key.service] = known | {key.version}
         return found
 
-    def is_mixed(self, service: str, now: float) -> bool:
-        """Return whether a service has had several versions lately."""
+    def may_be_mixed(self, service: str, now: float) -> bool:
+        """Return whether a service may have had several versions lately."""
+        if not self.is_informed and not self.is_complete(now):
+            return True
         return len(self.recent(now).get(service, NO_VERSIONS)) > 1
 
     def is_complete(self, now: float) -> bool:
@@ -85,20 +97,22 @@
         self._listed_since.clear()
 
     def revise(
-        self, listed: Versions, recent: Versions, now: float
+        self, listed: Versions, history: VersionHistory, now: float
     ) -> Versions:
         """Return what the list should be, given what it is.
 
-        ``recent`` are the versions that this instance has seen lately.
+        ``history`` is what this instance has seen; while that is not complete,
+        versions that it lacks stay listed for longer.
         """
+        hold_time = VIEW_LAG if history.is_complete(now) else RETENTION
         keys = set(_flatten(listed))
         self._listed_since = {
             key: self._listed_since.get(key, now) for key in keys
         }
         kept = {
-            key for key in keys if now - self._listed_since[key] <= RETENTION
+            key for key in keys if now - self._listed_since[key] <= hold_time
         }
-        return _group(kept | set(_flatten(recent)))
+        return _group(kept | set(_flatten(history.recent(now))))
 
 
 def _flatten(versions: Versions) -> Iterable[ServiceVersion]:
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -19,7 +19,10 @@
 )
 from gentiantrestle.gateway.streams.saving import StreamSaver
 from gentiantrestle.gateway.streams.sharing import COPIES, OriginSharer
-from gentiantrestle.gateway.streams.versions import VersionHistory
+from gentiantrestle.gateway.streams.versions import (
+    VIEW_LAG,
+    VersionHistory,
+)
 from gentiantrestle.store.client import StoreUnavailableError
 from tests.gateway.memory import MemoryStore
 from tests.gateway.samples import (
@@ -87,6 +90,10 @@
     return True
 
 
+def _never(now: float) -> bool:
+    return False
+
+
 def _take_up(attempt: str) -> Request:
     return make_request('again', resumes=attempt, last_event=3, deadline=1000)
 
@@ -228,6 +235,47 @@
     assert listed == {'versions': {ENGINES: ['v1', 'v1.1']}}
 
 
+async def test_a_new_leader_that_has_looked_long_unlists_what_is_gone(
+    store: MemoryStore, clock: Time
+) -> None:
+    await Instance(store, clock).see(OLD, NEW)
+    leader = Instance(store, clock)
+    leader.saver.is_leading = _never
+    await leader.see_for(RETENTION + 1, NEW)
+    leader.saver.is_leading = _always
+    await leader.see_for(VIEW_LAG + 2, NEW)
+
+    listed = store.kinds[STREAM_KIND][VERSIONS_NAME].content
+    assert listed == {'versions': {ENGINES: ['v1.1']}}
+
+
+def test_streams_are_shared_while_a_version_that_was_gone_is_listed() -> None:
+    history = VersionHistory(0)
+    history.adopt({ENGINES: frozenset(('v1', 'v1.1'))}, 0)
+    for second in range(int(RETENTION)):
+        history.note((NEW,), second)
+        assert history.may_be_mixed(ENGINES, second)
+    history.note((NEW,), RETENTION + 1)
+    assert not history.may_be_mixed(ENGINES, RETENTION + 1)
+
+
+def test_no_stream_is_shared_if_only_the_version_in_use_is_listed() -> None:
+    history = VersionHistory(0)
+    history.note((NEW,), 0)
+    history.adopt({ENGINES: frozenset(('v1.1',))}, 0)
+    assert not history.may_be_mixed(ENGINES, 0)
+
+
+def test_streams_are_shared_until_an_instance_has_looked_long_enough() -> None:
+    history = VersionHistory(0)
+    for second in range(int(RETENTION)):
+        history.note((NEW,), second)
+        assert history.may_be_mixed(ENGINES, second)
+
+    history.note((NEW,), RETENTION)
+    assert not history.may_be_mixed(ENGINES, RETENTION)
+
+
 async def test_without_the_store_only_a_complete_view_is_trusted(
     store: MemoryStore, clock: Time
 ) -> None:
