--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -24,6 +24,7 @@
     ('crashing', 3),
     ('crashing', 5),
     ('crashing', 207),
+    ('mixed', 43),
     ('unframed', 305),
 ]
 
