Gateway: items ask for a version only where a service has several

An item with output asked for slots of its version though the service had no other. Its ask was then refused, not queued, where the zone's upstreams were suspended.

The case one_version of test_item_waits_only_for_one_of_two_versions_that_serve failed before.

--- a/gentiantrestle/gateway/batch/run_table.py
+++ b/gentiantrestle/gateway/batch/run_table.py
@@ -71,7 +71,8 @@
     def wanted_version(self, item_id: str, service: str) -> str:
         """Return the version at which an item waits to go on.
 
-        Empty if any will do, or if no upstream of it may get new work.
+        Empty if any will do, as where there is no other version, or if no
+        upstream of it may get new work.
         """
         progress = self._progress.get(item_id)
         now = self._context.clock.now()
@@ -80,7 +81,7 @@
             return ''
         usable = self._context.roster.usable_upstreams(service, now)
         versions = {upstream.version for upstream in usable}
-        return build.version if build.version in versions else ''
+        return build.version if {build.version} < versions else ''
 
     def cancel(self, item_id: str) -> None:
         """Cancel a run; its slot counts as free at once."""
--- a/tests/gateway/test_item_versions.py
+++ b/tests/gateway/test_item_versions.py
@@ -62,16 +62,24 @@
     assert [outgoing.message.version for outgoing in sent] == ['v1.1', '']
 
 
-@pytest.mark.parametrize(('draining', 'wanted'), [(True, ''), (False, 'v1.1')])
-async def test_item_waits_for_no_version_whose_upstreams_all_drain(
-    monkeypatch: pytest.MonkeyPatch, draining: bool, wanted: str
+@pytest.mark.parametrize(
+    ('other', 'draining', 'wanted'),
+    [
+        ('v1.2', True, ''),
+        ('v1.2', False, 'v1.1'),
+        ('v1.1', False, ''),
+    ],
+    ids=['all_drain', 'two_versions', 'one_version'],
+)
+async def test_item_waits_only_for_one_of_two_versions_that_serve(
+    monkeypatch: pytest.MonkeyPatch, other: str, draining: bool, wanted: str
 ) -> None:
     build = Build(ENGINES, 'v1.1')
     monkeypatch.setattr(ItemProgress, 'wanted_build', lambda item, now: build)
     roster = Roster(drain_time=10)
     old = make_upstream('u1', version='v1.1')
     roster.put(old)
-    roster.put(make_upstream('u2', version='v1.2'))
+    roster.put(make_upstream('u2', version=other))
     context = SimpleNamespace(
         roster=roster,
         clock=Clock(float, float),
