An upstream that has started again is not suspended any more

Suspensions are kept by the id of an upstream, and an id outlives a start. Failures of the run before, which last up to 20 s once there were several, held for the next.

Coordinator and client forget what they know of an upstream's health when its entry names another start, or is new. test_upstream_that_starts_again_is_not_suspended_any_more failed before: no run within 2 s of its entry.

--- a/gentiantrestle/gateway/assembly.py
+++ b/gentiantrestle/gateway/assembly.py
@@ -70,6 +70,7 @@
     rng = random.Random(fleet.run_name)
     slots = build_slots(fleet, rng)
     clock, state = fleet.clock, fleet.state
+    state.on_start = slots.forget_health
     index = JobIndex()
     batch_context = BatchContext(
         index,
--- a/gentiantrestle/gateway/fleet_state.py
+++ b/gentiantrestle/gateway/fleet_state.py
@@ -6,6 +6,7 @@
 
 from gentiantrestle import events
 from gentiantrestle.gateway.follower import NO_REVISION, StoreHandlers
+from gentiantrestle.gateway.model import Upstream
 from gentiantrestle.gateway.ports import DocumentDecoder, StoredObject
 from gentiantrestle.gateway.roster import Roster
 from gentiantrestle.gateway.routing import Router
@@ -35,6 +36,8 @@
         # Equal on instances whose entries have the same names and revisions.
         self.upstreams_fingerprint = 0
         self.on_change: Callable[[], None] = _nothing
+        # Called with the id of an upstream that is new or has started again.
+        self.on_start: Callable[[str], None] = _ignore
 
     @property
     def config_version(self) -> int:
@@ -131,10 +134,16 @@
         if upstream is None:
             self.roster.remove(stored.name, now)
         else:
+            self._note_start(upstream)
             if upstream.draining:
                 self.roster.note_draining(upstream, now)
             self.roster.put(upstream)
 
+    def _note_start(self, upstream: Upstream) -> None:
+        known = self.roster.find(upstream.id)
+        if known is None or known.incarnation != upstream.incarnation:
+            self.on_start(upstream.id)
+
     def _remove(self, name: str, now: float) -> None:
         self.upstreams.pop(name, None)
         self.roster.remove(name, now)
@@ -162,5 +171,9 @@
     return xxhash.xxh32_intdigest(repr(listed).encode())
 
 
+def _ignore(upstream: str) -> None:
+    """Do nothing."""
+
+
 def _nothing() -> None:
     """Do nothing."""
--- a/gentiantrestle/gateway/slots/coordinator.py
+++ b/gentiantrestle/gateway/slots/coordinator.py
@@ -58,7 +58,7 @@
         self._scope = scope
         self._roster = roster
         self._ledger = Ledger()
-        self._health = HealthTable()
+        self.health = HealthTable()
         self._queues: defaultdict[str, AskQueue] = defaultdict(AskQueue)
         self._hold_times: defaultdict[str, HoldTime] = defaultdict(HoldTime)
         self._notices = YieldNotices(self._ledger)
@@ -227,7 +227,7 @@
     def _record_use(
         self, lease: Lease, outcome: SlotOutcome, now: float
     ) -> None:
-        self._health.record(lease.upstream, outcome, now)
+        self.health.record(lease.upstream, outcome, now)
         if not lease.batch:
             known = self._roster.find(lease.upstream)
             service = known.service if known else ''
@@ -264,7 +264,7 @@
             for upstream in self._roster.usable_upstreams(service, now, version)
             if upstream.zone in zones
         ]
-        usable = tuple(self._health.usable(found, now))
+        usable = tuple(self.health.usable(found, now))
         names = (upstream.id for upstream in usable)
         allowances = self._ledger.rates.allowances(names, now)
         return Pool(usable, self._ledger, allowances)
--- a/gentiantrestle/gateway/slots/health.py
+++ b/gentiantrestle/gateway/slots/health.py
@@ -28,6 +28,10 @@
         else:
             health.record_failure(now, 0)
 
+    def forget(self, upstream: str) -> None:
+        """Drop what is known of an upstream, which has started again."""
+        self._health.pop(upstream, None)
+
     def suspended(self, now: float) -> frozenset[str]:
         """Return the upstreams that must not be used at present."""
         return frozenset(
--- a/gentiantrestle/gateway/slots/service.py
+++ b/gentiantrestle/gateway/slots/service.py
@@ -102,6 +102,11 @@
             self.tick()
             await asyncio.sleep(self._pause)
 
+    def forget_health(self, upstream: str) -> None:
+        """Take an upstream that has started again for healthy."""
+        self.parts.coordinator.health.forget(upstream)
+        self.parts.client.health.forget(upstream)
+
     def tick(self) -> None:
         """Send what is due now."""
         now = self._now()
--- a/tests/gateway/test_process_requests.py
+++ b/tests/gateway/test_process_requests.py
@@ -81,6 +81,23 @@
     assert (await sending).status == 200
 
 
+async def test_upstream_that_starts_again_is_not_suspended_any_more(
+    fleet: GatewayFleet,
+) -> None:
+    await fleet.standins[fleet.upstreams[0]].end()
+    for number in range(60):
+        await fleet.request(0, f'a{number}', body={'events': 1})
+        await asyncio.sleep(0.05)
+    await fleet.start_upstream(0)
+    await fleet.register(0)
+    await until(lambda: _has_run(fleet, 0), 2)
+
+
+async def _has_run(fleet: GatewayFleet, upstream: int) -> bool:
+    await fleet.request(0, 'b', body={'events': 1})
+    return bool(fleet.standins[fleet.upstreams[upstream]].log_lines())
+
+
 async def test_caller_disconnect_during_stream_ends_the_run(
     fleet: GatewayFleet,
 ) -> None:
