Review: streams go on at a server that came back as another version

Cause: the version is checked when a slot is granted; the attempt waits up to 0.4 s and connects without asking again whether the server is still that run. Cases are numbered by gravity. Case 4 splits the batch route instead of removing another one.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""An accepted job that is sent again gets 429 where the quota is nearly used."""
+"""The operator splits a batch route; items of an open job wait without end."""
 
 import asyncio
 import sys
@@ -15,22 +15,18 @@
     is_trouble,
     item,
     play,
+    stream_route,
 )
 
-ITEMS = 10  # of each job
-BURST_JOBS = 6  # 0.342 jobs a second, times 6.0, for 3.0 s
-BURST_TIME = 3.0  # seconds
-TOKENS = 611  # of each item
-MAX_COUNT = 45000  # tokens that may wait; 73 items
-SETTLE = 1.0  # seconds, `settle-ms`
-CONTACT = 4.0  # seconds, `contact-ms`
-LIMIT = 3  # the rule is broken by so many refusals
-WORK = {'events': 261, 'size': 60, 'gap': 0.03}
+ITEMS = 40
+WORK = {'events': 261, 'size': 60, 'gap': 0.012}
 JOB = '7c41e09b52d6a3f8'
+FINISH = 18.0  # seconds, `finish-s`
+CALM = 5.0  # seconds without any disruption before the judgement
 
 
 async def run(note: Record) -> int:
-    fleet = Fleet(note, entries=6)
+    fleet = Fleet(note, entries=3)
     try:
         return await _run(fleet, note)
     finally:
@@ -38,74 +34,49 @@
 
 
 async def _run(fleet: Fleet, note: Record) -> int:
-    await fleet.add_servers(2, slots=4, queue=24)
-    fleet.configure([batch_route(max_count=MAX_COUNT)])
+    await fleet.add_servers(2, slots=8, queue=24)
+    fleet.configure([stream_route(), batch_route()])
     for entry in fleet.entries:
-        entry.seeds = [
-            fleet.control_address(seed) for seed in fleet.entries[:3]
-        ]
+        entry.seeds = [fleet.control_address(seed) for seed in fleet.entries]
         await fleet.start(entry)
     for entry in fleet.entries:
         await fleet.wait_ready(entry)
-    await asyncio.sleep(CONTACT + 1)
-    if is_trouble():
-        await _burst(fleet, note)
-    # Two clients submit one job each, shortly after each other.
-    await _submit(fleet, 0, 'b000e09b52d6a3f8', 1)
-    await asyncio.sleep(0.1)
-    if await _submit(fleet, 1, JOB, ITEMS) != 202:
-        raise CannotRunError('the job was not accepted')
-    accepted_at = time.monotonic()
-    await asyncio.sleep(SETTLE + 0.02)
-    # Other clients send the accepted job again, each at another entry.
-    statuses = await asyncio.gather(
-        *(_submit(fleet, number, JOB, ITEMS) for number in range(2, 6))
-    )
-    refused = sum(status == 429 for status in statuses)
-    note(
-        'end',
-        seconds_after_202=round(time.monotonic() - accepted_at, 3),
-        statuses=statuses,
-        refused=refused,
-    )
-    await _wait_for_run(fleet, note)
-    return BROKEN if refused >= LIMIT else HELD
-
-
-async def _burst(fleet: Fleet, note: Record) -> None:
-    """Submit jobs that nearly use the quota up, and wait till all know it."""
-    note('trouble', jobs=BURST_JOBS)
-    for number in range(BURST_JOBS):
-        job_id = f'a{number:03x}e09b52d6a3f8'
-        if await _submit(fleet, number % 6, job_id, ITEMS) != 202:
-            raise CannotRunError('a job of the burst was not accepted')
-        await asyncio.sleep(BURST_TIME / BURST_JOBS)
     await asyncio.sleep(3)
-
-
-async def _submit(fleet: Fleet, number: int, job_id: str, count: int) -> int:
     items = [
-        item(
-            f'{job_id[:8]}907c{index:04x}',
-            f'/lists/3/{index:x}',
-            WORK,
-            tokens=TOKENS,
-        )
-        for index in range(count)
+        item(f'e5b2907c14da{number:04x}', f'/lists/3/{number:x}', WORK)
+        for number in range(ITEMS)
     ]
-    return await fleet.submit(
-        fleet.entries[number], job_id, f'/lists/{job_id}', items
+    status = await fleet.submit(fleet.entries[0], JOB, '/lists/a/7c41e0', items)
+    if status != 202:
+        raise CannotRunError(f'the job was answered with {status}')
+    await asyncio.sleep(1.5)
+    if is_trouble():
+        note('trouble', split='/lists/ into /lists/a/ and /lists/b/')
+        fleet.configure(
+            [
+                stream_route(),
+                batch_route(name='r-lists-a', path_prefix='/lists/a/'),
+                batch_route(name='r-lists-b', path_prefix='/lists/b/'),
+            ]
+        )
+    until = time.monotonic() + FINISH + CALM
+    listed = []
+    while time.monotonic() < until and len(listed) < ITEMS:
+        listed = await fleet.read_all(fleet.entries[1], JOB)
+        await asyncio.sleep(0.5)
+    names = {known['id'] for known in items}
+    missing = names - {known['id'] for known in listed}
+    had = fleet.had_lately(missing, CALM)
+    working = sum(server.running for server in fleet.servers)
+    note(
+        'end',
+        listed=len(listed),
+        dead_lettered=sum(known['state'] != 'completed' for known in listed),
+        missing=len(missing),
+        missing_that_servers_had_lately=had,
+        servers_at_work=working,
     )
-
-
-async def _wait_for_run(fleet: Fleet, note: Record) -> None:
-    """Note whether the job runs that was answered with 429."""
-    until = time.monotonic() + 80
-    listed = 0
-    while time.monotonic() < until and listed < ITEMS:
-        listed = len(await fleet.read_all(fleet.entries[2], JOB))
-        await asyncio.sleep(2)
-    note('later', results_of_the_job=listed)
+    return BROKEN if missing and not had and not working else HELD
 
 
 if __name__ == '__main__':
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -23,8 +23,9 @@
 MODELS = 'models'
 VALUE_BYTES = 1048576  # as in DEPLOY.md
 HELD = 0
-BROKEN = 1
 NOT_RUN = 2
+# run.sh makes 1 of it: an error of Python itself must not look like a breach.
+BROKEN = 10
 SETTINGS = """
 node-name = "{name}"
 role = "entry"
@@ -168,7 +169,12 @@
         return found
 
     async def add_servers(
-        self, count: int, slots: int, queue: int, service: str = MODELS
+        self,
+        count: int,
+        slots: int,
+        queue: int,
+        service: str = MODELS,
+        version: str = 'v1',
     ) -> None:
         """Start model servers, spread over the zones of the entries."""
         zones = sorted({entry.zone for entry in self.entries})
@@ -181,6 +187,7 @@
                 slots,
                 queue,
                 self.note,
+                version,
             )
             await server.start(self.own_host, self.store)
             self.servers.append(server)
--- a/review/lib/servers.py
+++ b/review/lib/servers.py
@@ -2,7 +2,8 @@
 
 It works on ``slots`` requests at once, queues a few more, and drops a request
 when its channel closes. The body of a request says what is answered:
-``events`` events of ``size`` bytes, ``gap`` seconds apart.
+``events`` events of ``size`` bytes, ``gap`` seconds apart; with ``tag`` each
+event names the software version of the server that made it.
 """
 
 import asyncio
@@ -47,6 +48,7 @@
         slots: int,
         queue: int,
         note: Callable[..., None],
+        version: str = 'v1',
     ) -> None:
         self.name = name
         self._service = service
@@ -58,7 +60,12 @@
         self._waiting = 0
         self._running = 0
         self._address = ''
+        self._version = version
         self._born = int(time.time() * 1000)
+        self._sequence = 0
+        self._listener: asyncio.Server | None = None
+        self._beating: asyncio.Task[None] | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
         # Ids of requests whose answer was complete.
         self.finished: list[str] = []
         self.started: list[str] = []
@@ -70,37 +77,64 @@
         """Count the requests that it works on."""
         return self._running
 
-    async def start(self, host: str, store: Store) -> None:
+    async def start(self, host: str, store: Store, port: int = 0) -> None:
         """Listen, and register in the store from now on."""
-        server = await asyncio.start_server(self._serve, host, 0, limit=2**23)
-        found, port = server.sockets[0].getsockname()[:2]
+        self._listener = await asyncio.start_server(
+            self._serve, host, port, limit=2**23
+        )
+        found, port = self._listener.sockets[0].getsockname()[:2]
         self._address = f'{found}:{port}'
-        asyncio.get_running_loop().create_task(self._beat(store))
+        loop = asyncio.get_running_loop()
+        self._beating = loop.create_task(self._beat(store))
+
+    async def start_again(
+        self, store: Store, down_for: float, version: str
+    ) -> None:
+        """Crash, and start again under the id and address, as another version.
+
+        Its entry in the store says so before the first channel is accepted.
+        """
+        host, _, port = self._address.rpartition(':')
+        self._beating.cancel()
+        self._listener.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+        self._note('crash', server=self.name, version=self._version)
+        await asyncio.sleep(down_for)
+        self._version = version
+        self._born = int(time.time() * 1000)
+        self._sequence = 0
+        self._register(store)
+        await self.start(host, store, int(port))
+        self._note('started', server=self.name, version=version)
 
     async def _beat(self, store: Store) -> None:
-        sequence = 0
         while True:
-            sequence += 1
-            store.write(
-                'servers',
-                self.name,
-                {
-                    'service': self._service,
-                    'address': self._address,
-                    'zone': self._zone,
-                    'version': 'v1',
-                    'slots': self._slots,
-                    'state': 'ready',
-                    'cold-left-ms': 0,
-                    'born': self._born,
-                    'sequence': sequence,
-                },
-            )
+            self._register(store)
             await asyncio.sleep(HEARTBEAT)
 
+    def _register(self, store: Store) -> None:
+        self._sequence += 1
+        store.write(
+            'servers',
+            self.name,
+            {
+                'service': self._service,
+                'address': self._address,
+                'zone': self._zone,
+                'version': self._version,
+                'slots': self._slots,
+                'state': 'ready',
+                'cold-left-ms': 0,
+                'born': self._born,
+                'sequence': self._sequence,
+            },
+        )
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 req = await read_request(reader)
@@ -111,6 +145,7 @@
         except ConnectionError:
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(
@@ -180,7 +215,13 @@
         last = int(req.headers.get('last-event-id', '0'))
         self.started.append(request_id)
         self.had_at[request_id] = float('inf')
-        self._note('run', server=self.name, id=request_id, after=last)
+        self._note(
+            'run',
+            server=self.name,
+            version=self._version,
+            id=request_id,
+            after=last,
+        )
         headers = {
             'X-Attempt-Id': request_id,
             'X-Server-Stamp': f'{self.name}.{request_id}',
@@ -208,6 +249,8 @@
             due += work['gap']
             await asyncio.sleep(max(0, due - loop.time()))
             text = event_text(request_id, number, work['size'])
+            if 'tag' in work:
+                text = f'{self._version} {text}'
             event = f'id: {number}\ndata: {text}\n\n'.encode()
             writer.write(f'{len(event):x}\r\n'.encode() + event + b'\r\n')
             await writer.drain()
