Gateway: results are always read from the store

Cause: ResultReader.is_current took "no instance that I know is lost" for "nobody else writes". The acceptor answered from memory for good, also once the store said `done`, and gave the same to the instances that asked it.

Change: memory is never taken for all that the store holds. What served the shortcut goes: sole_writer, the list of recent losses, notices of takeovers (the field of the message stays empty for instances of the version before). The daemon reads results from the store for each call: not affected.

--- a/gentiantrestle/gateway/batch/api.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -35,7 +35,7 @@
 MAX_PAGE_SIZE = 900000  # characters of output in one response
 # Time between checks for results that another instance may store.
 PEER_POLL_INTERVAL = 0.25  # seconds
-# Time between checks for results that only this instance stores.
+# Time between checks for results that this instance stores.
 LOCAL_POLL_INTERVAL = 0.1  # seconds
 STORE_RETRY_AFTER = 0.5  # seconds, while the store is unavailable
 # Up to this share of a quota only the jobs known here are counted: those not
@@ -207,9 +207,9 @@
             await self._refresh(entry)
             if len(entry.results) > operation.after or loop.time() >= deadline:
                 return
-            current = self._reader.is_current(entry)
+            local = self._reader.runs_here(entry)
             await asyncio.sleep(
-                LOCAL_POLL_INTERVAL if current else PEER_POLL_INTERVAL
+                LOCAL_POLL_INTERVAL if local else PEER_POLL_INTERVAL
             )
 
     async def _refresh(self, entry: JobEntry) -> None:
--- a/gentiantrestle/gateway/batch/job_index.py
+++ b/gentiantrestle/gateway/batch/job_index.py
@@ -21,8 +21,6 @@
         self.chunk_count = 0
         # Whether this process has read all results in the store at least once.
         self.results_loaded = False
-        # Whether no other process can have stored results of the job.
-        self.sole_writer = False
         self._stored_ids: set[str] = set()
         # Items with their bodies; empty while the bodies aren't in memory.
         self._specs: dict[str, ItemSpec] = {}
@@ -133,15 +131,6 @@
         if entry is not None:
             entry.cancel()
 
-    def note_takeover(self, acceptor: str) -> None:
-        """Note that another instance runs the jobs of ``acceptor``.
-
-        ``acceptor`` is the name of one run of an instance.
-        """
-        for entry in self.entries.values():
-            if entry.job.acceptor == acceptor:
-                entry.sole_writer = False
-
     def waiting_tokens(self, host: str, prefix: str) -> int:
         """Sum the tokens of unfinished items on a route."""
         return sum(
--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -113,7 +113,6 @@
             entry = self.apply(StoredObject(job.id, 0, content))
             entry.load_bodies(job.items)
             entry.results_loaded = True
-            entry.sole_writer = True
         else:
             await self._adopt(job)
         return new
--- a/gentiantrestle/gateway/batch/result_reader.py
+++ b/gentiantrestle/gateway/batch/result_reader.py
@@ -1,4 +1,8 @@
-"""Reads job results from memory, the instance that runs a job, or the store."""
+"""Reads job results from the instance that runs a job, or from the store.
+
+Instances that don't know of each other may run the same job. So what is in
+memory is never taken for all that the store holds.
+"""
 
 from collections.abc import Awaitable, Callable
 
@@ -34,23 +38,16 @@
             _fetch_nothing
         )
 
-    def is_current(self, entry: JobEntry) -> bool:
-        """Return whether memory is sure to hold all stored results of a job.
-
-        That is so for jobs that this process accepted, unless another instance
-        may have taken them over without this one knowing.
-        """
-        no_losses = self._peers.no_recent_losses(self._now())
-        return entry.sole_writer and no_losses and not self._runner.stopping
+    def runs_here(self, entry: JobEntry) -> bool:
+        """Return whether this instance runs a job, as far as it knows."""
+        return not self._runner.stopping and self._runner.owns(entry)
 
     async def ensure_current(self, entry: JobEntry) -> bool:
         """Bring a job's results up to date, if this instance runs it.
 
         Returns False if it doesn't, or if the store is unavailable.
         """
-        if self.is_current(entry):
-            return True
-        if self._runner.stopping or not self._runner.owns(entry):
+        if not self.runs_here(entry):
             return False
         try:
             await self._job_store.refresh(entry)
@@ -66,7 +63,7 @@
 
         Raises ``StoreUnavailableError``.
         """
-        if entry.complete or self.is_current(entry):
+        if entry.complete:
             return
         owner = job_owner(entry, self._peers.working_runs(self._now()))
         peer = self._peers.find_run(owner) if owner else None
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -30,8 +30,7 @@
 # Delay before an item that an upstream refused or lost is run again, and
 # before a failed read of the store is repeated.
 RETRY_DELAY = 0.3  # seconds
-# Each datagram lists this many of the last takeovers.
-MAX_ANNOUNCED_TAKEOVERS = 8
+MAX_LOGGED_TAKEOVERS = 64  # runs
 
 
 class Runner:
@@ -54,8 +53,8 @@
         self._catching_up: set[str] = set()
         self._woken = asyncio.Event()
         self._waiting: dict[str, QueuedItem] = {}
-        # Acceptors whose jobs this instance has taken over.
-        self.taken_over: deque[str] = deque(maxlen=MAX_ANNOUNCED_TAKEOVERS)
+        # Acceptors whose jobs this instance took over last; each is logged.
+        self._taken_over: deque[str] = deque(maxlen=MAX_LOGGED_TAKEOVERS)
         self.stopping = False
 
     async def run(self) -> None:
@@ -171,9 +170,9 @@
 
     def _note_takeover(self, entry: JobEntry) -> None:
         acceptor = entry.job.acceptor
-        if acceptor != self._run_name and acceptor not in self.taken_over:
+        if acceptor != self._run_name and acceptor not in self._taken_over:
             events.emit(events.JOBS_TAKEN_OVER, run=acceptor)
-            self.taken_over.append(acceptor)
+            self._taken_over.append(acceptor)
 
     def _catch_up(self, entry: JobEntry) -> None:
         """Read a job's stored results and bodies before running it."""
--- a/gentiantrestle/gateway/membership/messages.py
+++ b/gentiantrestle/gateway/membership/messages.py
@@ -23,10 +23,9 @@
 
 
 class JobNotices(NamedTuple):
-    """Ids of jobs cancelled last, and runs whose jobs were taken over last."""
+    """Ids of jobs cancelled last."""
 
     cancelled_jobs: tuple[str, ...] = ()
-    taken_over_runs: tuple[str, ...] = ()
 
 
 class InstanceStatus(NamedTuple):
@@ -92,7 +91,7 @@
         jobs_revision=peer.jobs_revision,
         upstreams_mark=peer.upstreams_fingerprint,
         ended=list(row.notices.cancelled_jobs),
-        taken=list(row.notices.taken_over_runs),
+        taken=[],
         age=int((now - peer.received_at) * MS_PER_S),
     )
 
@@ -114,7 +113,7 @@
         row.upstreams_mark,
         row.state == ttypes.MemberState.STARTING,
     )
-    return RelayedRow(peer, JobNotices(tuple(row.ended), tuple(row.taken)))
+    return RelayedRow(peer, JobNotices(tuple(row.ended)))
 
 
 def _member_state(peer: Peer) -> int:
--- a/gentiantrestle/gateway/membership/peers.py
+++ b/gentiantrestle/gateway/membership/peers.py
@@ -19,8 +19,6 @@
 # Hosts of lost instances still get heartbeats, so that both sides find each
 # other after a network partition. Seeds are never forgotten.
 FORGET_AFTER = 60.0  # seconds
-# A lost instance may still do work for this long that is not known here.
-RECENT_LOSS_TIME = 60.0  # seconds
 
 
 class Peer(NamedTuple):
@@ -78,7 +76,6 @@
         self._by_name: dict[str, Peer] = {}
         self.seeds = frozenset(seeds) - {host}
         self._hosts: dict[str, KnownHost] = {}
-        self._lost: dict[str, float] = {}
 
     def update(self, peer: Peer) -> bool:
         """Apply a row; return whether this run of the instance is new.
@@ -92,7 +89,6 @@
             return False
         self._by_name[peer.instance] = peer
         self._hosts[peer.host] = KnownHost(peer.zone, peer.received_at)
-        self._lost.pop(peer.instance, None)
         return known is None or known.incarnation != peer.incarnation
 
     def known_hosts(self, zone: str, now: float) -> list[str]:
@@ -120,19 +116,8 @@
         ]
         for peer in silent:
             self._by_name.pop(peer.instance)
-            if not peer.leaving:
-                self._lost[peer.instance] = now
         return silent
 
-    def no_recent_losses(self, now: float) -> bool:
-        """Return whether every instance lost recently is back.
-
-        An instance that announced that it leaves is not lost.
-        """
-        return all(
-            now - lost_at > RECENT_LOSS_TIME for lost_at in self._lost.values()
-        )
-
     def working_runs(self, now: float) -> tuple[str, ...]:
         """Name the runs of live instances that accept new work."""
         return tuple(peer.run for peer in self.alive(now) if not peer.leaving)
--- a/gentiantrestle/gateway/peering.py
+++ b/gentiantrestle/gateway/peering.py
@@ -121,16 +121,11 @@
             revisions.upstreams_revision,
             revisions.jobs_revision,
             revisions.upstreams_fingerprint,
-            JobNotices(
-                tuple(self._cancelled_jobs),
-                tuple(self._parts.runner.taken_over),
-            ),
+            JobNotices(tuple(self._cancelled_jobs)),
             self._parts.evidence.findings(self._clock.wall()),
         )
 
     def _apply_notices(self, notices: JobNotices) -> None:
-        for run in notices.taken_over_runs:
-            self._parts.index.note_takeover(run)
         for job in notices.cancelled_jobs:
             self._parts.index.cancel(job)
 
--- a/tests/gateway/test_batch.py
+++ b/tests/gateway/test_batch.py
@@ -117,20 +117,18 @@
     assert list(store.kinds[RESULT_KIND]) == [chunk_name('job1', 0)]
 
 
-async def test_only_the_run_that_accepted_a_job_is_its_sole_writer() -> None:
+async def test_restarted_instance_reads_results_before_it_knows_them() -> None:
     store = MemoryStore()
     job_store, index = _make_job_store(store)
     await job_store.accept(make_job())
-    assert index.entries['job1'].sole_writer
+    await job_store.store_results(index.entries['job1'], (_result(0),))
     restarted, _ = _make_job_store(store)
     entry = await restarted.find('job1')
     assert entry is not None
     assert not entry.results_loaded
     await restarted.refresh(entry)
     assert entry.results_loaded
-    assert not entry.sole_writer
-    index.note_takeover('one/1')
-    assert not index.entries['job1'].sole_writer
+    assert entry.results == [_result(0)]
 
 
 async def test_cancelled_job_keeps_its_results() -> None:
--- a/tests/gateway/test_relaying.py
+++ b/tests/gateway/test_relaying.py
@@ -53,21 +53,20 @@
     assert peers.working_runs(SILENCE_TIMEOUT + 1) == ()
 
 
-def test_loss_of_instance_counts_as_recent_until_its_return() -> None:
+def test_lost_instance_is_known_again_after_its_return() -> None:
     peers = _make_peers()
     peers.update(_make_peer('1'))
-    peers.remove_silent(SILENCE_TIMEOUT + 1)
-    assert not peers.no_recent_losses(10)
-    peers.update(_make_peer('1', incarnation=2, received_at=11))
-    assert peers.no_recent_losses(11)
+    assert _names(peers.remove_silent(SILENCE_TIMEOUT + 1)) == ['1']
+    assert peers.working_runs(10) == ()
+    assert peers.update(_make_peer('1', incarnation=2, received_at=11))
+    assert peers.working_runs(11) == ('1/2',)
 
 
-def test_instance_that_announced_its_leave_is_not_a_loss() -> None:
+def test_instance_that_announced_its_leave_gets_no_new_work() -> None:
     peers = _make_peers()
     peers.update(_make_peer('1', leaving=True))
     assert peers.working_runs(0) == ()
-    peers.remove_silent(SILENCE_TIMEOUT + 1)
-    assert peers.no_recent_losses(10)
+    assert _names(peers.remove_silent(SILENCE_TIMEOUT + 1)) == ['1']
 
 
 def test_instances_of_other_zones_are_lost_after_longer_silence() -> None:
@@ -103,7 +102,7 @@
 def test_row_keeps_its_age_over_a_relay() -> None:
     row = RelayedRow(
         _make_peer('1', received_at=7.0, starting=True),
-        JobNotices(('job',), ('x/1',)),
+        JobNotices(('job',)),
     )
     # The relay's clock has nothing to do with that of the receiver.
     relayed = unpack_row(pack_row(row, now=7.5), now=100.0)
