Gateway: seeds may change while it runs, and are asked until they are heard

Cause: the settings file was read once, at the start, and SIGHUP was logged and ignored, though the file may change with or without a signal. Seeds were asked only by an instance that hears nobody, so two parts of a fleet that each hear their own instances never asked.

Change: platform/settings_file reads the file each second and at SIGHUP; new seeds apply at once, other changes are logged as waiting for a restart, and an unusable file changes nothing. Seeds that no live instance has are asked each 2 s.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -48,10 +48,18 @@
 CHILD_ABANDONED = _define(
     1006, LEVEL_CRITICAL, 'child {child} exceeded its restart limit'
 )
-RELOAD_IGNORED = _define(
-    1007,
+RELOAD_REQUESTED = _define(
+    1007, LEVEL_INFO, 'received SIGHUP; reading the settings file again'
+)
+SETTINGS_CHANGED = _define(
+    1008,
     LEVEL_INFO,
-    'received SIGHUP; settings are read at start only: restart to apply them',
+    'settings file has changed; seeds: {seeds}; a restart applies: {pending}',
+)
+SETTINGS_UNUSABLE = _define(
+    1009,
+    LEVEL_ERROR,
+    'settings file is unusable, the last settings stay: {error}',
 )
 STORE_UNREACHABLE = _define(
     2001, LEVEL_WARNING, 'store does not answer: {error}'
--- a/gentiantrestle/gateway/membership/peers.py
+++ b/gentiantrestle/gateway/membership/peers.py
@@ -74,9 +74,19 @@
         self._zone = zone
         self._own_host = host
         self._by_name: dict[str, Peer] = {}
-        self.seeds = frozenset(seeds) - {host}
+        self.seeds: frozenset[str] = frozenset()
+        self.replace_seeds(seeds)
         self._hosts: dict[str, KnownHost] = {}
 
+    def replace_seeds(self, seeds: Iterable[str]) -> None:
+        """Replace the hosts at which other instances are looked for."""
+        self.seeds = frozenset(seeds) - {self._own_host}
+
+    def unheard_seeds(self, now: float) -> list[str]:
+        """List the seeds from which no live instance was heard."""
+        heard = {peer.host for peer in self.alive(now)}
+        return sorted(self.seeds - heard)
+
     def update(self, peer: Peer) -> bool:
         """Apply a row; return whether this run of the instance is new.
 
--- a/gentiantrestle/gateway/membership/relaying.py
+++ b/gentiantrestle/gateway/membership/relaying.py
@@ -28,6 +28,8 @@
 REMOTE_RELAY_SILENCE = RELAY_SILENCE + REMOTE_INTERVAL  # seconds
 RELAYS_PER_ZONE = 2
 SEARCH_INTERVAL = 0.5  # seconds between requests for rows
+# Parts of a fleet that don't know of each other find each other by seeds.
+SEED_INTERVAL = 2.0  # seconds between requests to seeds that are not heard
 # Without rows from a relay for this long, rows are asked for elsewhere.
 UNHEARD_AFTER = 1.0  # seconds
 EARLY = 0.03  # seconds
@@ -81,6 +83,7 @@
         self._remote_in = SendTimer(REMOTE_INTERVAL)
         self._remote_out = SendTimer(REMOTE_INTERVAL)
         self._search = SendTimer(SEARCH_INTERVAL)
+        self._seed_search = SendTimer(SEED_INTERVAL)
 
     def receive(self, row: RelayedRow) -> bool:
         """Apply a row; return whether it shows a new run of an instance."""
@@ -118,12 +121,7 @@
         yield from self._heartbeats(own, ranked, now)
         if _is_relay(own.peer, ranked, now):
             yield from self._relay_rows(own, now)
-        unheard = now - self._heard_at > UNHEARD_AFTER
-        if unheard and self._search.is_due('', now):
-            hosts = set(self._peers.known_hosts(own.peer.zone, now))
-            yield Sending(
-                tuple(sorted(hosts | self._peers.seeds)), wants_rows=True
-            )
+        yield from self._searches(own, now)
 
     def all_rows(self, now: float) -> tuple[RelayedRow, ...]:
         """Return the rows of all live instances."""
@@ -153,6 +151,19 @@
         local = self._peers.known_hosts(own.zone, now)
         return tuple({*local, *self._remote_relays(own, now)})
 
+    def _searches(self, own: RelayedRow, now: float) -> Iterator[Sending]:
+        ask_seeds = self._seed_search.is_due(self._peers.seeds, now)
+        if now - self._heard_at > UNHEARD_AFTER:
+            if self._search.is_due('', now):
+                hosts = set(self._peers.known_hosts(own.peer.zone, now))
+                yield Sending(
+                    tuple(sorted(hosts | self._peers.seeds)), wants_rows=True
+                )
+        elif ask_seeds:
+            yield Sending(
+                tuple(self._peers.unheard_seeds(now)), wants_rows=True
+            )
+
     def _heartbeats(
         self, own: RelayedRow, ranked: list[Peer], now: float
     ) -> Iterator[Sending]:
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -9,16 +9,11 @@
 from gentiantrestle.gateway.assembly import build_components
 from gentiantrestle.gateway.batch.api import JobApi
 from gentiantrestle.gateway.batch.context import Clock
-from gentiantrestle.gateway.batch.records import JOB_KIND
 from gentiantrestle.gateway.batch.result_reader import ResultReader
 from gentiantrestle.gateway.fleet_context import FleetContext, InstanceConfig
 from gentiantrestle.gateway.fleet_state import FleetState
-from gentiantrestle.gateway.follower import (
-    Follower,
-    StoreHandlers,
-    WatchGate,
-    WatchSpec,
-)
+from gentiantrestle.gateway.follower import StoreHandlers, WatchGate
+from gentiantrestle.gateway.followers import build_followers
 from gentiantrestle.gateway.forward import Forwarder
 from gentiantrestle.gateway.forwarding_context import ForwardingContext
 from gentiantrestle.gateway.http_server import HttpServer
@@ -31,12 +26,6 @@
 from gentiantrestle.gateway.zone_watcher import WatcherElection
 from gentiantrestle.supervisor import Child, Supervisor
 
-# Pauses after a watch has returned changes, so that one call reads a series
-# of them. Configuration and leaving upstreams must take effect within 2.5 s
-# of the store's answer.
-CONFIG_WATCH_PAUSE = 0.2  # seconds
-UPSTREAM_WATCH_PAUSE = 0.4  # seconds
-JOB_WATCH_PAUSE = 1.5  # seconds
 # The balancer checks readiness once a second and drops an instance after two
 # failed checks.
 BALANCER_DRAIN_TIME = 2.6  # seconds
@@ -73,7 +62,18 @@
             cfg.instance, cfg.topology.zone, self._clock.now()
         )
         self._watch_gate = WatchGate()
-        self._followers = dict(self._build_followers())
+        self._followers = build_followers(
+            adapter,
+            self._state,
+            StoreHandlers(
+                self._apply_jobs,
+                self._apply_jobs,
+                _keep_jobs,
+                lambda: self._batch_context.index.revision,
+            ),
+            self._rng,
+            self._watch_gate,
+        )
         self._peering = self._build_peering()
         self.metrics = self._build_metrics()
         self.server = self._build_server()
@@ -89,6 +89,10 @@
         await self.server.start(address.host, address.port)
         await Supervisor(tuple(self._children()), self._clock.now).run()
 
+    def update_seeds(self, seeds: Iterable[str]) -> None:
+        """Look for other instances at these hosts from now on."""
+        self._peers.replace_seeds(seeds)
+
     async def stop(self) -> int:
         """Drain this instance and return the number of requests cut off.
 
@@ -124,41 +128,6 @@
             yield Child(f'follow {kind}', follower.run)
         yield Child('batch', self._runner.run)
 
-    def _build_followers(self) -> Iterable[tuple[str, Follower]]:
-        kinds = self._adapter.kinds
-        config = self._state.config_handlers()
-        upstreams = self._state.upstream_handlers()
-        jobs = StoreHandlers(
-            self._apply_jobs,
-            self._apply_jobs,
-            _keep_jobs,
-            lambda: self._batch_context.index.revision,
-        )
-        followed = (
-            (
-                WatchSpec(kinds.config, CONFIG_WATCH_PAUSE, read_at_start=True),
-                config,
-            ),
-            (
-                WatchSpec(
-                    kinds.upstreams, UPSTREAM_WATCH_PAUSE, read_at_start=True
-                ),
-                upstreams,
-            ),
-            (WatchSpec(JOB_KIND, JOB_WATCH_PAUSE), jobs),
-        )
-        for spec, handlers in followed:
-            yield (
-                spec.kind,
-                Follower(
-                    self._adapter.store,
-                    spec,
-                    handlers,
-                    self._rng,
-                    self._watch_gate,
-                ),
-            )
-
     def _build_peering(self) -> Peering:
         peers = self._peers
         self._runner.live_runs = lambda: peers.working_runs(self._clock.now())
--- a/gentiantrestle/platform/__main__.py
+++ b/gentiantrestle/platform/__main__.py
@@ -14,9 +14,9 @@
 from gentiantrestle.platform.roles import ROLES
 from gentiantrestle.platform.settings import (
     SETTINGS_VARIABLE,
-    NodeSettings,
     SettingsError,
 )
+from gentiantrestle.platform.settings_file import SettingsFile
 
 USAGE = 'usage: python3 -m gentiantrestle.platform ROLE; roles: '
 
@@ -27,7 +27,9 @@
     define_flags(parsed, OPTIONS)
     try:
         arguments = parsed(sys.argv)[1:]
-        node = NodeSettings.from_file(os.environ.get(SETTINGS_VARIABLE, ''))
+        settings_file = SettingsFile.from_path(
+            os.environ.get(SETTINGS_VARIABLE, '')
+        )
     except (flags.Error, SettingsError) as exc:
         return _report_error(str(exc))
     if len(arguments) != 1 or arguments[0] not in ROLES:
@@ -41,7 +43,7 @@
     events.configure_sink(
         cfg.gateway_log_level, JsonLineSink(sys.stdout.fileno())
     )
-    return uvloop.run(ROLES[arguments[0]](node, cfg))
+    return uvloop.run(ROLES[arguments[0]](settings_file, cfg))
 
 
 def _report_error(reason: str) -> int:
--- a/gentiantrestle/platform/roles.py
+++ b/gentiantrestle/platform/roles.py
@@ -28,7 +28,7 @@
 )
 from gentiantrestle.platform.object_client import ObjectClient
 from gentiantrestle.platform.readiness import ReadinessEndpoint
-from gentiantrestle.platform.settings import NodeSettings
+from gentiantrestle.platform.settings_file import SettingsFile
 from gentiantrestle.supervisor import Child, Supervisor
 
 ENTRY = 'entry'
@@ -36,7 +36,7 @@
 # Requests to empty an instance come seconds apart.
 RETIREMENT_PAUSE = 0.5  # seconds after changes
 RETIREMENT_WAIT = 20.0  # seconds that one watch waits
-Role = Callable[[NodeSettings, Settings], Awaitable[int]]
+Role = Callable[[SettingsFile, Settings], Awaitable[int]]
 ROLES: dict[str, Role] = {}
 
 
@@ -51,8 +51,9 @@
 
 
 @_register_role(ENTRY)
-async def run_entry(node: NodeSettings, cfg: Settings) -> int:
+async def run_entry(settings_file: SettingsFile, cfg: Settings) -> int:
     """Serve callers until a stop signal; return the exit status."""
+    node = settings_file.node
     gateway = Gateway(
         InstanceConfig(
             node.instance,
@@ -71,22 +72,27 @@
             ObjectKinds(CONFIG_KIND, CONFIG_NAME, SERVER_KIND),
         ),
     )
+    settings_file.on_change = lambda changed: gateway.update_seeds(
+        changed.seeds
+    )
     readiness = ReadinessEndpoint(lambda: gateway.ready)
     await start_monitoring_server(readiness.answer, node.readiness_address)
     if cfg.metrics_port:
         address = Address(node.host, cfg.metrics_port)
         await start_monitoring_server(gateway.metrics.answer, address)
     root_task = asyncio.create_task(gateway.run())
-    return await _run_until_stopped(node, root_task, gateway.stop)
+    return await _run_until_stopped(settings_file, root_task, gateway.stop)
 
 
 async def _run_until_stopped(
-    node: NodeSettings,
+    settings_file: SettingsFile,
     root_task: asyncio.Task[None],
     stop: Callable[[], Awaitable[int]],
 ) -> int:
     """Wait for a stop signal, then stop; return the exit status."""
-    stop_signal = _watch_stop_signals()
+    node = settings_file.node
+    stop_signal = _watch_signals(settings_file)
+    reload_task = asyncio.create_task(settings_file.run())
     events.emit(events.STARTED, instance=node.instance, zone=node.zone)
     await asyncio.wait(
         {root_task, stop_signal}, return_when=asyncio.FIRST_COMPLETED
@@ -97,6 +103,7 @@
         )
         return ExitStatus.CHILD_FAILED
     events.emit(events.STOPPING, signal=stop_signal.result())
+    reload_task.cancel()
     cut = await stop()
     root_task.cancel()
     await asyncio.wait({root_task})
@@ -105,8 +112,9 @@
 
 
 @_register_role(STORAGE)
-async def run_storage(node: NodeSettings, cfg: Settings) -> int:
+async def run_storage(settings_file: SettingsFile, cfg: Settings) -> int:
     """Store nothing; report instances as empty when asked to empty them."""
+    node = settings_file.node
     store = ObjectClient(node.store_address)
     retirement = RetirementResponder(
         store, RETIREMENT_KIND, node.instance, dict(RETIRED_STATUS)
@@ -120,29 +128,25 @@
     )
     children = (Child('retirement', follower.run),)
     root_task = asyncio.create_task(Supervisor(children, time.monotonic).run())
-    return await _run_until_stopped(node, root_task, _cut_nothing)
+    return await _run_until_stopped(settings_file, root_task, _cut_nothing)
 
 
 async def _cut_nothing() -> int:
     return 0
 
 
-def _watch_stop_signals() -> asyncio.Future[str]:
+def _watch_signals(settings_file: SettingsFile) -> asyncio.Future[str]:
+    """Return a future of the stop signal; SIGHUP reloads the settings."""
     loop = asyncio.get_running_loop()
     stop_signal: asyncio.Future[str] = loop.create_future()
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(
             signum, _set_stop_signal, stop_signal, signum.name
         )
-    # The settings are read at the start only; a reload request is logged.
-    loop.add_signal_handler(signal.SIGHUP, _log_reload)
+    loop.add_signal_handler(signal.SIGHUP, settings_file.request_reload)
     return stop_signal
 
 
 def _set_stop_signal(stop_signal: asyncio.Future[str], name: str) -> None:
     if not stop_signal.done():
         stop_signal.set_result(name)
-
-
-def _log_reload() -> None:
-    events.emit(events.RELOAD_IGNORED)
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -91,16 +91,18 @@
         for number, _ in enumerate(self.entries):
             await until(lambda entry=number: self.is_ready(entry))
 
-    async def start_entry(self, number: int) -> None:
-        """Start one entry."""
+    async def start_entry(
+        self, number: int, seeds: tuple[str, ...] | None = None
+    ) -> None:
+        """Start one entry; ``seeds`` are the first hosts if not given."""
         path = self.folder / f'entry{number}.toml'
-        seeds = ', '.join(f'"{host}:1"' for host in self.hosts[:3])
+        listed = self.hosts[:3] if seeds is None else seeds
         path.write_text(
             SETTINGS.format(
                 name=f'entry-{number}',
                 host=self.hosts[number],
                 peer=self.peer,
-                seeds=seeds,
+                seeds=', '.join(f'"{host}:1"' for host in listed),
                 front=self.front,
                 ready=self.ready,
                 store=self.store_address(number),
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -251,6 +251,26 @@
     assert run_virtual(run()) == 5
 
 
+@pytest.mark.parametrize('size', [1, 5])
+def test_two_parts_of_a_fleet_find_each_other_by_the_seeds_of_one(
+    size: int,
+) -> None:
+    """Each part hears its own instances, so that none searches."""
+
+    async def run() -> tuple[int, int]:
+        fleet = _Fleet(7)
+        seeds = [identity.host for identity, _, _ in fleet.members[:3]]
+        for number in range(size):
+            fleet.add(number + 7, f'10.9.0.{number}', ['10.9.0.0'])
+        await asyncio.sleep(SETTLED)
+        before = fleet.fewest_known()
+        fleet.members[-1][1].replace_seeds(seeds)
+        await asyncio.sleep(SETTLED)
+        return before, await fleet.watch(2 * REMOTE_SILENCE_TIMEOUT)
+
+    assert run_virtual(run()) == (size - 1, size + 6)
+
+
 def _as_peer(identity: Identity) -> Peer:
     return Peer(
         identity.instance,
--- a/tests/gateway/test_relaying.py
+++ b/tests/gateway/test_relaying.py
@@ -21,6 +21,7 @@
     HEARTBEAT_INTERVAL,
     RELAY_SILENCE,
     RELAYS_PER_ZONE,
+    SEED_INTERVAL,
     UNHEARD_AFTER,
     Relaying,
     SendTimer,
@@ -228,3 +229,35 @@
     alone = relaying.plan(own, UNHEARD_AFTER + 0.1)
     wanted = [sending for sending in alone if sending.wants_rows]
     assert wanted[0].hosts == ('10.0.0.1', '10.0.0.seed')
+
+
+def _asked_seeds(relaying: Relaying, now: float) -> set[str]:
+    """Return whom an instance that hears others asks for rows."""
+    relaying.note_heard(now)
+    own = RelayedRow(_make_peer('me'))
+    return {
+        host
+        for sending in relaying.plan(own, now)
+        if sending.wants_rows
+        for host in sending.hosts
+    }
+
+
+def test_seeds_that_are_not_heard_are_asked_again_and_again() -> None:
+    peers = PeerList('me', '10.0.0.me', ZONE, ('10.0.0.1', '10.0.0.seed'))
+    relaying = Relaying(peers)
+    _asked_seeds(relaying, 0)
+    for number in range(1, 4):
+        now = number * SEED_INTERVAL
+        row = _make_peer('1', received_at=now, sequence=number)
+        relaying.receive(RelayedRow(row))
+        assert _asked_seeds(relaying, now) == {'10.0.0.seed'}
+        assert not _asked_seeds(relaying, now + SEED_INTERVAL / 2)
+
+
+def test_new_seeds_are_asked_at_once() -> None:
+    peers = _make_peers()
+    relaying = Relaying(peers)
+    _asked_seeds(relaying, 0)
+    peers.replace_seeds(('10.0.0.new', '10.0.0.me'))
+    assert _asked_seeds(relaying, CHANGE_INTERVAL) == {'10.0.0.new'}
