Gateway: results are written in objects that the store takes

Cause: all results that waited were written as one object, of any size, and a refusal that comes again for the same content (413) was repeated like one of the moment.

Change: value-bytes is read from the settings; the adapter's client sends nothing larger and raises ObjectTooLargeError or StoreRejectedError for what will be refused again. Results are grouped by size (batch/result_chunks) and written chunk by chunk (batch/result_store, out of job_store); chunks get smaller where the store takes less than it says, and a result too large by itself fails its own item only (6009). Related: saved streams are bounded, a job refused for its size gets 413, and the stand-in store refuses what is too large. The daemon bounds its result parts already.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -110,6 +110,11 @@
 RESULTS_UNSAVED = _define(
     6008, LEVEL_WARNING, '{count} results of {chunk} not saved yet; retrying'
 )
+RESULT_TOO_LARGE = _define(
+    6009,
+    LEVEL_ERROR,
+    'result of item {item} takes {size} bytes, more than the store; it fails',
+)
 
 
 STORE_UNEXPECTED_STATUS = _define(
--- a/gentiantrestle/gateway/batch/api.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -25,6 +25,7 @@
     ReadResults,
 )
 from gentiantrestle.store.client import (
+    ObjectTooLargeError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
@@ -110,17 +111,7 @@
         if size > MAX_JOB_SIZE:
             raise refuse(TOO_LARGE, f'The job takes {size} bytes')
         await self._check_quota(job, route)
-        try:
-            new = await self._job_store.accept(job)
-        except StoreUnavailableError as exc:
-            raise refuse(
-                STORE_UNAVAILABLE, str(exc), STORE_RETRY_AFTER
-            ) from exc
-        except StoreOutcomeUnknownError as exc:
-            raise refuse(
-                UPSTREAM_OUTCOME_UNKNOWN,
-                f'The store did not confirm the job: {exc}',
-            ) from exc
+        new = await self._accept(job)
         events.emit(
             events.JOB_ACCEPTED, job=job.id, items=len(job.items), new=new
         )
@@ -172,6 +163,22 @@
         self._runner.wake()
         return Response(OK, JSON_HEADERS, b'{}')
 
+    async def _accept(self, job: Job) -> bool:
+        """Store a job; return False if it was accepted before."""
+        try:
+            return await self._job_store.accept(job)
+        except ObjectTooLargeError as exc:
+            raise refuse(TOO_LARGE, str(exc)) from exc
+        except StoreUnavailableError as exc:
+            raise refuse(
+                STORE_UNAVAILABLE, str(exc), STORE_RETRY_AFTER
+            ) from exc
+        except StoreOutcomeUnknownError as exc:
+            raise refuse(
+                UPSTREAM_OUTCOME_UNKNOWN,
+                f'The store did not confirm the job: {exc}',
+            ) from exc
+
     async def _find(self, job_id: str) -> JobEntry:
         try:
             entry = await self._job_store.find(job_id)
--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -1,9 +1,7 @@
 """Reads and writes batch jobs and their results in the store."""
 
-import asyncio
 import random
 from collections.abc import Callable, Iterable
-from typing import Any, TypeVar
 
 from gentiantrestle import events
 from gentiantrestle.gateway.batch.job_index import JobEntry, JobIndex
@@ -13,17 +11,16 @@
     DECODE_ERRORS,
     DONE,
     JOB_KIND,
-    RESULT_KIND,
     bodies_to_content,
-    chunk_name,
     job_from_stored,
     job_to_content,
-    results_from_content,
-    results_to_content,
     state_of,
     with_bodies,
 )
-from gentiantrestle.gateway.follower import Backoff
+from gentiantrestle.gateway.batch.result_store import (
+    ResultStore,
+    decode_part,
+)
 from gentiantrestle.gateway.model import ItemResult, Job
 from gentiantrestle.gateway.ports import ObjectStore, StoredObject
 from gentiantrestle.store.client import (
@@ -31,19 +28,6 @@
     StoreUnavailableError,
 )
 
-# Results that a client has read at any instance must be readable at all
-# others within a second.
-REFRESH_INTERVAL = 0.5  # seconds
-Decoded = TypeVar('Decoded')
-
-
-class _Refresh:
-    """When a job's results were last read, and the lock to read them."""
-
-    def __init__(self) -> None:
-        self.lock = asyncio.Lock()
-        self.started = float('-inf')
-
 
 class JobStore:
     """Jobs and their results in the store, mirrored in a ``JobIndex``.
@@ -65,14 +49,11 @@
         ``RetryingStore`` does. ``result_store`` need not: ``store_results``
         retries until it succeeds.
         """
-        self._result_store = result_store or store
-        self._now = now
-        self._refreshes: dict[str, _Refresh] = {}
+        self._results = ResultStore(result_store or store, store, rng, now)
         # Revisions of the objects that were logged as unreadable.
         self._unreadable: dict[str, int] = {}
         self._store = store
         self.index = index
-        self._rng = rng
 
     def apply(self, stored: StoredObject) -> JobEntry | None:
         """Update the index with a job's object.
@@ -133,7 +114,7 @@
             )
             return
         entry.load_bodies(
-            _decode(stored, lambda content: with_bodies(entry.job, content))
+            decode_part(stored, lambda content: with_bodies(entry.job, content))
         )
 
     async def relist(self) -> None:
@@ -180,46 +161,14 @@
             events.emit(events.STORE_CALL_FAILED, name=job_id, error=repr(exc))
 
     async def refresh(self, entry: JobEntry) -> None:
-        """Read the chunks of a job's results that aren't known here.
-
-        Calls that overlap, or follow within ``REFRESH_INTERVAL``, share one
-        read. Raises ``StoreUnavailableError``.
-        """
-        last = self._refreshes.setdefault(entry.job.id, _Refresh())
-        async with last.lock:
-            if entry.complete or self._now() - last.started < REFRESH_INTERVAL:
-                return
-            started = self._now()
-            await self._read_chunks(entry)
-            last.started = started
+        """Read what the store has of a job's results, as ``ResultStore``."""
+        await self._results.refresh(entry)
 
     async def store_results(
-        self,
-        entry: JobEntry,
-        results: tuple[ItemResult, ...],
+        self, entry: JobEntry, results: tuple[ItemResult, ...]
     ) -> None:
-        """Append results to those in the store, retrying until it succeeds.
-
-        If another instance has written the next chunk first, that chunk is
-        kept and results of the same items are dropped.
-        """
-        backoff = Backoff(self._rng)
-        while True:
-            new = tuple(
-                result for result in results if not entry.has_result(result.id)
-            )
-            if not new:
-                return
-            try:
-                await self._write_chunk(entry, new)
-            except (StoreUnavailableError, StoreOutcomeUnknownError) as exc:
-                events.emit(
-                    events.RESULTS_UNSAVED, count=len(new), chunk=entry.job.id
-                )
-                events.emit(
-                    events.STORE_CALL_FAILED, name=entry.job.id, error=repr(exc)
-                )
-                await asyncio.sleep(backoff.next_pause())
+        """Append results to those in the store, as ``ResultStore``."""
+        await self._results.append(entry, results)
 
     def _log_unreadable(self, stored: StoredObject, exc: Exception) -> None:
         if self._unreadable.get(stored.name) != stored.revision:
@@ -241,32 +190,6 @@
         if entry is not None and entry.job.acceptor == job.acceptor:
             entry.load_bodies(job.items)
 
-    async def _read_chunks(self, entry: JobEntry) -> None:
-        while not entry.complete:
-            name = chunk_name(entry.job.id, entry.chunk_count)
-            stored = await self._store.get(RESULT_KIND, name)
-            # A write by this instance may have added the chunk meanwhile.
-            if name != chunk_name(entry.job.id, entry.chunk_count):
-                continue
-            if stored is None:
-                break
-            entry.add_chunk(_decode(stored, results_from_content))
-        entry.results_loaded = True
-
-    async def _write_chunk(
-        self,
-        entry: JobEntry,
-        results: tuple[ItemResult, ...],
-    ) -> None:
-        number = entry.chunk_count
-        content = results_to_content(results)
-        name = chunk_name(entry.job.id, number)
-        if await self._result_store.create(RESULT_KIND, name, content):
-            if entry.chunk_count == number:
-                entry.add_chunk(results)
-            return
-        await self._read_chunks(entry)
-
     async def _set_state(self, job_id: str, state: str) -> bool:
         """Write a job's state; retry while the job changes concurrently.
 
@@ -286,12 +209,3 @@
         """Update the index; return whether the state is final or unreadable."""
         entry = self.apply(stored)
         return entry is None or entry.job.done or state_of(stored) == CANCELLED
-
-
-def _decode(stored: StoredObject, decode: Callable[[Any], Decoded]) -> Decoded:
-    """Decode a part of a job; raise ``StoreUnavailableError`` if unreadable."""
-    try:
-        return decode(stored.require_content())
-    except DECODE_ERRORS as exc:
-        events.emit(events.ENTRY_UNREADABLE, name=stored.name, error=repr(exc))
-        raise StoreUnavailableError(f'{stored.name} is unreadable') from exc
--- /dev/null
+++ b/gentiantrestle/gateway/batch/result_store.py
@@ -0,0 +1,194 @@
+"""Reads and writes the results of batch jobs in the store, in chunks."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from gentiantrestle import events
+from gentiantrestle.gateway.batch.job_index import JobEntry
+from gentiantrestle.gateway.batch.records import (
+    DECODE_ERRORS,
+    RESULT_KIND,
+    chunk_name,
+    results_from_content,
+    results_to_content,
+)
+from gentiantrestle.gateway.batch.result_chunks import (
+    first_chunk,
+    result_size,
+    without_output,
+)
+from gentiantrestle.gateway.follower import Backoff
+from gentiantrestle.gateway.model import ItemResult
+from gentiantrestle.gateway.ports import ObjectStore, StoredObject
+from gentiantrestle.store.client import (
+    ObjectTooLargeError,
+    StoreOutcomeUnknownError,
+    StoreRejectedError,
+    StoreUnavailableError,
+)
+
+# Results that a client has read at any instance must be readable at all
+# others within a second.
+REFRESH_INTERVAL = 0.5  # seconds
+Decoded = TypeVar('Decoded')
+
+
+class _Refresh:
+    """When a job's results were last read, and the lock to read them."""
+
+    def __init__(self) -> None:
+        self.lock = asyncio.Lock()
+        self.started = float('-inf')
+
+
+class _Unwritten:
+    """Results of a job that have to be written, and how many fit together."""
+
+    def __init__(
+        self,
+        entry: JobEntry,
+        results: tuple[ItemResult, ...],
+        max_size: int,
+    ) -> None:
+        self._entry = entry
+        self._results = results
+        self._max_size = max_size
+
+    @property
+    def results(self) -> tuple[ItemResult, ...]:
+        """Those that the store doesn't hold."""
+        return tuple(
+            result
+            for result in self._results
+            if not self._entry.has_result(result.id)
+        )
+
+    def next_chunk(self) -> tuple[ItemResult, ...]:
+        return first_chunk(self.results, self._max_size)
+
+    def adapt(self, exc: Exception) -> bool:
+        """Return whether the next chunk is another one than was refused."""
+        if not isinstance(exc, StoreRejectedError):
+            return False
+        chunk = self.next_chunk()
+        if len(chunk) > 1:
+            self._max_size = sum(map(result_size, chunk)) // 2
+            return True
+        if isinstance(exc, ObjectTooLargeError) and chunk[0].completed:
+            self._fail(chunk[0])
+            return True
+        return False
+
+    def log(self, exc: Exception) -> None:
+        job_id = self._entry.job.id
+        events.emit(
+            events.RESULTS_UNSAVED, count=len(self.results), chunk=job_id
+        )
+        events.emit(events.STORE_CALL_FAILED, name=job_id, error=repr(exc))
+
+    def _fail(self, large: ItemResult) -> None:
+        events.emit(
+            events.RESULT_TOO_LARGE, item=large.id, size=result_size(large)
+        )
+        self._results = tuple(
+            without_output(result) if result == large else result
+            for result in self._results
+        )
+
+
+class ResultStore:
+    """The results of jobs in the store, mirrored in the jobs' entries.
+
+    An entry is updated only with what the store is known to hold.
+    """
+
+    def __init__(
+        self,
+        write_store: ObjectStore,
+        read_store: ObjectStore,
+        rng: random.Random,
+        now: Callable[[], float],
+    ) -> None:
+        """Write to ``write_store``, which need not repeat a lost write."""
+        self._write_store = write_store
+        self._read_store = read_store
+        self._rng = rng
+        self._now = now
+        self._refreshes: dict[str, _Refresh] = {}
+
+    async def refresh(self, entry: JobEntry) -> None:
+        """Read the chunks of a job's results that aren't known here.
+
+        Calls that overlap, or follow within ``REFRESH_INTERVAL``, share one
+        read. Raises ``StoreUnavailableError``.
+        """
+        last = self._refreshes.setdefault(entry.job.id, _Refresh())
+        async with last.lock:
+            if entry.complete or self._now() - last.started < REFRESH_INTERVAL:
+                return
+            started = self._now()
+            await self._read_chunks(entry)
+            last.started = started
+
+    async def append(
+        self,
+        entry: JobEntry,
+        results: tuple[ItemResult, ...],
+    ) -> None:
+        """Append results to those in the store, retrying until it succeeds.
+
+        They are written in as few chunks as the store takes. One that is too
+        large by itself is stored as failed. If another instance has written
+        the next chunk first, that chunk is kept and results of the same items
+        are dropped.
+        """
+        backoff = Backoff(self._rng)
+        unwritten = _Unwritten(
+            entry, results, self._write_store.max_content_size
+        )
+        while unwritten.results:
+            try:
+                await self._write_chunk(entry, unwritten.next_chunk())
+            except (StoreUnavailableError, StoreOutcomeUnknownError) as exc:
+                unwritten.log(exc)
+                if not unwritten.adapt(exc):
+                    await asyncio.sleep(backoff.next_pause())
+
+    async def _read_chunks(self, entry: JobEntry) -> None:
+        while not entry.complete:
+            name = chunk_name(entry.job.id, entry.chunk_count)
+            stored = await self._read_store.get(RESULT_KIND, name)
+            # A write by this instance may have added the chunk meanwhile.
+            if name != chunk_name(entry.job.id, entry.chunk_count):
+                continue
+            if stored is None:
+                break
+            entry.add_chunk(decode_part(stored, results_from_content))
+        entry.results_loaded = True
+
+    async def _write_chunk(
+        self,
+        entry: JobEntry,
+        results: tuple[ItemResult, ...],
+    ) -> None:
+        number = entry.chunk_count
+        content = results_to_content(results)
+        name = chunk_name(entry.job.id, number)
+        if await self._write_store.create(RESULT_KIND, name, content):
+            if entry.chunk_count == number:
+                entry.add_chunk(results)
+            return
+        await self._read_chunks(entry)
+
+
+def decode_part(
+    stored: StoredObject, decode: Callable[[Any], Decoded]
+) -> Decoded:
+    """Decode a part of a job; raise ``StoreUnavailableError`` if unreadable."""
+    try:
+        return decode(stored.require_content())
+    except DECODE_ERRORS as exc:
+        events.emit(events.ENTRY_UNREADABLE, name=stored.name, error=repr(exc))
+        raise StoreUnavailableError(f'{stored.name} is unreadable') from exc
--- a/gentiantrestle/gateway/ports.py
+++ b/gentiantrestle/gateway/ports.py
@@ -55,9 +55,16 @@
     """The platform's object store; each write changes one object.
 
     All calls raise ``StoreUnavailableError`` if nothing was done; writes
-    raise ``StoreOutcomeUnknownError`` if the change may still take effect.
+    raise ``StoreOutcomeUnknownError`` if the change may still take effect,
+    ``StoreRejectedError`` if the same content will never be taken, and
+    ``ObjectTooLargeError`` if that is for its size.
+
+    ``max_content_size`` is what a content may take in bytes, with all
+    characters that are not ASCII escaped.
     """
 
+    max_content_size: int
+
     async def list_page(
         self, kind: str, after: str, *, stale: bool = False
     ) -> Page:
--- a/gentiantrestle/gateway/retrying_store.py
+++ b/gentiantrestle/gateway/retrying_store.py
@@ -46,6 +46,7 @@
         """Call ``store``; reads are passed on as they are."""
         self._store = store
         self._now = now
+        self.max_content_size = store.max_content_size
 
     async def list_page(
         self, kind: str, after: str, *, stale: bool = False
--- a/gentiantrestle/gateway/streams/records.py
+++ b/gentiantrestle/gateway/streams/records.py
@@ -1,5 +1,6 @@
 """Formats of what instances store about streams; no I/O."""
 
+import json
 from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple
 
@@ -14,6 +15,8 @@
 ZONE_PREFIX = 'zone-'
 VERSIONS = 'versions'
 STREAMS = 'streams'
+SEPARATOR_SIZE = 2  # bytes between two streams
+WRAPPER_SIZE = 64  # bytes around all of them
 DECODE_ERRORS = (LookupError, TypeError, ValueError, AttributeError)
 
 
@@ -49,6 +52,22 @@
     return {STREAMS: grouped}
 
 
+def newest_origins(
+    origins: Iterable[StreamOrigin], max_size: int
+) -> Iterator[StreamOrigin]:
+    """Yield the last of ``origins`` that fit into ``max_size`` bytes.
+
+    The newest go first. A version that a few streams share is counted for each
+    of them, so there may be some room left.
+    """
+    left = max_size - WRAPPER_SIZE
+    for origin in reversed(tuple(origins)):
+        left -= len(json.dumps(origin)) + SEPARATOR_SIZE
+        if left < 0:
+            return
+        yield origin
+
+
 def origins_from_content(content: Any) -> Iterator[StreamOrigin]:
     """Decode streams; raise one of ``DECODE_ERRORS``."""
     for service, versions in content[STREAMS].items():
--- a/gentiantrestle/gateway/streams/saving.py
+++ b/gentiantrestle/gateway/streams/saving.py
@@ -16,6 +16,7 @@
     STREAM_KIND,
     VERSIONS_NAME,
     ZONE_PREFIX,
+    newest_origins,
     origins_from_content,
     origins_to_content,
     versions_from_content,
@@ -111,7 +112,10 @@
         if stored is None:
             stored = await self._load(self._zone_name, origins_to_content(()))
             self._merge(stored, now)
-        content = origins_to_content(self._log.recent(now))
+        newest = newest_origins(
+            self._log.recent(now), self._store.max_content_size
+        )
+        content = origins_to_content(newest)
         if await self._replace(stored, content):
             self._saved_changes = changes
 
--- a/gentiantrestle/platform/object_client.py
+++ b/gentiantrestle/platform/object_client.py
@@ -20,8 +20,11 @@
     ObjectDecoder,
     StoreAnswerError,
 )
+from gentiantrestle.platform.settings import DEFAULT_OBJECT_SIZE
 from gentiantrestle.store.client import (
+    ObjectTooLargeError,
     StoreOutcomeUnknownError,
+    StoreRejectedError,
     StoreUnavailableError,
 )
 
@@ -37,6 +40,11 @@
 CONFLICT = 409
 GONE = 410
 REJECTED_STATUSES = frozenset((429, 503))  # the store did nothing
+TOO_LARGE = 413
+# The same write will be refused again.
+UNACCEPTABLE_STATUSES = frozenset((400, 422))
+# Of an object: what the store adds to the content.
+METADATA_RESERVE = 8192  # bytes
 Answer = TypeVar('Answer')
 FINAL_STATUSES = frozenset((OK, CREATED, 204, NOT_FOUND, CONFLICT, GONE))
 
@@ -45,11 +53,19 @@
     """Client of the object store; a watch occupies one connection.
 
     Raises ``StoreUnavailableError`` if nothing was changed, and
-    ``StoreOutcomeUnknownError`` if a write may still take effect.
+    ``StoreOutcomeUnknownError`` if a write may still take effect. Nothing
+    larger than the store takes is sent.
     """
 
-    def __init__(self, address: Address) -> None:
-        """Prepare for calls; connections are opened on demand."""
+    def __init__(
+        self, address: Address, max_object_size: int = DEFAULT_OBJECT_SIZE
+    ) -> None:
+        """Prepare for calls; connections are opened on demand.
+
+        ``max_object_size`` is what the store takes as one object, in bytes.
+        """
+        self._max_object_size = max_object_size
+        self.max_content_size = max_object_size - METADATA_RESERVE
         self._pool = ConnectionPool(address, POOL_SIZE, CALL_TIMEOUT)
         self._decoder = ObjectDecoder()
         self.calls = 0
@@ -143,7 +159,7 @@
     ) -> tuple[int, bytes]:
         self.calls += 1
         target = f'{path}?{urlencode(query)}' if query else path
-        req = _build_request(method, target, body)
+        req = self._build_request(method, target, body)
         try:
             async with asyncio.timeout(timeout):
                 response, received = await self._pool.fetch(
@@ -162,7 +178,19 @@
                 call=f'{method} {path}',
                 answer=received[:MAX_LOGGED].decode(errors='replace'),
             )
-        raise StoreUnavailableError(f'status {response.status}')
+        raise _status_error(response.status)
+
+    def _build_request(
+        self, method: str, target: str, body: Any
+    ) -> ClientRequest:
+        if body is None:
+            return ClientRequest(method, target)
+        encoded = msgspec.json.encode(body)
+        if len(encoded) > self._max_object_size:
+            raise ObjectTooLargeError(f'{target}: {len(encoded)} bytes')
+        return ClientRequest(
+            method, target, (('Content-Type', 'application/json'),), encoded
+        )
 
 
 def _lost_call_error(method: str, exc: Exception) -> Exception:
@@ -171,22 +199,21 @@
     return StoreOutcomeUnknownError(repr(exc))
 
 
+def _status_error(status: int) -> StoreUnavailableError:
+    """Return the error of a status at which the store has done nothing."""
+    reason = f'status {status}'
+    if status == TOO_LARGE:
+        return ObjectTooLargeError(reason)
+    if status in UNACCEPTABLE_STATUSES:
+        return StoreRejectedError(reason)
+    return StoreUnavailableError(reason)
+
+
 def _path(kind: str, name: str = '') -> str:
     path = f'{ROOT}/{quote(kind)}'
     return f'{path}/{quote(name)}' if name else path
 
 
-def _build_request(method: str, target: str, body: Any) -> ClientRequest:
-    if body is None:
-        return ClientRequest(method, target)
-    return ClientRequest(
-        method,
-        target,
-        (('Content-Type', 'application/json'),),
-        msgspec.json.encode(body),
-    )
-
-
 def _decode_answer(
     name: str, decode: Callable[[bytes], Answer], body: bytes
 ) -> Answer:
--- a/gentiantrestle/platform/roles.py
+++ b/gentiantrestle/platform/roles.py
@@ -66,7 +66,7 @@
             node.drain_time,
         ),
         Adapter(
-            ObjectClient(node.store_address),
+            ObjectClient(node.store_address, node.max_object_size),
             StoreDocumentDecoder(),
             PlatformDialect(),
             ObjectKinds(CONFIG_KIND, CONFIG_NAME, SERVER_KIND),
@@ -115,7 +115,7 @@
 async def run_storage(settings_file: SettingsFile, cfg: Settings) -> int:
     """Store nothing; report instances as empty when asked to empty them."""
     node = settings_file.node
-    store = ObjectClient(node.store_address)
+    store = ObjectClient(node.store_address, node.max_object_size)
     retirement = RetirementResponder(
         store, RETIREMENT_KIND, node.instance, dict(RETIRED_STATUS)
     )
--- a/gentiantrestle/platform/settings.py
+++ b/gentiantrestle/platform/settings.py
@@ -10,6 +10,7 @@
 SETTINGS_VARIABLE = 'GENTIANTRESTLE_SETTINGS'
 REMEDY = 'Have the platform write the settings file again'
 MS = 0.001  # seconds
+DEFAULT_OBJECT_SIZE = 1048576  # bytes
 
 
 class SettingsError(Exception):
@@ -20,6 +21,7 @@
     """Settings of one process from the platform; times are in s.
 
     ``drain_time`` is how long a leaving server serves, 0 if it isn't set.
+    ``max_object_size`` is what the store takes as one object, in bytes.
     """
 
     instance: str
@@ -31,6 +33,7 @@
     peer_port: int
     seeds: tuple[str, ...]
     store_address: Address
+    max_object_size: int
     grace: float
     drain_time: float
     retires_storage: bool
@@ -69,6 +72,9 @@
                 Address.parse(seed).host for seed in config.get('seeds', ())
             ),
             store_address=Address.parse(config['platform']['address']),
+            max_object_size=int(
+                config['platform'].get('value-bytes', DEFAULT_OBJECT_SIZE)
+            ),
             grace=float(config['bounds']['grace-s']),
             drain_time=float(config['bounds'].get('drain-ms', 0)) * MS,
             retires_storage='edge' in config['serves'],
--- a/gentiantrestle/store/client.py
+++ b/gentiantrestle/store/client.py
@@ -44,6 +44,14 @@
     """The store did not answer; nothing was changed."""
 
 
+class StoreRejectedError(StoreUnavailableError):
+    """The store refuses what is written, whenever it is; nothing changed."""
+
+
+class ObjectTooLargeError(StoreRejectedError):
+    """The object is larger than the store takes; nothing changed."""
+
+
 class StoreOutcomeUnknownError(Exception):
     """The store did not answer; the write may still take effect."""
 
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -13,6 +13,7 @@
 ROOT = '/gentiantrestle/objects/'
 RAW_ROOT = '/raw/'
 MAX_BODY = 2097152  # bytes
+MAX_OBJECT_SIZE = 1048576  # bytes
 STATUS = 'status'
 GONE = HTTPStatus.GONE
 CONFLICT = HTTPStatus.CONFLICT
@@ -90,6 +91,8 @@
         if req.method == 'DELETE':
             return await self._delete((kind, name))
         document = await req.read_json(MAX_BODY)
+        if len(msgspec.json.encode(document)) > MAX_OBJECT_SIZE:
+            return json_response({}, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         if req.method == 'POST':
             return await self._create(kind, document)
         is_status = subresource == STATUS
--- a/tests/gateway/memory.py
+++ b/tests/gateway/memory.py
@@ -3,8 +3,11 @@
 import asyncio
 from typing import Any
 
+import msgspec
+
 from gentiantrestle.gateway.ports import HistoryGoneError, Page, StoredObject
 from gentiantrestle.store.client import (
+    ObjectTooLargeError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
@@ -13,8 +16,14 @@
 class MemoryStore:
     """Objects by kind and name under one revision counter."""
 
-    def __init__(self) -> None:
-        """Start empty and without faults."""
+    def __init__(self, max_content_size: int = 1000000) -> None:
+        """Start empty and without faults.
+
+        ``max_content_size`` is in bytes of compact JSON. ``real_size_limit``
+        is what it refuses, and may be less.
+        """
+        self.max_content_size = max_content_size
+        self.real_size_limit = max_content_size
         self.revision = 1
         self.kinds: dict[str, dict[str, StoredObject]] = {}
         self.down = False
@@ -50,6 +59,7 @@
     async def create(self, kind: str, name: str, content: Any) -> bool:
         """Create an object; return False if it exists."""
         self._start_call('create')
+        self._check_size(content)
         if name in self.kinds.setdefault(kind, {}):
             return False
         self.write(kind, StoredObject(name, 0, content))
@@ -73,6 +83,7 @@
     ) -> StoredObject | None:
         """Replace a content; return None if the revision has changed."""
         self._start_call('replace')
+        self._check_size(content)
         known = self.kinds.get(kind, {}).get(stored.name)
         if known is None or known.revision != stored.revision:
             return None
@@ -113,6 +124,11 @@
         if self.down:
             raise StoreUnavailableError('down')
 
+    def _check_size(self, content: Any) -> None:
+        size = len(msgspec.json.encode(content))
+        if size > self.real_size_limit:
+            raise ObjectTooLargeError(f'{size} bytes')
+
     def _finish_call(self) -> None:
         if self.lose_responses:
             self.lose_responses -= 1
