Gateway: items of one service keep no others from asking for slots

Cause: BatchAsks.want asked for the first 24 of all waiting items, whatever their service.

Change: the bound is for each service and version.

Result: the new test fails in 2 of 2 on the code before and passes.

--- a/gentiantrestle/gateway/slots/batch_asks.py
+++ b/gentiantrestle/gateway/slots/batch_asks.py
@@ -1,11 +1,13 @@
 """Requests for slots of the batch items that wait at this instance.
 
 The coordinator orders the items of its whole zone, so that an instance asks
-for as many slots as it has items, within a bound, and starts whichever item
-is granted one. Nothing is chosen without a coordinator: batch can wait.
+for as many slots as it has items, within a bound for each pool, and starts
+whichever item is granted one. Nothing is chosen without a coordinator: batch
+can wait.
 """
 
-from collections.abc import Callable, Iterable
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
 from gentiantrestle.gateway.model import Upstream
@@ -19,7 +21,8 @@
 )
 from gentiantrestle.gateway.slots.pending import PendingAsk
 
-# Items of one instance that wait in the coordinators' queues.
+# Items of one instance that wait in the coordinators' queues, for each service
+# and version: one without free slots must not hold up another.
 MAX_ASKS = 24
 UNANSWERED_AFTER = 0.15  # seconds until the next coordinator is asked
 ASKS_PER_COORDINATOR = 3
@@ -41,6 +44,11 @@
     tokens_left: int
     version: str = ''
 
+    @property
+    def pool(self) -> tuple[str, str]:
+        """The service and version whose slots the item competes for."""
+        return self.service, self.version
+
 
 class _OpenAsk:
     """The request for one item's slot, and when it was last sent."""
@@ -97,8 +105,8 @@
         return bool(self._open)
 
     def want(self, wanted: Iterable[WantedSlot]) -> None:
-        """Ask for the first of ``wanted``; withdraw what is not among them."""
-        chosen = {slot.item_id: slot for slot in tuple(wanted)[:MAX_ASKS]}
+        """Ask for the first of each pool; withdraw what is not among them."""
+        chosen = {slot.item_id: slot for slot in _first_of_pools(wanted)}
         for item_id in set(self._open) - set(chosen):
             self._client.withdraw(self._open.pop(item_id).pending, self._zone)
         for item_id, slot in chosen.items():
@@ -156,5 +164,14 @@
             self._client.release(lease, SlotOutcome.UNKNOWN)
 
 
+def _first_of_pools(wanted: Iterable[WantedSlot]) -> Iterator[WantedSlot]:
+    """Yield the first ``MAX_ASKS`` of each pool, in their order."""
+    taken: Counter[tuple[str, str]] = Counter()
+    for slot in wanted:
+        taken[slot.pool] += 1
+        if taken[slot.pool] <= MAX_ASKS:
+            yield slot
+
+
 def _start_nothing(item_id: str, lease: SlotLease) -> bool:
     return False
--- a/tests/gateway/test_item_versions.py
+++ b/tests/gateway/test_item_versions.py
@@ -16,7 +16,11 @@
 from gentiantrestle.gateway.batch.run_table import RunTable
 from gentiantrestle.gateway.batch.scheduling import QueuedItem
 from gentiantrestle.gateway.roster import Roster
-from gentiantrestle.gateway.slots.batch_asks import BatchAsks, WantedSlot
+from gentiantrestle.gateway.slots.batch_asks import (
+    MAX_ASKS,
+    BatchAsks,
+    WantedSlot,
+)
 from gentiantrestle.gateway.slots.client import SlotClient, SlotLease
 from gentiantrestle.gateway.slots.messages import Outgoing
 from tests.gateway.samples import (
@@ -62,6 +66,29 @@
     assert [outgoing.message.version for outgoing in sent] == ['v1.1', '']
 
 
+@pytest.mark.parametrize(
+    'other', [{'service': 'others'}, {'version': 'v1.2'}], ids=str
+)
+def test_items_that_wait_for_one_pool_do_not_keep_others_from_asking(
+    other: dict[str, str],
+) -> None:
+    sent: list[Outgoing] = []
+    client = SlotClient('run', 'me', Desks(), sent.append, lambda: 0)
+    asks = BatchAsks('a1', client, lambda name: None, lambda: 0)
+    first = [
+        WANTED._replace(item_id=f'i{number}', version='v1.1')
+        for number in range(2 * MAX_ASKS)
+    ]
+    last = first[0]._replace(item_id='last', **other)
+    asks.want([*first, last])
+    pools = [
+        (outgoing.message.service, outgoing.message.version)
+        for outgoing in sent
+    ]
+    assert pools.count(first[0].pool) == MAX_ASKS
+    assert pools.count(last.pool) == 1
+
+
 @pytest.mark.parametrize(
     ('other', 'draining', 'wanted'),
     [
