Daemon: items of one deployment don't hide the free slots of another

Cause: SlotAllocator.free_slots subtracted the waiting items of all deployments from the free slots of one, so its chunks weren't claimed while another one was full.

Change: only items that may take one of these slots are subtracted.

Result: test_allocator fails on the code before where items wait for an upstream that is down, and passes.

--- a/gentiantrestle/daemon/batch/allocator.py
+++ b/gentiantrestle/daemon/batch/allocator.py
@@ -137,7 +137,7 @@
         """Return how many more items of a deployment could get a slot here.
 
         These are the free slots on its upstreams that this instance owns,
-        minus the waiting items of all deployments; may be negative.
+        minus the waiting items that may take one of them; may be negative.
         """
         now = self._ctx.now()
         free = sum(
@@ -146,7 +146,12 @@
             )
             for name in self.owned_upstreams(deployment, now)
         )
-        return free - len(self._waiting)
+        upstreams = set(deployment['upstreams'])
+        competing = sum(
+            not upstreams.isdisjoint(waiter.deployment['upstreams'])
+            for waiter in self._waiting
+        )
+        return free - competing
 
     def owned_upstreams(
         self, deployment: DeploymentDoc, now: float
