Gateway: a job and its items have one route

Cause: an item's service was found by the item's path, the end of its job by the job's path.

Change: Router.match_job finds the route of a job and of all its items by the job's path; a route of another kind counts as gone. Quotas count jobs by their route. Gauges batch_items_* and event 6106 tell what items wait for; before, logs couldn't. The gauges are built in a module of their own. read_all of the tests reads page after page, as clients do: from the start again, it never saw more than the first part of a larger job.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -251,6 +251,11 @@
 JOBS_TAKEN_OVER = _define(
     6103, LEVEL_INFO, 'took over the jobs accepted by {run}'
 )
+ITEMS_UNSERVED = _define(
+    6106,
+    LEVEL_WARNING,
+    '{items} items wait for service {service}, which has no usable upstream',
+)
 LINES_DROPPED = _define(
     7001, LEVEL_WARNING, 'log buffer was full; {count} lines dropped'
 )
--- a/gentiantrestle/gateway/batch/api.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -82,6 +82,7 @@
         self._index = context.index
         self._job_store = context.job_store
         self._dialect = context.dialect
+        self._router = context.router
         self._runner = runner
         self._reader = reader
         self._run_name = run_name
@@ -260,7 +261,11 @@
             ) from exc
 
     def _fits(self, job: Job, route: Route, share: float = 1.0) -> bool:
-        waiting = self._index.waiting_tokens(job.host, route.prefix)
+        def is_on_route(other: Job) -> bool:
+            found = self._router.match_job(other)
+            return found is not None and found.key == route.key
+
+        waiting = self._index.waiting_tokens(is_on_route)
         return waiting + job.tokens <= route.max_tokens * share
 
 
--- a/gentiantrestle/gateway/batch/job_index.py
+++ b/gentiantrestle/gateway/batch/job_index.py
@@ -1,6 +1,6 @@
 """In-memory index of batch jobs and their results; no I/O."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from gentiantrestle.gateway.batch.records import JobRecord
 from gentiantrestle.gateway.model import ItemResult, ItemSpec, Job
@@ -131,10 +131,10 @@
         if entry is not None:
             entry.cancel()
 
-    def waiting_tokens(self, host: str, prefix: str) -> int:
-        """Sum the tokens of unfinished items on a route."""
+    def waiting_tokens(self, is_on_route: Callable[[Job], bool]) -> int:
+        """Sum the tokens of unfinished items of the jobs on a route."""
         return sum(
             entry.waiting_tokens
-            for entry in self.entries.values()
-            if entry.job.host == host and entry.job.path.startswith(prefix)
+            for entry in self.open_entries()
+            if is_on_route(entry.job)
         )
--- a/gentiantrestle/gateway/batch/run_table.py
+++ b/gentiantrestle/gateway/batch/run_table.py
@@ -143,7 +143,7 @@
         """Return a running item's slack in s; 0 if its route is removed."""
         progress = self._progress[item_id]
         job = progress.entry.job
-        route = self._context.router.match(job.host, job.path)
+        route = self._context.router.match_job(job)
         if route is None:
             return 0
         running = self._context.clock.now() - self._active[item_id].started
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -8,6 +8,10 @@
 from gentiantrestle import events
 from gentiantrestle.gateway.batch.context import BatchContext
 from gentiantrestle.gateway.batch.item_progress import ItemProgress, RunOutcome
+from gentiantrestle.gateway.batch.item_states import (
+    ItemStateLog,
+    ItemStates,
+)
 from gentiantrestle.gateway.batch.job_index import JobEntry
 from gentiantrestle.gateway.batch.result_writer import ResultWriter
 from gentiantrestle.gateway.batch.run_table import RunTable
@@ -53,6 +57,7 @@
         self._catching_up: set[str] = set()
         self._woken = asyncio.Event()
         self._waiting: dict[str, QueuedItem] = {}
+        self._state_log = ItemStateLog()
         # Acceptors whose jobs this instance took over last; each is logged.
         self._taken_over: deque[str] = deque(maxlen=MAX_LOGGED_TAKEOVERS)
         self.stopping = False
@@ -69,6 +74,11 @@
                 ):
                     await self._woken.wait()
 
+    @property
+    def item_states(self) -> ItemStates:
+        """Return what the items of the jobs that run here wait for."""
+        return self._state_log.states
+
     def wake(self) -> None:
         """Start a scheduling round now."""
         self._woken.set()
@@ -91,18 +101,42 @@
         self.run_table.cancel_closed()
         owned = list(self._owned_entries())
         self._fail_abandoned(owned)
-        busy = (
-            self.run_table.ids()
-            | self._writer.unwritten_ids()
-            | self._retrying_later(now)
+        running = self.run_table.ids()
+        unwritten = self._writer.unwritten_ids()
+        delayed = self._retrying_later(now)
+        ready = queued_items(
+            owned, running | unwritten | delayed, self.run_table.estimate
         )
         waiting = [
-            queued
-            for queued in queued_items(owned, busy, self.run_table.estimate)
-            if not self._is_quarantined(queued)
+            queued for queued in ready if not self._is_quarantined(queued)
         ]
         self._waiting = {queued.spec.id: queued for queued in waiting}
-        self._context.asks.want(self._wanted_slots(waiting))
+        wanted = tuple(self._wanted_slots(waiting))
+        self._context.asks.want(wanted)
+        self._note_states(
+            wanted,
+            ItemStates(
+                running=len(running),
+                delayed=len(delayed - running - unwritten),
+                quarantined=len(ready) - len(waiting),
+                unwritten=len(unwritten),
+            ),
+        )
+
+    def _note_states(
+        self, wanted: tuple[WantedSlot, ...], others: ItemStates
+    ) -> None:
+        roster = self._context.roster
+        now = self._context.clock.now()
+        services = {slot.service for slot in wanted}
+        served = {
+            service
+            for service in services
+            if roster.usable_upstreams(service, now)
+        }
+        unserved = self._state_log.update(wanted, served, others)
+        for service, waiting in unserved.items():
+            events.emit(events.ITEMS_UNSERVED, service=service, items=waiting)
 
     def _is_quarantined(self, queued: QueuedItem) -> bool:
         """Return whether an item has to wait, as its prompt crashes upstreams.
@@ -150,9 +184,7 @@
         return True
 
     def _route(self, queued: QueuedItem) -> Route | None:
-        return self._context.router.match(
-            queued.entry.job.host, queued.spec.path
-        )
+        return self._context.router.match_job(queued.entry.job)
 
     def _owned_entries(self) -> Iterator[tuple[JobEntry, Route | None]]:
         """Yield the jobs to run here whose bodies and results are loaded."""
@@ -163,10 +195,7 @@
             if not entry.results_loaded or not entry.has_bodies:
                 self._catch_up(entry)
                 continue
-            yield (
-                entry,
-                self._context.router.match(entry.job.host, entry.job.path),
-            )
+            yield entry, self._context.router.match_job(entry.job)
 
     def _note_takeover(self, entry: JobEntry) -> None:
         acceptor = entry.job.acceptor
--- /dev/null
+++ b/gentiantrestle/gateway/gauges.py
@@ -0,0 +1,54 @@
+"""The gauges of an instance, and what they are read from."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from gentiantrestle.gateway.batch.item_states import ItemStates
+from gentiantrestle.gateway.metrics import Metrics
+
+DESCRIPTIONS = {
+    'active': 'Requests in flight.',
+    'waiting': 'Requests waiting for a slot.',
+    'quarantined_requests': (
+        'Traits, or sets of them, of requests that crash upstreams.'
+    ),
+    'config_version': 'Version of the configuration in force.',
+    'store_connected': (
+        '1 if this instance watches the store and reaches it, else 0.'
+    ),
+}
+
+
+class GaugeSources(NamedTuple):
+    """Functions that return the current values of the gauges by name."""
+
+    active: Callable[[], int]
+    waiting: Callable[[], int]
+    quarantined_requests: Callable[[], int]
+    config_version: Callable[[], int]
+    store_connected: Callable[[], int]
+
+
+def build_metrics(
+    instance: str,
+    zone: str,
+    sources: GaugeSources,
+    read_states: Callable[[], ItemStates],
+) -> Metrics:
+    """Build the metrics, with a gauge for each source and state of items."""
+    metrics = Metrics(instance, zone)
+    for name, read in sources._asdict().items():
+        metrics.add_gauge(name, DESCRIPTIONS[name], read)
+    for state in ItemStates._fields:
+        metrics.add_gauge(
+            f'batch_items_{state}',
+            f'Batch items of jobs that run here that are {state}.',
+            _state_reader(read_states, state),
+        )
+    return metrics
+
+
+def _state_reader(
+    read_states: Callable[[], ItemStates], state: str
+) -> Callable[[], int]:
+    return lambda: getattr(read_states(), state)
--- a/gentiantrestle/gateway/model.py
+++ b/gentiantrestle/gateway/model.py
@@ -59,6 +59,11 @@
             return self.resumable
         return self.kind is RouteKind.SAFE
 
+    @property
+    def key(self) -> tuple[str, str]:
+        """What tells a route from the others of a configuration."""
+        return self.host, self.prefix
+
 
 class Service(NamedTuple):
     """A group of upstreams that do the same work."""
--- a/gentiantrestle/gateway/routing.py
+++ b/gentiantrestle/gateway/routing.py
@@ -2,7 +2,13 @@
 
 import xxhash
 
-from gentiantrestle.gateway.model import EMPTY_TABLE, Route, RoutingTable
+from gentiantrestle.gateway.model import (
+    EMPTY_TABLE,
+    Job,
+    Route,
+    RouteKind,
+    RoutingTable,
+)
 
 HASH_RANGE = 0x100000000
 
@@ -41,6 +47,13 @@
                 return route
         return None
 
+    def match_job(self, job: Job) -> Route | None:
+        """Return the batch route of a job and all of its items, or None."""
+        route = self.match(job.host, job.path)
+        if route is None or route.kind is not RouteKind.BATCH:
+            return None
+        return route
+
 
 def _prefix_length(route: Route) -> int:
     return len(route.prefix)
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -16,9 +16,9 @@
 from gentiantrestle.gateway.followers import build_followers
 from gentiantrestle.gateway.forward import Forwarder
 from gentiantrestle.gateway.forwarding_context import ForwardingContext
+from gentiantrestle.gateway.gauges import GaugeSources, build_metrics
 from gentiantrestle.gateway.http_server import HttpServer
 from gentiantrestle.gateway.membership.messages import InstanceStatus
-from gentiantrestle.gateway.metrics import Metrics
 from gentiantrestle.gateway.peering import Peering, PeeringParts
 from gentiantrestle.gateway.ports import Adapter, StoredObject
 from gentiantrestle.gateway.request_handler import RequestHandler
@@ -75,7 +75,12 @@
             self._watch_gate,
         )
         self._peering = self._build_peering()
-        self.metrics = self._build_metrics()
+        self.metrics = build_metrics(
+            cfg.instance,
+            cfg.topology.zone,
+            self._gauge_sources(),
+            lambda: self._runner.item_states,
+        )
         self.server = self._build_server()
 
     @property
@@ -210,46 +215,17 @@
             lambda: self._state.router.table.limits,
         )
 
-    def _build_metrics(self) -> Metrics:
-        metrics = Metrics(self._cfg.instance, self._cfg.topology.zone)
+    def _gauge_sources(self) -> GaugeSources:
         evidence = self._batch_context.guard.evidence
-
-        def count_quarantined() -> int:
-            return len(evidence.culprits(self._clock.wall()))
-
-        for name, description, read in (
-            ('active', 'Requests in flight.', self._count_active),
-            ('waiting', 'Requests waiting for a slot.', self._count_waiting),
-            (
-                'quarantined_requests',
-                'Traits, or sets of them, of requests that crash upstreams.',
-                count_quarantined,
+        return GaugeSources(
+            active=lambda: self.server.in_flight,
+            waiting=lambda: self._components.admission.waiting,
+            quarantined_requests=lambda: len(
+                evidence.culprits(self._clock.wall())
             ),
-            (
-                'config_version',
-                'Version of the configuration in force.',
-                self._read_config_version,
-            ),
-            (
-                'store_connected',
-                '1 if this instance watches the store and reaches it, else 0.',
-                self._read_store_connected,
-            ),
-        ):
-            metrics.add_gauge(name, description, read)
-        return metrics
-
-    def _count_active(self) -> int:
-        return self.server.in_flight
-
-    def _count_waiting(self) -> int:
-        return self._components.admission.waiting
-
-    def _read_config_version(self) -> int:
-        return self._state.config_version
-
-    def _read_store_connected(self) -> int:
-        return int(self._is_connected())
+            config_version=lambda: self._state.config_version,
+            store_connected=lambda: int(self._is_connected()),
+        )
 
     def _apply_jobs(
         self, stored: Iterable[StoredObject], revision: int
--- a/tests/gateway/test_process_jobs.py
+++ b/tests/gateway/test_process_jobs.py
@@ -16,18 +16,24 @@
 async def read_all(
     fleet: GatewayFleet, entry: int, name: str
 ) -> dict[str, str]:
-    """Return a job's outputs by item id, once all results are stored."""
+    """Return a job's outputs by item id, once all results are stored.
 
-    async def read_page() -> dict[str, Any] | None:
-        path = f'/gentiantrestle/lots/{name}?after=0'
+    Reads page after page, as clients do.
+    """
+    rows: list[dict[str, Any]] = []
+
+    async def read_page() -> bool:
+        path = f'/gentiantrestle/lots/{name}?after={len(rows)}'
         page = await fleet.request(entry, 'read', path, method='GET')
         if page.status != 200:
-            return None
+            return False
         body = page.json()
-        return body if body['next'] == body['total'] else None
+        rows.extend(body['results'])
+        assert body['next'] == len(rows)
+        return body['next'] == body['total']
 
-    page = await until(read_page)
-    return {row['id']: row['output'] for row in page['results']}
+    await until(read_page)
+    return {row['id']: row['output'] for row in rows}
 
 
 async def test_resubmitted_job_is_accepted_and_readable_on_all_instances(
