Gateway: items whose route moves are asked for at the new service

Cause: an open ask kept the service that it was made for. An item whose route moved to another service waited in the queue of the old one until that granted a slot of no use, without end where it has none.

Change: such an ask is withdrawn, and the item asked for again.

Result: the new test fails on the code before and passes.

--- a/gentiantrestle/gateway/slots/batch_asks.py
+++ b/gentiantrestle/gateway/slots/batch_asks.py
@@ -58,6 +58,11 @@
         self.asked_at = float('-inf')
         self.tries = 0
 
+    @property
+    def service(self) -> str:
+        """The service whose slots are asked for."""
+        return self.pending.ask.service
+
     def update(self, slot: WantedSlot) -> None:
         """Ask for what the item needs now; at once if its version changes."""
         ask = self.pending.ask
@@ -107,8 +112,12 @@
     def want(self, wanted: Iterable[WantedSlot]) -> None:
         """Ask for the first of each pool; withdraw what is not among them."""
         chosen = {slot.item_id: slot for slot in _first_of_pools(wanted)}
-        for item_id in set(self._open) - set(chosen):
-            self._client.withdraw(self._open.pop(item_id).pending, self._zone)
+        for item_id, ask in tuple(self._open.items()):
+            slot = chosen.get(item_id)
+            # A service that the route no longer names grants nothing of use.
+            if slot is None or slot.service != ask.service:
+                self._open.pop(item_id)
+                self._client.withdraw(ask.pending, self._zone)
         for item_id, slot in chosen.items():
             known = self._open.get(item_id)
             if known is None:
--- a/tests/gateway/test_item_versions.py
+++ b/tests/gateway/test_item_versions.py
@@ -66,6 +66,18 @@
     assert [outgoing.message.version for outgoing in sent] == ['v1.1', '']
 
 
+def test_item_whose_route_names_another_service_is_asked_for_there() -> None:
+    sent: list[Outgoing] = []
+    client = SlotClient('run', 'me', Desks(), sent.append, lambda: 0)
+    asks = BatchAsks('a1', client, lambda name: None, lambda: 0)
+    asks.want([WANTED])
+    asks.want([WANTED._replace(service='others')])
+    first, withdrawal, second = (outgoing.message for outgoing in sent)
+    assert first.service == ENGINES
+    assert withdrawal.key == first.key
+    assert second.service == 'others'
+
+
 @pytest.mark.parametrize(
     'other', [{'service': 'others'}, {'version': 'v1.2'}], ids=str
 )
