Gateway: answers go on only at the listed run of an upstream

Cause: an attempt is placed, recorded and sent by the listed run of an upstream.

Change: with the attempt's connection open, the upstream is asked for its report on another one before an answer goes on, and before one begins in a service that may have several versions (gateway/upstream_runs, 3017, 3018). The stand-in tells its start; the play of versions registers an upstream only once it listens, since a caller might be refused before.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -189,6 +189,17 @@
 MESSAGE_FAILED = _define(
     3016, LEVEL_ERROR, 'handling a message of an instance failed: {error}'
 )
+RUN_DIFFERS = _define(
+    3017,
+    LEVEL_WARNING,
+    'upstream {upstream} has started again: run {listed} is listed, {found} '
+    'answers',
+)
+RUN_UNKNOWN = _define(
+    3018,
+    LEVEL_WARNING,
+    'upstream {upstream} does not tell which run it is: {error}',
+)
 REQUEST_QUARANTINED = _define(
     5106, LEVEL_INFO, 'request {request} refused: {reason}'
 )
--- a/gentiantrestle/gateway/assembly.py
+++ b/gentiantrestle/gateway/assembly.py
@@ -23,6 +23,7 @@
     SlotService,
 )
 from gentiantrestle.gateway.streams.service import StreamOrigins
+from gentiantrestle.gateway.upstream_runs import UpstreamRuns
 
 
 class WorkComponents(NamedTuple):
@@ -88,6 +89,7 @@
         adapter.dialect,
         clock,
         fleet.build_guard(),
+        UpstreamRuns(adapter.dialect),
     )
     runner = Runner(batch_context, fleet.run_name)
     slots.preempt = runner.run_table.preempt
--- a/gentiantrestle/gateway/batch/context.py
+++ b/gentiantrestle/gateway/batch/context.py
@@ -10,6 +10,7 @@
 from gentiantrestle.gateway.routing import Router
 from gentiantrestle.gateway.slots.batch_asks import BatchAsks
 from gentiantrestle.gateway.slots.client import SlotClient
+from gentiantrestle.gateway.upstream_runs import UpstreamRuns
 from gentiantrestle.quarantine.guard import RequestGuard
 
 
@@ -32,3 +33,4 @@
     dialect: Dialect
     clock: Clock
     guard: RequestGuard
+    runs: UpstreamRuns
--- a/gentiantrestle/gateway/batch/item_progress.py
+++ b/gentiantrestle/gateway/batch/item_progress.py
@@ -17,6 +17,7 @@
     UpstreamConnection,
     UpstreamRequest,
 )
+from gentiantrestle.gateway.upstream_runs import OtherRunError
 from gentiantrestle.http.event_timer import EventTimer
 from gentiantrestle.http.link import RequestNotSentError
 from gentiantrestle.quarantine.guard import QuarantinedError
@@ -83,14 +84,14 @@
         started = self._started
         before = len(self._output.texts)
         try:
-            await conn.connect(lease.upstream)
+            await self._connect(conn, context, lease.upstream)
             reply = await self._start(conn, context.dialect, lease.upstream)
             context.slots.note_reply(lease, reply)
             outcome = await self._read(conn, reply, watch, context.clock)
         except (RequestNotSentError, ResponseLostError, TimeoutError) as exc:
             outcome = RunOutcome(None, repr(exc), SlotOutcome.FAILED)
             await conn.check_crash()
-        except (EventStreamError, QuarantinedError) as exc:
+        except (EventStreamError, QuarantinedError, OtherRunError) as exc:
             outcome = RunOutcome(None, repr(exc), SlotOutcome.UNKNOWN)
         finally:
             conn.close()
@@ -125,6 +126,24 @@
         self._output = ItemOutput(build)
         self._empty_answers = 0
 
+    async def _connect(
+        self,
+        conn: UpstreamConnection,
+        context: BatchContext,
+        upstream: Upstream,
+    ) -> None:
+        """Connect; confirm the run where another one would do harm."""
+        await conn.connect(upstream)
+        usable = context.roster.usable_upstreams(
+            upstream.service, context.clock.now()
+        )
+        is_mixed = len({known.version for known in usable}) > 1
+        goes_on = self._output.last_event > 0
+        if goes_on or is_mixed:
+            await context.runs.confirm(
+                upstream, must_be_known=goes_on and is_mixed
+            )
+
     async def _start(
         self,
         conn: UpstreamConnection,
--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -194,6 +194,8 @@
         refused = before._replace(refusals=before.refusals + 1)
         self._progress = refused._replace(unreached=before.unreached + 1)
         await conn.connect(lease.upstream)
+        self._progress = refused
+        await self._slots.confirm_run(lease.upstream, self._splitter.last_id)
         self._progress = before
         reply = await self._send_head(conn, lease)
         self._context.admission.note_reply(lease, reply)
@@ -294,6 +296,4 @@
         headers = self._context.dialect.upstream_headers(
             req, lease.upstream, left, self._splitter.last_id
         )
-        return UpstreamRequest(
-            req.id, req.method, req.target, headers, req.body
-        )
+        return UpstreamRequest.from_request(req, headers)
--- a/gentiantrestle/gateway/forwarding_context.py
+++ b/gentiantrestle/gateway/forwarding_context.py
@@ -6,6 +6,7 @@
 from gentiantrestle.gateway.ports import Dialect
 from gentiantrestle.gateway.slots.admission import Admission
 from gentiantrestle.gateway.streams.service import StreamOrigins
+from gentiantrestle.gateway.upstream_runs import UpstreamRuns
 from gentiantrestle.quarantine.guard import RequestGuard
 
 
@@ -17,3 +18,4 @@
     clock: Clock
     guard: RequestGuard
     streams: StreamOrigins
+    runs: UpstreamRuns
--- a/gentiantrestle/gateway/ports.py
+++ b/gentiantrestle/gateway/ports.py
@@ -177,6 +177,12 @@
     def read_reply(self, head: h11.Response) -> Reply:
         """Decode the head of an upstream's response."""
 
+    def report_request(self, upstream: Upstream) -> h11.Request:
+        """Build the head of a request for what an upstream says of itself."""
+
+    def read_report(self, body: bytes) -> int:
+        """Return the incarnation that a report names; raise ``ValueError``."""
+
     def write_refusal(self, refusal: Refusal) -> tuple[int, list, bytes]:
         """Encode a refusal as status, header and body."""
 
--- a/gentiantrestle/gateway/request_slots.py
+++ b/gentiantrestle/gateway/request_slots.py
@@ -3,12 +3,19 @@
 import asyncio
 
 from gentiantrestle.errors import QUARANTINED, RefusedError
+from gentiantrestle.gateway.attempt import AttemptFailedError
 from gentiantrestle.gateway.forwarding_context import ForwardingContext
-from gentiantrestle.gateway.model import Request, Route
+from gentiantrestle.gateway.model import (
+    Request,
+    Route,
+    RouteKind,
+    Upstream,
+)
 from gentiantrestle.gateway.refusals import refuse_quarantined
 from gentiantrestle.gateway.retry_policy import (
     MAX_REFUSALS,
     MIN_TIME_LEFT,
+    AttemptOutcome,
     RequestProgress,
 )
 from gentiantrestle.gateway.silence import Silence
@@ -18,6 +25,7 @@
     SlotRequest,
     VersionGoneError,
 )
+from gentiantrestle.gateway.upstream_runs import OtherRunError
 
 # Pause before a request that may have been executed is sent, or a slot for
 # it is asked for, again.
@@ -69,6 +77,24 @@
             left = self._req.deadline - self._context.clock.now()
             await asyncio.sleep(min(pause, left / 4))
 
+    async def confirm_run(self, upstream: Upstream, last_event: int) -> None:
+        """Raise ``AttemptFailedError`` unless the listed run answers.
+
+        Only for streams: what another run writes may not fit the events up to
+        ``last_event``, or may be taken for that of the listed version.
+        """
+        if self._route.kind is not RouteKind.STREAM:
+            return
+        is_mixed = self._context.streams.may_be_mixed(upstream.service)
+        if not last_event and not (is_mixed and self._route.resumable):
+            return
+        try:
+            await self._context.runs.confirm(
+                upstream, must_be_known=is_mixed and last_event > 0
+            )
+        except OtherRunError as exc:
+            raise AttemptFailedError(AttemptOutcome.NOT_RUN, str(exc)) from exc
+
     async def find_other(
         self, lease: SlotLease, silence: Silence, version: str
     ) -> SlotLease | None:
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -190,6 +190,7 @@
             self._clock,
             self._batch_context.guard,
             self._components.streams,
+            self._batch_context.runs,
         )
         api = JobApi(
             self._batch_context,
--- a/gentiantrestle/gateway/streams/service.py
+++ b/gentiantrestle/gateway/streams/service.py
@@ -92,11 +92,14 @@
         self._own.open(
             StreamOrigin(attempt_id, upstream.service, upstream.version)
         )
-        may_be_mixed = self._history.may_be_mixed(upstream.service, now)
-        if may_be_mixed or len(route.shares) > 1:
+        if self.may_be_mixed(upstream.service) or len(route.shares) > 1:
             self._sharer.share(attempt_id, now)
             self._wake.set()
 
+    def may_be_mixed(self, service: str) -> bool:
+        """Return whether a service may have had several versions lately."""
+        return self._history.may_be_mixed(service, self._now())
+
     def end(self, req: Request) -> None:
         """Note that an answer has ended, in whatever way."""
         self._own.close(req.resumes or req.id, self._now())
--- a/gentiantrestle/gateway/upstream_connection.py
+++ b/gentiantrestle/gateway/upstream_connection.py
@@ -6,7 +6,7 @@
 
 import h11
 
-from gentiantrestle.gateway.model import Upstream
+from gentiantrestle.gateway.model import Request, Upstream
 from gentiantrestle.gateway.ports import Dialect, Reply
 from gentiantrestle.http.link import (
     Link,
@@ -39,6 +39,13 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes
 
+    @classmethod
+    def from_request(
+        cls, req: Request, headers: list[tuple[bytes, bytes]]
+    ) -> 'UpstreamRequest':
+        """Return what passes a caller's request on with other headers."""
+        return cls(req.id, req.method, req.target, headers, req.body)
+
 
 class UpstreamConnection:
     """A connection for one attempt; it is not reused.
--- a/gentiantrestle/platform/dialect.py
+++ b/gentiantrestle/platform/dialect.py
@@ -57,6 +57,7 @@
 RATE_PATTERN = re.compile(rb'\d{1,9}(\.\d{1,9})?')
 ID_PATTERN = re.compile(r'[\w.-]{1,128}')
 RESULTS_PATH = re.compile(r'/gentiantrestle/lots/([\w.-]{1,128})')
+REPORT_PATH = '/gentiantrestle/report'
 BODY_PATH = re.compile(r'/gentiantrestle/items/([\w.-]{1,128})')
 COMPLETED = 'completed'
 DEAD_LETTERED = 'dead_lettered'
@@ -71,6 +72,12 @@
 )
 
 
+class _Report(msgspec.Struct):
+    """What a server says of itself; ``born`` is in ms."""
+
+    born: int
+
+
 class PlatformDialect:
     """Formats of the platform's callers and servers; decides nothing."""
 
@@ -186,6 +193,18 @@
             rate_limit=_rate(fields.get(RATE_LIMIT, b'')),
         )
 
+    def report_request(self, upstream: Upstream) -> h11.Request:
+        """Build the head of a request for what an upstream says of itself."""
+        return h11.Request(
+            method='GET',
+            target=REPORT_PATH,
+            headers=[(HOST, str(upstream.address).encode())],
+        )
+
+    def read_report(self, body: bytes) -> int:
+        """Return the incarnation that a report names; raise ``ValueError``."""
+        return msgspec.json.decode(body, type=_Report).born
+
     def write_refusal(
         self,
         refusal: Refusal,
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -21,6 +21,7 @@
 CRASHED = 70  # exit status
 FLUSH_TIME = 0.01  # seconds in which an event reaches the caller
 POISON = 'poison'
+REPORT_PATH = '/gentiantrestle/report'
 PAUSE = 0.01  # seconds between events
 
 
@@ -32,7 +33,8 @@
     ``crash_on`` the process ends when it begins a stream for a prompt with that
     part, within the event that follows the first ``crash_after``. With
     ``version`` each event names that software version; nothing checks which
-    one has made the events before.
+    one has made the events before. ``born`` is the start of this run, as its
+    report names it.
     """
 
     name: str
@@ -41,6 +43,7 @@
     crash_after: int
     limit: str
     version: str
+    born: int
 
 
 class UpstreamStandin:
@@ -79,6 +82,7 @@
                 int(cfg.get('crash_after', '0')),
                 cfg.get('limit', ''),
                 cfg.get('version', ''),
+                int(cfg.get('born', '0')),
             )
         )
 
@@ -92,6 +96,8 @@
             return json_response({})
         if req.path == '/runs':
             return json_response(self._runs)
+        if req.path == REPORT_PATH:
+            return json_response({'born': self._cfg.born})
         return await self._serve(req, await req.read(MAX_BODY))
 
     async def _serve(self, req: Request, body: bytes) -> Response:
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -123,6 +123,7 @@
             self.upstreams[number],
             f'name={self.upstream_id(number)}',
             f'version={self.versions.get(number, "")}',
+            f'born={self._incarnations[number]}',
             *self.upstream_words,
         )
 
--- a/tests/gateway/raw_upstreams.py
+++ b/tests/gateway/raw_upstreams.py
@@ -8,6 +8,7 @@
 
 from standins.upstream import encode_event
 from tests.gateway.fleet import GatewayFleet
+from tests.gateway.reports import read_head
 
 NO_LINGER = struct.pack('ii', 1, 0)  # closing resets the connection
 END_OF_CHUNKS = b'0\r\n\r\n'
@@ -106,7 +107,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        raw = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
+        raw = (await read_head(reader, writer)).decode('latin-1')
         fields = dict(
             line.lower().split(': ', 1) for line in raw.splitlines()[1:-1]
         )
--- a/tests/gateway/test_process_framing.py
+++ b/tests/gateway/test_process_framing.py
@@ -13,6 +13,7 @@
 from gentiantrestle.gateway.upstream_connection import MAX_BODY
 from gentiantrestle.http.client import ConnectionLostError
 from tests.gateway.fleet import GatewayFleet
+from tests.gateway.reports import read_head
 from tests.gateway.wire_samples import (
     expected_output,
     expected_stream,
@@ -48,7 +49,7 @@
     ) -> None:
         # Connections that only probe whether it is there send no request.
         with suppress(asyncio.IncompleteReadError):
-            self.requests.append(await reader.readuntil(b'\r\n\r\n'))
+            self.requests.append(await read_head(reader, writer))
             await self._send(HEAD + self.answers.pop(0), writer)
         writer.close()
 
--- a/tests/gateway/test_process_repeated_refusals.py
+++ b/tests/gateway/test_process_repeated_refusals.py
@@ -9,6 +9,7 @@
 import pytest
 
 from tests.gateway.fleet import UNREACHABLE, GatewayFleet
+from tests.gateway.reports import read_head
 from tests.utils.http import Reply
 
 PLAIN = b'a plain answer'
@@ -52,7 +53,7 @@
         with suppress(ConnectionError, asyncio.IncompleteReadError):
             if self.way == 'before the request':
                 writer.write(refusal(EARLIER))
-            raw = (await reader.readuntil(HEAD_END)).decode('latin-1')
+            raw = (await read_head(reader, writer)).decode('latin-1')
             fields = dict(
                 line.lower().split(': ', 1) for line in raw.splitlines()[1:-1]
             )
--- a/tests/gateway/test_process_trickles.py
+++ b/tests/gateway/test_process_trickles.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.gateway.fleet import GatewayFleet
+from tests.gateway.reports import read_head
 from tests.gateway.wire_samples import (
     expected_output,
     expected_stream,
@@ -35,7 +36,7 @@
         """Answer one request."""
         # Connections that only probe whether it is there send no request.
         with suppress(asyncio.IncompleteReadError, ConnectionError):
-            await reader.readuntil(b'\r\n\r\n')
+            await read_head(reader, writer)
             self._requests += 1
             first = expected_stream('r1', 1)
             if self._requests > 1:
--- a/tests/gateway/test_version_admission.py
+++ b/tests/gateway/test_version_admission.py
@@ -185,6 +185,7 @@
         Clock(virtual_now, virtual_now),
         RequestGuard(Evidence(), lambda key: True),
         KnownStreams(),
+        None,
     )
     exchange = Exchange(None, None, b'')
     req, route = make_request('r1', last_event=7), make_route()
--- a/tests/gateway/versions.py
+++ b/tests/gateway/versions.py
@@ -9,7 +9,11 @@
 
 import msgspec
 
-from tests.gateway.fleet import GatewayFleet, has_applied_config
+from tests.gateway.fleet import (
+    UNREACHABLE,
+    GatewayFleet,
+    has_applied_config,
+)
 from tests.gateway.wire_samples import ROUTE_HOST, route_doc, route_docs
 from tests.utils.http import send, until
 
@@ -233,8 +237,17 @@
             if not child.running:
                 await self.fleet.start_upstream(number)
         for number in upstreams:
+            await until(lambda upstream=number: self.listens(upstream))
             await self.fleet.register(number)
 
+    async def listens(self, upstream: int) -> bool:
+        """Return whether an upstream that was started accepts connections."""
+        try:
+            await send(self.fleet.upstreams[upstream], 'GET', '/runs')
+        except UNREACHABLE:
+            return False
+        return True
+
     async def drain(self, *upstreams: int) -> None:
         """Register upstreams as draining."""
         for number in upstreams:
