Gateway: each request has an end in a planned stop

Change: gateway/ending bounds deadlines by the grace time, and refuses streams that may not be over by then once the balancer has dropped the instance. HttpServer.end_requests refuses requests that aren't complete (503), answers those that may have run (502), and cuts begun answers. Reading of requests moves to request_reading.

--- a/gentiantrestle/gateway/http_server.py
+++ b/gentiantrestle/gateway/http_server.py
@@ -1,19 +1,18 @@
 """HTTP server for callers: one request at a time on each connection."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
 from http import HTTPStatus
 
 import h11
 
 from gentiantrestle import events
 from gentiantrestle.errors import (
-    BAD_REQUEST,
-    HEADERS_TOO_LARGE,
     INTERNAL,
     REQUEST_TIMEOUT,
-    TOO_LARGE,
+    STOPPING,
+    UPSTREAM_OUTCOME_UNKNOWN,
     Refusal,
     RefusedError,
     refuse,
@@ -24,19 +23,25 @@
     Exchange,
 )
 from gentiantrestle.gateway.model import CallerLimits
+from gentiantrestle.gateway.request_reading import (
+    check_framing,
+    collect_body,
+    read_event,
+)
 from gentiantrestle.http.link import (
     HeaderPairs,
     Link,
     LinkLostError,
 )
 
-TRANSFER_ENCODING = b'transfer-encoding'
 # After a refusal the connection stays open this long, so that a reset does
 # not discard the refusal before the caller has read it.
 LINGER_TIME = 0.3  # seconds
 # A busy process finds an idle limit exceeded before it has read what arrived
 # meanwhile, so it waits once more before it closes a connection.
 LAST_WAIT = 0.05  # seconds
+# For the last answers of a stop to be read.
+ENDING_TIME = 0.4  # seconds
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
@@ -62,7 +67,10 @@
         self._links: dict[Link, asyncio.Task[None]] = {}
         self._busy: set[Link] = set()
         self._waits: dict[Link, asyncio.Timeout] = {}
+        self._reading: dict[Link, asyncio.Timeout] = {}
+        self._running: dict[Link, asyncio.Task[None]] = {}
         self._closing = False
+        self._ended = False
         self._server: asyncio.Server | None = None
         self.stopping = False
 
@@ -98,6 +106,21 @@
             if not wait.expired():
                 wait.reschedule(now + LAST_WAIT)
 
+    async def end_requests(self) -> None:
+        """Answer what is left now: refuse it, or cut an answer that began.
+
+        A request that is not complete has not run; another may have.
+        """
+        self._ended = True
+        now = asyncio.get_running_loop().time()
+        for wait in self._reading.values():
+            if not wait.expired():
+                wait.reschedule(now)
+        for task in tuple(self._running.values()):
+            task.cancel()
+        if self._links:
+            await asyncio.wait(tuple(self._links.values()), timeout=ENDING_TIME)
+
     def _create_link(self) -> Link:
         return Link(
             h11.SERVER, self._limits().header_bytes, self._start_serving
@@ -141,13 +164,8 @@
         if not await self._is_requested(link):
             return None
         self._busy.add(link)
-        try:
-            async with asyncio.timeout(self._limits().header_timeout):
-                event = await self._read_event(link)
-        except TimeoutError:
-            raise refuse(
-                REQUEST_TIMEOUT, 'The request header was not complete in time'
-            ) from None
+        async with self._limit_reading(link, self._limits().header_timeout):
+            event = await read_event(link)
         return event if isinstance(event, h11.Request) else None
 
     async def _is_requested(self, link: Link) -> bool:
@@ -174,62 +192,51 @@
         return link.has_input
 
     async def _read_body(self, link: Link, head: h11.Request) -> bytes:
-        _check_framing(head)
+        check_framing(head)
         if link.machine.they_are_waiting_for_100_continue:
             await link.send(
                 h11.InformationalResponse(
                     status_code=HTTPStatus.CONTINUE, headers=[]
                 ),
             )
+        limits = self._limits()
+        async with self._limit_reading(link, limits.idle_timeout):
+            return await collect_body(link, limits.body_bytes)
+
+    @asynccontextmanager
+    async def _limit_reading(
+        self, link: Link, seconds: float
+    ) -> AsyncIterator[None]:
+        """Refuse a request that isn't complete in time, or before the end."""
         try:
-            async with asyncio.timeout(self._limits().idle_timeout):
-                return await self._collect_body(link)
+            async with asyncio.timeout(0 if self._ended else seconds) as wait:
+                self._reading[link] = wait
+                yield
         except TimeoutError:
+            if self._ended:
+                raise refuse(STOPPING, 'This instance ends') from None
             raise refuse(
-                REQUEST_TIMEOUT, 'The request body was not complete in time'
-            ) from None
-
-    async def _collect_body(self, link: Link) -> bytes:
-        limit = self._limits().body_bytes
-        body = bytearray()
-        while True:
-            event = await self._read_event(link)
-            if not isinstance(event, h11.Data):
-                break
-            body += event.data
-            if len(body) > limit:
-                raise refuse(
-                    TOO_LARGE, f'The request body exceeds {limit} bytes'
-                )
-        if not isinstance(event, h11.EndOfMessage):
-            raise LinkLostError('connection ended within the request body')
-        return bytes(body)
-
-    async def _read_event(self, link: Link) -> h11.Event:
-        try:
-            return await link.next_event()
-        except h11.RemoteProtocolError as exc:
-            if link.eof_seen:
-                raise LinkLostError('cut') from exc
-            kind = BAD_REQUEST
-            if exc.error_status_hint == HEADERS_TOO_LARGE.status:
-                kind = HEADERS_TOO_LARGE
-            raise refuse(
-                kind, f'The request is not valid HTTP: {exc}'
+                REQUEST_TIMEOUT, 'The request was not complete in time'
             ) from None
+        finally:
+            self._reading.pop(link, None)
 
     async def _run_handler(self, link: Link, exchange: Exchange) -> None:
         """Run the handler; cancel it if the caller disconnects."""
         task = asyncio.create_task(self._handle_safely(exchange))
+        self._running[link] = task
         link.cancel_on_disconnect(task)
         try:
             await task
         except asyncio.CancelledError:
-            if not link.disconnected:
+            if link.disconnected:
+                raise LinkLostError('the caller disconnected') from None
+            if not self._ended:
                 raise
-            raise LinkLostError('the caller disconnected') from None
+            _end_exchange(exchange)
         finally:
             link.cancel_on_disconnect(None)
+            self._running.pop(link, None)
 
     async def _handle_safely(self, exchange: Exchange) -> None:
         try:
@@ -272,18 +279,15 @@
         link.close()
 
 
-def _check_framing(head: h11.Request) -> None:
-    """Refuse a request with two header fields that both define its end."""
-    names = [name.lower() for name, _ in head.headers]
-    if CONTENT_LENGTH in names and TRANSFER_ENCODING in names:
-        raise refuse(
-            BAD_REQUEST,
-            'The request has both Content-Length and Transfer-Encoding',
-        )
-
-
 def _can_reuse(link: Link, exchange: Exchange) -> bool:
     if not exchange.finished or exchange.close_after or link.disconnected:
         return False
     states = (link.machine.our_state, link.machine.their_state)
     return states == (h11.DONE, h11.DONE)
+
+
+def _end_exchange(exchange: Exchange) -> None:
+    """Cut an answer that has begun; refuse a request that may have run."""
+    if not exchange.started:
+        raise refuse(UPSTREAM_OUTCOME_UNKNOWN, 'This instance ends')
+    exchange.abort()
--- a/gentiantrestle/gateway/request_handler.py
+++ b/gentiantrestle/gateway/request_handler.py
@@ -11,6 +11,7 @@
 )
 from gentiantrestle.gateway.batch.api import JobApi, Response, Submission
 from gentiantrestle.gateway.batch.context import Clock
+from gentiantrestle.gateway.ending import Ending
 from gentiantrestle.gateway.exchange import Exchange
 from gentiantrestle.gateway.forward import Forwarder
 from gentiantrestle.gateway.model import Request, Route, RouteKind
@@ -47,6 +48,8 @@
         self._api = api
         self._dialect = dialect
         self._clock = clock
+        # Set to an end by a planned stop.
+        self.ending = Ending()
         self.record_request: Callable[[str, str, float], None] = _record_nothing
         # Whether this instance knows what the others know.
         self.is_prepared: Callable[[], bool] = _is_always_prepared
@@ -105,7 +108,9 @@
             answer = await self._api.submit(req, route, submission)
             await _respond(exchange, answer)
             return 'accepted'
-        bounded = within_timeout(req, route)
+        bounded = self.ending.bound(
+            within_timeout(req, route), route, self._clock.now()
+        )
         return await self._forwarder.answer(bounded, route, exchange)
 
     def _record(
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -29,7 +29,9 @@
 # The balancer checks readiness once a second and drops an instance after two
 # failed checks.
 BALANCER_DRAIN_TIME = 2.6  # seconds
-# The process needs the rest of the grace time to exit.
+# Requests that are passed on after a stop began are over by then, what is left
+# is ended later, and the process needs the rest of the grace time to exit.
+DEADLINE_GRACE_SHARE = 0.85
 DRAIN_GRACE_SHARE = 0.9
 STOP_POLL_INTERVAL = 0.05  # seconds
 
@@ -105,15 +107,20 @@
         then for requests in flight, within the grace time.
         """
         started = self._clock.now()
+        grace = self._cfg.grace
+        self._ending.plan(
+            started + grace * DEADLINE_GRACE_SHARE,
+            started + BALANCER_DRAIN_TIME,
+        )
         self.server.stopping = True
         self._peering.leave()
         await self._runner.stop()
         await self._wait_until(started + BALANCER_DRAIN_TIME, idle=False)
         self.server.close_idle()
-        await self._wait_until(
-            started + self._cfg.grace * DRAIN_GRACE_SHARE, idle=True
-        )
-        return self.server.in_flight
+        await self._wait_until(started + grace * DRAIN_GRACE_SHARE, idle=True)
+        cut = self.server.in_flight
+        await self.server.end_requests()
+        return cut
 
     def _read_status(self) -> InstanceStatus:
         return self._peering.read_status()
@@ -208,6 +215,7 @@
             dialect,
             self._clock,
         )
+        self._ending = request_handler.ending
         request_handler.is_prepared = self._is_prepared
         request_handler.record_request = self.metrics.record_request
         return HttpServer(
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -28,20 +28,25 @@
 
     def __init__(self) -> None:
         self.limits = CallerLimits(idle_timeout=IDLE_TIMEOUT)
-        self.server = HttpServer(_answer, _refuse, lambda: self.limits)
-        self._address = Address(HOST, free_ports(1)[0])
+        self.handle = _answer
+        self.server = HttpServer(
+            lambda exchange: self.handle(exchange),
+            _refuse,
+            lambda: self.limits,
+        )
+        self.address = Address(HOST, free_ports(1)[0])
         self._sockets: list[socket.socket] = []
 
     async def start(self) -> None:
         """Listen."""
-        await self.server.start(*self._address)
+        await self.server.start(*self.address)
 
     async def connect(self) -> socket.socket:
         """Return a connection that the server has accepted."""
         sock = socket.socket()
         self._sockets.append(sock)
         sock.setblocking(False)
-        await asyncio.get_running_loop().sock_connect(sock, self._address)
+        await asyncio.get_running_loop().sock_connect(sock, self.address)
         await asyncio.sleep(IDLE_TIMEOUT / 10)
         return sock
 
