Gateway: take-ups are decided without the store only in touch with others

Cause: where the store didn't answer, an instance decided by its own view if any other counted as alive, which one does for 2 or 5 s after it was heard.

Change: another instance must have been heard within 1.5 s.

--- a/gentiantrestle/gateway/membership/peers.py
+++ b/gentiantrestle/gateway/membership/peers.py
@@ -16,6 +16,8 @@
 SILENCE_TIMEOUT = 2.0  # seconds until an instance of the own zone is gone
 # Rows of other zones pass two relays and are sent less often.
 REMOTE_SILENCE_TIMEOUT = 5.0  # seconds
+# Rows of the own zone come each 0.25 s, those of other zones each second.
+TOUCH_TIME = 1.5  # seconds
 # Hosts of lost instances still get heartbeats, so that both sides find each
 # other after a network partition. Seeds are never forgotten.
 FORGET_AFTER = 60.0  # seconds
@@ -144,6 +146,16 @@
             peer for peer in self._by_name.values() if self._is_alive(peer, now)
         ]
 
+    def in_touch(self, now: float) -> bool:
+        """Return whether any instance was heard of within ``TOUCH_TIME``.
+
+        One that has stood still, or was cut off, may hold the others for alive
+        for a while; what it knows may be out of date by then.
+        """
+        return any(
+            peer.is_alive(now, TOUCH_TIME) for peer in self._by_name.values()
+        )
+
     def alive_in(self, zone: str, now: float) -> list[Peer]:
         """List the instances of a zone that are alive."""
         return [peer for peer in self.alive(now) if peer.zone == zone]
--- a/gentiantrestle/gateway/streams/service.py
+++ b/gentiantrestle/gateway/streams/service.py
@@ -67,7 +67,7 @@
             self._reader,
             now,
         )
-        self._resolver.has_peers = self._has_peers
+        self._resolver.has_peers = fleet.peers.in_touch
         self._wake = asyncio.Event()
         fleet.port.on(BEGUN_STREAMS, self._receive)
 
@@ -166,6 +166,3 @@
         return (
             bool(first) and first[0].instance == self._fleet.identity.instance
         )
-
-    def _has_peers(self, now: float) -> bool:
-        return any(True for _ in self._fleet.peers.alive(now))
--- a/tests/gateway/test_relaying.py
+++ b/tests/gateway/test_relaying.py
@@ -12,6 +12,7 @@
     FORGET_AFTER,
     REMOTE_SILENCE_TIMEOUT,
     SILENCE_TIMEOUT,
+    TOUCH_TIME,
     Peer,
     PeerList,
     rank_zone,
@@ -78,6 +79,20 @@
     assert _names(peers.remove_silent(REMOTE_SILENCE_TIMEOUT)) == ['far']
 
 
+@pytest.mark.parametrize('zone', [ZONE, 'b1'])
+def test_instance_that_stood_still_is_not_in_touch_though_others_count_as_alive(
+    zone: str,
+) -> None:
+    peers = _make_peers()
+    assert not peers.in_touch(0)
+    peers.update(_make_peer('1', zone=zone))
+    assert peers.in_touch(TOUCH_TIME - 0.1)
+    assert peers.alive(TOUCH_TIME + 0.1)
+    assert not peers.in_touch(TOUCH_TIME + 0.1)
+    peers.update(_make_peer('1', zone=zone, sequence=2, received_at=9))
+    assert peers.in_touch(9)
+
+
 def test_host_of_lost_instance_is_tried_for_a_while() -> None:
     peers = _make_peers()
     peers.update(_make_peer('1'))
