Interim responses without end are given up

Change: a connection of a client is lost after 16 interim responses in a row, in the gateway, the daemon and the clients of both stores.

--- a/gentiantrestle/http/link.py
+++ b/gentiantrestle/http/link.py
@@ -16,6 +16,7 @@
 # Before this version of HTTP a streamed body ends with its connection.
 CHUNKED_SINCE = b'1.1'
 HIGH_WATER = 262144  # unread bytes above which reading is paused
+MAX_INTERIM = 16  # interim (1xx) responses before a final one
 KEEPALIVE_IDLE = 1  # seconds of silence before the first probe
 KEEPALIVE_INTERVAL = 1  # seconds between two probes
 KEEPALIVE_COUNT = 2  # unanswered probes that close a connection
@@ -61,6 +62,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._unread = 0
+        self._interim = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport and enable TCP keepalive."""
@@ -129,11 +131,13 @@
     async def next_event(self) -> h11.Event:
         """Return the next h11 event; raise ``LinkLostError`` on a reset.
 
-        Raises ``h11.RemoteProtocolError`` for invalid HTTP.
+        Also raised after ``MAX_INTERIM`` interim responses without a final
+        one. Raises ``h11.RemoteProtocolError`` for invalid HTTP.
         """
         while True:
             event = self.machine.next_event()
             if event is not h11.NEED_DATA:
+                self._count_interim(event)
                 return event
             if self.lost:
                 raise LinkLostError('reset')
@@ -179,6 +183,14 @@
             self._transport.resume_reading()
         await self._arrived.wait()
 
+    def _count_interim(self, event: h11.Event) -> None:
+        if not isinstance(event, h11.InformationalResponse):
+            self._interim = 0
+            return
+        self._interim += 1
+        if self._interim > MAX_INTERIM:
+            raise LinkLostError('interim responses without end')
+
     def _cancel_task(self) -> None:
         if self._task_to_cancel is not None:
             self._task_to_cancel.cancel()
