Gateway: the output of an item is bounded

Change: a run whose output exceeds 1,000,000 characters counts as failed, and its output is dropped; such a result couldn't be stored or listed.

--- a/gentiantrestle/gateway/batch/item_output.py
+++ b/gentiantrestle/gateway/batch/item_output.py
@@ -8,6 +8,14 @@
 MIN_PATIENCE = 2.0  # seconds
 
 
+# Larger ones can't be stored or listed; a sound one has some tens of KB.
+MAX_OUTPUT = 1000000  # characters
+
+
+class OutputTooLongError(Exception):
+    """The output of an item has no end within the longest size."""
+
+
 class Build(NamedTuple):
     """The service and software version of an upstream."""
 
@@ -28,11 +36,18 @@
         self.build = build
         self.texts: list[str] = []
         self.last_event = 0
+        self._size = 0
         self._received_at = float('-inf')
         self._spent = float(0)
 
     def add(self, text: str, last_event: int) -> None:
-        """Add the text of an event; ``last_event`` is the last id so far."""
+        """Add the text of an event; ``last_event`` is the last id so far.
+
+        Raises ``OutputTooLongError``.
+        """
+        self._size += len(text) + 1
+        if self._size > MAX_OUTPUT:
+            raise OutputTooLongError(f'more than {MAX_OUTPUT} characters')
         self.texts.append(text)
         self.last_event = last_event
 
--- a/gentiantrestle/gateway/batch/item_progress.py
+++ b/gentiantrestle/gateway/batch/item_progress.py
@@ -5,7 +5,11 @@
 
 from gentiantrestle import events
 from gentiantrestle.gateway.batch.context import BatchContext, Clock
-from gentiantrestle.gateway.batch.item_output import Build, ItemOutput
+from gentiantrestle.gateway.batch.item_output import (
+    Build,
+    ItemOutput,
+    OutputTooLongError,
+)
 from gentiantrestle.gateway.batch.job_index import JobEntry
 from gentiantrestle.gateway.model import ItemResult, ItemSpec, Upstream
 from gentiantrestle.gateway.ports import Dialect, Reply
@@ -91,6 +95,9 @@
         except (RequestNotSentError, ResponseLostError, TimeoutError) as exc:
             outcome = RunOutcome(None, repr(exc), SlotOutcome.FAILED)
             await conn.check_crash()
+        except OutputTooLongError as exc:
+            self._output = ItemOutput(self._output.build)
+            outcome = self._count_failure(str(exc))
         except (EventStreamError, QuarantinedError, OtherRunError) as exc:
             outcome = RunOutcome(None, repr(exc), SlotOutcome.UNKNOWN)
         finally:
@@ -181,7 +188,12 @@
         if reply.status == UNPROCESSABLE:
             return RunOutcome(self.fail(reason), reason)
         if reply.status == RUN_FAILED and not reply.not_run:
-            self._failures += 1
+            return self._count_failure(reason)
+        return RunOutcome(None, reason)
+
+    def _count_failure(self, reason: str) -> RunOutcome:
+        """Return the outcome of a failed run; the item fails after some."""
+        self._failures += 1
         if self._failures >= self._max_failures:
             return RunOutcome(self.fail(reason), reason)
         return RunOutcome(None, reason)
