Gateway: a job that comes again gets 202 whatever its quota

Change: a job that the listing shows needs no room.

Result: the new test got 202, 429, 429 before, and 202 three times now.

--- a/gentiantrestle/gateway/batch/api.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -240,7 +240,8 @@
         if self._fits(job, route, QUOTA_LOCAL_SHARE):
             return
         await self._relist()
-        if self._fits(job, route):
+        # Accepted at another instance, it counts already.
+        if job.id in self._index.entries or self._fits(job, route):
             return
         for entry in self._index.open_entries():
             await self._refresh(entry)
--- a/tests/gateway/test_process_jobs.py
+++ b/tests/gateway/test_process_jobs.py
@@ -162,6 +162,27 @@
     }
 
 
+async def test_job_that_comes_again_is_accepted_though_it_fills_the_quota(
+    fleet: GatewayFleet,
+) -> None:
+    slow_body = base64.b64encode(b'{"events":400,"pause":0.05}').decode()
+    *others, batch = route_docs()
+    await fleet.configure([*others, {**batch, 'max-count': 100}])
+    for entry in range(ENTRIES):
+        await until(
+            lambda number=entry: has_applied_config(
+                fleet, number, fleet.version
+            )
+        )
+    # Six items of 10 tokens: twice would be too many.
+    job = job_doc('job1', 6, 1, body=slow_body)
+    statuses = [
+        (await fleet.request(entry, 'job1', '/lists/j', job)).status
+        for entry in range(ENTRIES)
+    ]
+    assert statuses == [202] * ENTRIES
+
+
 async def test_token_quota_holds_across_instances(fleet: GatewayFleet) -> None:
     routes = route_docs()
     routes[-1]['max-count'] = 60
