Gateway: jobs with items that can't be sent are refused

Cause: an item's path and header fields were taken as they came.

Change: platform/items checks each item as it will be sent; a job with another one gets 400.

Numbers and other characters in header fields are taken as before.

--- a/gentiantrestle/platform/dialect.py
+++ b/gentiantrestle/platform/dialect.py
@@ -1,9 +1,7 @@
 """Decodes and encodes the messages of the platform's callers and servers."""
 
-import base64
 import re
 from collections.abc import Iterable
-from typing import Any
 from urllib.parse import parse_qs
 
 import h11
@@ -21,7 +19,7 @@
 )
 from gentiantrestle.http.link import HeaderPairs
 from gentiantrestle.http.messages import error_document
-from gentiantrestle.models import MAX_INT32
+from gentiantrestle.platform.items import ID_PATTERN, decode_item
 
 HOST = b'host'
 REQUEST_ID = b'x-attempt-id'
@@ -55,7 +53,6 @@
 MAX_DIGITS = 15  # of a number in a header field
 MIN_RATE = 0.01  # requests a second; stands for a limit of 0
 RATE_PATTERN = re.compile(rb'\d{1,9}(\.\d{1,9})?')
-ID_PATTERN = re.compile(r'[\w.-]{1,128}')
 RESULTS_PATH = re.compile(r'/gentiantrestle/lots/([\w.-]{1,128})')
 REPORT_PATH = '/gentiantrestle/report'
 BODY_PATH = re.compile(r'/gentiantrestle/items/([\w.-]{1,128})')
@@ -130,7 +127,7 @@
         """Decode a job's items; raise ``RefusedError`` if invalid."""
         try:
             documents = msgspec.json.decode(body)['items']
-            specs = tuple(_decode_item(document) for document in documents)
+            specs = tuple(map(decode_item, documents))
         except DECODE_ERRORS as exc:
             raise refuse(BAD_REQUEST, f'Not a batch job: {exc!r}') from exc
         if not 0 < len(specs) <= MAX_ITEMS:
@@ -247,30 +244,6 @@
     return fields
 
 
-def _decode_item(document: dict[str, Any]) -> ItemSpec:
-    headers = dict(document.get('headers') or {})
-    return ItemSpec(
-        _checked_id(document['id']),
-        _checked_tokens(document.get('token-count', 0)),
-        document['path'],
-        {str(name): str(text) for name, text in headers.items()},
-        base64.b64decode(document.get('body') or '', validate=True),
-    )
-
-
-def _checked_tokens(raw: Any) -> int:
-    tokens = int(raw)
-    if not 0 <= tokens <= MAX_INT32:
-        raise ValueError('token-count is out of range')
-    return tokens
-
-
-def _checked_id(raw: Any) -> str:
-    if not isinstance(raw, str) or not ID_PATTERN.fullmatch(raw):
-        raise ValueError(f'{raw!r} is not a valid id')
-    return raw
-
-
 def _optional_id(raw: bytes) -> str:
     text = raw.decode('latin-1')
     return text if ID_PATTERN.fullmatch(text) else ''
--- a/tests/gateway/test_adapter.py
+++ b/tests/gateway/test_adapter.py
@@ -145,6 +145,13 @@
         b'{"items":[{"id":"a","path":"/x"},{"id":"a","path":"/x"}]}',
         b'{"items":[{"id":"a","path":"/x","token-count":-1}]}',
         b'{"items":[{"id":"a","path":"/x","token-count":2147483648}]}',
+        b'{"items":[{"id":"a","path":123}]}',
+        b'{"items":[{"id":"a","path":"x"}]}',
+        b'{"items":[{"id":"a","path":"/x y"}]}',
+        b'{"items":[{"id":"a","path":"/\xc3\xbc"}]}',
+        b'{"items":[{"id":"a","path":"/x","headers":{"a b":"c"}}]}',
+        rb'{"items":[{"id":"a","path":"/x","headers":{"a":"b\nc"}}]}',
+        b'{"items":[{"id":"a","path":"/x","headers":["a"]}]}',
         b'{"items":' + b'[' * 5000 + b']' * 5000 + b'}',
     ],
 )
@@ -154,6 +161,14 @@
     assert exc.value.refusal.kind.status == 400
 
 
+def test_header_fields_of_items_may_be_numbers_and_other_characters() -> None:
+    body = (
+        b'{"items":[{"id":"a","path":"/x","headers":{"a":1,"b":"\xc3\xbc"}}]}'
+    )
+    spec = PlatformDialect().read_items(body)[0]
+    assert spec.headers == {'a': '1', 'b': '\xfc'}
+
+
 def _head(method: str, target: str, *fields: tuple[str, str]) -> h11.Request:
     return h11.Request(
         method=method, target=target, headers=[('Host', 'x'), *fields]
