Gateway: bodies of a job are split over several objects

Cause: a job's bodies were one object of the store, of 1,000,000 bytes at most, while a request may have max-body-bytes (4 MiB). Larger jobs got 413 at each try.

Change: bodies that don't fit are cut into pieces (batch/body_parts); the job says how many there are, one by default. A job of more than 64 gets 413.

Result: a job of 4 MB got 413 before; now it is accepted, run, and its bodies can be read at another instance.

--- a/gentiantrestle/gateway/batch/api.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -15,7 +15,6 @@
 )
 from gentiantrestle.gateway.batch.context import BatchContext
 from gentiantrestle.gateway.batch.job_index import JobEntry
-from gentiantrestle.gateway.batch.records import encoded_size
 from gentiantrestle.gateway.batch.result_reader import ResultReader
 from gentiantrestle.gateway.batch.runner import Runner
 from gentiantrestle.gateway.model import Job, Request, Route
@@ -32,7 +31,6 @@
 
 ACCEPTED = 202
 OK = 200
-MAX_JOB_SIZE = 1000000  # bytes: the store's limit for one object
 MAX_PAGE_SIZE = 900000  # characters of output in one response
 # Time between checks for results that another instance may store.
 PEER_POLL_INTERVAL = 0.25  # seconds
@@ -108,9 +106,6 @@
             self._dialect.read_items(request.body),
             submission.config_version,
         )
-        size = encoded_size(job)
-        if size > MAX_JOB_SIZE:
-            raise refuse(TOO_LARGE, f'The job takes {size} bytes')
         await self._check_quota(job, route)
         new = await self._accept(job)
         events.emit(
--- /dev/null
+++ b/gentiantrestle/gateway/batch/body_parts.py
@@ -0,0 +1,58 @@
+"""Splits the bodies of a job over several objects of the store; no I/O.
+
+Bodies that fit are one object, as ``records.bodies_to_content`` encodes them.
+Otherwise that text is cut into pieces, since one body may be too large by
+itself.
+"""
+
+import json
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from gentiantrestle.gateway.batch.records import (
+    bodies_to_content,
+    with_bodies,
+)
+from gentiantrestle.gateway.model import ItemSpec, Job
+
+# Quotes and backslashes of a piece are escaped once more.
+ESCAPED_SHARE = 2
+WRAPPER_SIZE = 64  # bytes around a piece
+
+
+class _PieceContent(msgspec.Struct):
+    piece: str
+
+
+def part_name(job_id: str, index: int) -> str:
+    """Name the object of one part of a job's bodies."""
+    return f'{job_id}.{index}' if index else job_id
+
+
+def split_bodies(job: Job, max_size: int) -> tuple[dict[str, Any], ...]:
+    """Encode a job's bodies as contents of at most ``max_size`` bytes."""
+    whole = bodies_to_content(job)
+    text = json.dumps(whole)
+    if len(text) <= max_size:
+        return (whole,)
+    length = (max_size - WRAPPER_SIZE) // ESCAPED_SHARE
+    return tuple(
+        {'piece': text[start : start + length]}
+        for start in range(0, len(text), length)
+    )
+
+
+def join_bodies(job: Job, parts: Iterable[Any]) -> tuple[ItemSpec, ...]:
+    """Return a job's items with the bodies decoded from all parts.
+
+    Raises one of ``records.DECODE_ERRORS`` if they are malformed.
+    """
+    first, *others = parts
+    if not others:
+        return with_bodies(job, first)
+    text = ''.join(
+        msgspec.convert(part, _PieceContent).piece for part in (first, *others)
+    )
+    return with_bodies(job, json.loads(text))
--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -1,9 +1,16 @@
 """Reads and writes batch jobs and their results in the store."""
 
+import asyncio
 import random
 from collections.abc import Callable, Iterable
+from typing import Any
 
 from gentiantrestle import events
+from gentiantrestle.gateway.batch.body_parts import (
+    join_bodies,
+    part_name,
+    split_bodies,
+)
 from gentiantrestle.gateway.batch.job_index import JobEntry, JobIndex
 from gentiantrestle.gateway.batch.records import (
     BODY_KIND,
@@ -11,11 +18,10 @@
     DECODE_ERRORS,
     DONE,
     JOB_KIND,
-    bodies_to_content,
+    MAX_BODY_PARTS,
     job_from_stored,
     job_to_content,
     state_of,
-    with_bodies,
 )
 from gentiantrestle.gateway.batch.result_store import (
     ResultStore,
@@ -24,6 +30,7 @@
 from gentiantrestle.gateway.model import ItemResult, Job
 from gentiantrestle.gateway.ports import ObjectStore, StoredObject
 from gentiantrestle.store.client import (
+    ObjectTooLargeError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
@@ -81,14 +88,22 @@
     async def accept(self, job: Job) -> bool:
         """Create a job; return False if it was accepted before.
 
-        Raises ``StoreUnavailableError`` if it was not accepted, and
+        Raises ``StoreUnavailableError`` if it was not accepted, as
+        ``ObjectTooLargeError`` if the store can't take it, and
         ``StoreOutcomeUnknownError`` if it may have been.
         """
-        bodies = bodies_to_content(job)
-        content = job_to_content(job)
-        await self._store.create(BODY_KIND, job.id, bodies)
-        # The job is accepted once this second object exists; bodies alone
-        # have no effect.
+        parts = split_bodies(job, self._store.max_content_size)
+        if len(parts) > MAX_BODY_PARTS:
+            raise ObjectTooLargeError(f'bodies of {len(parts)} objects')
+        content = job_to_content(job._replace(body_parts=len(parts)))
+        await asyncio.gather(
+            *(
+                self._store.create(BODY_KIND, part_name(job.id, index), part)
+                for index, part in enumerate(parts)
+            )
+        )
+        # The job is accepted once this last object exists; bodies alone have
+        # no effect.
         new = await self._store.create(JOB_KIND, job.id, content)
         if new:
             entry = self.apply(StoredObject(job.id, 0, content))
@@ -105,16 +120,23 @@
         """
         if entry.has_bodies:
             return
-        stored = await self._store.get(BODY_KIND, entry.job.id)
-        if stored is None:
+        names = (
+            part_name(entry.job.id, index)
+            for index in range(entry.job.body_parts)
+        )
+        parts = await asyncio.gather(
+            *(self._store.get(BODY_KIND, name) for name in names)
+        )
+        if None in parts:
             events.emit(
                 events.ENTRY_UNREADABLE,
                 name=entry.job.id,
                 error='the bodies of the job are missing in the store',
             )
             return
+        decoded = [decode_part(part, _as_it_is) for part in parts]
         entry.load_bodies(
-            decode_part(stored, lambda content: with_bodies(entry.job, content))
+            decode_part(parts[0], lambda _: join_bodies(entry.job, decoded))
         )
 
     async def relist(self) -> None:
@@ -209,3 +231,7 @@
         """Update the index; return whether the state is final or unreadable."""
         entry = self.apply(stored)
         return entry is None or entry.job.done or state_of(stored) == CANCELLED
+
+
+def _as_it_is(content: Any) -> Any:
+    return content
--- a/gentiantrestle/gateway/batch/records.py
+++ b/gentiantrestle/gateway/batch/records.py
@@ -9,6 +9,7 @@
 from gentiantrestle.gateway.ports import StoredObject
 from gentiantrestle.models import MAX_INT32, MAX_INT64
 
+MAX_BODY_PARTS = 64  # objects
 JOB_KIND = 'batch-jobs'
 BODY_KIND = 'batch-bodies'
 RESULT_KIND = 'batch-results'
@@ -16,6 +17,7 @@
 # subclasses of ValueError.
 DECODE_ERRORS = (LookupError, TypeError, ValueError, AttributeError)
 Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT32)]
+Parts = Annotated[int, msgspec.Meta(ge=1, le=MAX_BODY_PARTS)]
 Version = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT64)]
 CANCELLED = 'ended'  # by the client
 DONE = 'done'  # every item has a result
@@ -39,6 +41,7 @@
     acceptor: str
     version: Version
     items: list[_ItemContent]  # noqa: WPS110 (as in the store)
+    body_parts: Parts = 1
 
 
 class _BodiesContent(msgspec.Struct):
@@ -73,6 +76,7 @@
         'acceptor': job.acceptor,
         'version': job.version,
         'items': [[spec.id, spec.tokens] for spec in job.items],
+        'body_parts': job.body_parts,
     }
 
 
@@ -106,6 +110,7 @@
         version=content.version,
         cancelled=state == CANCELLED,
         done=state == DONE,
+        body_parts=content.body_parts,
     )
     return JobRecord(job, stored)
 
@@ -144,8 +149,3 @@
     Raises one of ``DECODE_ERRORS`` if it is malformed.
     """
     return tuple(msgspec.convert(content, _ResultsContent).results)
-
-
-def encoded_size(job: Job) -> int:
-    """Return the size in bytes of the store object with a job's bodies."""
-    return len(msgspec.json.encode(bodies_to_content(job)))
--- a/gentiantrestle/gateway/model.py
+++ b/gentiantrestle/gateway/model.py
@@ -158,7 +158,8 @@
 
     ``acceptor`` names the instance run that accepted it, and ``version`` the
     configuration in force then. ``cancelled`` is set when a caller cancels
-    the job, ``done`` when every item has a result.
+    the job, ``done`` when every item has a result. Its bodies are stored in
+    ``body_parts`` objects.
     """
 
     id: str
@@ -170,6 +171,7 @@
     version: int = 0
     cancelled: bool = False
     done: bool = False
+    body_parts: int = 1
 
     @property
     def tokens(self) -> int:
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -64,6 +64,7 @@
         self.standins: dict[Address, Child] = {}
         self._incarnations = [0] * upstreams
         self.version = 0
+        self.body_limit = 1048576  # bytes of a request
         self.launcher = 'gentiantrestle.platform'
         self.environ: dict[str, str] = {}
         # Added to the arguments of each upstream.
@@ -236,7 +237,7 @@
         self.version += 1
         limits = {
             'max-header-bytes': 16384,
-            'max-body-bytes': 1048576,
+            'max-body-bytes': self.body_limit,
             'header-timeout-ms': 1000,
             'idle-timeout-ms': 5000,
         }
--- /dev/null
+++ b/tests/gateway/test_body_parts.py
@@ -0,0 +1,90 @@
+"""Jobs whose bodies are larger than one object of the store."""
+
+import base64
+import random
+
+import pytest
+
+from gentiantrestle.gateway.batch.body_parts import split_bodies
+from gentiantrestle.gateway.batch.job_index import JobIndex
+from gentiantrestle.gateway.batch.job_store import JobStore
+from gentiantrestle.gateway.batch.records import BODY_KIND, MAX_BODY_PARTS
+from gentiantrestle.gateway.model import Job
+from gentiantrestle.store.client import ObjectTooLargeError
+from tests.gateway.fleet import (
+    ENTRIES,
+    GatewayFleet,
+    has_applied_config,
+)
+from tests.gateway.memory import MemoryStore
+from tests.gateway.samples import make_job
+from tests.gateway.test_process_jobs import read_all
+from tests.gateway.wire_samples import (
+    expected_output,
+    job_doc,
+    route_docs,
+)
+from tests.utils.http import until
+
+LIMIT = 2000  # bytes
+ITEMS = 198
+BODY_SIZE = 15000  # bytes
+BODY_LIMIT = 4194304  # bytes of a request
+
+
+def _make_large_job(body_size: int) -> Job:
+    job = make_job(count=3)
+    fields = {'a': '"\\' * 100}
+    specs = [
+        spec._replace(headers=fields, body=bytes([number]) * body_size)
+        for number, spec in enumerate(job.items)
+    ]
+    return job._replace(items=tuple(specs))
+
+
+@pytest.mark.parametrize('body_size', [10, 500, 5000])
+async def test_other_instance_reads_bodies_of_any_size(body_size: int) -> None:
+    store = MemoryStore(max_content_size=LIMIT)
+    job = _make_large_job(body_size)
+    acceptor = JobStore(store, JobIndex(), random.Random(1), lambda: 0)
+    assert await acceptor.accept(job)
+    other = JobStore(store, JobIndex(), random.Random(1), lambda: 0)
+    entry = await other.find(job.id)
+    assert entry is not None
+    await other.load_bodies(entry)
+    assert [entry.body(spec.id) for spec in job.items] == [
+        spec.body for spec in job.items
+    ]
+    parts = len(split_bodies(job, LIMIT))
+    assert len(store.kinds[BODY_KIND]) == parts
+
+
+async def test_job_of_too_many_parts_is_not_accepted() -> None:
+    store = MemoryStore(max_content_size=LIMIT)
+    job_store = JobStore(store, JobIndex(), random.Random(1), lambda: 0)
+    with pytest.raises(ObjectTooLargeError):
+        await job_store.accept(_make_large_job(LIMIT * MAX_BODY_PARTS))
+    assert not store.calls
+
+
+async def test_job_as_large_as_a_request_may_be_is_run(
+    fleet: GatewayFleet,
+) -> None:
+    fleet.body_limit = BODY_LIMIT
+    await fleet.configure(route_docs())
+    for number in range(ENTRIES):
+        await until(
+            lambda entry=number: has_applied_config(fleet, entry, fleet.version)
+        )
+    events = 2
+    body = b'{"events":2,"text":"' + b'x' * BODY_SIZE + b'"}'
+    text = base64.b64encode(body).decode()
+    job = job_doc('job1', ITEMS, events, body=text)
+    reply = await fleet.request(0, 'job1', '/lists/j', job)
+    assert reply.status == 202
+    outputs = await read_all(fleet, 1, 'job1')
+    assert outputs['job1-0'] == expected_output('job1-0', events)
+    read = await fleet.request(
+        2, 'b', '/gentiantrestle/items/job1?id=job1-197', method='GET'
+    )
+    assert read.body == body
