Daemon: what is left at the end of a stop is answered

Cause: after its grace the daemon's server cancelled the connections that were left, and their callers got no answer, as in the gateway.

Change: a request that isn't complete is refused (503, not run), another one may have run (502); an answer that has begun is cut.

Result: the three new tests got an empty answer before, and pass.

--- a/gentiantrestle/http/connection.py
+++ b/gentiantrestle/http/connection.py
@@ -12,6 +12,8 @@
     BAD_REQUEST,
     HEADERS_TOO_LARGE,
     REQUEST_TIMEOUT,
+    STOPPING,
+    UPSTREAM_OUTCOME_UNKNOWN,
     RefusedError,
     refuse,
 )
@@ -87,6 +89,18 @@
             await self._send(response, close=True)
             await self._linger()
 
+    async def end(self) -> None:
+        """Answer a request that is left as the server ends.
+
+        One that is not complete has not run; another may have.
+        """
+        if not self.busy:
+            return
+        kind = UPSTREAM_OUTCOME_UNKNOWN
+        if self._h11.their_state in {h11.IDLE, h11.SEND_BODY}:
+            kind = STOPPING
+        await self.refuse(refuse(kind, 'This instance ends'))
+
     def end_idle(self) -> None:
         """End the wait for a request if none has begun to arrive."""
         wait = self._idle_wait
@@ -197,7 +211,7 @@
         self.busy = True
         response = await handle(req)
         if self._h11.their_state is h11.SEND_BODY:
-            await self._skip_body(req)
+            await _skip_body(req)
         unread = self._h11.their_state is not h11.DONE
         await self._send(response, close=unread or stopping.is_set())
         self.busy = False
@@ -216,11 +230,6 @@
                 while await self._reader.read(READ_SIZE):
                     await asyncio.sleep(0)
 
-    async def _skip_body(self, req: Request) -> None:
-        """Read a short rest of the body; unread, it would cause a reset."""
-        with suppress(RefusedError, ConnectionClosedError):
-            await req.read(MAX_HEADER)
-
     async def _send(self, response: Response, *, close: bool) -> None:
         headers = [('Content-Type', response.content_type), *response.headers]
         if close:
@@ -272,3 +281,9 @@
             raise ConnectionClosedError(
                 'caller stalled or disconnected'
             ) from exc
+
+
+async def _skip_body(req: Request) -> None:
+    """Read a short rest of the body; unread, it would cause a reset."""
+    with suppress(RefusedError, ConnectionClosedError):
+        await req.read(MAX_HEADER)
--- a/gentiantrestle/http/server.py
+++ b/gentiantrestle/http/server.py
@@ -54,7 +54,8 @@
     async def stop(self, grace: float) -> int:
         """Wait up to ``grace`` s for requests; return how many were cut off.
 
-        A request that has arrived, even in part, is answered.
+        A request that has arrived, even in part, is answered: after the grace
+        it is refused, and an answer that has begun is cut.
         """
         self._stopping.set()
         if self._server is not None:
@@ -88,7 +89,8 @@
         except (ConnectionClosedError, h11.LocalProtocolError, ConnectionError):
             return
         except asyncio.CancelledError:
-            return
+            with suppress(ConnectionClosedError, h11.LocalProtocolError):
+                await conn.end()
         finally:
             self._connections.pop(task, None)
             conn.close()
--- a/tests/interfaces/test_http_closing.py
+++ b/tests/interfaces/test_http_closing.py
@@ -17,6 +17,9 @@
 PATIENCE = 2.0  # seconds
 REQUEST = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
 HALF = len(REQUEST) // 2
+UPLOAD = b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n'
+MAX_BODY = 100  # bytes
+ARRIVAL_TIME = 0.05  # seconds
 OK = b'HTTP/1.1 200'
 
 
@@ -25,7 +28,8 @@
 
     def __init__(self) -> None:
         limits = ServerLimits(header_timeout=1, idle_timeout=IDLE_TIMEOUT)
-        self.server = Server(_answer, limits)
+        self.handle = _answer
+        self.server = Server(lambda req: self.handle(req), limits)
         self.sock = socket.socket()
 
     async def start(self) -> None:
@@ -108,3 +112,28 @@
 async def test_stopping_server_closes_idle_connections(app: App) -> None:
     assert await app.server.stop(PATIENCE) == 0
     assert await app.read() == b''
+
+
+async def _never_answer(req: Request) -> Response:
+    await req.read(MAX_BODY)
+    await asyncio.sleep(PATIENCE * 10)
+    return Response(body=b'{}')
+
+
+@pytest.mark.parametrize(
+    ('sent', 'status'),
+    [
+        (UPLOAD[:HALF], b'503'),
+        (UPLOAD + b'{', b'503'),
+        (UPLOAD + b'{}', b'502'),
+    ],
+    ids=['head', 'body', 'running'],
+)
+async def test_request_that_is_left_at_the_end_of_a_stop_is_answered(
+    app: App, sent: bytes, status: bytes
+) -> None:
+    app.handle = _never_answer
+    app.sock.send(sent)
+    await asyncio.sleep(ARRIVAL_TIME)
+    assert await app.server.stop(0) == 1
+    assert (await app.read()).startswith(b'HTTP/1.1 ' + status)
