--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -25,6 +25,7 @@
     ('crashing', 5),
     ('crashing', 207),
     ('mixed', 43),
+    ('releasing', 543),
     ('unframed', 305),
 ]
 
