Gateway: parts of bodies have a kind of their own

Cause: found by reading: its parts were named JOB.NUMBER beside the bodies of jobs, and an id may look like that. A job `x.1` would have got the second part of job `x` as its bodies.

Change: parts after the first are objects of another kind.

Result: the new test read the wrong bodies on the commit before, and passes.

--- a/gentiantrestle/gateway/batch/body_parts.py
+++ b/gentiantrestle/gateway/batch/body_parts.py
@@ -12,6 +12,8 @@
 import msgspec
 
 from gentiantrestle.gateway.batch.records import (
+    BODY_KIND,
+    BODY_PART_KIND,
     bodies_to_content,
     with_bodies,
 )
@@ -26,9 +28,11 @@
     piece: str
 
 
-def part_name(job_id: str, index: int) -> str:
-    """Name the object of one part of a job's bodies."""
-    return f'{job_id}.{index}' if index else job_id
+def part_key(job_id: str, index: int) -> tuple[str, str]:
+    """Return the kind and name of the object of one part of the bodies."""
+    if index:
+        return BODY_PART_KIND, f'{job_id}.{index}'
+    return BODY_KIND, job_id
 
 
 def split_bodies(job: Job, max_size: int) -> tuple[dict[str, Any], ...]:
--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -8,12 +8,11 @@
 from gentiantrestle import events
 from gentiantrestle.gateway.batch.body_parts import (
     join_bodies,
-    part_name,
+    part_key,
     split_bodies,
 )
 from gentiantrestle.gateway.batch.job_index import JobEntry, JobIndex
 from gentiantrestle.gateway.batch.records import (
-    BODY_KIND,
     CANCELLED,
     DECODE_ERRORS,
     DONE,
@@ -98,7 +97,7 @@
         content = job_to_content(job._replace(body_parts=len(parts)))
         await asyncio.gather(
             *(
-                self._store.create(BODY_KIND, part_name(job.id, index), part)
+                self._store.create(*part_key(job.id, index), part)
                 for index, part in enumerate(parts)
             )
         )
@@ -120,12 +119,11 @@
         """
         if entry.has_bodies:
             return
-        names = (
-            part_name(entry.job.id, index)
-            for index in range(entry.job.body_parts)
-        )
         parts = await asyncio.gather(
-            *(self._store.get(BODY_KIND, name) for name in names)
+            *(
+                self._store.get(*part_key(entry.job.id, index))
+                for index in range(entry.job.body_parts)
+            )
         )
         if None in parts:
             events.emit(
--- a/gentiantrestle/gateway/batch/records.py
+++ b/gentiantrestle/gateway/batch/records.py
@@ -12,6 +12,9 @@
 MAX_BODY_PARTS = 64  # objects
 JOB_KIND = 'batch-jobs'
 BODY_KIND = 'batch-bodies'
+# Of bodies that are not one object: those after the first, by number. Ids may
+# look like these names, so they have a kind of their own.
+BODY_PART_KIND = 'batch-body-parts'
 RESULT_KIND = 'batch-results'
 # What anybody may have written is checked before it is used; msgspec raises
 # subclasses of ValueError.
--- a/tests/gateway/test_body_parts.py
+++ b/tests/gateway/test_body_parts.py
@@ -8,7 +8,11 @@
 from gentiantrestle.gateway.batch.body_parts import split_bodies
 from gentiantrestle.gateway.batch.job_index import JobIndex
 from gentiantrestle.gateway.batch.job_store import JobStore
-from gentiantrestle.gateway.batch.records import BODY_KIND, MAX_BODY_PARTS
+from gentiantrestle.gateway.batch.records import (
+    BODY_KIND,
+    BODY_PART_KIND,
+    MAX_BODY_PARTS,
+)
 from gentiantrestle.gateway.model import Job
 from gentiantrestle.store.client import ObjectTooLargeError
 from tests.gateway.fleet import (
@@ -55,8 +59,23 @@
     assert [entry.body(spec.id) for spec in job.items] == [
         spec.body for spec in job.items
     ]
-    parts = len(split_bodies(job, LIMIT))
-    assert len(store.kinds[BODY_KIND]) == parts
+    stored = store.kinds[BODY_KIND] | store.kinds.get(BODY_PART_KIND, {})
+    assert len(stored) == len(split_bodies(job, LIMIT))
+
+
+async def test_job_whose_id_looks_like_a_part_keeps_its_bodies() -> None:
+    store = MemoryStore(max_content_size=LIMIT)
+    job_store = JobStore(store, JobIndex(), random.Random(1), lambda: 0)
+    large = _make_large_job(5000)
+    small = make_job()._replace(id=f'{large.id}.1')
+    assert await job_store.accept(large)
+    assert await job_store.accept(small)
+    other = JobStore(store, JobIndex(), random.Random(1), lambda: 0)
+    for job in (large, small):
+        entry = await other.find(job.id)
+        assert entry is not None
+        await other.load_bodies(entry)
+        assert entry.body(job.items[0].id) == job.items[0].body
 
 
 async def test_job_of_too_many_parts_is_not_accepted() -> None:
