Gateway: the size of saved streams is estimated faster

Cause: found by reading: each stream was encoded once more to learn its size, ten times a second at the instance that saves for its zone.

Change: the size is estimated from the lengths of its texts.

--- a/gentiantrestle/gateway/streams/records.py
+++ b/gentiantrestle/gateway/streams/records.py
@@ -1,6 +1,5 @@
 """Formats of what instances store about streams; no I/O."""
 
-import json
 from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple
 
@@ -15,7 +14,8 @@
 ZONE_PREFIX = 'zone-'
 VERSIONS = 'versions'
 STREAMS = 'streams'
-SEPARATOR_SIZE = 2  # bytes between two streams
+QUOTES_SIZE = 16  # bytes around the id, the service and the version
+ESCAPED_SIZE = 6  # bytes of a character that is not ASCII
 WRAPPER_SIZE = 64  # bytes around all of them
 DECODE_ERRORS = (LookupError, TypeError, ValueError, AttributeError)
 
@@ -62,12 +62,19 @@
     """
     left = max_size - WRAPPER_SIZE
     for origin in reversed(tuple(origins)):
-        left -= len(json.dumps(origin)) + SEPARATOR_SIZE
+        left -= _size(origin)
         if left < 0:
             return
         yield origin
 
 
+def _size(origin: StreamOrigin) -> int:
+    """Return the most bytes that a stream takes; made for thousands of them."""
+    text = ''.join(origin)
+    length = len(text) if text.isascii() else len(text) * ESCAPED_SIZE
+    return length + QUOTES_SIZE
+
+
 def origins_from_content(content: Any) -> Iterator[StreamOrigin]:
     """Decode streams; raise one of ``DECODE_ERRORS``."""
     for service, versions in content[STREAMS].items():
