Logs and metrics tell why a configuration is late

Cause: 3006 and 3007 didn't say how long a call took, and nothing said since when an instance has known that a newer configuration exists, so that a silent source (A) and a silent store (B) look the same. No logic changes.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -161,6 +161,11 @@
 PEER_FAILED = _define(
     3007, LEVEL_WARNING, 'call to instance {instance} failed: {error}'
 )
+CONFIG_BEHIND = _define(
+    3019,
+    LEVEL_INFO,
+    'instance {instance} has configuration {version}, {known} is in force here',
+)
 PULSE_UNREADABLE = _define(
     3008, LEVEL_WARNING, 'unreadable datagram dropped: {error}'
 )
--- a/gentiantrestle/gateway/gauges.py
+++ b/gentiantrestle/gateway/gauges.py
@@ -13,6 +13,9 @@
         'Traits, or sets of them, of requests that crash upstreams.'
     ),
     'config_version': 'Version of the configuration in force.',
+    'config_lag_seconds': (
+        'For how long another instance has had a newer configuration, in s.'
+    ),
     'store_connected': (
         '1 if this instance watches the store and reaches it, else 0.'
     ),
@@ -26,6 +29,7 @@
     waiting: Callable[[], int]
     quarantined_requests: Callable[[], int]
     config_version: Callable[[], int]
+    config_lag_seconds: Callable[[], float]
     store_connected: Callable[[], int]
 
 
--- a/gentiantrestle/gateway/peer_calls.py
+++ b/gentiantrestle/gateway/peer_calls.py
@@ -1,6 +1,7 @@
 """Calls between instances: copies of state, and results of jobs."""
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 
 from gentiantrestle import events
@@ -18,6 +19,7 @@
 from gentiantrestle.wire.peer import ttypes
 
 SYNC_INTERVAL = 0.25  # seconds between checks for a peer with newer state
+MS_PER_S = 1000
 
 
 class PeerCalls:
@@ -73,10 +75,7 @@
         request = ttypes.ResultsRequest(entry.job.id, len(entry.results))
         try:
             reply = (await self._call(peer, results_request=request)).results
-        except PeerError as exc:
-            events.emit(
-                events.PEER_FAILED, instance=peer.instance, error=repr(exc)
-            )
+        except PeerError:
             return False
         if reply is None or not reply.known:
             return False
@@ -90,13 +89,11 @@
         return True
 
     async def _copy_from(self, peer: Peer) -> None:
+        began = time.monotonic()
         request = self._copier.build_request()
         try:
             copy = (await self._call(peer, copy_request=request)).copy
-        except PeerError as exc:
-            events.emit(
-                events.PEER_FAILED, instance=peer.instance, error=repr(exc)
-            )
+        except PeerError:
             return
         if copy is None:
             return
@@ -105,9 +102,9 @@
         except Exception as exc:  # noqa: BLE001 (logged; copied again)
             events.emit(events.MESSAGE_FAILED, error=repr(exc))
             return
-        self._log_copied(peer)
+        self._log_copied(peer, began)
 
-    def _log_copied(self, peer: Peer) -> None:
+    def _log_copied(self, peer: Peer, began: float) -> None:
         revisions = self._copier.revisions
         events.emit(
             events.STATE_COPIED,
@@ -115,12 +112,23 @@
             version=revisions.config_version,
             revision=revisions.upstreams_revision,
             jobs=revisions.jobs_revision,
+            took_ms=_since_ms(began),
         )
 
     async def _call(self, peer: Peer, **call: object) -> ttypes.Envelope:
+        began = time.monotonic()
         address = Address(peer.host, self._port)
         envelope = ttypes.Envelope(call=0, **call)
-        return await self._client.call(address, envelope)
+        try:
+            return await self._client.call(address, envelope)
+        except PeerError as exc:
+            events.emit(
+                events.PEER_FAILED,
+                instance=peer.instance,
+                error=repr(exc),
+                took_ms=_since_ms(began),
+            )
+            raise
 
     async def _answer(self, envelope: ttypes.Envelope) -> ttypes.Envelope:
         answer = ttypes.Envelope(call=envelope.call)
@@ -147,5 +155,9 @@
         )
 
 
+def _since_ms(began: float) -> int:
+    return round((time.monotonic() - began) * MS_PER_S)
+
+
 async def _never(entry: JobEntry) -> bool:
     return False
--- a/gentiantrestle/gateway/peering.py
+++ b/gentiantrestle/gateway/peering.py
@@ -1,5 +1,6 @@
 """Exchange of state between this instance and the others."""
 
+import asyncio
 import random
 from collections import deque
 from collections.abc import Callable, Iterator
@@ -9,6 +10,7 @@
 from gentiantrestle.gateway.batch.job_index import JobIndex
 from gentiantrestle.gateway.batch.result_reader import ResultReader
 from gentiantrestle.gateway.batch.runner import Runner
+from gentiantrestle.gateway.config_lag import ConfigLag
 from gentiantrestle.gateway.membership.learning import Learning
 from gentiantrestle.gateway.membership.membership import Membership
 from gentiantrestle.gateway.membership.messages import (
@@ -29,6 +31,7 @@
 # An instance that has just started knows of few slots in use, so that it
 # coordinates none for this long if another one can.
 START_TIME = 1.0  # seconds
+LAG_INTERVAL = 0.1  # seconds between two looks at the others' versions
 
 
 class PeeringParts(NamedTuple):
@@ -67,6 +70,8 @@
         self._parts = parts
         self._is_connected = is_connected
         self._clock = clock
+        self._lag = ConfigLag()
+        self._peers = peers
         self._cancelled_jobs: deque[str] = deque(maxlen=MAX_CANCELLED_JOBS)
         self._leaving = False
         self._started = clock.now()
@@ -89,6 +94,11 @@
         """Return whether this instance knows what the others know."""
         return self._learning.is_over(self._clock.now())
 
+    @property
+    def config_lag(self) -> float:
+        """Return for how long a known configuration has been missing, in s."""
+        return self._lag.seconds(self._clock.now())
+
     def children(self) -> Iterator[Child]:
         """Yield the tasks that the supervisor runs."""
         yield Child('membership', self._parts.membership.run)
@@ -100,6 +110,7 @@
             'relay',
             lambda: self._peer_calls.run(self._clock.now, self.before_sync),
         )
+        yield Child('config lag', self._watch_lag)
 
     def leave(self) -> None:
         """Announce that this instance accepts no new work any more."""
@@ -125,6 +136,13 @@
             self._parts.evidence.findings(self._clock.wall()),
         )
 
+    async def _watch_lag(self) -> None:
+        while True:
+            now = self._clock.now()
+            known = self._parts.copier.revisions.config_version
+            self._lag.update(known, self._peers.alive(now), now)
+            await asyncio.sleep(LAG_INTERVAL)
+
     def _apply_notices(self, notices: JobNotices) -> None:
         for job in notices.cancelled_jobs:
             self._parts.index.cancel(job)
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -233,6 +233,7 @@
                 evidence.culprits(self._clock.wall())
             ),
             config_version=lambda: self._state.config_version,
+            config_lag_seconds=lambda: self._peering.config_lag,
             store_connected=lambda: int(self._is_connected()),
         )
 
