Gateway: a silent instance holds up no copy of newer state

What callers saw: a confirmed configuration was not in force after 2.5 s, where the instance that had announced it fell silent (connects, or doesn't, and answers nothing). Cause: PeerCalls.run awaited one copy after the other, up to 1 s to connect and 1 s for the answer; the choice didn't know who had just failed and took the same source again, or one by lot among all that were ahead; the election of the zone's watcher stood still meanwhile. Change: a source without an answer for 0.3 s is left to itself and another one is asked (daemon/membership/sources.py); silent and failed ones go last, zones with a silent one after the others; a silent watcher is passed over at once instead of after 0.8 s. The watcher's role is a task of its own.

--- /dev/null
+++ b/gentiantrestle/daemon/membership/sources.py
@@ -0,0 +1,89 @@
+"""Instances that are asked for newer state, several if some are silent."""
+
+import asyncio
+from collections.abc import Coroutine, Iterable
+from typing import Any, NamedTuple, Protocol, TypeVar
+
+# Answers take tens of ms, also between regions.
+PATIENCE = 0.3  # seconds without an answer until another source is asked
+# Whoever has failed is asked again at once if nobody else has the state.
+FAILURE_MEMORY = 3.0  # seconds
+MAX_CALLS = 4  # calls in progress at once
+NEVER = float('-inf')
+
+
+class Named(Protocol):
+    """A row about an instance."""
+
+    instance: str
+
+
+Row = TypeVar('Row', bound=Named)
+
+
+class SourceStates(NamedTuple):
+    """Which instances have not answered, as of now.
+
+    ``asked`` are those whose answer is awaited, ``failed`` those that have
+    not answered lately.
+    """
+
+    asked: frozenset[str] = frozenset()
+    failed: frozenset[str] = frozenset()
+
+    def is_silent(self, instance: str) -> bool:
+        """Return whether an instance doesn't answer, or didn't lately."""
+        return instance in self.asked or instance in self.failed
+
+    def usable(self, rows: Iterable[Row]) -> list[Row]:
+        """Return those to ask: none that is asked, else failed ones last."""
+        if len(self.asked) >= MAX_CALLS:
+            return []
+        idle = [row for row in rows if row.instance not in self.asked]
+        sound = [row for row in idle if row.instance not in self.failed]
+        return sound or idle
+
+
+class SourceCalls:
+    """Calls for newer state; one that gets no answer holds up no other."""
+
+    def __init__(self) -> None:
+        """Start without calls."""
+        self._calls: dict[str, asyncio.Task[bool]] = {}
+        self._failed_at: dict[str, float] = {}
+
+    def states(self, now: float) -> SourceStates:
+        """Return which instances have not answered."""
+        for instance in tuple(self._calls):
+            self._note_end(instance, now)
+        self._failed_at = {
+            name: failed_at
+            for name, failed_at in self._failed_at.items()
+            if now - failed_at < FAILURE_MEMORY
+        }
+        return SourceStates(frozenset(self._calls), frozenset(self._failed_at))
+
+    async def ask(self, instance: str, call: Coroutine[Any, Any, bool]) -> bool:
+        """Run a call that returns whether an instance has answered.
+
+        Returns whether it ended in time; else it goes on.
+        """
+        task = asyncio.create_task(call)
+        self._calls[instance] = task
+        ended, _ = await asyncio.wait({task}, timeout=PATIENCE)
+        return bool(ended)
+
+    def cancel(self) -> None:
+        """Cancel all calls."""
+        for call in self._calls.values():
+            call.cancel()
+        self._calls.clear()
+
+    def _note_end(self, instance: str, now: float) -> None:
+        """Take the outcome of a call that has ended; raise what it raised."""
+        if not self._calls[instance].done():
+            return
+        if self._calls.pop(instance).result():
+            self._failed_at.pop(instance, None)
+        else:
+            self._failed_at[instance] = now
--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -166,6 +166,11 @@
     LEVEL_INFO,
     'instance {instance} has configuration {version}, {known} is in force here',
 )
+SOURCE_SILENT = _define(
+    3020,
+    LEVEL_WARNING,
+    'instance {instance} is silent; another one is asked for newer state',
+)
 PULSE_UNREADABLE = _define(
     3008, LEVEL_WARNING, 'unreadable datagram dropped: {error}'
 )
--- a/gentiantrestle/gateway/peer_calls.py
+++ b/gentiantrestle/gateway/peer_calls.py
@@ -10,6 +10,7 @@
     PeerError,
     PeerServer,
 )
+from gentiantrestle.daemon.membership.sources import SourceCalls
 from gentiantrestle.gateway.batch.job_index import JobEntry, JobIndex
 from gentiantrestle.gateway.membership.peers import Peer, PeerList
 from gentiantrestle.gateway.model import ItemResult
@@ -40,6 +41,7 @@
         self._selector = selector
         self._port = port
         self._client = PeerClient()
+        self._sources = SourceCalls()
         self._server = PeerServer(self._answer)
         # Returns whether this instance knows all results of a job.
         self.confirm_results: Callable[[JobEntry], Awaitable[bool]] = _never
@@ -48,23 +50,14 @@
         """Answer the other instances until cancelled."""
         await self._server.run(Address(host, self._port))
 
-    async def run(
-        self,
-        now: Callable[[], float],
-        before_sync: Callable[[], None],
-    ) -> None:
+    async def run(self, now: Callable[[], float]) -> None:
         """Copy newer state from other instances until cancelled."""
-        while True:
-            before_sync()
-            checked_at = now()
-            peer = self._selector.choose(
-                self._copier.revisions,
-                self._peers.alive(checked_at),
-                checked_at,
-            )
-            if peer is not None:
-                await self._copy_from(peer)
-            await asyncio.sleep(SYNC_INTERVAL)
+        try:
+            while True:
+                if not await self._ask_next(now()):
+                    await asyncio.sleep(SYNC_INTERVAL)
+        finally:
+            self._sources.cancel()
 
     async def fetch_results(self, peer: Peer, entry: JobEntry) -> bool:
         """Add a job's new results from the instance that runs it.
@@ -88,21 +81,36 @@
             entry.add_peer_results(rows, reply.chunks)
         return True
 
-    async def _copy_from(self, peer: Peer) -> None:
+    async def _ask_next(self, now: float) -> bool:
+        """Ask one source; return whether it is silent, so that one follows."""
+        states = self._sources.states(now)
+        peer = self._selector.choose(
+            self._copier.revisions, self._peers.alive(now), states, now
+        )
+        if peer is None:
+            return False
+        if await self._sources.ask(peer.instance, self._copy_from(peer)):
+            return False
+        events.emit(events.SOURCE_SILENT, instance=peer.instance)
+        return True
+
+    async def _copy_from(self, peer: Peer) -> bool:
+        """Copy what is newer; return whether the instance has answered."""
         began = time.monotonic()
         request = self._copier.build_request()
         try:
             copy = (await self._call(peer, copy_request=request)).copy
         except PeerError:
-            return
+            return False
         if copy is None:
-            return
+            return False
         try:
             self._copier.apply_copy(copy)
         except Exception as exc:  # noqa: BLE001 (logged; copied again)
             events.emit(events.MESSAGE_FAILED, error=repr(exc))
-            return
+            return False
         self._log_copied(peer, began)
+        return True
 
     def _log_copied(self, peer: Peer, began: float) -> None:
         revisions = self._copier.revisions
--- a/gentiantrestle/gateway/peering.py
+++ b/gentiantrestle/gateway/peering.py
@@ -31,6 +31,7 @@
 # An instance that has just started knows of few slots in use, so that it
 # coordinates none for this long if another one can.
 START_TIME = 1.0  # seconds
+ROLE_INTERVAL = 0.25  # seconds between two looks at who watches the store
 LAG_INTERVAL = 0.1  # seconds between two looks at the others' versions
 
 
@@ -75,8 +76,8 @@
         self._cancelled_jobs: deque[str] = deque(maxlen=MAX_CANCELLED_JOBS)
         self._leaving = False
         self._started = clock.now()
-        # Called each time before the peer to copy from is chosen.
-        self.before_sync: Callable[[], None] = _nothing
+        # Called at short intervals; takes or gives up the watcher's role.
+        self.update_role: Callable[[], None] = _nothing
         parts.membership.on_notices = self._apply_notices
         parts.membership.on_findings = self._apply_findings
         parts.membership.on_change = parts.runner.wake
@@ -108,8 +109,9 @@
         )
         yield Child(
             'relay',
-            lambda: self._peer_calls.run(self._clock.now, self.before_sync),
+            lambda: self._peer_calls.run(self._clock.now),
         )
+        yield Child('watcher role', self._update_role_on)
         yield Child('config lag', self._watch_lag)
 
     def leave(self) -> None:
@@ -136,6 +138,11 @@
             self._parts.evidence.findings(self._clock.wall()),
         )
 
+    async def _update_role_on(self) -> None:
+        while True:
+            self.update_role()
+            await asyncio.sleep(ROLE_INTERVAL)
+
     async def _watch_lag(self) -> None:
         while True:
             now = self._clock.now()
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -164,7 +164,7 @@
             self._is_connected,
             self._clock,
         )
-        peering.before_sync = self._update_watcher_role
+        peering.update_role = self._update_watcher_role
         return peering
 
     def _is_prepared(self) -> bool:
--- a/gentiantrestle/gateway/zone_watcher.py
+++ b/gentiantrestle/gateway/zone_watcher.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from gentiantrestle.daemon.membership.sources import SourceStates
 from gentiantrestle.gateway.membership.peers import Peer
 
 # An instance sends to its own zone at least every 0.4 s. Changes must be in
@@ -129,12 +130,14 @@
         self,
         known: Revisions,
         peers: Iterable[Peer],
+        states: SourceStates,
         now: float,
     ) -> Peer | None:
         """Return the instance to copy from now, or None.
 
-        That is the zone's watcher if it is ahead of ``known``, or a random
-        instance that is ahead if this one has been behind for too long.
+        That is the zone's watcher if it is ahead of ``known``, or another
+        instance that is ahead if the watcher is silent, or if this instance
+        has been behind for too long.
         """
         all_peers = list(peers)
         urgent = [peer for peer in all_peers if _is_ahead(peer, known)]
@@ -143,20 +146,43 @@
             for peer in all_peers
             if peer.jobs_revision > known.jobs_revision
         ]
-        self._behind_since = min(self._behind_since, now) if urgent else NEVER
-        if now - self._behind_since >= URGENT_LAG:
-            return self._pick(urgent)
+        if self._must_not_wait(urgent, states, now):
+            return self._pick(urgent, states)
         newest = max((peer.jobs_revision for peer in jobs), default=0)
         if self._jobs_lag.lag(known.jobs_revision, newest, now) >= JOBS_LAG:
-            return self._pick(jobs)
-        watchers = [peer for peer in urgent + jobs if self._is_watcher(peer)]
+            return self._pick(jobs, states)
+        watchers = states.usable(filter(self._is_watcher, urgent + jobs))
         return min(watchers, key=lambda peer: peer.instance, default=None)
 
+    def _must_not_wait(
+        self, urgent: list[Peer], states: SourceStates, now: float
+    ) -> bool:
+        """Return whether to copy what is ``urgent`` from anybody."""
+        self._behind_since = min(self._behind_since, now) if urgent else NEVER
+        if now - self._behind_since >= URGENT_LAG:
+            return True
+        watchers = list(filter(self._is_watcher, urgent))
+        return bool(watchers) and all(
+            states.is_silent(peer.instance) for peer in watchers
+        )
+
     def _is_watcher(self, peer: Peer) -> bool:
         return peer.zone == self._zone and peer.store_reached
 
-    def _pick(self, candidates: list[Peer]) -> Peer:
-        return candidates[int(self._rand() * len(candidates))]
+    def _pick(
+        self, candidates: list[Peer], states: SourceStates
+    ) -> Peer | None:
+        """Choose by lot: of the own zone, or of zones with nobody silent."""
+        usable = states.usable(candidates)
+        if not usable:
+            return None
+        silent_zones = {
+            peer.zone for peer in candidates if states.is_silent(peer.instance)
+        }
+        near = [peer for peer in usable if peer.zone == self._zone]
+        sound = [peer for peer in usable if peer.zone not in silent_zones]
+        best = near or sound or usable
+        return best[int(self._rand() * len(best))]
 
 
 def _is_ahead(peer: Peer, known: Revisions) -> bool:
--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from gentiantrestle.daemon.membership.sources import SourceStates
 from gentiantrestle.gateway.batch.job_index import JobIndex
 from gentiantrestle.gateway.batch.job_store import JobStore
 from gentiantrestle.gateway.batch.records import job_to_content
@@ -105,6 +106,7 @@
 
 
 KNOWN = Revisions(3, 5, 5)
+NONE_SILENT = SourceStates()
 
 
 def _selector() -> CopySourceSelector:
@@ -120,9 +122,14 @@
 ) -> None:
     watcher = _peer('a', upstreams_fingerprint=1, **newer)
     other = _peer('c', store_reached=False, upstreams_fingerprint=1, **newer)
-    assert _selector().choose(KNOWN, [other, watcher], 0) == watcher
-    assert _selector().choose(KNOWN, [other], 0) is None
-    assert _selector().choose(Revisions(4, 6, 6), [watcher], 0) is None
+    assert (
+        _selector().choose(KNOWN, [other, watcher], NONE_SILENT, 0) == watcher
+    )
+    assert _selector().choose(KNOWN, [other], NONE_SILENT, 0) is None
+    assert (
+        _selector().choose(Revisions(4, 6, 6), [watcher], NONE_SILENT, 0)
+        is None
+    )
 
 
 @pytest.mark.parametrize(
@@ -134,10 +141,10 @@
 ) -> None:
     selector = _selector()
     remote = _peer('z', zone='b1', upstreams_fingerprint=1, **newer)
-    assert selector.choose(KNOWN, [remote], 1) is None
-    assert selector.choose(KNOWN, [remote], 1 + lag) == remote
-    assert selector.choose(KNOWN, [_peer('z')], 2 + lag) is None
-    assert selector.choose(KNOWN, [remote], 3 + lag) is None
+    assert selector.choose(KNOWN, [remote], NONE_SILENT, 1) is None
+    assert selector.choose(KNOWN, [remote], NONE_SILENT, 1 + lag) == remote
+    assert selector.choose(KNOWN, [_peer('z')], NONE_SILENT, 2 + lag) is None
+    assert selector.choose(KNOWN, [remote], NONE_SILENT, 3 + lag) is None
 
 
 def test_equal_fingerprint_is_not_copied() -> None:
@@ -145,7 +152,7 @@
     same = _peer('z', zone='b1', upstreams_revision=9, upstreams_fingerprint=7)
     known = KNOWN._replace(upstreams_fingerprint=7)
     for now in (0, URGENT_LAG, 2 * URGENT_LAG):
-        assert selector.choose(known, [same], now) is None
+        assert selector.choose(known, [same], NONE_SILENT, now) is None
 
 
 def test_no_copy_from_other_zone_while_keeping_up_with_jobs() -> None:
@@ -154,7 +161,10 @@
         # The peer is always ahead, by less time than JOBS_LAG.
         known = KNOWN._replace(jobs_revision=step - 2)
         remote = _peer('z', zone='b1', jobs_revision=step)
-        assert selector.choose(known, [remote], step * JOBS_LAG / 4) is None
+        assert (
+            selector.choose(known, [remote], NONE_SILENT, step * JOBS_LAG / 4)
+            is None
+        )
 
 
 def _copier(now: float = 0) -> tuple[StateCopier, FleetState, JobStore]:
