Daemon: a silent instance holds up no copy of newer state

Evidence: tests/decisions/test_configuration_sources.py failed on the code before, 4 of 4: no copy in 60 s of virtual time (bound 3 s of the 4 s that a change may take). Result: 4 of 4 pass.

--- a/gentiantrestle/daemon/configuration/service.py
+++ b/gentiantrestle/daemon/configuration/service.py
@@ -13,6 +13,7 @@
 from gentiantrestle.daemon.membership.peers import PeerError
 from gentiantrestle.daemon.membership.rendezvous import owner
 from gentiantrestle.daemon.membership.service import Membership
+from gentiantrestle.daemon.membership.sources import SourceCalls, SourceStates
 from gentiantrestle.daemon.membership.view import Member
 from gentiantrestle.models import EMPTY_FLEET, FleetDoc
 from gentiantrestle.store.client import (
@@ -53,6 +54,7 @@
         self._store = store
         self._membership = membership
         self._random = random.Random(ctx.incarnation)
+        self._sources = SourceCalls()
         self.mirror = Mirror()
         self.fleet: FleetDoc = EMPTY_FLEET
         self.loaded = asyncio.Event()
@@ -114,41 +116,62 @@
         self._apply_listing(await self._store.watch(after, *PREFIXES))
 
     async def _follow_peers(self) -> None:
-        while True:
-            await asyncio.sleep(PEER_POLL_PERIOD)
-            peer = self._find_newest_peer()
-            if peer is None:
-                continue
-            try:
-                await self._catch_up(peer)
-            except PeerError:
-                await asyncio.sleep(RETRY_PERIOD)
-
-    def _find_newest_peer(self) -> Member | None:
-        members = self._membership.view.live_members(self._ctx.now())
-        newest = max(
-            members,
+        try:
+            while True:
+                if not await self._ask_next(self._ctx.now()):
+                    await asyncio.sleep(PEER_POLL_PERIOD)
+        finally:
+            self._sources.cancel()
+
+    async def _ask_next(self, now: float) -> bool:
+        """Ask one peer; return whether it is silent, so that one follows."""
+        member = self._find_newest_peer(self._sources.states(now), now)
+        if member is None:
+            return False
+        if await self._sources.ask(member.instance, self._catch_up(member)):
+            return False
+        events.emit(events.SOURCE_SILENT, instance=member.instance)
+        return True
+
+    def _find_newest_peer(
+        self, states: SourceStates, now: float
+    ) -> Member | None:
+        """Return the newest of those that are ahead and may be asked."""
+        ahead = [
+            member
+            for member in self._membership.view.live_members(now)
+            if member.store_revision > self.mirror.revision
+        ]
+        return max(
+            states.usable(ahead),
             key=lambda member: (
                 member.store_revision,
                 member.zone == self._ctx.cfg.zone,
             ),
             default=None,
         )
-        if newest is None or newest.store_revision <= self.mirror.revision:
-            return None
-        return newest
 
-    async def _catch_up(self, member: Member) -> None:
+    async def _catch_up(self, member: Member) -> bool:
+        """Copy what is newer; return whether the member has answered."""
         request = ChangesRequest(after=self.mirror.revision)
-        answer = await self._membership.call(
-            member,
-            Envelope(changes_request=request),
-        )
+        try:
+            answer = await self._membership.call(
+                member,
+                Envelope(changes_request=request),
+            )
+        except PeerError as exc:
+            events.emit(
+                events.PEER_FAILED,
+                instance=member.instance,
+                error=repr(exc),
+            )
+            return False
         if answer.changes is None:
-            raise PeerError(f'{member.instance} sent no changes')
+            return False
         self._apply(
             _read_changes(answer.changes.changes), answer.changes.revision
         )
+        return True
 
     async def _resync(self) -> None:
         """Read changes periodically, in case the relay has missed some."""
--- /dev/null
+++ b/tests/decisions/test_configuration_sources.py
@@ -0,0 +1,86 @@
+"""A daemon's mirror of the store while members that are ahead are silent."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from gentiantrestle.config import Settings
+from gentiantrestle.context import Context
+from gentiantrestle.daemon.configuration.service import Configuration
+from gentiantrestle.daemon.membership.peers import PeerError
+from gentiantrestle.daemon.membership.view import Member, MembershipView, State
+from gentiantrestle.metrics import Metrics
+from gentiantrestle.wire.peer.ttypes import Changes, Envelope
+from tests.decisions.test_configuration import REQUIRED_SETTINGS
+from tests.utils.virtual_time import run_virtual, virtual_now
+
+# A change is in force within 4 s; heartbeats tell of it within 1 s.
+COPY_TIME = 3.0  # seconds
+CALL_TIME = 2.0  # seconds until a call to a silent member fails
+NEWEST = 9
+
+
+def _member(name: str, revision: int, zone: str = 'a1') -> Member:
+    return Member(name, 1, 1, zone, 'a', name, 1, 2, State.SERVING, 0, revision)
+
+
+class _Fleet:
+    """Members of which some don't answer."""
+
+    def __init__(self, silent: set[str], rows: list[Member]) -> None:
+        self.view = MembershipView(_member('own', 0), 60)
+        self.view.merge(rows, 0)
+        self._silent = silent
+        self._revisions = {row.instance: row.store_revision for row in rows}
+
+    def register_handler(self, field: str, handle: Callable[..., Any]) -> None:
+        """Take no calls."""
+
+    async def call(self, member: Member, envelope: Envelope) -> Envelope:
+        """Answer with the revision that a member has."""
+        if member.instance in self._silent:
+            await asyncio.sleep(CALL_TIME)
+            raise PeerError('silent')
+        revision = self._revisions[member.instance]
+        return Envelope(changes=Changes(revision, complete=True, changes=[]))
+
+
+def _time_copy(silent: set[str], rows: list[Member]) -> float:
+    """Return after how many s a daemon has the newest revision."""
+    cfg = Settings.from_sources(REQUIRED_SETTINGS, {})
+    ctx = Context(
+        cfg, Metrics.from_config(cfg), 1, random.Random(1), virtual_now
+    )
+
+    async def run() -> float:
+        fleet = _Fleet(silent, rows)
+        configuration = Configuration(ctx, None, fleet)
+        following = asyncio.create_task(configuration._follow_peers())
+        while configuration.mirror.revision < NEWEST:
+            await asyncio.sleep(0.01)
+            if virtual_now() > 60:
+                break
+        following.cancel()
+        return virtual_now()
+
+    return run_virtual(run())
+
+
+@pytest.mark.parametrize('zone', ['a1', 'b1'])
+def test_silent_member_does_not_delay_a_configuration(zone: str) -> None:
+    rows = [_member('b', NEWEST), _member('c', NEWEST, zone)]
+    assert _time_copy({'b'}, rows) <= COPY_TIME
+    assert _time_copy({'c'}, rows) <= COPY_TIME
+
+
+def test_silent_member_that_is_newest_holds_up_no_older_one() -> None:
+    rows = [_member('b', NEWEST + 1), _member('c', NEWEST)]
+    assert _time_copy({'b'}, rows) <= COPY_TIME
+
+
+def test_several_silent_members_do_not_delay_a_configuration() -> None:
+    rows = [_member(name, NEWEST) for name in 'bcde']
+    assert _time_copy({'b', 'c', 'd'}, rows) <= COPY_TIME
