Gateway: four instances or more watch the store in all zones together

What callers saw: a confirmed configuration was not in force after 2.5 s while the store was silent to the instance that watches it for its zone; the others of the zone are sound. Cause: nothing but time shows that a store is silent. For up to 4 s the watcher counted as reaching it, nobody else of the zone watched, and the copy from another zone needs a watcher there that hears something. With one watcher a zone, a store that is silent to a few instances can be silent to every watcher. Weighed: a watch for each instance (a call for each and every change), shorter watches alone (3 s at best, until a silent watcher is replaced), watchers in each zone whatever their number (six zones have six already). Change: a zone has ceil(4 / zones) watchers, the first by name; all follow configuration and upstreams, the first one jobs, too, which may be late. The followers and the role move to store_watching.py.

--- a/gentiantrestle/gateway/follower.py
+++ b/gentiantrestle/gateway/follower.py
@@ -34,6 +34,13 @@
         gate.set()
         return gate
 
+    def switch(self, *, is_open: bool) -> None:
+        """Set or clear the gate."""
+        if is_open:
+            self.set()
+        else:
+            self.clear()
+
 
 class StoreHandlers(NamedTuple):
     """Callbacks of a follower."""
@@ -103,6 +110,11 @@
         self._revision: int | None = None
         self.connected = False
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether the store is to be watched."""
+        return self._gate.is_set()
+
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -5,15 +5,13 @@
 import time
 from collections.abc import Iterable
 
-from gentiantrestle import events
 from gentiantrestle.gateway.assembly import build_components
 from gentiantrestle.gateway.batch.api import JobApi
 from gentiantrestle.gateway.batch.context import Clock
 from gentiantrestle.gateway.batch.result_reader import ResultReader
 from gentiantrestle.gateway.fleet_context import FleetContext, InstanceConfig
 from gentiantrestle.gateway.fleet_state import FleetState
-from gentiantrestle.gateway.follower import StoreHandlers, WatchGate
-from gentiantrestle.gateway.followers import build_followers
+from gentiantrestle.gateway.follower import StoreHandlers
 from gentiantrestle.gateway.forward import Forwarder
 from gentiantrestle.gateway.forwarding_context import ForwardingContext
 from gentiantrestle.gateway.gauges import GaugeSources, build_metrics
@@ -23,7 +21,8 @@
 from gentiantrestle.gateway.ports import Adapter, StoredObject
 from gentiantrestle.gateway.request_handler import RequestHandler
 from gentiantrestle.gateway.state_copier import StateCopier
-from gentiantrestle.gateway.zone_watcher import WatcherElection
+from gentiantrestle.gateway.store_watching import StoreWatching
+from gentiantrestle.gateway.zone_watcher import WatcherElection, count_seats
 from gentiantrestle.supervisor import Child, Supervisor
 
 # The balancer checks readiness once a second and drops an instance after two
@@ -60,22 +59,7 @@
         self._components = build_components(self._fleet, adapter)
         self._batch_context = self._components.batch_context
         self._runner = self._components.runner
-        self._watcher_election = WatcherElection(
-            cfg.instance, cfg.topology.zone, self._clock.now()
-        )
-        self._watch_gate = WatchGate()
-        self._followers = build_followers(
-            adapter,
-            self._state,
-            StoreHandlers(
-                self._apply_jobs,
-                self._apply_jobs,
-                _keep_jobs,
-                lambda: self._batch_context.index.revision,
-            ),
-            self._rng,
-            self._watch_gate,
-        )
+        self._watching = self._build_watching()
         self._peering = self._build_peering()
         self.metrics = build_metrics(
             cfg.instance,
@@ -136,10 +120,27 @@
         yield Child('slots', self._components.slots.run)
         yield from self._components.streams.children()
         yield from self._peering.children()
-        for kind, follower in self._followers.items():
-            yield Child(f'follow {kind}', follower.run)
+        yield from self._watching.children()
         yield Child('batch', self._runner.run)
 
+    def _build_watching(self) -> StoreWatching:
+        topology = self._cfg.topology
+        election = WatcherElection(
+            self._cfg.instance,
+            topology.zone,
+            self._clock.now(),
+            count_seats(len(topology.regions) or 1),
+        )
+        jobs = StoreHandlers(
+            self._apply_jobs,
+            self._apply_jobs,
+            _keep_jobs,
+            lambda: self._batch_context.index.revision,
+        )
+        return StoreWatching(
+            self._adapter, self._state, jobs, self._rng, election
+        )
+
     def _build_peering(self) -> Peering:
         peers = self._peers
         self._runner.live_runs = lambda: peers.working_runs(self._clock.now())
@@ -161,34 +162,16 @@
             self._fleet.identity,
             peers,
             parts,
-            self._is_connected,
+            lambda: self._watching.is_connected,
             self._clock,
         )
-        peering.update_role = self._update_watcher_role
+        peering.update_role = self._update_role
         return peering
 
     def _is_prepared(self) -> bool:
         """Return whether this instance knows enough to serve callers."""
         return self._state.router.has_config and self._peering.is_informed
 
-    def _is_connected(self) -> bool:
-        """Return whether this instance watches the store and reaches it."""
-        return all(follower.connected for follower in self._followers.values())
-
-    def _update_watcher_role(self) -> None:
-        """Start or stop watching the store on behalf of the zone."""
-        now = self._clock.now()
-        is_watcher = self._watcher_election.decide(
-            self._peers.alive(now), now, connected=self._is_connected()
-        )
-        if is_watcher == self._watch_gate.is_set():
-            return
-        events.emit(events.WATCHER_ROLE_CHANGED, held=is_watcher)
-        if is_watcher:
-            self._watch_gate.set()
-        else:
-            self._watch_gate.clear()
-
     def _build_server(self) -> HttpServer:
         dialect = self._adapter.dialect
         context = ForwardingContext(
@@ -234,9 +217,13 @@
             ),
             config_version=lambda: self._state.config_version,
             config_lag_seconds=lambda: self._peering.config_lag,
-            store_connected=lambda: int(self._is_connected()),
+            store_connected=lambda: int(self._watching.is_connected),
         )
 
+    def _update_role(self) -> None:
+        now = self._clock.now()
+        self._watching.update_role(self._peers.alive(now), now)
+
     def _apply_jobs(
         self, stored: Iterable[StoredObject], revision: int
     ) -> None:
--- a/gentiantrestle/gateway/zone_watcher.py
+++ b/gentiantrestle/gateway/zone_watcher.py
@@ -1,10 +1,11 @@
-"""Which instance of a zone watches the store, and who copies; no I/O.
+"""Which instances of a zone watch the store, and who copies; no I/O.
 
 Each change in the store costs one call for every waiting watch, so with many
-instances only one of each availability zone watches, and the others copy from
-it. An instance that falls behind copies from any zone.
+instances only some of each availability zone watch, and the others copy from
+them. An instance that falls behind copies from any zone.
 """
 
+import math
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -14,6 +15,9 @@
 # An instance sends to its own zone at least every 0.4 s. Changes must be in
 # force 2.5 s after the store has them, including the time to notice a dead
 # watcher.
+# The store may be silent to some instances, which takes seconds to notice, and
+# these may be the watchers of several zones.
+MIN_WATCHERS = 4  # in all zones together
 WATCHER_SILENCE = 1.0  # seconds until a silent watcher is replaced
 # All instances start within 0.3 s of each other.
 START_WAIT = 0.6  # seconds for a new instance to receive datagrams
@@ -44,12 +48,20 @@
 class WatcherElection:
     """Decides whether this instance watches the store for its zone."""
 
-    def __init__(self, instance: str, zone: str, started_at: float) -> None:
-        """Don't watch for ``START_WAIT``, so that datagrams arrive first."""
+    def __init__(
+        self, instance: str, zone: str, started_at: float, seats: int = 1
+    ) -> None:
+        """Don't watch for ``START_WAIT``, so that datagrams arrive first.
+
+        ``seats`` instances of the zone watch.
+        """
         self._instance = instance
         self._zone = zone
+        self._seats = seats
         self._vacant_since = started_at + START_WAIT
         self.is_watcher = False
+        # Whether no watcher of the zone that reaches the store goes before.
+        self.is_first = False
 
     def decide(
         self,
@@ -62,9 +74,9 @@
 
         ``connected``: this instance watches the store and reaches it.
 
-        Of two watchers that reach the store the first by name goes on. Where
-        there is none, the instances start to watch one after the other, by
-        name.
+        Of the watchers that reach the store the first by name go on. Where
+        there are too few, the instances start to watch one after the other,
+        by name.
         """
         candidates = [
             peer
@@ -74,20 +86,24 @@
             and now - peer.received_at < WATCHER_SILENCE
         ]
         watchers = [peer for peer in candidates if peer.store_reached]
-        if self.is_watcher and connected:
-            watchers = [
-                peer for peer in watchers if peer.instance < self._instance
-            ]
-        if watchers:
+        earlier = [peer for peer in watchers if peer.instance < self._instance]
+        others = earlier if self.is_watcher and connected else watchers
+        if len(others) >= self._seats:
             self._vacant_since = now
             self.is_watcher = False
         elif not self.is_watcher:
             rank = sum(peer.instance < self._instance for peer in candidates)
             step = RANK_STEP if rank < QUICK_RANKS else LATE_STEP
             self.is_watcher = now - self._vacant_since >= step * rank
+        self.is_first = self.is_watcher and not earlier
         return self.is_watcher
 
 
+def count_seats(zones: int) -> int:
+    """Return how many instances of each of ``zones`` zones watch the store."""
+    return math.ceil(MIN_WATCHERS / zones)
+
+
 class LagTracker:
     """Measures for how long a revision that others have is missing here."""
 
--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -15,6 +15,7 @@
 from gentiantrestle.gateway.state_copier import StateCopier
 from gentiantrestle.gateway.zone_watcher import (
     JOBS_LAG,
+    MIN_WATCHERS,
     QUICK_RANKS,
     RANK_STEP,
     START_WAIT,
@@ -23,6 +24,7 @@
     CopySourceSelector,
     Revisions,
     WatcherElection,
+    count_seats,
 )
 from gentiantrestle.platform.document_decoder import StoreDocumentDecoder
 from gentiantrestle.wire.peer import ttypes
@@ -100,6 +102,44 @@
     assert trying == set(names[:QUICK_RANKS])
 
 
+def test_as_many_instances_watch_as_there_are_seats() -> None:
+    elections = {
+        name: WatcherElection(name, ZONE, 0, seats=2) for name in 'abcd'
+    }
+    connected: dict[str, bool] = dict.fromkeys(elections, False)
+    for step in range(30):
+        now = START_WAIT + step / 10
+        rows = [
+            _peer(name, received_at=now, store_reached=connected[name])
+            for name in elections
+        ]
+        for name, election in elections.items():
+            others = [row for row in rows if row.instance != name]
+            connected[name] = election.decide(
+                others, now, connected=connected[name]
+            )
+    assert [name for name in elections if connected[name]] == ['a', 'b']
+    assert [name for name in elections if elections[name].is_first] == ['a']
+
+
+def test_second_watcher_is_first_once_the_first_does_not_reach_the_store() -> (
+    None
+):
+    election = WatcherElection('b', ZONE, 0, seats=2)
+    first = _peer('a', received_at=LATER)
+    assert election.decide([first], LATER, connected=False)
+    assert not election.is_first
+    silent = first._replace(store_reached=False)
+    assert election.decide([silent], LATER, connected=True)
+    assert election.is_first
+
+
+@pytest.mark.parametrize('zones', [1, 2, 3, 4, 6, 11])
+def test_enough_instances_of_all_zones_together_watch(zones: int) -> None:
+    assert zones * count_seats(zones) >= MIN_WATCHERS
+    assert zones * (count_seats(zones) - 1) < MIN_WATCHERS
+
+
 def test_watcher_of_another_zone_does_not_count() -> None:
     peers = [_peer('a', received_at=LATER, zone='b1')]
     assert _election().decide(peers, LATER, connected=False)
