Gateway: a silent connection to the store is noticed within 2.5 s

If all connections to the store fall silent for good, instances are bound by the 2.5 s of a configuration again after 4 s, but noticed only then that nothing arrives, and had yet to copy. Cause: a watch waits 2.5 s, and its answer another 1.5 s. Change: watches wait 1.8 s, their answer 0.7 s; the first one on a connection may still take 1.5 s in all, so that a slow store isn't taken for a silent one.

--- a/gentiantrestle/gateway/follower.py
+++ b/gentiantrestle/gateway/follower.py
@@ -13,9 +13,10 @@
 )
 from gentiantrestle.store.client import StoreUnavailableError
 
-# A watch is one call however long it waits, but a silent connection must be
-# noticed within 4 s, the time in which nothing is required of an instance.
-WATCH_WAIT = 2.5  # seconds
+# A watch is one call however long it waits. A connection that has fallen silent
+# is noticed after this and the client's slack. Nothing is required of an
+# instance for 4 s then, and other instances still have to copy.
+WATCH_WAIT = 1.8  # seconds
 FIRST_WAIT = 0.05  # seconds; the first watch only shows that the store answers
 FIRST_BACKOFF = 0.1  # seconds
 MAX_BACKOFF = 1.0  # seconds
--- a/gentiantrestle/platform/object_client.py
+++ b/gentiantrestle/platform/object_client.py
@@ -33,7 +33,7 @@
 # The store answers in 4 ms, and takes some 60 times as long when it is slow.
 CALL_TIMEOUT = 1.5  # seconds
 MAX_LOGGED = 200  # bytes of an unexpected response
-WATCH_SLACK = 1.5  # seconds that a watch may take beyond its wait
+WATCH_SLACK = 0.7  # seconds that a watch may take beyond its wait
 OK = 200
 CREATED = 201
 NOT_FOUND = 404
@@ -91,7 +91,10 @@
         """
         query = {'watch': revision, 'wait-ms': int(wait * 1000)}
         status, body = await self._call(
-            'GET', _path(kind), query, timeout=wait + WATCH_SLACK
+            'GET',
+            _path(kind),
+            query,
+            timeout=max(wait + WATCH_SLACK, CALL_TIMEOUT),
         )
         if status == GONE:
             raise HistoryGoneError(kind)
--- a/tests/gateway/test_process_silent_store.py
+++ b/tests/gateway/test_process_silent_store.py
@@ -17,6 +17,9 @@
 # Until a confirmed configuration is in force at instances that the store
 # answers, and at those that hear them.
 APPLY_TIME = 2.5  # seconds
+# Nothing is required of an instance for so long after its connections fell
+# silent.
+CONTACT_TIME = 4.0  # seconds
 ROLES_TIME = 4.0  # seconds in which instances find out who watches the store
 WATCHER_CHANGED = 3010  # event number
 
@@ -106,3 +109,18 @@
     await _add_route(linked, 'added')
     took = await _time_in_force(linked, range(ENTRIES), 'added')
     assert took <= APPLY_TIME
+
+
+@pytest.mark.parametrize('phase', [0.22, 0.8])
+async def test_route_is_in_force_after_connections_to_the_store_fell_silent(
+    linked: LinkedFleet, phase: float
+) -> None:
+    # All watches begin anew after a change.
+    await _add_route(linked, 'first')
+    await asyncio.sleep(phase)
+    for link in linked.links:
+        link.silence()
+    await asyncio.sleep(CONTACT_TIME - APPLY_TIME)
+    await _add_route(linked, 'added')
+    took = await _time_in_force(linked, range(ENTRIES), 'added')
+    assert took <= APPLY_TIME
