A head without a body that ends with its connection is no whole answer

Cause: without length and chunks a body ends with its connection. Whether there was any body was asked for streams only; a server that goes on accepting connections confirmed the end. Ruled out by test (test_head_that_stops_anywhere): a head cut at any byte makes no answer. Change: a success other than 204, and not to HEAD, that has no framing and no body is lost, in the gateway's connection to upstreams and in the client of daemon, store and tools. A short body without framing that is closed, not reset, by a server that goes on can't be told from a whole one.

--- a/gentiantrestle/gateway/upstream_connection.py
+++ b/gentiantrestle/gateway/upstream_connection.py
@@ -8,6 +8,7 @@
 
 from gentiantrestle.gateway.model import Request, Upstream
 from gentiantrestle.gateway.ports import Dialect, Reply
+from gentiantrestle.http.client import needs_body
 from gentiantrestle.http.link import (
     Link,
     LinkLostError,
@@ -64,6 +65,7 @@
         self._upstream: Upstream | None = None
         # What tells where the body ends; empty until the head has arrived.
         self.framing = ''
+        self._needs_body = True
         self._body_size = 0
 
     async def connect(self, upstream: Upstream) -> None:
@@ -91,7 +93,7 @@
             await self._link.send(
                 head, h11.Data(data=req.body), h11.EndOfMessage()
             )
-            reply = await self._read_head()
+            reply = await self._read_head(req.method)
         except (LinkLostError, h11.ProtocolError) as exc:
             raise ResponseLostError(repr(exc)) from exc
         if not _answers(reply, req):
@@ -125,12 +127,15 @@
             if self._body_size > MAX_BODY:
                 raise ResponseLostError(f'no end of a body in {MAX_BODY} bytes')
             parts.append(part)
+        if self.ended_empty:
+            raise ResponseLostError('the connection ended with the head')
         return b''.join(parts)
 
     @property
     def ended_empty(self) -> bool:
-        """Return whether the connection was closed instead of an answer."""
-        return self.framing == BY_CLOSE and not self._body_size
+        """Return whether the connection was closed instead of a body."""
+        ends_by_close = self.framing == BY_CLOSE and self._needs_body
+        return ends_by_close and not self._body_size
 
     async def check_crash(self) -> bool:
         """Return whether the upstream ended while it began this answer.
@@ -171,11 +176,12 @@
             return event
         raise ResponseLostError('connection closed before the body ended')
 
-    async def _read_head(self) -> Reply:
+    async def _read_head(self, method: str) -> Reply:
         while True:
             event = await self._link.next_event()
             if isinstance(event, h11.Response):
                 self.framing = _framing(event)
+                self._needs_body = needs_body(method, event.status_code)
                 return self._dialect.read_reply(event)
             if not isinstance(event, h11.InformationalResponse):
                 raise LinkLostError('connection closed before the response')
--- a/gentiantrestle/http/client.py
+++ b/gentiantrestle/http/client.py
@@ -22,6 +22,7 @@
 MAX_BODY = 33554432  # bytes of a body that is read whole
 PROBE_TIMEOUT = 1.0  # seconds
 FIRST_NON_SUCCESS = 300
+NO_CONTENT = 204
 BOTH_IDLE = (h11.IDLE, h11.IDLE)
 BOTH_DONE = (h11.DONE, h11.DONE)
 # Header fields that tell where a body ends.
@@ -53,6 +54,7 @@
         self._link = link
         self._address = address
         self._ends_by_close = False
+        self._needs_body = True
         self._has_answered = False
         # Whether another request may follow the present one.
         self._keep = True
@@ -107,6 +109,7 @@
         while not isinstance(event, h11.Response):
             event = await self._next_event()
         self._check_head(event)
+        self._needs_body = needs_body(req.method, event.status_code)
         return ClientResponse(
             event.status_code, event.headers.raw_items(), self
         )
@@ -117,12 +120,14 @@
         Raises ``ConnectionLostError`` if the connection fails before that, or
         if the server ends with the connection that ends the body.
         """
+        is_empty = True
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
+                is_empty = False
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
-                await self._confirm_end()
+                await self._confirm_end(is_empty=is_empty)
                 self._reset_when_done()
                 return
 
@@ -147,9 +152,11 @@
         names = {name for name, _ in head.headers}
         self._ends_by_close = not names & FRAMING
 
-    async def _confirm_end(self) -> None:
+    async def _confirm_end(self, *, is_empty: bool) -> None:
         if not self._ends_by_close or not self._link.eof_seen:
             return
+        if is_empty and self._needs_body:
+            raise ConnectionLostError('the connection ended with the head')
         if not await accepts_connections(self._address, PROBE_TIMEOUT):
             raise ConnectionLostError('the server ended with its response')
 
@@ -282,3 +289,13 @@
         if fresh:
             conn.end_after_answer()
         return conn
+
+
+def needs_body(method: str, status: int) -> bool:
+    """Return whether a success without length or chunks needs a body.
+
+    If the connection ends with its head, it was broken off. Of a failure the
+    status says enough.
+    """
+    is_success = status < FIRST_NON_SUCCESS and status != NO_CONTENT
+    return is_success and method != 'HEAD'
--- a/tests/gateway/test_process_framing.py
+++ b/tests/gateway/test_process_framing.py
@@ -49,6 +49,56 @@
     assert reply.status == 502
 
 
+async def test_empty_plain_answer_that_ends_with_its_connection_is_lost(
+    upstream: ScriptedUpstream,
+) -> None:
+    upstream.answers = [b'', b'plain']
+    reply = await upstream.fleet.request(0, 'r1', '/get/1', {})
+    assert (reply.status, reply.body) == (200, b'plain')
+
+
+async def test_empty_answer_without_framing_is_no_answer_to_run_once(
+    upstream: ScriptedUpstream,
+) -> None:
+    upstream.answers = [b'']
+    reply = await upstream.fleet.request(0, 'r1', '/pay/1', {})
+    assert reply.status == 502
+
+
+@pytest.mark.parametrize(
+    ('method', 'status'),
+    [('GET', b'204 No Content'), ('GET', b'404 Gone'), ('HEAD', b'200 OK')],
+)
+async def test_answer_that_needs_no_body_is_served_without_framing(
+    upstream: ScriptedUpstream, method: str, status: bytes
+) -> None:
+    upstream.answers = [
+        b'HTTP/1.1 ' + status + b'\r\nX-Attempt-Id: r1\r\n'
+        b'X-Server-Stamp: stamp\r\n\r\n'
+    ]
+    reply = await upstream.fleet.request(0, 'r1', '/get/1', method=method)
+    assert reply.status == int(status.split()[0])
+    assert len(upstream.requests) == 1
+
+
+@pytest.mark.parametrize('path', ['/get/1', '/chat/1'])
+async def test_head_that_stops_anywhere_is_no_answer(
+    upstream: ScriptedUpstream, path: str
+) -> None:
+    whole = (
+        b'HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 12\r\n\r\n'
+    )
+    heads = [whole[:size] for size in range(8, len(whole))]
+    for number, head in enumerate(heads):
+        # A safe request is sent on as often as its route allows.
+        upstream.answers = [head] * 4
+        try:
+            reply = await upstream.fleet.request(0, f'r{number}', path, {})
+        except ConnectionLostError:
+            continue
+        assert reply.status in {502, 503}
+
+
 @pytest.mark.parametrize('cut', [1, 5, -1])
 async def test_stream_that_ends_inside_an_event_is_resumed(
     upstream: ScriptedUpstream, cut: int
--- /dev/null
+++ b/tests/interfaces/test_http_framing.py
@@ -0,0 +1,59 @@
+"""Answers without length or chunks, as the daemon's HTTP client reads them."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from gentiantrestle.http.client import (
+    ClientRequest,
+    ConnectionLostError,
+    ConnectionPool,
+)
+from gentiantrestle.models import Address
+from tests.utils.ports import HOST, free_ports
+
+TIMEOUT = 1.0  # seconds
+
+
+@asynccontextmanager
+async def _serve(answer: bytes) -> AsyncIterator[ConnectionPool]:
+    async def reply(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        # A connection that only probes sends nothing.
+        if await reader.read(1):
+            writer.write(answer)
+            await writer.drain()
+        writer.close()
+
+    address = Address(HOST, free_ports(1)[0])
+    server = await asyncio.start_server(reply, *address)
+    async with server:
+        yield ConnectionPool(address, 1, TIMEOUT)
+
+
+async def test_empty_answer_that_ends_with_its_connection_is_lost() -> None:
+    async with _serve(b'HTTP/1.1 200 OK\r\n\r\n') as pool:
+        with pytest.raises(ConnectionLostError):
+            await pool.fetch(ClientRequest('GET', '/'))
+
+
+@pytest.mark.parametrize(
+    ('method', 'answer'),
+    [
+        ('GET', b'HTTP/1.1 200 OK\r\n\r\nplain'),
+        ('GET', b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'),
+        ('GET', b'HTTP/1.1 204 No Content\r\n\r\n'),
+        ('GET', b'HTTP/1.1 503 Busy\r\n\r\n'),
+        ('HEAD', b'HTTP/1.1 200 OK\r\n\r\n'),
+    ],
+)
+async def test_answer_that_needs_no_other_framing_is_whole(
+    method: str, answer: bytes
+) -> None:
+    async with _serve(answer) as pool:
+        response, body = await pool.fetch(ClientRequest(method, '/'))
+    assert response.status == int(answer.split()[1])
+    assert body == answer.partition(b'\r\n\r\n')[2]
