Daemon: an error event ends the run of its item, not of its chunk

Evidence: tests/decisions/test_item_run.py -k error_as_event, 5 of 5 failed on the code before. Change: an event that is no token makes the attempt lost; the item goes on after its last token. The daemon's online streams need the end mark to be complete, and were not affected. Result: all pass.

--- a/gentiantrestle/daemon/batch/item_run.py
+++ b/gentiantrestle/daemon/batch/item_run.py
@@ -16,6 +16,7 @@
     ResultLine,
 )
 from gentiantrestle.daemon.upstreams.adapter import (
+    NoTokenError,
     TokenStreamReader,
     build_call,
     build_completion,
@@ -121,7 +122,7 @@
         except NotSentError as exc:
             self._report_failure(slot, exc)
             return AttemptResult(Outcome.NOT_SENT, str(exc))
-        except (ConnectionLostError, TimeoutError) as exc:
+        except (ConnectionLostError, NoTokenError, TimeoutError) as exc:
             self._report_failure(slot, exc)
             return AttemptResult(Outcome.LOST, repr(exc))
 
--- a/gentiantrestle/daemon/upstreams/adapter.py
+++ b/gentiantrestle/daemon/upstreams/adapter.py
@@ -13,6 +13,7 @@
 EVENT_START = b'data: '
 TAIL_LENGTH = 32  # bytes
 MAX_EVENT = 1048576  # bytes
+EVENT_ERRORS = (msgspec.DecodeError, LookupError, TypeError, AttributeError)
 DEFAULT_TOKENS = 16  # for requests without a valid max_tokens
 COMPLETIONS = '/v1/completions'
 CHAT = '/v1/chat/completions'
@@ -60,6 +61,10 @@
     return msgspec.json.encode(request)
 
 
+class NoTokenError(Exception):
+    """An event of a stream is no token of a completion."""
+
+
 class StreamMonitor:
     """Splits a relayed stream into whole events and detects its end."""
 
@@ -109,7 +114,10 @@
         return len(self._buffer) > MAX_EVENT
 
     def feed(self, part: bytes) -> list[str]:
-        """Take the next part, split anywhere; return the texts it completes."""
+        """Take the next part, split anywhere; return the texts it completes.
+
+        Raises ``NoTokenError``; then none of them is returned.
+        """
         stream_events = (self._buffer + part).split(EVENT_END)
         self._buffer = stream_events.pop()
         texts = []
@@ -122,10 +130,19 @@
 
 
 def event_text(payload: bytes) -> str:
-    """Return the text of one completion or chat event."""
-    choice = msgspec.json.decode(payload)['choices'][0]
-    delta = choice.get('delta', {})
-    return choice.get('text', delta.get('content', ''))
+    """Return the text of one completion or chat event.
+
+    Raises ``NoTokenError``, also for an error in place of a token.
+    """
+    try:
+        choice = msgspec.json.decode(payload)['choices'][0]
+        delta = choice.get('delta', {})
+        text = choice.get('text', delta.get('content', ''))
+    except EVENT_ERRORS as exc:
+        raise NoTokenError(repr(exc)) from exc
+    if not isinstance(text, str | None):
+        raise NoTokenError(f'{type(text)} instead of a text')
+    return text or ''
 
 
 def build_completion(
--- a/tests/decisions/test_item_run.py
+++ b/tests/decisions/test_item_run.py
@@ -117,6 +117,44 @@
     assert started_at == start
 
 
+ODD_EVENTS = (
+    b'{"error":{"message":"out of memory"}}',
+    b'out of memory',
+    b'{"choices":[]}',
+    b'{"choices":[{"text":7}]}',
+    b'[]',
+)
+
+
+@pytest.mark.parametrize('odd', ODD_EVENTS)
+async def test_item_with_an_error_as_event_is_lost_and_resumed(
+    odd: bytes,
+) -> None:
+    upstream = FakeUpstream('u1', 'v1')
+    answer = CutAnswer('v1', 0)
+
+    async def iter_body(timeout: float) -> AsyncIterator[bytes]:
+        async for part in CutAnswer('v1', TOKENS - CUT_AFTER).iter_body(1):
+            yield part.replace(b'[DONE]', odd)
+
+    answer.iter_body = iter_body
+    answers = [answer, CutAnswer('v1', CUT_AFTER)]
+
+    async def send(call: ClientRequest, *, fresh: bool = False) -> CutAnswer:
+        return answers.pop(0)
+
+    upstream.send = send
+    services = make_services({'u1': 'v1'})
+    item = ItemRun(services, ClaimedChunk({}, 0, 0, {}, [ITEM], {}), 0)
+    slot = Slot(upstream, preemptible=True)
+    assert (await item.attempt(slot)).outcome is Outcome.LOST
+    assert (await item.attempt(slot)).outcome is Outcome.COMPLETED
+    text = item.result()['response']['body']['choices'][0]['text']
+    assert text.split()[:CUT_AFTER] == [
+        f'{number}@v1' for number in range(2, TOKENS)
+    ]
+
+
 def test_version_of_an_upstream_is_optional_text() -> None:
     document = {'deployments': {}, 'endpoints': {}, 'clients': {}}
     for version, count in (
