Gateway: an older answer of the store doesn't undo a newer copy of the upstreams

What callers saw: nothing reported; found while looking for what goes back. A watch or list that was under way while newer upstreams were copied from another instance removed those registered since, brought back one that had left (DRAIN), and set the revision back. Cause: copies compared revisions, the handlers of store answers didn't. Change: a list or changes that lead to an older revision than the known one are passed over; a state at a revision has all changes up to it.

--- a/gentiantrestle/gateway/fleet_state.py
+++ b/gentiantrestle/gateway/fleet_state.py
@@ -95,7 +95,12 @@
         found: Iterable[StoredObject],
         revision: int,
     ) -> None:
-        """Apply the whole list of entries as of a revision."""
+        """Apply the whole list of entries as of a revision.
+
+        An older one than what is known is passed over.
+        """
+        if revision < self.upstreams_revision:
+            return
         listed = {stored.name: stored for stored in found if not stored.deleted}
         now = self._now()
         for name in set(self.upstreams) - set(listed):
@@ -109,7 +114,12 @@
         found: Iterable[StoredObject],
         revision: int,
     ) -> None:
-        """Apply changed entries, in the order of their changes."""
+        """Apply changed entries, in the order of their changes.
+
+        They are known if they lead to an older revision than the known one.
+        """
+        if revision < self.upstreams_revision:
+            return
         now = self._now()
         for stored in found:
             if stored.deleted:
