Gateway: a route that can't be read keeps no other from being in force

A configuration with one field of another shape was passed over as a whole, and the older one stayed in force for good. Cause: read_table was all or nothing, took null for a value, and refused times over 10^6 s. Change: optional fields may be null, times are cut at 10^6 s, limits that are left out have their defaults; a route that can't be read is logged (3004) and left out. The table of services was never used and is gone.

--- a/gentiantrestle/platform/document_decoder.py
+++ b/gentiantrestle/platform/document_decoder.py
@@ -1,7 +1,7 @@
 """Decodes what the operator and the servers write into the store."""
 
 import re
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from ipaddress import ip_address
 from types import MappingProxyType
 from typing import Any, TypeVar
@@ -12,7 +12,6 @@
     Route,
     RouteKind,
     RoutingTable,
-    Service,
     Share,
     Upstream,
 )
@@ -42,6 +41,7 @@
 )
 MS = 0.001  # seconds
 MAX_TEXT = 128  # characters of a name, zone or service
+MAX_ROUTE_TEXT = 8192  # characters of a route's name, host or path
 MAX_SLOTS = 65535
 # Times travel between instances as ms in integers of 32 bits.
 MAX_TIME = 1e6  # seconds
@@ -78,46 +78,76 @@
 
 
 def _decode_table(document: Mapping[str, Any]) -> RoutingTable:
-    limits = document['limits']
     return RoutingTable(
         version=_checked_count(int(document['version'])),
-        routes=tuple(_decode_route(entry) for entry in document['routes']),
-        services={
-            entry['name']: Service(entry['name'], 'engine' in entry)
-            for entry in document['services']
-        },
-        limits=CallerLimits(
-            int(limits['max-header-bytes']),
-            int(limits['max-body-bytes']),
-            _seconds(limits['header-timeout-ms']),
-            _seconds(limits['idle-timeout-ms']),
+        routes=tuple(_readable_routes(document['routes'])),
+        limits=_decode_limits(document.get('limits') or {}),
+    )
+
+
+def _readable_routes(documents: Iterable[Any]) -> Iterator[Route]:
+    """Yield the routes that can be read; log the others."""
+    for document in documents:
+        try:
+            yield _decode_route(document)
+        except DECODE_ERRORS as exc:
+            events.emit(
+                events.ENTRY_UNREADABLE,
+                name=str(document)[:MAX_TEXT],
+                error=repr(exc)[:MAX_ERROR],
+            )
+
+
+def _decode_limits(document: Mapping[str, Any]) -> CallerLimits:
+    default = CallerLimits()
+    return CallerLimits(
+        int(_optional(document, 'max-header-bytes', default.header_bytes)),
+        int(_optional(document, 'max-body-bytes', default.body_bytes)),
+        _seconds(
+            _optional(
+                document, 'header-timeout-ms', default.header_timeout / MS
+            )
+        ),
+        _seconds(
+            _optional(document, 'idle-timeout-ms', default.idle_timeout / MS)
         ),
     )
 
 
 def _decode_route(document: Mapping[str, Any]) -> Route:
     split = document.get('split') or ({'service': document.get('service')},)
+    priority = int(_optional(document, 'priority', 0))
     return Route(
-        name=document['name'],
-        host=document['hostname'].lower(),
-        prefix=document['path-prefix'],
+        name=_checked_text(document['name'], MAX_ROUTE_TEXT),
+        host=_checked_text(document['hostname'], MAX_ROUTE_TEXT).lower(),
+        prefix=_checked_text(document['path-prefix'], MAX_ROUTE_TEXT),
         kind=ROUTE_KINDS[document['route-kind']],
         timeout=_seconds(document['timeout-ms']),
-        latency_target=_seconds(document['latency-target-ms']),
-        priority=_checked_count(int(document.get('priority', 0)), MAX_INT32),
-        shares=tuple(
-            Share(share['service'], float(share.get('weight', 1)))
-            for share in split
-        ),
-        max_attempts=int(document.get('max-attempts', 1)),
+        latency_target=_seconds(_optional(document, 'latency-target-ms', 0)),
+        priority=_checked_count(priority, MAX_INT32),
+        shares=tuple(_decode_share(share) for share in split),
+        max_attempts=int(_optional(document, 'max-attempts', 1)),
         resumable=bool(document.get('resumable')),
-        completion_target=_seconds(document.get('completion-target-ms', 0)),
-        retention=float(document.get('retention-s', 0)),
+        completion_target=_seconds(
+            _optional(document, 'completion-target-ms', 0)
+        ),
+        retention=float(_optional(document, 'retention-s', 0)),
         # On a batch route, max-count limits the tokens of all its jobs.
-        max_tokens=int(document.get('max-count', 0)),
+        max_tokens=int(_optional(document, 'max-count', 0)),
     )
 
 
+def _decode_share(document: Mapping[str, Any]) -> Share:
+    weight = float(_optional(document, 'weight', 1))
+    return Share(_checked_text(document['service']), weight)
+
+
+def _optional(document: Mapping[str, Any], name: str, default: Any) -> Any:
+    """Return a field, or the default if it is missing or null."""
+    found = document.get(name)
+    return default if found is None else found
+
+
 def _decode_upstream(name: str, document: Mapping[str, Any]) -> Upstream:
     return Upstream(
         id=_checked_id(name),
@@ -140,9 +170,9 @@
 
 def _seconds(milliseconds: float) -> float:
     seconds = float(milliseconds) * MS
-    if not 0 <= seconds <= MAX_TIME:
+    if not seconds >= 0:
         raise ValueError(f'{seconds} s is not a valid time')
-    return seconds
+    return min(seconds, MAX_TIME)
 
 
 def _checked_id(raw: str) -> str:
@@ -151,10 +181,10 @@
     return raw
 
 
-def _checked_text(raw: Any, shortest: int = 1) -> str:
+def _checked_text(raw: Any, longest: int = MAX_TEXT, shortest: int = 1) -> str:
     if not isinstance(raw, str):
         raise TypeError(f'{raw!r} is not a string')
-    if not shortest <= len(raw) <= MAX_TEXT:
+    if not shortest <= len(raw) <= longest:
         raise ValueError(f'a text has {len(raw)} characters')
     return raw
 
