Gateway: the header limit in force holds on connections made before

What callers saw: nothing reported; hypothesis of a refusal by an older value. A header of 16 KB got 431 on a kept connection after the limit had been raised, and passed after it had been lowered. Cause: the limit was taken when the connection was made. The other limits (header and idle time, body) are read for each request. Evidence: tests/gateway/test_http_server.py -k header_limit_in_force, 2 of 2 failed before. Change: the limit is set before each head; h11 keeps a ceiling of 1 MiB. Result: all pass, as do test_process_requests.py, endless, interfaces.

--- a/gentiantrestle/gateway/http_server.py
+++ b/gentiantrestle/gateway/http_server.py
@@ -40,6 +40,7 @@
 # A busy process finds an idle limit exceeded before it has read what arrived
 # meanwhile, so it waits once more before it closes a connection.
 LAST_WAIT = 0.05  # seconds
+MAX_HEADER_LIMIT = 1048576  # bytes that a configuration may allow
 # For the last answers of a stop to be read.
 ENDING_TIME = 0.4  # seconds
 
@@ -122,9 +123,7 @@
             await asyncio.wait(tuple(self._links.values()), timeout=ENDING_TIME)
 
     def _create_link(self) -> Link:
-        return Link(
-            h11.SERVER, self._limits().header_bytes, self._start_serving
-        )
+        return Link(h11.SERVER, MAX_HEADER_LIMIT, self._start_serving)
 
     def _start_serving(self, link: Link) -> None:
         task = asyncio.create_task(self._serve_connection(link))
@@ -164,7 +163,9 @@
         if not await self._is_requested(link):
             return None
         self._busy.add(link)
-        async with self._limit_reading(link, self._limits().header_timeout):
+        limits = self._limits()
+        link.head_limit = limits.header_bytes
+        async with self._limit_reading(link, limits.header_timeout):
             event = await read_event(link)
         return event if isinstance(event, h11.Request) else None
 
--- a/gentiantrestle/http/link.py
+++ b/gentiantrestle/http/link.py
@@ -17,6 +17,7 @@
 CHUNKED_SINCE = b'1.1'
 HIGH_WATER = 262144  # unread bytes above which reading is paused
 MAX_INTERIM = 16  # interim (1xx) responses before a final one
+TOO_LONG_HEAD = 431  # status
 KEEPALIVE_IDLE = 1  # seconds of silence before the first probe
 KEEPALIVE_INTERVAL = 1  # seconds between two probes
 KEEPALIVE_COUNT = 2  # unanswered probes that close a connection
@@ -56,6 +57,8 @@
         # Whether bytes arrived while some of ours were not sent yet.
         self.read_while_writing = False
         self.lost = False
+        # The most bytes of the next head; may change between two of them.
+        self.head_limit = header_limit
         self._task_to_cancel: asyncio.Task[None] | None = None
         self._transport: asyncio.Transport | None = None
         self._arrived = asyncio.Event()
@@ -139,6 +142,7 @@
             if event is not h11.NEED_DATA:
                 self._count_interim(event)
                 return event
+            _check_head_size(self.machine, self.head_limit)
             if self.lost:
                 raise LinkLostError('reset')
             await self._receive()
@@ -196,6 +200,16 @@
             self._task_to_cancel.cancel()
 
 
+def _check_head_size(machine: h11.Connection, limit: int) -> None:
+    """Raise ``h11.RemoteProtocolError`` for a long head of a request."""
+    if machine.their_state is not h11.IDLE:
+        return
+    if len(machine.trailing_data[0]) > limit:
+        raise h11.RemoteProtocolError(
+            'the head is too long', error_status_hint=TOO_LONG_HEAD
+        )
+
+
 async def open_link(
     address: Address,
     timeout: float,
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -4,6 +4,7 @@
 import socket
 import time
 from collections.abc import AsyncIterator
+from contextlib import suppress
 
 import pytest
 
@@ -147,3 +148,18 @@
     sock = await app.connect()
     sock.send(UPLOAD)
     assert (await _read(sock)).startswith(b'HTTP/1.1 408')
+
+
+@pytest.mark.parametrize(('before', 'after'), [(4096, 65536), (65536, 4096)])
+async def test_header_limit_in_force_holds_on_connections_made_before(
+    app: App, before: int, after: int
+) -> None:
+    app.limits = CallerLimits(header_bytes=before, idle_timeout=LONGER)
+    sock = await app.connect()
+    app.limits = app.limits._replace(header_bytes=after)
+    sock.send(REQUEST[:-2] + b'X-Long: ' + b'x' * 16000)
+    await asyncio.sleep(0.1)
+    with suppress(ConnectionError):
+        sock.send(b'\r\n\r\n')
+    allowed = after > before
+    assert (await _read(sock)).startswith(OK) == allowed
