Test: a route is in force after watches heard nothing and were cut

Hypothesis of the incident: the store's history is dropped after a second in which watches heard nothing. The stand-in store can now be mute; real processes, three rounds. Result: passes; ruled out as a cause by itself.

--- a/standins/objects.py
+++ b/standins/objects.py
@@ -31,8 +31,9 @@
     ``POST /control`` replaces the faults: ``down`` refuses each call, ``slow``
     delays each by some seconds, ``lose`` holds back the answers of so many
     writes for ``silence`` seconds after they took effect, and ``compact``
-    forgets the changes so far, so that older watches get 410. ``POST
-    /raw/KIND/NAME`` stores the body as a spec without looking at it.
+    forgets the changes so far, so that older watches get 410; while ``mute`` is
+    set, watches hear nothing. ``POST /raw/KIND/NAME`` stores the body as a spec
+    without looking at it.
     """
 
     def __init__(self) -> None:
@@ -130,13 +131,19 @@
         try:
             async with asyncio.timeout(wait), self._changed:
                 await self._changed.wait_for(
-                    lambda: self._changes_after(kind, after)
+                    lambda: self._heard_after(kind, after)
                 )
         except TimeoutError:
             return json_response({'events': [], 'as-of': self._revision})
         changes = self._changes_after(kind, after)
         return json_response({'events': changes, 'as-of': self._revision})
 
+    def _heard_after(self, kind: str, after: int) -> list[dict[str, Any]]:
+        """Return the changes that a waiting watch is told."""
+        if self._faults.get('mute'):
+            return []
+        return self._changes_after(kind, after)
+
     def _changes_after(self, kind: str, after: int) -> list[dict[str, Any]]:
         return [
             {'object': document, 'deleted': deleted}
--- a/tests/gateway/test_process_silent_store.py
+++ b/tests/gateway/test_process_silent_store.py
@@ -21,6 +21,8 @@
 # silent.
 CONTACT_TIME = 4.0  # seconds
 ROLES_TIME = 4.0  # seconds in which instances find out who watches the store
+MUTE_TIME = 1.0  # seconds in which watches hear nothing
+ROUNDS = 3
 WATCHER_CHANGED = 3010  # event number
 
 
@@ -124,3 +126,19 @@
     await _add_route(linked, 'added')
     took = await _time_in_force(linked, range(ENTRIES), 'added')
     assert took <= APPLY_TIME
+
+
+async def test_route_is_in_force_after_watches_heard_nothing_and_were_cut(
+    linked: LinkedFleet,
+) -> None:
+    for number in range(ROUNDS):
+        await linked.set_store_faults(mute=True)
+        await _add_route(linked, f'unheard{number}')
+        await asyncio.sleep(MUTE_TIME)
+        await _add_route(linked, f'added{number}')
+        await linked.set_store_faults(compact=True)
+        for link in linked.links:
+            link.reset()
+        name = f'added{number}'
+        took = await _time_in_force(linked, range(ENTRIES), name)
+        assert took <= APPLY_TIME
