Gateway: a job isn't refused by a quota that is no longer in force

What callers saw: nothing reported; hypothesis of a refusal by an older value. A job got 429 by the quota of its route as it was before the jobs were listed and their results read again, which may take seconds while the store is slow. Evidence: tests/gateway/test_process_jobs.py -k raised failed before (429). Result: passes, as do the other tests of jobs and quotas.

--- a/gentiantrestle/gateway/batch/api.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -230,17 +230,15 @@
         counted. Above that, jobs are listed again, and results are read again
         before a job is refused.
         """
-        if not route.max_tokens:
-            return
         if self._fits(job, route, QUOTA_LOCAL_SHARE):
             return
         await self._relist()
         # Accepted at another instance, it counts already.
-        if job.id in self._index.entries or self._fits(job, route):
+        if job.id in self._index.entries or self._fits_now(job, route):
             return
         for entry in self._index.open_entries():
             await self._refresh(entry)
-        if self._fits(job, route):
+        if self._fits_now(job, route):
             return
         raise refuse(
             OVERLOADED,
@@ -256,7 +254,14 @@
                 STORE_UNAVAILABLE, str(exc), STORE_RETRY_AFTER
             ) from exc
 
+    def _fits_now(self, job: Job, route: Route) -> bool:
+        """Return whether a job fits the quota that is in force by now."""
+        return self._fits(job, self._router.match_job(job) or route)
+
     def _fits(self, job: Job, route: Route, share: float = 1.0) -> bool:
+        if not route.max_tokens:
+            return True
+
         def is_on_route(other: Job) -> bool:
             found = self._router.match_job(other)
             return found is not None and found.key == route.key
--- a/tests/gateway/test_process_jobs.py
+++ b/tests/gateway/test_process_jobs.py
@@ -1,5 +1,6 @@
 """Batch jobs on gateway instances and upstreams in their own processes."""
 
+import asyncio
 import base64
 from typing import Any
 
@@ -183,6 +184,24 @@
     assert statuses == [202] * ENTRIES
 
 
+async def test_job_is_not_refused_by_a_quota_raised_while_it_was_checked(
+    fleet: GatewayFleet,
+) -> None:
+    *others, batch = route_docs()
+    await fleet.configure([*others, {**batch, 'max-count': 10}])
+    await until(lambda: has_applied_config(fleet, 0, fleet.version))
+    # The jobs are listed again before one is refused, with one slow call, and
+    # a change takes two.
+    await fleet.set_store_faults(slow=0.5)
+    raised = [*others, {**batch, 'max-count': 1000}]
+    changing = asyncio.create_task(fleet.configure(raised))
+    await asyncio.sleep(0.75)
+    job = job_doc('job1', 2, 1)
+    reply = await fleet.request(0, 'job1', '/lists/j', job)
+    await changing
+    assert reply.status == 202
+
+
 async def test_token_quota_holds_across_instances(fleet: GatewayFleet) -> None:
     routes = route_docs()
     routes[-1]['max-count'] = 60
