Test: an outage of the store begins once a holder runs items

Known red since: test_results_are_saved_after_store_outage timed out where the outage came 6 ms after the claim, before the holder had read the items: it has no results then, so the log line that the test waits for can't come. The product is right; the wait was wrong. Change: the test begins the outage once an engine runs an item, and takes the log line of any holder; the case that made it fail is a test of its own, job_claimed_just_before_a_store_outage, which requires the same end.

--- a/tests/processes/test_batch.py
+++ b/tests/processes/test_batch.py
@@ -10,6 +10,7 @@
 ITEMS = 60
 TOKENS = 40  # per item
 SLOW_STEP = ('step=0.02',)
+OUTAGE = 3.0  # seconds
 
 
 async def _assert_one_result_each(fleet: Fleet, job: str, count: int) -> None:
@@ -147,10 +148,11 @@
 async def test_results_are_saved_after_store_outage(start_fleet) -> None:
     fleet = await start_fleet(engine_words=SLOW_STEP)
     job = (await fleet.submit(0, job_lines(ITEMS, TOKENS), 'job')).json()['id']
-    await until(lambda: _find_holder(fleet) is not None)
+    # A holder has read its items once an engine runs one of them.
+    await until(lambda: fleet.engine_runs())
     await fleet.control_platform(outage=True)
-    log = fleet.daemons[_find_holder(fleet)].log
-    await until(lambda: b'results of' in log.read_bytes())
+    logs = [daemon.log for daemon in fleet.daemons]
+    await until(lambda: any(b'results of' in log.read_bytes() for log in logs))
     await fleet.control_platform(outage=False)
     status = await fleet.wait_for_job(0, job)
     assert status['request_counts']['completed'] == ITEMS
@@ -158,6 +160,20 @@
     assert set((await fleet.engine_runs()).values()) == {1}
 
 
+async def test_job_claimed_just_before_a_store_outage_completes_after_it(
+    start_fleet,
+) -> None:
+    fleet = await start_fleet(engine_words=SLOW_STEP)
+    job = (await fleet.submit(0, job_lines(ITEMS, TOKENS), 'job')).json()['id']
+    await until(lambda: _find_holder(fleet) is not None)
+    await fleet.control_platform(outage=True)
+    await asyncio.sleep(OUTAGE)
+    await fleet.control_platform(outage=False)
+    status = await fleet.wait_for_job(0, job)
+    assert status['request_counts']['completed'] == ITEMS
+    await _assert_one_result_each(fleet, job, ITEMS)
+
+
 async def test_items_that_always_fail_do_not_block_the_job(start_fleet) -> None:
     fleet = await start_fleet()
     poisoned = job_lines(3, prefix='poison')
