Gateway: the header limit holds for chunk lines and trailers, too

Evidence: test_http_server.py -k chunk_line, 2 of 2 failed (no refusal of 300 KB). Change: whatever is incomplete is held to the limit in force.

--- a/gentiantrestle/http/link.py
+++ b/gentiantrestle/http/link.py
@@ -57,7 +57,7 @@
         # Whether bytes arrived while some of ours were not sent yet.
         self.read_while_writing = False
         self.lost = False
-        # The most bytes of the next head; may change between two of them.
+        # The most bytes of a head, a chunk's line or trailers; may change.
         self.head_limit = header_limit
         self._task_to_cancel: asyncio.Task[None] | None = None
         self._transport: asyncio.Transport | None = None
@@ -142,7 +142,7 @@
             if event is not h11.NEED_DATA:
                 self._count_interim(event)
                 return event
-            _check_head_size(self.machine, self.head_limit)
+            _check_incomplete(self.machine, self.head_limit)
             if self.lost:
                 raise LinkLostError('reset')
             await self._receive()
@@ -200,13 +200,15 @@
             self._task_to_cancel.cancel()
 
 
-def _check_head_size(machine: h11.Connection, limit: int) -> None:
-    """Raise ``h11.RemoteProtocolError`` for a long head of a request."""
-    if machine.their_state is not h11.IDLE:
-        return
+def _check_incomplete(machine: h11.Connection, limit: int) -> None:
+    """Raise ``h11.RemoteProtocolError`` if what isn't complete is too long.
+
+    That is the beginning of a head, of a chunk's first line, or of trailers.
+    """
     if len(machine.trailing_data[0]) > limit:
         raise h11.RemoteProtocolError(
-            'the head is too long', error_status_hint=TOO_LONG_HEAD
+            'a head, a chunk line or trailers are too long',
+            error_status_hint=TOO_LONG_HEAD,
         )
 
 
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -163,3 +163,19 @@
         sock.send(b'\r\n\r\n')
     allowed = after > before
     assert (await _read(sock)).startswith(OK) == allowed
+
+
+@pytest.mark.parametrize(
+    'part', [b'1;' + b'x' * 300000, b'0\r\n' + b'X-Long: ' + b'x' * 300000]
+)
+async def test_chunk_line_or_trailer_longer_than_a_header_is_refused(
+    app: App, part: bytes
+) -> None:
+    app.limits = CallerLimits(header_bytes=16384, idle_timeout=LONGER)
+    sock = await app.connect()
+    sock.send(
+        b'POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+    )
+    with suppress(ConnectionError):
+        await asyncio.get_running_loop().sock_sendall(sock, part)
+    assert (await _read(sock)).startswith(b'HTTP/1.1 4')
