Daemon: four instances or more watch the store in all zones together

The same cause as in the gateway: one relay of each zone watched; while the store was silent to it, its zone waited for the resync of 5 to 15 s where no other zone heard of the change. Evidence: tests/decisions/test_configuration_sources.py -k heard, 3 of 4 failed before. Change: the first ceil(4 / zones) instances of a zone are relays; the rule is shared with the gateway (daemon/membership/seats.py). Result: pass, as do the tests of decisions, watching and configuration.

--- a/gentiantrestle/daemon/configuration/service.py
+++ b/gentiantrestle/daemon/configuration/service.py
@@ -1,4 +1,4 @@
-"""Mirror the store: one instance of a zone watches it for the others."""
+"""Mirror the store: some instances of a zone watch it for the others."""
 
 import asyncio
 import random
@@ -11,7 +11,8 @@
 from gentiantrestle.context import Context
 from gentiantrestle.daemon.configuration.mirror import Mirror, MirroredObject
 from gentiantrestle.daemon.membership.peers import PeerError
-from gentiantrestle.daemon.membership.rendezvous import owner
+from gentiantrestle.daemon.membership.rendezvous import rank
+from gentiantrestle.daemon.membership.seats import count_seats
 from gentiantrestle.daemon.membership.service import Membership
 from gentiantrestle.daemon.membership.sources import SourceCalls, SourceStates
 from gentiantrestle.daemon.membership.view import Member
@@ -74,11 +75,16 @@
         self.mirror.update(MirroredObject(name, version, document))
 
     def is_relay(self) -> bool:
-        """Tell whether this instance watches the store for its zone."""
-        names = self._membership.view.live_names(
-            self._ctx.now(), self._ctx.cfg.zone
-        )
-        return owner('relay', names) == self._ctx.cfg.instance
+        """Tell whether this instance watches the store for its zone.
+
+        More than one of a zone do so where there are few zones.
+        """
+        zone = self._ctx.cfg.zone
+        live = list(self._membership.view.live_members(self._ctx.now()))
+        zones = {zone, *(member.zone for member in live)}
+        names = [member.instance for member in live if member.zone == zone]
+        relays = rank('relay', names)[: count_seats(len(zones))]
+        return self._ctx.cfg.instance in relays
 
     async def refresh(self) -> None:
         """Read changes from the store; all objects if none are loaded yet.
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Iterable
 
+from gentiantrestle.daemon.membership.seats import count_seats
 from gentiantrestle.gateway.assembly import build_components
 from gentiantrestle.gateway.batch.api import JobApi
 from gentiantrestle.gateway.batch.context import Clock
@@ -22,7 +23,7 @@
 from gentiantrestle.gateway.request_handler import RequestHandler
 from gentiantrestle.gateway.state_copier import StateCopier
 from gentiantrestle.gateway.store_watching import StoreWatching
-from gentiantrestle.gateway.zone_watcher import WatcherElection, count_seats
+from gentiantrestle.gateway.zone_watcher import WatcherElection
 from gentiantrestle.supervisor import Child, Supervisor
 
 # The balancer checks readiness once a second and drops an instance after two
--- a/gentiantrestle/gateway/zone_watcher.py
+++ b/gentiantrestle/gateway/zone_watcher.py
@@ -5,7 +5,6 @@
 them. An instance that falls behind copies from any zone.
 """
 
-import math
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -15,9 +14,6 @@
 # An instance sends to its own zone at least every 0.4 s. Changes must be in
 # force 2.5 s after the store has them, including the time to notice a dead
 # watcher.
-# The store may be silent to some instances, which takes seconds to notice, and
-# these may be the watchers of several zones.
-MIN_WATCHERS = 4  # in all zones together
 WATCHER_SILENCE = 1.0  # seconds until a silent watcher is replaced
 # All instances start within 0.3 s of each other.
 START_WAIT = 0.6  # seconds for a new instance to receive datagrams
@@ -99,11 +95,6 @@
         return self.is_watcher
 
 
-def count_seats(zones: int) -> int:
-    """Return how many instances of each of ``zones`` zones watch the store."""
-    return math.ceil(MIN_WATCHERS / zones)
-
-
 class LagTracker:
     """Measures for how long a revision that others have is missing here."""
 
--- a/tests/decisions/test_configuration_sources.py
+++ b/tests/decisions/test_configuration_sources.py
@@ -13,6 +13,7 @@
 from gentiantrestle.daemon.membership.peers import PeerError
 from gentiantrestle.daemon.membership.view import Member, MembershipView, State
 from gentiantrestle.metrics import Metrics
+from gentiantrestle.store.listing import ObjectList
 from gentiantrestle.wire.peer.ttypes import Changes, Envelope
 from tests.decisions.test_configuration import REQUIRED_SETTINGS
 from tests.utils.virtual_time import run_virtual, virtual_now
@@ -84,3 +85,63 @@
 def test_several_silent_members_do_not_delay_a_configuration() -> None:
     rows = [_member(name, NEWEST) for name in 'bcde']
     assert _time_copy({'b', 'c', 'd'}, rows) <= COPY_TIME
+
+
+class _SilentStore:
+    """A store that answers everybody but some instances."""
+
+    def __init__(self, silent: set[str], own: str) -> None:
+        self._is_silent = own in silent
+
+    async def list_documents(self, *prefixes: str) -> ObjectList:
+        """Return no objects as of the first revision."""
+        return ObjectList(objects=[], revision=1)
+
+    async def watch(self, after: int, *prefixes: str) -> ObjectList:
+        """Tell of the newest revision, or never answer."""
+        if self._is_silent or after >= NEWEST:
+            await asyncio.Event().wait()
+        return ObjectList(objects=[], revision=NEWEST)
+
+    read_changes = watch
+
+
+def _hears_in_time(own: str, silent: set[str], zones: list[str]) -> bool:
+    """Return whether one instance of the own zone hears of a change."""
+    cfg = Settings.from_sources({**REQUIRED_SETTINGS, 'instance': own}, {})
+    ctx = Context(
+        cfg, Metrics.from_config(cfg), 1, random.Random(1), virtual_now
+    )
+
+    async def run() -> bool:
+        rows = [
+            _member(f'{zone}-{number}', 1, zone)
+            for zone in zones
+            for number in range(3)
+        ]
+        fleet = _Fleet(set(), [row for row in rows if row.instance != own])
+        fleet.view.local_member = _member(own, 1)
+        store = _SilentStore(silent, own)
+        configuration = Configuration(ctx, store, fleet)
+        following = asyncio.create_task(configuration._follow_store())
+        await asyncio.sleep(COPY_TIME)
+        following.cancel()
+        return configuration.mirror.revision == NEWEST
+
+    return run_virtual(run())
+
+
+@pytest.mark.parametrize('zones', [['a1'], ['a1', 'b1'], ['a1', 'b1', 'b2']])
+def test_change_is_heard_while_the_store_is_silent_to_one_of_a_zone(
+    zones: list[str],
+) -> None:
+    names = [f'a1-{number}' for number in range(3)]
+    for silent in names:
+        heard = [_hears_in_time(own, {silent}, zones) for own in names]
+        assert any(heard)
+
+
+def test_one_instance_of_each_zone_watches_where_there_are_many_zones() -> None:
+    names = [f'a1-{number}' for number in range(3)]
+    zones = ['a1', 'a2', 'b1', 'b2', 'c1']
+    assert sum(_hears_in_time(own, set(), zones) for own in names) == 1
--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from gentiantrestle.daemon.membership.seats import MIN_WATCHERS, count_seats
 from gentiantrestle.daemon.membership.sources import SourceStates
 from gentiantrestle.gateway.batch.job_index import JobIndex
 from gentiantrestle.gateway.batch.job_store import JobStore
@@ -15,7 +16,6 @@
 from gentiantrestle.gateway.state_copier import StateCopier
 from gentiantrestle.gateway.zone_watcher import (
     JOBS_LAG,
-    MIN_WATCHERS,
     QUICK_RANKS,
     RANK_STEP,
     START_WAIT,
@@ -24,7 +24,6 @@
     CopySourceSelector,
     Revisions,
     WatcherElection,
-    count_seats,
 )
 from gentiantrestle.platform.document_decoder import StoreDocumentDecoder
 from gentiantrestle.wire.peer import ttypes
