Gateway: a route that can't be read stays as it was, and isn't unknown

Change: of a route that can't be read the last readable version stays in force, by name; while there is one, what matches no route gets 503, and no items are given up for a missing route.

--- a/gentiantrestle/daemon/membership/sources.py
+++ b/gentiantrestle/daemon/membership/sources.py
@@ -9,7 +9,6 @@
 # Whoever has failed is asked again at once if nobody else has the state.
 FAILURE_MEMORY = 3.0  # seconds
 MAX_CALLS = 4  # calls in progress at once
-NEVER = float('-inf')
 
 
 class Named(Protocol):
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -250,9 +250,11 @@
     ) -> None:
         """Fail items whose route was removed or whose retention is over."""
         wall = self._context.clock.wall()
-        version = self._context.router.table.version
+        table = self._context.router.table
         for entry, route in owned:
-            if is_abandoned(entry, route, version, wall):
+            if route is None and table.unreadable:
+                continue
+            if is_abandoned(entry, route, table.version, wall):
                 self._fail_items(entry)
 
     def _fail_items(self, entry: JobEntry) -> None:
--- a/gentiantrestle/gateway/model.py
+++ b/gentiantrestle/gateway/model.py
@@ -75,11 +75,15 @@
 
 
 class RoutingTable(NamedTuple):
-    """One version of the configuration; ``version`` 0 is none."""
+    """One version of the configuration; ``version`` 0 is none.
+
+    ``unreadable`` names the routes that it has, too, but can't be read.
+    """
 
     version: int
     routes: tuple[Route, ...]
     limits: CallerLimits
+    unreadable: frozenset[str] = frozenset()
 
 
 EMPTY_TABLE = RoutingTable(0, (), CallerLimits())
--- a/gentiantrestle/gateway/request_handler.py
+++ b/gentiantrestle/gateway/request_handler.py
@@ -26,8 +26,8 @@
 # A request with this much less time left than its route's timeout is a retry.
 # The gap allows for the time that a first request spends on its way.
 RETRY_TIME_GAP = 0.2  # seconds
-# Retry-After while an instance that has just started has no configuration.
-STARTUP_RETRY_AFTER = 0.5  # seconds
+# Retry-After while an instance doesn't have the whole configuration.
+CONFIG_RETRY_AFTER = 0.5  # seconds
 POST = 'POST'
 
 
@@ -88,12 +88,18 @@
             raise refuse(
                 NO_CONFIGURATION,
                 'This instance has just started',
-                STARTUP_RETRY_AFTER,
+                CONFIG_RETRY_AFTER,
             )
         route = self._router.match(req.host, req.target)
-        if route is None:
-            raise refuse(NOT_FOUND, 'No route matches this host and path')
-        return route
+        if route is not None:
+            return route
+        if self._router.table.unreadable:
+            raise refuse(
+                NO_CONFIGURATION,
+                'A route of the configuration can not be read',
+                CONFIG_RETRY_AFTER,
+            )
+        raise refuse(NOT_FOUND, 'No route matches this host and path')
 
     async def _answer(
         self,
--- a/gentiantrestle/gateway/routing.py
+++ b/gentiantrestle/gateway/routing.py
@@ -27,9 +27,18 @@
         return self.table.version > 0
 
     def apply(self, table: RoutingTable) -> bool:
-        """Put ``table`` in force if it is newer; return whether it is."""
+        """Put ``table`` in force if it is newer; return whether it is.
+
+        Of its routes that can't be read the last readable version stays.
+        """
         if table.version <= self.table.version:
             return False
+        kept = [
+            route
+            for route in self.table.routes
+            if route.name in table.unreadable
+        ]
+        table = table._replace(routes=(*table.routes, *kept))
         hosts: dict[str, list[Route]] = {}
         for route in table.routes:
             hosts.setdefault(route.host, []).append(route)
--- a/gentiantrestle/platform/document_decoder.py
+++ b/gentiantrestle/platform/document_decoder.py
@@ -78,19 +78,29 @@
 
 
 def _decode_table(document: Mapping[str, Any]) -> RoutingTable:
+    unreadable: set[str] = set()
+    routes = tuple(_readable_routes(document['routes'], unreadable))
     return RoutingTable(
         version=_checked_count(int(document['version'])),
-        routes=tuple(_readable_routes(document['routes'])),
+        routes=routes,
         limits=_decode_limits(document.get('limits') or {}),
+        unreadable=frozenset(unreadable),
     )
 
 
-def _readable_routes(documents: Iterable[Any]) -> Iterator[Route]:
-    """Yield the routes that can be read; log the others."""
+def _readable_routes(
+    documents: Iterable[Any], unreadable: set[str]
+) -> Iterator[Route]:
+    """Yield the routes that can be read; log the others, and add their names.
+
+    A name that can't be read either is added as an empty one.
+    """
     for document in documents:
         try:
             yield _decode_route(document)
         except DECODE_ERRORS as exc:
+            name = document.get('name') if isinstance(document, dict) else ''
+            unreadable.add(name if isinstance(name, str) else '')
             events.emit(
                 events.ENTRY_UNREADABLE,
                 name=str(document)[:MAX_TEXT],
--- a/tests/gateway/test_valid_configurations.py
+++ b/tests/gateway/test_valid_configurations.py
@@ -1,5 +1,6 @@
 """Valid configurations of any shape are in force, but for odd routes."""
 
+import base64
 from typing import Any
 
 import pytest
@@ -8,8 +9,19 @@
 
 from gentiantrestle.gateway.model import RouteKind, RoutingTable
 from gentiantrestle.gateway.ports import StoredObject
+from gentiantrestle.gateway.routing import Router
 from gentiantrestle.platform.document_decoder import StoreDocumentDecoder
-from tests.gateway.wire_samples import ROUTE_HOST, SERVICE
+from tests.gateway.fleet import GatewayFleet, has_applied_config
+from tests.gateway.test_process_jobs import read_all
+from tests.gateway.wire_samples import (
+    ROUTE_HOST,
+    SERVICE,
+    expected_output,
+    job_doc,
+    route_doc,
+    route_docs,
+)
+from tests.utils.http import until
 
 LIMITS = {
     'max-header-bytes': 16384,
@@ -109,6 +121,38 @@
     assert [route.name for route in table.routes] == ['sound']
 
 
+def test_route_that_becomes_unreadable_stays_as_it_was() -> None:
+    router = Router()
+    sound = {**REQUIRED, 'name': 'sound', 'path-prefix': '/sound/'}
+    router.apply(_read(REQUIRED, sound))
+    odd = {**REQUIRED, 'route-kind': 'duplex'}
+    changed = {**sound, 'path-prefix': '/moved/'}
+    assert router.apply(_read(odd, changed, version=8))
+    assert router.match(ROUTE_HOST, '/chat/1').kind is RouteKind.STREAM
+    assert router.match(ROUTE_HOST, '/moved/1').name == 'sound'
+    assert router.match(ROUTE_HOST, '/sound/1') is None
+    assert router.apply(_read(changed, version=9))
+    assert router.match(ROUTE_HOST, '/chat/1') is None
+
+
+async def test_unreadable_route_is_refused_as_unavailable_and_not_as_unknown(
+    fleet: GatewayFleet,
+) -> None:
+    odd = route_doc(name='odd', path_prefix='/odd/', route_kind='duplex')
+    *others, batch = route_docs()
+    slow_body = base64.b64encode(b'{"events":60,"pause":0.05}').decode()
+    job = job_doc('j', 1, 60, body=slow_body)
+    assert (await fleet.request(0, 'j', '/lists/j', job)).status == 202
+    odd_batch = {**batch, 'route-kind': 'lots'}
+    await fleet.configure([*others, odd_batch, odd])
+    await until(lambda: has_applied_config(fleet, 0, fleet.version))
+    reply = await fleet.request(0, 'r1', '/odd/1', body={'events': 1})
+    assert reply.status == 503
+    reply = await fleet.request(0, 'r2', body={'events': 1})
+    assert reply.status == 200
+    assert await read_all(fleet, 0, 'j') == {'j-0': expected_output('j-0', 60)}
+
+
 @pytest.mark.parametrize('services', [None, [], [{'name': 'other'}], [None]])
 def test_list_of_services_may_be_of_any_shape(services: Any) -> None:
     table = _read(REQUIRED, services=services)
