Test: one watcher of a zone where there are four zones, all in a small fleet

The check is wrong there, so it is played as before where a zone has one seat (settings that list four zones), and stricter: the single watcher has to stay alone for 3 s. A second test requires that all three entries of a one-zone fleet watch, and go on.

--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -30,7 +30,7 @@
 internal-ports = [{peer}, {peer}]
 seeds = [{seeds}]
 [zones]
-a1 = "a"
+{zones}
 [listen]
 front = "{host}:{front}"
 ready-addr = "{host}:{ready}"
@@ -71,6 +71,8 @@
         self.upstream_words: tuple[str, ...] = ()
         # Software versions of upstreams whose events name them, by number.
         self.versions: dict[int, str] = {}
+        # Zones in the settings; all entries are in the first one.
+        self.zones: tuple[str, ...] = ('a1',)
         # Services of upstreams that serve another one, by number.
         self.services: dict[int, str] = {}
 
@@ -107,6 +109,7 @@
                 front=self.front,
                 ready=self.ready,
                 store=self.store_address(number),
+                zones='\n'.join(f'{zone} = "a"' for zone in self.zones),
             ),
         )
         await self.entries[number].start(
--- a/tests/gateway/test_process_operations.py
+++ b/tests/gateway/test_process_operations.py
@@ -2,16 +2,24 @@
 
 import asyncio
 import signal
+from collections.abc import AsyncIterator
+from pathlib import Path
 
 import pytest
 
 from gentiantrestle.http.client import ConnectionLostError
 from gentiantrestle.models import Address
-from tests.gateway.fleet import ENTRIES, GatewayFleet, has_applied_config
+from tests.gateway.fleet import (
+    ENTRIES,
+    UPSTREAMS,
+    GatewayFleet,
+    has_applied_config,
+)
 from tests.gateway.wire_samples import expected_stream, route_doc, route_docs
 from tests.utils.http import send, until
 
 WATCHER_ROLE_CHANGED = 3010  # event number
+SETTLING_TIME = 3.0  # seconds in which watchers would give way to others
 
 
 async def test_config_is_applied_everywhere_and_survives_restart_without_store(
@@ -126,23 +134,40 @@
     return not await fleet.is_ready(entry)
 
 
+def _watchers(fleet: GatewayFleet) -> list[int]:
+    """Return the entries that watch the store, by their logs."""
+    return [
+        number
+        for number in range(ENTRIES)
+        if [
+            line['held']
+            for line in fleet.entries[number].log_lines()
+            if line['code'] == WATCHER_ROLE_CHANGED
+        ][-1:]
+        == [True]
+    ]
+
+
+@pytest.fixture
+async def zoned(tmp_path: Path) -> AsyncIterator[GatewayFleet]:
+    """Start a fleet of four zones, whose entries are all in the first one."""
+    started = GatewayFleet(tmp_path, ENTRIES, UPSTREAMS)
+    started.zones = ('a1', 'a2', 'b1', 'b2')
+    try:
+        await started.start()
+        yield started
+    finally:
+        await started.stop()
+
+
 async def test_single_store_watcher_is_replaced_when_killed(
-    fleet: GatewayFleet,
+    zoned: GatewayFleet,
 ) -> None:
-    def watchers() -> list[int]:
-        return [
-            number
-            for number in range(ENTRIES)
-            if [
-                line['held']
-                for line in fleet.entries[number].log_lines()
-                if line['code'] == WATCHER_ROLE_CHANGED
-            ][-1:]
-            == [True]
-        ]
-
-    await until(lambda: len(watchers()) == 1)
-    first = watchers()[0]
+    fleet = zoned
+    await until(lambda: len(_watchers(fleet)) == 1)
+    await asyncio.sleep(SETTLING_TIME)
+    assert len(_watchers(fleet)) == 1
+    first = _watchers(fleet)[0]
     await fleet.entries[first].end()
     routes = [*route_docs(), route_doc(name='new', path_prefix='/new/')]
     await fleet.configure(routes)
@@ -154,5 +179,15 @@
             timeout=2.5,
         )
     await until(
-        lambda: len([entry for entry in watchers() if entry != first]) == 1
+        lambda: (
+            len([entry for entry in _watchers(fleet) if entry != first]) == 1
+        )
     )
+
+
+async def test_all_entries_of_a_small_fleet_watch_and_go_on_watching(
+    fleet: GatewayFleet,
+) -> None:
+    await until(lambda: len(_watchers(fleet)) == ENTRIES)
+    await asyncio.sleep(SETTLING_TIME)
+    assert len(_watchers(fleet)) == ENTRIES
--- a/tests/gateway/test_settings_file.py
+++ b/tests/gateway/test_settings_file.py
@@ -17,6 +17,7 @@
 
 def _write(path: Path, *seeds: str, grace: int = 6) -> Path:
     text = SETTINGS.format(
+        zones='a1 = "a"',
         name='entry-0',
         host='127.0.0.1',
         peer=1,
