--- a/tests/gateway/test_fleet_state.py
+++ b/tests/gateway/test_fleet_state.py
@@ -4,7 +4,7 @@
 from gentiantrestle.gateway.ports import StoredObject
 from gentiantrestle.platform.document_decoder import StoreDocumentDecoder
 from tests.gateway.odd_entries import ENTRY
-from tests.gateway.wire_samples import SERVICE, route_docs
+from tests.gateway.wire_samples import SERVICE, config_doc
 
 COPIED = 10  # revision
 
@@ -56,19 +56,7 @@
 
 
 def _config(version: int) -> StoredObject:
-    limits = {
-        'max-header-bytes': 16384,
-        'max-body-bytes': 1048576,
-        'header-timeout-ms': 1000,
-        'idle-timeout-ms': 5000,
-    }
-    document = {
-        'version': version,
-        'routes': route_docs(),
-        'services': [],
-        'limits': limits,
-    }
-    return StoredObject('main', version, document)
+    return StoredObject('main', version, config_doc(version))
 
 
 def test_older_configuration_does_not_replace_a_newer_one() -> None:
--- a/tests/gateway/test_silent_sources.py
+++ b/tests/gateway/test_silent_sources.py
@@ -21,7 +21,7 @@
 from gentiantrestle.platform.document_decoder import StoreDocumentDecoder
 from gentiantrestle.wire.peer.ttypes import Envelope
 from tests.gateway.memory import MemoryStore
-from tests.gateway.wire_samples import route_docs
+from tests.gateway.wire_samples import config_doc
 from tests.utils.http import until
 from tests.utils.ports import free_ports, worker_number
 
@@ -38,18 +38,7 @@
     loop = asyncio.get_running_loop()
     state = FleetState(StoreDocumentDecoder(), 'main', loop.time)
     if version:
-        limits = {
-            'max-header-bytes': 16384,
-            'max-body-bytes': 1048576,
-            'header-timeout-ms': 1000,
-            'idle-timeout-ms': 5000,
-        }
-        document = {
-            'version': version,
-            'routes': route_docs(),
-            'services': [],
-            'limits': limits,
-        }
+        document = config_doc(version)
         state.apply_config(StoredObject('main', version, document))
     store = JobStore(MemoryStore(), JobIndex(), random.Random(1), loop.time)
     return state, StateCopier(state, store, loop.time)
--- a/tests/gateway/test_valid_configurations.py
+++ b/tests/gateway/test_valid_configurations.py
@@ -14,6 +14,7 @@
 from tests.gateway.fleet import GatewayFleet, has_applied_config
 from tests.gateway.test_process_jobs import read_all
 from tests.gateway.wire_samples import (
+    LIMITS,
     ROUTE_HOST,
     SERVICE,
     expected_output,
@@ -23,12 +24,6 @@
 )
 from tests.utils.http import until
 
-LIMITS = {
-    'max-header-bytes': 16384,
-    'max-body-bytes': 1048576,
-    'header-timeout-ms': 1000,
-    'idle-timeout-ms': 5000,
-}
 REQUIRED = {
     'name': 'chat',
     'hostname': ROUTE_HOST,
--- a/tests/gateway/wire_samples.py
+++ b/tests/gateway/wire_samples.py
@@ -7,6 +7,12 @@
 
 ROUTE_HOST = 'shop.example'
 SERVICE = 'engines'
+LIMITS = {
+    'max-header-bytes': 16384,
+    'max-body-bytes': 1048576,
+    'header-timeout-ms': 1000,
+    'idle-timeout-ms': 5000,
+}
 
 
 def route_doc(**changes: Any) -> dict[str, Any]:
@@ -50,6 +56,16 @@
     ]
 
 
+def config_doc(version: int) -> dict[str, Any]:
+    """Return a version of the configuration with routes of all kinds."""
+    return {
+        'version': version,
+        'routes': route_docs(),
+        'services': [],
+        'limits': LIMITS,
+    }
+
+
 def job_doc(
     name: str, count: int, events: int, **fields: Any
 ) -> dict[str, Any]:
