--- a/tests/gateway/test_silent_sources.py
+++ b/tests/gateway/test_silent_sources.py
@@ -56,14 +56,20 @@
 
 @asynccontextmanager
 async def _never_answering(address: Address) -> AsyncIterator[None]:
-    async def keep_open(*streams: object) -> None:
-        await asyncio.Event().wait()
+    writers: list[asyncio.StreamWriter] = []
+
+    async def keep_open(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writers.append(writer)
 
     server = await asyncio.start_server(keep_open, *address)
     try:
         yield
     finally:
         server.close()
+        for writer in writers:
+            writer.close()
 
 
 @asynccontextmanager
