--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -162,15 +162,9 @@
     3007, LEVEL_WARNING, 'call to instance {instance} failed: {error}'
 )
 CONFIG_BEHIND = _define(
-    3019,
-    LEVEL_INFO,
-    'instance {instance} has configuration {version}, {known} is in force here',
-)
-SOURCE_SILENT = _define(
-    3020,
-    LEVEL_WARNING,
-    'instance {instance} is silent; another one is asked for newer state',
+    3019, LEVEL_INFO, 'instance {instance} has configuration {version}'
 )
+SOURCE_SILENT = _define(3020, LEVEL_WARNING, 'instance {instance} is silent')
 PULSE_UNREADABLE = _define(
     3008, LEVEL_WARNING, 'unreadable datagram dropped: {error}'
 )
--- a/gentiantrestle/http/client.py
+++ b/gentiantrestle/http/client.py
@@ -292,10 +292,6 @@
 
 
 def needs_body(method: str, status: int) -> bool:
-    """Return whether a success without length or chunks needs a body.
-
-    If the connection ends with its head, it was broken off. Of a failure the
-    status says enough.
-    """
+    """Return whether an unframed answer that ends with its head was cut."""
     is_success = status < FIRST_NON_SUCCESS and status != NO_CONTENT
     return is_success and method != 'HEAD'
