--- a/gentiantrestle/gateway/assembly.py
+++ b/gentiantrestle/gateway/assembly.py
@@ -9,6 +9,7 @@
 from gentiantrestle.gateway.batch.runner import Runner
 from gentiantrestle.gateway.fleet_context import FleetContext
 from gentiantrestle.gateway.ports import Adapter
+from gentiantrestle.gateway.reach.service import UpstreamReach
 from gentiantrestle.gateway.retrying_store import RetryingStore
 from gentiantrestle.gateway.slots.admission import Admission
 from gentiantrestle.gateway.slots.batch_asks import BatchAsks
@@ -71,7 +72,13 @@
     rng = random.Random(fleet.run_name)
     slots = build_slots(fleet, rng)
     clock, state = fleet.clock, fleet.state
-    state.on_start = slots.forget_health
+    reach = UpstreamReach(state.roster, clock.now)
+
+    def forget_contacts(upstream: str) -> None:
+        slots.forget_health(upstream)
+        reach.forget(upstream)
+
+    state.on_start = forget_contacts
     index = JobIndex()
     batch_context = BatchContext(
         index,
@@ -90,6 +97,7 @@
         clock,
         fleet.build_guard(),
         UpstreamRuns(adapter.dialect),
+        reach,
     )
     runner = Runner(batch_context, fleet.run_name)
     slots.preempt = runner.run_table.preempt
--- a/gentiantrestle/gateway/batch/context.py
+++ b/gentiantrestle/gateway/batch/context.py
@@ -6,6 +6,7 @@
 from gentiantrestle.gateway.batch.job_index import JobIndex
 from gentiantrestle.gateway.batch.job_store import JobStore
 from gentiantrestle.gateway.ports import Dialect
+from gentiantrestle.gateway.reach.service import UpstreamReach
 from gentiantrestle.gateway.roster import Roster
 from gentiantrestle.gateway.routing import Router
 from gentiantrestle.gateway.slots.batch_asks import BatchAsks
@@ -34,3 +35,4 @@
     clock: Clock
     guard: RequestGuard
     runs: UpstreamRuns
+    reach: UpstreamReach
--- a/gentiantrestle/gateway/batch/item_progress.py
+++ b/gentiantrestle/gateway/batch/item_progress.py
@@ -90,6 +90,7 @@
         parts = context.dialect.item_prompt_parts(self.spec)
         watch = RequestWatch(context.guard, parts, context.clock, owed=True)
         conn = UpstreamConnection(context.dialect, watch)
+        conn.on_contact = context.reach.note
         started = self._started
         before = len(self._output.texts)
         try:
--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -144,6 +144,7 @@
     async def _run_attempt(self, lease: SlotLease) -> AttemptOutcome:
         self._watch = self._new_watch()
         conn = UpstreamConnection(self._context.dialect, self._watch)
+        conn.on_contact = self._context.reach.note
         left = self._req.deadline - self._context.clock.now()
         self.reason = ''
         self.received = 0
--- a/gentiantrestle/gateway/forwarding_context.py
+++ b/gentiantrestle/gateway/forwarding_context.py
@@ -4,6 +4,7 @@
 
 from gentiantrestle.gateway.batch.context import Clock
 from gentiantrestle.gateway.ports import Dialect
+from gentiantrestle.gateway.reach.service import UpstreamReach
 from gentiantrestle.gateway.slots.admission import Admission
 from gentiantrestle.gateway.streams.service import StreamOrigins
 from gentiantrestle.gateway.upstream_runs import UpstreamRuns
@@ -19,3 +20,4 @@
     guard: RequestGuard
     streams: StreamOrigins
     runs: UpstreamRuns
+    reach: UpstreamReach
--- a/gentiantrestle/gateway/membership/messages.py
+++ b/gentiantrestle/gateway/membership/messages.py
@@ -40,6 +40,7 @@
     upstreams_fingerprint: int
     notices: JobNotices
     findings: Findings = Findings()
+    cut_off: frozenset[str] = frozenset()
 
 
 class RelayedRow(NamedTuple):
@@ -71,6 +72,7 @@
         status.jobs_revision,
         status.upstreams_fingerprint,
         status.starting,
+        status.cut_off,
     )
     return RelayedRow(peer, status.notices, status.findings)
 
@@ -93,6 +95,7 @@
         ended=list(row.notices.cancelled_jobs),
         taken=[],
         age=int((now - peer.received_at) * MS_PER_S),
+        cut_off=sorted(peer.cut_off) or None,
     )
 
 
@@ -112,6 +115,7 @@
         row.jobs_revision,
         row.upstreams_mark,
         row.state == ttypes.MemberState.STARTING,
+        frozenset(row.cut_off or ()),
     )
     return RelayedRow(peer, JobNotices(tuple(row.ended)))
 
--- a/gentiantrestle/gateway/membership/peers.py
+++ b/gentiantrestle/gateway/membership/peers.py
@@ -28,6 +28,7 @@
 
     ``received_at`` is when that was sent or arrived at a relay, at the latest,
     on this instance's clock, in s. One that is starting knows of little yet.
+    ``cut_off`` are the services whose upstreams it doesn't reach.
     """
 
     instance: str
@@ -43,6 +44,7 @@
     jobs_revision: int = 0
     upstreams_fingerprint: int = 0
     starting: bool = False
+    cut_off: frozenset[str] = frozenset()
 
     @property
     def run(self) -> str:
--- a/gentiantrestle/gateway/peering.py
+++ b/gentiantrestle/gateway/peering.py
@@ -78,6 +78,8 @@
         self._started = clock.now()
         # Called at short intervals; takes or gives up the watcher's role.
         self.update_role: Callable[[], None] = _nothing
+        # Returns the services whose upstreams this instance doesn't reach.
+        self.cut_off: Callable[[], frozenset[str]] = frozenset
         parts.membership.on_notices = self._apply_notices
         parts.membership.on_findings = self._apply_findings
         parts.membership.on_change = parts.runner.wake
@@ -136,6 +138,7 @@
             revisions.upstreams_fingerprint,
             JobNotices(tuple(self._cancelled_jobs)),
             self._parts.evidence.findings(self._clock.wall()),
+            self.cut_off(),
         )
 
     async def _update_role_on(self) -> None:
--- /dev/null
+++ b/gentiantrestle/gateway/reach/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstreams this instance reaches, and what its failures tell."""
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -121,6 +121,7 @@
         yield Child('slots', self._components.slots.run)
         yield from self._components.streams.children()
         yield from self._peering.children()
+        yield from self._batch_context.reach.children()
         yield from self._watching.children()
         yield Child('batch', self._runner.run)
 
@@ -167,6 +168,8 @@
             self._clock,
         )
         peering.update_role = self._update_role
+        reach = self._batch_context.reach
+        peering.cut_off = lambda: reach.cut_off
         return peering
 
     def _is_prepared(self) -> bool:
@@ -182,6 +185,7 @@
             self._batch_context.guard,
             self._components.streams,
             self._batch_context.runs,
+            self._batch_context.reach,
         )
         api = JobApi(
             self._batch_context,
--- a/gentiantrestle/gateway/upstream_connection.py
+++ b/gentiantrestle/gateway/upstream_connection.py
@@ -67,6 +67,8 @@
         self.framing = ''
         self._needs_body = True
         self._body_size = 0
+        # Called after each try to connect.
+        self.on_contact: Callable[..., None] = _ignore_contact
 
     async def connect(self, upstream: Upstream) -> None:
         """Connect to ``upstream``.
@@ -74,9 +76,14 @@
         Raises ``RequestNotSentError``; then nothing was sent.
         """
         self._upstream = upstream
-        self._link = await open_link(
-            upstream.address, CONNECT_TIMEOUT, MAX_HEADER_SIZE
-        )
+        try:
+            self._link = await open_link(
+                upstream.address, CONNECT_TIMEOUT, MAX_HEADER_SIZE
+            )
+        except RequestNotSentError:
+            self.on_contact(upstream, reached=False)
+            raise
+        self.on_contact(upstream, reached=True)
 
     async def send(self, req: UpstreamRequest) -> Reply:
         """Send the request and wait for the head of a genuine response.
@@ -187,6 +194,10 @@
                 raise LinkLostError('connection closed before the response')
 
 
+def _ignore_contact(upstream: Upstream, *, reached: bool) -> None:
+    """Do nothing until contacts are noted."""
+
+
 def _answers(reply: Reply, req: UpstreamRequest) -> bool:
     """Return whether a response is genuine and belongs to a request.
 
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -104,6 +104,9 @@
   13: required list<string> taken,
   /* Time in ms since the sender of the message heard of this row. */
   14: required i32 age,
+  /* Services none of whose upstreams the instance reaches, though they run;
+   * absent if there are none. */
+  15: optional list<string> cut_off,
 }
 
 /* The end of an upstream's run, and the requests that it began to answer then,
@@ -302,6 +305,49 @@
   4: required i32 chunks,
 }
 
+struct HeaderField {
+  1: required binary name,
+  2: required binary content,
+}
+
+/* The route that a request is served by; times are in ms. */
+struct PassedRoute {
+  1: required string name,
+  2: required string kind,
+  3: required i32 timeout,
+  4: required i32 latency_target,
+  5: required i32 priority,
+  6: required i32 max_attempts,
+  7: required bool resumable,
+  /* Whether requests of the route go to several services. */
+  8: required bool split,
+}
+
+/* A caller's request that another instance is to serve, as the body of an HTTP
+ * request on the port for passing on. */
+struct PassedRequest {
+  1: required string id,
+  2: required string method,
+  3: required string target,
+  4: required string host,
+  5: required list<HeaderField> headers,
+  6: required binary body,
+  /* Time in ms until the request's deadline. */
+  7: required i32 left,
+  8: required bool retry,
+  9: required i64 last_event,
+  10: required list<string> prompt_parts,
+  11: required string resumes,
+  12: required PassedRoute route,
+  13: required string service_name,
+  /* Version of the upstream's software; empty if any will do. */
+  14: required string version,
+  /* Attempts so far that may have been executed. */
+  15: required i32 runs,
+  /* Upstreams that were tried. */
+  16: required list<string> tried,
+}
+
 /* Exactly one of the optional fields is set. */
 struct Envelope {
   1: required i64 call,
--- a/gentiantrestle/wire/peer/ttypes.py
+++ b/gentiantrestle/wire/peer/ttypes.py
@@ -1257,6 +1257,7 @@
      - ended
      - taken
      - age
+     - cut_off
 
     """
 
@@ -1275,10 +1276,11 @@
         'ended',
         'taken',
         'age',
+        'cut_off',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, number=None, host=None, zone=None, state=None, config_version=None, store_reached=None, upstreams_revision=None, jobs_revision=None, upstreams_mark=None, ended=None, taken=None, age=None,):
+    def __init__(self, instance=None, incarnation=None, number=None, host=None, zone=None, state=None, config_version=None, store_reached=None, upstreams_revision=None, jobs_revision=None, upstreams_mark=None, ended=None, taken=None, age=None, cut_off=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.number = number
@@ -1293,6 +1295,7 @@
         self.ended = ended
         self.taken = taken
         self.age = age
+        self.cut_off = cut_off
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1383,6 +1386,16 @@
                     self.age = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.cut_off = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.cut_off.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1440,21 +1453,28 @@
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.ended))
-            for iter49 in self.ended:
-                oprot.writeString(iter49.encode('utf-8') if sys.version_info[0] == 2 else iter49)
+            for iter55 in self.ended:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.taken is not None:
             oprot.writeFieldBegin('taken', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.taken))
-            for iter50 in self.taken:
-                oprot.writeString(iter50.encode('utf-8') if sys.version_info[0] == 2 else iter50)
+            for iter56 in self.taken:
+                oprot.writeString(iter56.encode('utf-8') if sys.version_info[0] == 2 else iter56)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age is not None:
             oprot.writeFieldBegin('age', TType.I32, 14)
             oprot.writeI32(self.age)
             oprot.writeFieldEnd()
+        if self.cut_off is not None:
+            oprot.writeFieldBegin('cut_off', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRING, len(self.cut_off))
+            for iter57 in self.cut_off:
+                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1551,15 +1571,15 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = []
-                        (_etype60, _size57) = iprot.readListBegin()
-                        for _i61 in range(_size57):
-                            _elem62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                            _elem56.append(_elem62)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = []
+                        (_etype67, _size64) = iprot.readListBegin()
+                        for _i68 in range(_size64):
+                            _elem69 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _elem63.append(_elem69)
                         iprot.readListEnd()
-                        self.prompts.append(_elem56)
+                        self.prompts.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1584,10 +1604,10 @@
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 3)
             oprot.writeListBegin(TType.LIST, len(self.prompts))
-            for iter63 in self.prompts:
-                oprot.writeListBegin(TType.STRING, len(iter63))
-                for iter64 in iter63:
-                    oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
+            for iter70 in self.prompts:
+                oprot.writeListBegin(TType.STRING, len(iter70))
+                for iter71 in iter70:
+                    oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -1736,22 +1756,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = Crash()
-                        _elem70.read(iprot)
-                        self.crashes.append(_elem70)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = Crash()
+                        _elem77.read(iprot)
+                        self.crashes.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.sound = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = SoundPart()
-                        _elem76.read(iprot)
-                        self.sound.append(_elem76)
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = SoundPart()
+                        _elem83.read(iprot)
+                        self.sound.append(_elem83)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1768,15 +1788,15 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter77 in self.crashes:
-                iter77.write(oprot)
+            for iter84 in self.crashes:
+                iter84.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sound is not None:
             oprot.writeFieldBegin('sound', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.sound))
-            for iter78 in self.sound:
-                iter78.write(oprot)
+            for iter85 in self.sound:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1838,11 +1858,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = Member()
-                        _elem84.read(iprot)
-                        self.members.append(_elem84)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = Member()
+                        _elem91.read(iprot)
+                        self.members.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1865,8 +1885,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter85 in self.members:
-                iter85.write(oprot)
+            for iter92 in self.members:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.findings is not None:
@@ -1945,11 +1965,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = InstanceRow()
-                        _elem91.read(iprot)
-                        self.rows.append(_elem91)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = InstanceRow()
+                        _elem98.read(iprot)
+                        self.rows.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1986,8 +2006,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter92 in self.rows:
-                iter92.write(oprot)
+            for iter99 in self.rows:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wants_rows is not None:
@@ -2138,10 +2158,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem98)
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem105)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2210,8 +2230,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter99 in self.excluded:
-                oprot.writeString(iter99.encode('utf-8') if sys.version_info[0] == 2 else iter99)
+            for iter106 in self.excluded:
+                oprot.writeString(iter106.encode('utf-8') if sys.version_info[0] == 2 else iter106)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slack is not None:
@@ -2964,11 +2984,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.slots = []
-                    (_etype103, _size100) = iprot.readListBegin()
-                    for _i104 in range(_size100):
-                        _elem105 = HeldSlot()
-                        _elem105.read(iprot)
-                        self.slots.append(_elem105)
+                    (_etype110, _size107) = iprot.readListBegin()
+                    for _i111 in range(_size107):
+                        _elem112 = HeldSlot()
+                        _elem112.read(iprot)
+                        self.slots.append(_elem112)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2993,8 +3013,8 @@
         if self.slots is not None:
             oprot.writeFieldBegin('slots', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.slots))
-            for iter106 in self.slots:
-                iter106.write(oprot)
+            for iter113 in self.slots:
+                iter113.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3189,11 +3209,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.services = []
-                    (_etype110, _size107) = iprot.readListBegin()
-                    for _i111 in range(_size107):
-                        _elem112 = ServiceSums()
-                        _elem112.read(iprot)
-                        self.services.append(_elem112)
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = ServiceSums()
+                        _elem119.read(iprot)
+                        self.services.append(_elem119)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3214,8 +3234,8 @@
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.services))
-            for iter113 in self.services:
-                iter113.write(oprot)
+            for iter120 in self.services:
+                iter120.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3290,10 +3310,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.attempts = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.attempts.append(_elem98)
+                    (_etype124, _size121) = iprot.readListBegin()
+                    for _i125 in range(_size121):
+                        _elem126 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.attempts.append(_elem126)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3318,8 +3338,8 @@
         if self.attempts is not None:
             oprot.writeFieldBegin('attempts', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.attempts))
-            for iter99 in self.attempts:
-                oprot.writeString(iter99.encode('utf-8') if sys.version_info[0] == 2 else iter99)
+            for iter127 in self.attempts:
+                oprot.writeString(iter127.encode('utf-8') if sys.version_info[0] == 2 else iter127)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3607,22 +3627,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype117, _size114) = iprot.readListBegin()
-                    for _i118 in range(_size114):
-                        _elem119 = KnownObject()
-                        _elem119.read(iprot)
-                        self.upstreams.append(_elem119)
+                    (_etype131, _size128) = iprot.readListBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = KnownObject()
+                        _elem133.read(iprot)
+                        self.upstreams.append(_elem133)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.jobs = []
-                    (_etype123, _size120) = iprot.readListBegin()
-                    for _i124 in range(_size120):
-                        _elem125 = KnownObject()
-                        _elem125.read(iprot)
-                        self.jobs.append(_elem125)
+                    (_etype137, _size134) = iprot.readListBegin()
+                    for _i138 in range(_size134):
+                        _elem139 = KnownObject()
+                        _elem139.read(iprot)
+                        self.jobs.append(_elem139)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3656,15 +3676,15 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter126 in self.upstreams:
-                iter126.write(oprot)
+            for iter140 in self.upstreams:
+                iter140.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter127 in self.jobs:
-                iter127.write(oprot)
+            for iter141 in self.jobs:
+                iter141.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lapse_left is not None:
@@ -3932,11 +3952,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype131, _size128) = iprot.readListBegin()
-                    for _i132 in range(_size128):
-                        _elem133 = ResultRow()
-                        _elem133.read(iprot)
-                        self.rows.append(_elem133)
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = ResultRow()
+                        _elem147.read(iprot)
+                        self.rows.append(_elem147)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3966,8 +3986,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter134 in self.rows:
-                iter134.write(oprot)
+            for iter148 in self.rows:
+                iter148.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.chunks is not None:
@@ -4007,6 +4027,564 @@
         return not (self == other)
 
 
+class HeaderField(object):
+    """
+    Attributes:
+     - name
+     - content
+
+    """
+
+    __slots__ = (
+        'name',
+        'content',
+    )
+
+
+    def __init__(self, name=None, content=None,):
+        self.name = name
+        self.content = content
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.content = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HeaderField')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeBinary(self.name)
+            oprot.writeFieldEnd()
+        if self.content is not None:
+            oprot.writeFieldBegin('content', TType.STRING, 2)
+            oprot.writeBinary(self.content)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.name is None:
+            raise TProtocolException(message='Required field name is unset!')
+        if self.content is None:
+            raise TProtocolException(message='Required field content is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PassedRoute(object):
+    """
+    Attributes:
+     - name
+     - kind
+     - timeout
+     - latency_target
+     - priority
+     - max_attempts
+     - resumable
+     - split
+
+    """
+
+    __slots__ = (
+        'name',
+        'kind',
+        'timeout',
+        'latency_target',
+        'priority',
+        'max_attempts',
+        'resumable',
+        'split',
+    )
+
+
+    def __init__(self, name=None, kind=None, timeout=None, latency_target=None, priority=None, max_attempts=None, resumable=None, split=None,):
+        self.name = name
+        self.kind = kind
+        self.timeout = timeout
+        self.latency_target = latency_target
+        self.priority = priority
+        self.max_attempts = max_attempts
+        self.resumable = resumable
+        self.split = split
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.timeout = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.latency_target = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.max_attempts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.resumable = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.split = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PassedRoute')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 2)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.timeout is not None:
+            oprot.writeFieldBegin('timeout', TType.I32, 3)
+            oprot.writeI32(self.timeout)
+            oprot.writeFieldEnd()
+        if self.latency_target is not None:
+            oprot.writeFieldBegin('latency_target', TType.I32, 4)
+            oprot.writeI32(self.latency_target)
+            oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 5)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.max_attempts is not None:
+            oprot.writeFieldBegin('max_attempts', TType.I32, 6)
+            oprot.writeI32(self.max_attempts)
+            oprot.writeFieldEnd()
+        if self.resumable is not None:
+            oprot.writeFieldBegin('resumable', TType.BOOL, 7)
+            oprot.writeBool(self.resumable)
+            oprot.writeFieldEnd()
+        if self.split is not None:
+            oprot.writeFieldBegin('split', TType.BOOL, 8)
+            oprot.writeBool(self.split)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.name is None:
+            raise TProtocolException(message='Required field name is unset!')
+        if self.kind is None:
+            raise TProtocolException(message='Required field kind is unset!')
+        if self.timeout is None:
+            raise TProtocolException(message='Required field timeout is unset!')
+        if self.latency_target is None:
+            raise TProtocolException(message='Required field latency_target is unset!')
+        if self.priority is None:
+            raise TProtocolException(message='Required field priority is unset!')
+        if self.max_attempts is None:
+            raise TProtocolException(message='Required field max_attempts is unset!')
+        if self.resumable is None:
+            raise TProtocolException(message='Required field resumable is unset!')
+        if self.split is None:
+            raise TProtocolException(message='Required field split is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PassedRequest(object):
+    """
+    Attributes:
+     - id
+     - method
+     - target
+     - host
+     - headers
+     - body
+     - left
+     - retry
+     - last_event
+     - prompt_parts
+     - resumes
+     - route
+     - service_name
+     - version
+     - runs
+     - tried
+
+    """
+
+    __slots__ = (
+        'id',
+        'method',
+        'target',
+        'host',
+        'headers',
+        'body',
+        'left',
+        'retry',
+        'last_event',
+        'prompt_parts',
+        'resumes',
+        'route',
+        'service_name',
+        'version',
+        'runs',
+        'tried',
+    )
+
+
+    def __init__(self, id=None, method=None, target=None, host=None, headers=None, body=None, left=None, retry=None, last_event=None, prompt_parts=None, resumes=None, route=None, service_name=None, version=None, runs=None, tried=None,):
+        self.id = id
+        self.method = method
+        self.target = target
+        self.host = host
+        self.headers = headers
+        self.body = body
+        self.left = left
+        self.retry = retry
+        self.last_event = last_event
+        self.prompt_parts = prompt_parts
+        self.resumes = resumes
+        self.route = route
+        self.service_name = service_name
+        self.version = version
+        self.runs = runs
+        self.tried = tried
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.method = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.headers = []
+                    (_etype152, _size149) = iprot.readListBegin()
+                    for _i153 in range(_size149):
+                        _elem154 = HeaderField()
+                        _elem154.read(iprot)
+                        self.headers.append(_elem154)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.left = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.retry = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.last_event = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.prompt_parts = []
+                    (_etype158, _size155) = iprot.readListBegin()
+                    for _i159 in range(_size155):
+                        _elem160 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.prompt_parts.append(_elem160)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.resumes = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.route = PassedRoute()
+                    self.route.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I32:
+                    self.runs = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.tried = []
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.tried.append(_elem166)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PassedRequest')
+        if self.id is not None:
+            oprot.writeFieldBegin('id', TType.STRING, 1)
+            oprot.writeString(self.id.encode('utf-8') if sys.version_info[0] == 2 else self.id)
+            oprot.writeFieldEnd()
+        if self.method is not None:
+            oprot.writeFieldBegin('method', TType.STRING, 2)
+            oprot.writeString(self.method.encode('utf-8') if sys.version_info[0] == 2 else self.method)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 3)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 4)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.headers is not None:
+            oprot.writeFieldBegin('headers', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.headers))
+            for iter167 in self.headers:
+                iter167.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 6)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        if self.left is not None:
+            oprot.writeFieldBegin('left', TType.I32, 7)
+            oprot.writeI32(self.left)
+            oprot.writeFieldEnd()
+        if self.retry is not None:
+            oprot.writeFieldBegin('retry', TType.BOOL, 8)
+            oprot.writeBool(self.retry)
+            oprot.writeFieldEnd()
+        if self.last_event is not None:
+            oprot.writeFieldBegin('last_event', TType.I64, 9)
+            oprot.writeI64(self.last_event)
+            oprot.writeFieldEnd()
+        if self.prompt_parts is not None:
+            oprot.writeFieldBegin('prompt_parts', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRING, len(self.prompt_parts))
+            for iter168 in self.prompt_parts:
+                oprot.writeString(iter168.encode('utf-8') if sys.version_info[0] == 2 else iter168)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.resumes is not None:
+            oprot.writeFieldBegin('resumes', TType.STRING, 11)
+            oprot.writeString(self.resumes.encode('utf-8') if sys.version_info[0] == 2 else self.resumes)
+            oprot.writeFieldEnd()
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRUCT, 12)
+            self.route.write(oprot)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 13)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 14)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.runs is not None:
+            oprot.writeFieldBegin('runs', TType.I32, 15)
+            oprot.writeI32(self.runs)
+            oprot.writeFieldEnd()
+        if self.tried is not None:
+            oprot.writeFieldBegin('tried', TType.LIST, 16)
+            oprot.writeListBegin(TType.STRING, len(self.tried))
+            for iter169 in self.tried:
+                oprot.writeString(iter169.encode('utf-8') if sys.version_info[0] == 2 else iter169)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.id is None:
+            raise TProtocolException(message='Required field id is unset!')
+        if self.method is None:
+            raise TProtocolException(message='Required field method is unset!')
+        if self.target is None:
+            raise TProtocolException(message='Required field target is unset!')
+        if self.host is None:
+            raise TProtocolException(message='Required field host is unset!')
+        if self.headers is None:
+            raise TProtocolException(message='Required field headers is unset!')
+        if self.body is None:
+            raise TProtocolException(message='Required field body is unset!')
+        if self.left is None:
+            raise TProtocolException(message='Required field left is unset!')
+        if self.retry is None:
+            raise TProtocolException(message='Required field retry is unset!')
+        if self.last_event is None:
+            raise TProtocolException(message='Required field last_event is unset!')
+        if self.prompt_parts is None:
+            raise TProtocolException(message='Required field prompt_parts is unset!')
+        if self.resumes is None:
+            raise TProtocolException(message='Required field resumes is unset!')
+        if self.route is None:
+            raise TProtocolException(message='Required field route is unset!')
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.runs is None:
+            raise TProtocolException(message='Required field runs is unset!')
+        if self.tried is None:
+            raise TProtocolException(message='Required field tried is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Envelope(object):
     """
     Attributes:
@@ -4458,6 +5036,7 @@
     (12, TType.LIST, 'ended', (TType.STRING, 'UTF8', False), None, ),  # 12
     (13, TType.LIST, 'taken', (TType.STRING, 'UTF8', False), None, ),  # 13
     (14, TType.I32, 'age', None, None, ),  # 14
+    (15, TType.LIST, 'cut_off', (TType.STRING, 'UTF8', False), None, ),  # 15
 )
 all_structs.append(Crash)
 Crash.thrift_spec = (
@@ -4630,6 +5209,44 @@
     (3, TType.LIST, 'rows', (TType.STRUCT, [ResultRow, None], False), None, ),  # 3
     (4, TType.I32, 'chunks', None, None, ),  # 4
 )
+all_structs.append(HeaderField)
+HeaderField.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'content', 'BINARY', None, ),  # 2
+)
+all_structs.append(PassedRoute)
+PassedRoute.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'kind', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'timeout', None, None, ),  # 3
+    (4, TType.I32, 'latency_target', None, None, ),  # 4
+    (5, TType.I32, 'priority', None, None, ),  # 5
+    (6, TType.I32, 'max_attempts', None, None, ),  # 6
+    (7, TType.BOOL, 'resumable', None, None, ),  # 7
+    (8, TType.BOOL, 'split', None, None, ),  # 8
+)
+all_structs.append(PassedRequest)
+PassedRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'method', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'target', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'host', 'UTF8', None, ),  # 4
+    (5, TType.LIST, 'headers', (TType.STRUCT, [HeaderField, None], False), None, ),  # 5
+    (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
+    (7, TType.I32, 'left', None, None, ),  # 7
+    (8, TType.BOOL, 'retry', None, None, ),  # 8
+    (9, TType.I64, 'last_event', None, None, ),  # 9
+    (10, TType.LIST, 'prompt_parts', (TType.STRING, 'UTF8', False), None, ),  # 10
+    (11, TType.STRING, 'resumes', 'UTF8', None, ),  # 11
+    (12, TType.STRUCT, 'route', [PassedRoute, None], None, ),  # 12
+    (13, TType.STRING, 'service_name', 'UTF8', None, ),  # 13
+    (14, TType.STRING, 'version', 'UTF8', None, ),  # 14
+    (15, TType.I32, 'runs', None, None, ),  # 15
+    (16, TType.LIST, 'tried', (TType.STRING, 'UTF8', False), None, ),  # 16
+)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
--- a/tests/gateway/test_version_admission.py
+++ b/tests/gateway/test_version_admission.py
@@ -186,6 +186,7 @@
         RequestGuard(Evidence(), lambda key: True),
         KnownStreams(),
         None,
+        None,
     )
     exchange = Exchange(None, None, b'')
     req, route = make_request('r1', last_event=7), make_route()
