Events: setting the log up has a module of its own

Change: configure, configure_sink and the text format are in log_setup.py. Result: no change of behaviour; tests/test_catalogue.py and test_logsink.py pass.

--- a/gentiantrestle/core.py
+++ b/gentiantrestle/core.py
@@ -9,7 +9,7 @@
 import uvloop
 from absl import flags
 
-from gentiantrestle import events
+from gentiantrestle import events, log_setup
 from gentiantrestle.config import SettingProblem, Settings, define_flags
 from gentiantrestle.context import Context
 from gentiantrestle.daemon.tree import SupervisionTree
@@ -90,7 +90,7 @@
 def _check_or_serve(cfg: Settings, *, only_check: bool) -> ExitStatus:
     if only_check:
         return _print_settings(cfg)
-    events.configure(cfg.log_level, as_json=cfg.log_json)
+    log_setup.configure(cfg.log_level, as_json=cfg.log_json)
     return uvloop.run(serve(cfg))
 
 
--- a/gentiantrestle/platform/__main__.py
+++ b/gentiantrestle/platform/__main__.py
@@ -6,7 +6,7 @@
 import uvloop
 from absl import flags
 
-from gentiantrestle import events
+from gentiantrestle import log_setup
 from gentiantrestle.config import Settings, define_flags
 from gentiantrestle.exit_status import ExitStatus
 from gentiantrestle.gateway.options import OPTIONS
@@ -40,7 +40,7 @@
         return _report_error(
             ' '.join(f'{problem.reason}. {problem.remedy}' for problem in cfg)
         )
-    events.configure_sink(
+    log_setup.configure_sink(
         cfg.gateway_log_level, JsonLineSink(sys.stdout.fileno())
     )
     return uvloop.run(ROLES[arguments[0]](settings_file, cfg))
--- a/standins/core.py
+++ b/standins/core.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from typing import Protocol
 
-from gentiantrestle import events
+from gentiantrestle import log_setup
 from gentiantrestle.http.connection import ServerLimits
 from gentiantrestle.http.messages import Request, Response
 from gentiantrestle.http.server import Server
@@ -68,7 +68,7 @@
     if len(sys.argv) < FIRST_OPTION or sys.argv[1] not in KINDS:
         sys.stderr.write(USAGE)
         sys.exit(2)
-    events.configure('WARNING', as_json=False)
+    log_setup.configure('WARNING', as_json=False)
     cfg = dict(option.split('=', 1) for option in sys.argv[FIRST_OPTION:])
     asyncio.run(serve(sys.argv[1], int(sys.argv[2]), cfg))
 
