Gateway: an instance without a path to upstreams finds it out

Cause: an instance that reached no upstream of a service took callers as before. Nothing judged its failed connections, and it told nobody. A round that reaches none of a service's upstreams, in no zone, confirms the failures (judging.py); two good rounds end it, more after a relapse. Rows name the services; where a live instance reaches one, is_cut_off says so (way_round.py). Events 3030 and 3031, gauge services_cut_off. Probes also survive addresses that can't exist.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -197,6 +197,15 @@
     LEVEL_WARNING,
     'upstream {upstream} does not tell which run it is: {error}',
 )
+SERVICE_UNREACHED = _define(
+    3030,
+    LEVEL_WARNING,
+    'no upstream of {service} is reached, {upstreams} tried in {took_ms} ms: '
+    '{tried}; instances that reach it: {instances}',
+)
+SERVICE_REACHED = _define(
+    3031, LEVEL_INFO, 'upstreams of {service} are reached after {took_ms} ms'
+)
 REQUEST_QUARANTINED = _define(
     5106, LEVEL_INFO, 'request {request} refused: {reason}'
 )
--- a/gentiantrestle/gateway/assembly.py
+++ b/gentiantrestle/gateway/assembly.py
@@ -72,7 +72,9 @@
     rng = random.Random(fleet.run_name)
     slots = build_slots(fleet, rng)
     clock, state = fleet.clock, fleet.state
-    reach = UpstreamReach(state.roster, clock.now)
+    reach = UpstreamReach(
+        state.roster, clock.now, lambda: fleet.peers.alive(clock.now())
+    )
 
     def forget_contacts(upstream: str) -> None:
         slots.forget_health(upstream)
--- a/gentiantrestle/gateway/gauges.py
+++ b/gentiantrestle/gateway/gauges.py
@@ -19,6 +19,9 @@
     'store_connected': (
         '1 if this instance watches the store and reaches it, else 0.'
     ),
+    'services_cut_off': (
+        'Services none of whose upstreams this instance reaches.'
+    ),
 }
 
 
@@ -31,6 +34,7 @@
     config_version: Callable[[], int]
     config_lag_seconds: Callable[[], float]
     store_connected: Callable[[], int]
+    services_cut_off: Callable[[], int]
 
 
 def build_metrics(
--- a/gentiantrestle/gateway/reach/service.py
+++ b/gentiantrestle/gateway/reach/service.py
@@ -1,41 +1,150 @@
 """What this instance reaches, as its attempts and probes show."""
 
-from collections.abc import Callable, Iterator
+import asyncio
+import random
+from collections.abc import Callable, Collection, Iterable, Iterator
 
+from gentiantrestle import events
+from gentiantrestle.gateway.membership.peers import Peer
 from gentiantrestle.gateway.model import Upstream
+from gentiantrestle.gateway.reach.judging import (
+    ProbeRound,
+    ReachChange,
+    ReachJudge,
+)
+from gentiantrestle.gateway.reach.probing import (
+    Connect,
+    connect,
+    probe,
+    round_interval,
+)
+from gentiantrestle.gateway.reach.sampling import choose_sample
 from gentiantrestle.gateway.reach.table import ReachTable
+from gentiantrestle.gateway.reach.way_round import WayRound, reaching
 from gentiantrestle.gateway.roster import Roster
 from gentiantrestle.supervisor import Child
 
+MS_PER_S = 1000
+MAX_LOGGED = 8  # names in one event
+
 
 class UpstreamReach:
     """The upstreams that this instance reaches, and the services it doesn't."""
 
-    def __init__(self, roster: Roster, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        roster: Roster,
+        now: Callable[[], float],
+        alive_peers: Callable[[], Collection[Peer]] = tuple,
+    ) -> None:
         """Judge the upstreams of ``roster``; none was tried yet."""
         self._roster = roster
         self._now = now
+        self._alive_peers = alive_peers
+        self._judge = ReachJudge()
+        self._way_round = WayRound()
+        self._woken = asyncio.Event()
         self.table = ReachTable()
-        # The services none of whose upstreams are reached, though they run.
-        self.cut_off: frozenset[str] = frozenset()
+        # Chooses the upstreams that are probed.
+        self.rng = random.Random()
+        self.connects: Connect = connect
 
     @property
     def is_suspect(self) -> bool:
         """Return whether failures here may be those of the path."""
         return self.table.is_suspect(self._now())
 
+    @property
+    def unreached(self) -> frozenset[str]:
+        """Name the services none of whose upstreams are reached from here."""
+        return self._judge.unreached
+
+    @property
+    def cut_off(self) -> frozenset[str]:
+        """Name those that other instances reach, as far as is known."""
+        return self._way_round.cut_off
+
     def is_cut_off(self, service: str) -> bool:
         """Return whether other instances should serve a service's requests."""
         return service in self.cut_off
 
     def note(self, upstream: Upstream, *, reached: bool) -> None:
         """Note whether a connection to an upstream could be made."""
-        self.table.note(upstream.id, self._now(), reached=reached)
+        now = self._now()
+        self.table.note(upstream.id, now, reached=reached)
+        self._judge.note(upstream, now, reached=reached)
+        if not reached:
+            self._woken.set()
 
     def forget(self, upstream: str) -> None:
         """Drop what is known of an upstream, which has started again."""
         self.table.forget(upstream)
+        self._judge.forget(upstream)
 
     def children(self) -> Iterator[Child]:
         """Return the tasks that the supervisor runs."""
-        return iter(())
+        yield Child('reach', self.run)
+
+    async def run(self) -> None:
+        """Probe upstreams while it is in doubt whether they are reached."""
+        while True:
+            if not self._judge.suspects:
+                self._woken.clear()
+                await self._woken.wait()
+            started = self._now()
+            await self.probe_once()
+            interval = round_interval(
+                self._judge.undecided_since(),
+                started,
+                cut_off=bool(self.unreached),
+            )
+            await asyncio.sleep(max(0, started + interval - self._now()))
+
+    async def probe_once(self) -> None:
+        """Probe a sample of the upstreams and judge by it."""
+        usable = self._usable()
+        chosen = choose_sample(usable, self._judge.suspects, self.rng)
+        done = await probe(chosen, self._now, self.connects)
+        if done.is_valid:
+            self._apply(done)
+
+    def _apply(self, done: ProbeRound) -> None:
+        # One success ends a row of failures, so it is noted last.
+        for probed in sorted(done.probed, key=lambda found: found.reached):
+            self.note(probed.upstream, reached=probed.reached)
+        now = self._now()
+        changes = self._judge.finish_round(done, self._usable(), now)
+        peers = self._alive_peers()
+        self._way_round.update(self.unreached, peers, now)
+        for change in changes:
+            _log(change, peers, now)
+
+    def _usable(self) -> dict[str, list[Upstream]]:
+        now = self._now()
+        return {
+            service: self._roster.usable_upstreams(service, now)
+            for service in self._roster.services() | self._judge.suspects
+        }
+
+
+def _log(change: ReachChange, peers: Iterable[Peer], now: float) -> None:
+    took_ms = int((now - change.since) * MS_PER_S)
+    if not change.lost:
+        events.emit(
+            events.SERVICE_REACHED,
+            service=change.service,
+            took_ms=took_ms,
+            upstreams=change.usable,
+        )
+        return
+    others = reaching(peers, change.service)
+    names = sorted(peer.instance for peer in others)
+    events.emit(
+        events.SERVICE_UNREACHED,
+        service=change.service,
+        took_ms=took_ms,
+        tried=change.tried[:MAX_LOGGED],
+        upstreams=len(change.tried),
+        peers=names[:MAX_LOGGED],
+        instances=len(names),
+    )
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -169,7 +169,7 @@
         )
         peering.update_role = self._update_role
         reach = self._batch_context.reach
-        peering.cut_off = lambda: reach.cut_off
+        peering.cut_off = lambda: reach.unreached
         return peering
 
     def _is_prepared(self) -> bool:
@@ -223,6 +223,7 @@
             config_version=lambda: self._state.config_version,
             config_lag_seconds=lambda: self._peering.config_lag,
             store_connected=lambda: int(self._watching.is_connected),
+            services_cut_off=lambda: len(self._batch_context.reach.unreached),
         )
 
     def _update_role(self) -> None:
--- a/gentiantrestle/http/probe.py
+++ b/gentiantrestle/http/probe.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from gentiantrestle.http.link import CONNECT_ERRORS
 from gentiantrestle.models import Address
 
 
@@ -14,7 +15,7 @@
     try:
         async with asyncio.timeout(timeout):
             _, writer = await asyncio.open_connection(*address)
-    except (OSError, TimeoutError):
+    except CONNECT_ERRORS:
         return False
     writer.close()
     return True
