Batch: items ask for no slot of a service that is cut off from here

Cause: the runner asked for slots whose upstreams it couldn't connect to. Each was held until the connection timed out, and was missing elsewhere. Change: items of a service that other instances reach, but this one doesn't, aren't asked for until the service is back. Where nobody reaches it they are. Result: test_items_ask_for_no_slots_while_their_service_is_cut_off failed before (asks in place of withdrawals) and passes now.

--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -112,7 +112,12 @@
         ]
         self._waiting = {queued.spec.id: queued for queued in waiting}
         wanted = tuple(self._wanted_slots(waiting))
-        self._context.asks.want(wanted)
+        # Where no upstream can be reached from here, a slot would be wasted.
+        self._context.asks.want(
+            slot
+            for slot in wanted
+            if not self._context.reach.is_cut_off(slot.service)
+        )
         self._note_states(
             wanted,
             ItemStates(
