Batch: jobs of an instance that reaches no upstream are run by others

Cause: a job belongs to the instance that accepted it while it lives. One that reached no upstream kept its jobs, and their items waited for the path. Change: a run that reaches no upstream of any service for 2 s, while another one does, is left out of those that run jobs, until it has reached some for 5 s (stranded_runs.py decides, job_owners.py reads the rows). A job that comes from another instance has its results read again before its items are asked for (takeovers.py): what was in memory may be older than the store. Where all are cut off no job moves. Progress of items of closed jobs is dropped, which was kept for good if another instance finished the job. Ruled out: by service, since jobs of a service that is dead for all would go from one instance to the next.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -273,6 +273,9 @@
     LEVEL_WARNING,
     '{items} items wait for service {service}, which has no usable upstream',
 )
+JOBS_LEFT = _define(
+    6107, LEVEL_INFO, 'other instances run the jobs of this one: {left}'
+)
 LINES_DROPPED = _define(
     7001, LEVEL_WARNING, 'log buffer was full; {count} lines dropped'
 )
--- a/gentiantrestle/gateway/assembly.py
+++ b/gentiantrestle/gateway/assembly.py
@@ -5,6 +5,7 @@
 
 from gentiantrestle.gateway.batch.context import BatchContext
 from gentiantrestle.gateway.batch.job_index import JobIndex
+from gentiantrestle.gateway.batch.job_owners import JobOwners
 from gentiantrestle.gateway.batch.job_store import JobStore
 from gentiantrestle.gateway.batch.runner import Runner
 from gentiantrestle.gateway.fleet_context import FleetContext
@@ -35,6 +36,7 @@
     runner: Runner
     slots: SlotService
     streams: StreamOrigins
+    owners: JobOwners
 
 
 def build_slots(fleet: FleetContext, rng: random.Random) -> SlotService:
@@ -71,16 +73,16 @@
     """Build the components without starting them."""
     rng = random.Random(fleet.run_name)
     slots = build_slots(fleet, rng)
-    clock, state = fleet.clock, fleet.state
+    clock = fleet.clock
     reach = UpstreamReach(
-        state.roster, clock.now, lambda: fleet.peers.alive(clock.now())
+        fleet.state.roster, clock.now, lambda: fleet.peers.alive(clock.now())
     )
 
     def forget_contacts(upstream: str) -> None:
         slots.forget_health(upstream)
         reach.forget(upstream)
 
-    state.on_start = forget_contacts
+    fleet.state.on_start = forget_contacts
     index = JobIndex()
     batch_context = BatchContext(
         index,
@@ -91,8 +93,8 @@
             clock.now,
             adapter.store,
         ),
-        state.router,
-        state.roster,
+        fleet.state.router,
+        fleet.state.roster,
         slots.parts.client,
         slots.parts.batch_asks,
         adapter.dialect,
@@ -102,12 +104,14 @@
         reach,
     )
     runner = Runner(batch_context, fleet.run_name)
+    owners = JobOwners(fleet.run_name, fleet.peers, reach, clock.now)
+    runner.is_stranded = lambda: owners.is_stranded
     slots.preempt = runner.run_table.preempt
     return WorkComponents(
         batch_context,
         Admission(
             fleet.topology,
-            state.roster,
+            fleet.state.roster,
             slots.parts.client,
             rng.random,
             clock.now,
@@ -115,4 +119,5 @@
         runner,
         slots,
         StreamOrigins(fleet, slots.parts.directory, adapter.store),
+        owners,
     )
--- a/gentiantrestle/gateway/batch/run_table.py
+++ b/gentiantrestle/gateway/batch/run_table.py
@@ -91,10 +91,15 @@
 
     def cancel_closed(self) -> None:
         """Cancel the runs of jobs that are cancelled, done or complete."""
-        for item_id in tuple(self._active):
-            if not self._progress[item_id].entry.open:
+        closed = [
+            item_id
+            for item_id, progress in self._progress.items()
+            if not progress.entry.open
+        ]
+        for item_id in closed:
+            if item_id in self._active:
                 self.cancel(item_id)
-                self.forget(item_id)
+            self.forget(item_id)
 
     def forget(self, item_id: str) -> None:
         """Drop the progress of an item that won't be run any more."""
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -1,7 +1,6 @@
 """Runs the items of the jobs that this instance owns."""
 
 import asyncio
-from collections import deque
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
 
@@ -21,6 +20,7 @@
     owns_job,
     queued_items,
 )
+from gentiantrestle.gateway.batch.takeovers import Takeovers
 from gentiantrestle.gateway.model import Route
 from gentiantrestle.gateway.routing import choose_service
 from gentiantrestle.gateway.slots.batch_asks import WantedSlot
@@ -34,7 +34,6 @@
 # Delay before an item that an upstream refused or lost is run again, and
 # before a failed read of the store is repeated.
 RETRY_DELAY = 0.3  # seconds
-MAX_LOGGED_TAKEOVERS = 64  # runs
 
 
 class Runner:
@@ -44,22 +43,23 @@
         """Run jobs as ``run_name``, the name of this instance's run.
 
         ``live_runs`` must be set to return the names of the runs of other live
-        instances that accept new work.
+        instances that run jobs, and ``is_stranded`` whether those run the
+        jobs of this one.
         """
         self._context = context
         self._run_name = run_name
         self._started = context.clock.now()
         self.live_runs: Callable[[], Iterable[str]] = tuple
+        self.is_stranded: Callable[[], bool] = bool
         self.run_table = RunTable(context, self._note_outcome, self.wake)
         context.asks.start = self._start_granted
         self._writer = ResultWriter(context.job_store)
         self._retry_times: dict[str, float] = {}
         self._catching_up: set[str] = set()
+        self._takeovers = Takeovers(run_name)
         self._woken = asyncio.Event()
         self._waiting: dict[str, QueuedItem] = {}
         self._state_log = ItemStateLog()
-        # Acceptors whose jobs this instance took over last; each is logged.
-        self._taken_over: deque[str] = deque(maxlen=MAX_LOGGED_TAKEOVERS)
         self.stopping = False
 
     async def run(self) -> None:
@@ -85,6 +85,8 @@
 
     def owns(self, entry: JobEntry) -> bool:
         """Return whether this instance runs a job."""
+        if self.is_stranded():
+            return False
         uptime = self._context.clock.now() - self._started
         return owns_job(entry, self._run_name, self.live_runs(), uptime)
 
@@ -193,21 +195,13 @@
 
     def _owned_entries(self) -> Iterator[tuple[JobEntry, Route | None]]:
         """Yield the jobs to run here whose bodies and results are loaded."""
-        for entry in self._context.index.open_entries():
-            if not self.owns(entry):
-                continue
-            self._note_takeover(entry)
+        found = self._context.index.open_entries()
+        for entry in self._takeovers.select_owned(found, self.owns):
             if not entry.results_loaded or not entry.has_bodies:
                 self._catch_up(entry)
                 continue
             yield entry, self._context.router.match_job(entry.job)
 
-    def _note_takeover(self, entry: JobEntry) -> None:
-        acceptor = entry.job.acceptor
-        if acceptor != self._run_name and acceptor not in self._taken_over:
-            events.emit(events.JOBS_TAKEN_OVER, run=acceptor)
-            self._taken_over.append(acceptor)
-
     def _catch_up(self, entry: JobEntry) -> None:
         """Read a job's stored results and bodies before running it."""
         if entry.job.id not in self._catching_up:
@@ -219,6 +213,8 @@
             await self._context.job_store.refresh(entry)
             if entry.open:
                 await self._context.job_store.load_bodies(entry)
+            if not entry.results_loaded:
+                await asyncio.sleep(RETRY_DELAY)
         except StoreUnavailableError as exc:
             events.emit(
                 events.STORE_CALL_FAILED, name=entry.job.id, error=repr(exc)
--- a/gentiantrestle/gateway/reach/service.py
+++ b/gentiantrestle/gateway/reach/service.py
@@ -68,6 +68,10 @@
         """Return whether other instances should serve a service's requests."""
         return service in self.cut_off
 
+    def services(self) -> set[str]:
+        """Return the services that have usable upstreams."""
+        return {service for service, found in self._usable().items() if found}
+
     def note(self, upstream: Upstream, *, reached: bool) -> None:
         """Note whether a connection to an upstream could be made."""
         now = self._now()
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -229,6 +229,8 @@
     def _update_role(self) -> None:
         now = self._clock.now()
         self._watching.update_role(self._peers.alive(now), now)
+        if self._components.owners.update():
+            self._runner.wake()
 
     def _apply_jobs(
         self, stored: Iterable[StoredObject], revision: int
