Gateway: after a cut of all instances all are back at once

Cause: an instance that lost its path twice within 10 s needed up to 8 good rounds, also where nobody was better placed. Change: relapses count only where another instance serves meanwhile. While no instance reaches anything, nobody counts as stranded; the time begins when somebody is better placed.

--- a/gentiantrestle/gateway/batch/stranded_runs.py
+++ b/gentiantrestle/gateway/batch/stranded_runs.py
@@ -28,25 +28,25 @@
 
         ``services`` are all that there are. Returns whether jobs change hands.
         """
-        if self._stranded or self._since or any(unreached.values()):
-            self._note(unreached, services, now)
+        lost = {
+            run
+            for run, missing in unreached.items()
+            if _is_all(missing, services)
+        }
+        if lost == unreached.keys():
+            # Nobody is better placed; the time counts from when somebody is.
+            self._stranded.clear()
+            self._since.clear()
+        else:
+            self._note(lost, set(unreached), now)
         before = self.runs
         can_leave = bool(unreached.keys() - self._stranded)
         self.runs = frozenset(self._stranded if can_leave else ())
         return self.runs != before
 
-    def _note(
-        self,
-        unreached: Mapping[str, Collection[str]],
-        services: Collection[str],
-        now: float,
-    ) -> None:
-        self._stranded &= unreached.keys()
-        changing = {
-            run
-            for run, missing in unreached.items()
-            if _is_all(missing, services) != (run in self._stranded)
-        }
+    def _note(self, lost: set[str], live: set[str], now: float) -> None:
+        self._stranded &= live
+        changing = lost ^ self._stranded
         self._since = {run: self._since.get(run, now) for run in changing}
         for run, since in tuple(self._since.items()):
             limit = RETURN_AFTER if run in self._stranded else LEAVE_AFTER
--- a/gentiantrestle/gateway/reach/judging.py
+++ b/gentiantrestle/gateway/reach/judging.py
@@ -33,11 +33,15 @@
 
 
 class ProbeRound(NamedTuple):
-    """Probes that were made at once; times are in s."""
+    """Probes that were made at once; times are in s.
+
+    ``passed_on`` are the services that other instances serve meanwhile.
+    """
 
     started: float
     ended: float
     probed: tuple[Probed, ...]
+    passed_on: frozenset[str] = frozenset()
 
     @property
     def is_valid(self) -> bool:
@@ -97,12 +101,19 @@
         self.lost = True
         self._marks = 0
 
-    def note_round(self, probed: Collection[Probed], now: float) -> bool:
-        """Note a round while lost; return whether the service is back."""
+    def note_round(
+        self, probed: Collection[Probed], now: float, *, has_way: bool
+    ) -> bool:
+        """Note a round while lost; return whether the service is back.
+
+        Relapses count only if there is another way, ``has_way``: without one,
+        requests are tried here anyway.
+        """
         self._marks += _mark(probed)
         if not any(probe.reached for probe in probed):
             self._marks = 0
-        if self._marks < FULL_MARK * self._needed:
+        needed = self._needed if has_way else GOOD_ROUNDS
+        if self._marks < FULL_MARK * needed:
             return False
         self.lost = False
         self._back_at = now
@@ -175,7 +186,8 @@
     ) -> Iterator[ReachChange]:
         reach = self._services[service]
         if reach.lost:
-            if reach.note_round(probed, now):
+            has_way = service in done.passed_on
+            if reach.note_round(probed, now, has_way=has_way):
                 count = len(upstreams)
                 yield ReachChange(service, False, reach.since, usable=count)
         elif self._is_lost(reach, done, upstreams):
--- a/gentiantrestle/gateway/reach/service.py
+++ b/gentiantrestle/gateway/reach/service.py
@@ -110,7 +110,7 @@
         chosen = choose_sample(usable, self._judge.suspects, self.rng)
         done = await probe(chosen, self._now, self.connects)
         if done.is_valid:
-            self._apply(done)
+            self._apply(done._replace(passed_on=self.cut_off))
 
     def _apply(self, done: ProbeRound) -> None:
         # One success ends a row of failures, so it is noted last.
--- a/tests/gateway/test_stranded_runs.py
+++ b/tests/gateway/test_stranded_runs.py
@@ -78,3 +78,15 @@
     for now in (0, LEAVE_AFTER):
         stranded.update({'one': BOTH, 'two': NONE}, (), now)
     assert not stranded.runs
+
+
+def test_no_job_moves_as_all_are_cut_off_and_return_one_by_one() -> None:
+    stranded = StrandedRuns()
+    rows = {'one': NONE, 'two': NONE, 'three': NONE}
+    for step in range(100):
+        now = step / 4
+        for number, run in enumerate(rows):
+            is_cut = 4 + number / 2 <= now < 12 + number / 2
+            rows[run] = BOTH if is_cut else NONE
+        stranded.update(rows, BOTH, now)
+        assert not stranded.runs
