Slots: a suspension for all instances is logged with its witnesses

Cause: a coordinator suspends an upstream for all instances without a line in any log.

Change: the health table of a coordinator keeps the holders whose uses of an upstream have failed since the last one that was served. Event 3023 names them when it suspends the upstream, 3024 says when and why it is usable again. Decisions stay as they were.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -165,6 +165,14 @@
     3019, LEVEL_INFO, 'instance {instance} has configuration {version}'
 )
 SOURCE_SILENT = _define(3020, LEVEL_WARNING, 'instance {instance} is silent')
+UPSTREAM_SUSPENDED = _define(
+    3023,
+    LEVEL_WARNING,
+    'upstream {upstream} is suspended for all instances: {witnesses}',
+)
+UPSTREAM_USABLE = _define(
+    3024, LEVEL_INFO, 'upstream {upstream} is usable again: {reason}'
+)
 PULSE_UNREADABLE = _define(
     3008, LEVEL_WARNING, 'unreadable datagram dropped: {error}'
 )
--- a/gentiantrestle/gateway/slots/coordinator.py
+++ b/gentiantrestle/gateway/slots/coordinator.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterator
 
 from gentiantrestle.gateway.roster import Roster
-from gentiantrestle.gateway.slots.health import HealthTable
+from gentiantrestle.gateway.slots.health import SharedHealth
 from gentiantrestle.gateway.slots.ledger import Lease, Ledger, Load
 from gentiantrestle.gateway.slots.messages import (
     Ask,
@@ -58,7 +58,7 @@
         self._scope = scope
         self._roster = roster
         self._ledger = Ledger()
-        self.health = HealthTable()
+        self.health = SharedHealth()
         self._queues: defaultdict[str, AskQueue] = defaultdict(AskQueue)
         self._hold_times: defaultdict[str, HoldTime] = defaultdict(HoldTime)
         self._notices = YieldNotices(self._ledger)
@@ -119,6 +119,7 @@
         given back, and may take upstreams for overbooked.
         """
         self._ledger.remove_lapsed(now)
+        self.health.note_lapsed(now)
         for queue in self._queues.values():
             queue.remove_expired(now)
         yield from self._notices.repeat(now)
@@ -227,7 +228,7 @@
     def _record_use(
         self, lease: Lease, outcome: SlotOutcome, now: float
     ) -> None:
-        self.health.record(lease.upstream, outcome, now)
+        self.health.record_use(lease.upstream, lease.key.holder, outcome, now)
         if not lease.batch:
             known = self._roster.find(lease.upstream)
             service = known.service if known else ''
--- a/gentiantrestle/gateway/slots/health.py
+++ b/gentiantrestle/gateway/slots/health.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from gentiantrestle import events
 from gentiantrestle.daemon.upstreams.health import Health
 from gentiantrestle.gateway.model import Upstream
 from gentiantrestle.gateway.slots.messages import SlotOutcome
@@ -50,3 +51,57 @@
             upstream for upstream in listed if upstream.id not in suspended
         ]
         return usable or listed
+
+
+class SharedHealth(HealthTable):
+    """The circuit breakers of a coordinator; it logs what they do."""
+
+    def __init__(self) -> None:
+        """Start with every upstream healthy."""
+        super().__init__()
+        # Holders whose uses have failed since the last one that was served.
+        self._witnesses: dict[str, set[str]] = {}
+        self._suspended: set[str] = set()
+
+    def record_use(
+        self, upstream: str, holder: str, outcome: SlotOutcome, now: float
+    ) -> None:
+        """Note how the use of an upstream by a holder of slots ended."""
+        if outcome is SlotOutcome.FAILED:
+            self._witnesses.setdefault(upstream, set()).add(holder)
+        self.record(upstream, outcome, now)
+        if outcome is SlotOutcome.SERVED:
+            self._note_usable(upstream, 'served')
+            self._witnesses.pop(upstream, None)
+        elif outcome is SlotOutcome.FAILED:
+            self._note_suspended(upstream, now)
+
+    def forget(self, upstream: str) -> None:
+        """Drop what is known of an upstream, which has started again."""
+        super().forget(upstream)
+        self._witnesses.pop(upstream, None)
+        self._note_usable(upstream, 'started')
+
+    def note_lapsed(self, now: float) -> None:
+        """Log the upstreams whose suspension is over."""
+        for upstream in self._suspended - self.suspended(now):
+            self._note_usable(upstream, 'waited')
+
+    def _note_suspended(self, upstream: str, now: float) -> None:
+        health = self._health[upstream]
+        if health.is_usable(now) or upstream in self._suspended:
+            return
+        self._suspended.add(upstream)
+        events.emit(
+            events.UPSTREAM_SUSPENDED,
+            upstream=upstream,
+            witnesses=', '.join(sorted(self._witnesses[upstream])),
+            for_ms=round((health.open_until - now) * 1000),
+        )
+
+    def _note_usable(self, upstream: str, reason: str) -> None:
+        if upstream in self._suspended:
+            self._suspended.remove(upstream)
+            events.emit(
+                events.UPSTREAM_USABLE, upstream=upstream, reason=reason
+            )
--- a/tests/gateway/test_slots.py
+++ b/tests/gateway/test_slots.py
@@ -73,9 +73,9 @@
         self.now = float(0)
         self.sent: list[Outgoing] = []
 
-    def ask(self, number: int, **changes: object) -> str:
+    def ask(self, number: int, holder: str = 'run', **changes: object) -> str:
         """Ask for a slot; return the verdict or the kind of message sent."""
-        ask = Ask(LeaseKey('run', number), 'there', ENGINES, **changes)
+        ask = Ask(LeaseKey(holder, number), 'there', ENGINES, **changes)
         return self.note(self.coordinator.ask(ask, self.now))
 
     def fill(self, count: int, first: int = 100, **changes: object) -> None:
@@ -84,10 +84,13 @@
             assert self.ask(number, **changes) == Verdict.GRANTED.name
 
     def release(
-        self, number: int, outcome: SlotOutcome = SlotOutcome.SERVED
+        self,
+        number: int,
+        outcome: SlotOutcome = SlotOutcome.SERVED,
+        holder: str = 'run',
     ) -> str:
         """Give a slot back; return what follows."""
-        release = Release(LeaseKey('run', number), outcome)
+        release = Release(LeaseKey(holder, number), outcome)
         return self.note(self.coordinator.release(release, self.now))
 
     def report(self, *slots: HeldSlot) -> str:
