Slots: an upstream is suspended for all on the word of two instances

Cause: two failures in a row suspended an upstream for all instances, from whomever they came.

Change: the breaker of a coordinator opens on failures of at least two holders since the last use that was served. More failures of a single witness count once, and don't prolong the suspension that a second one brings. An instance still excludes an upstream for itself after two failures of its own.

--- a/gentiantrestle/gateway/slots/health.py
+++ b/gentiantrestle/gateway/slots/health.py
@@ -54,7 +54,11 @@
 
 
 class SharedHealth(HealthTable):
-    """The circuit breakers of a coordinator; it logs what they do."""
+    """The circuit breakers of a coordinator; it logs what they do.
+
+    A failure may be that of the path between its witness and the upstream, so
+    the breaker opens on the word of several.
+    """
 
     def __init__(self) -> None:
         """Start with every upstream healthy."""
@@ -67,13 +71,16 @@
         self, upstream: str, holder: str, outcome: SlotOutcome, now: float
     ) -> None:
         """Note how the use of an upstream by a holder of slots ended."""
-        if outcome is SlotOutcome.FAILED:
-            self._witnesses.setdefault(upstream, set()).add(holder)
-        self.record(upstream, outcome, now)
         if outcome is SlotOutcome.SERVED:
+            self.record(upstream, outcome, now)
             self._note_usable(upstream, 'served')
             self._witnesses.pop(upstream, None)
         elif outcome is SlotOutcome.FAILED:
+            witnesses = self._witnesses.setdefault(upstream, set())
+            # Further failures of one witness are no further evidence.
+            if witnesses != {holder}:
+                witnesses.add(holder)
+                self.record(upstream, outcome, now)
             self._note_suspended(upstream, now)
 
     def forget(self, upstream: str) -> None:
@@ -88,9 +95,9 @@
             self._note_usable(upstream, 'waited')
 
     def _note_suspended(self, upstream: str, now: float) -> None:
-        health = self._health[upstream]
-        if health.is_usable(now) or upstream in self._suspended:
+        if upstream in self._suspended or upstream not in self.suspended(now):
             return
+        health = self._health[upstream]
         self._suspended.add(upstream)
         events.emit(
             events.UPSTREAM_SUSPENDED,
--- a/tests/gateway/test_suspension.py
+++ b/tests/gateway/test_suspension.py
@@ -1,10 +1,12 @@
 """When coordinators suspend an upstream, and what they log of it; no I/O."""
 
+import random
 from typing import Any
 
 import pytest
 
 from gentiantrestle import events
+from gentiantrestle.gateway.slots.health import FAILURES_TO_OPEN, HealthTable
 from gentiantrestle.gateway.slots.messages import SlotOutcome
 from tests.gateway.test_slots import Desk
 
@@ -31,6 +33,61 @@
         desk.release(1, outcome, holder)
 
 
+@pytest.mark.parametrize(
+    ('uses', 'suspended'),
+    [
+        ([('a', FAILED)] * 5, False),
+        ([('a', FAILED), ('b', FAILED)], True),
+        ([('a', FAILED), ('b', SERVED), ('b', FAILED)], False),
+        ([('a', FAILED), ('b', SERVED), ('b', FAILED), ('a', FAILED)], True),
+    ],
+)
+def test_upstream_is_suspended_for_all_on_the_word_of_two_instances(
+    uses: list[tuple[str, SlotOutcome]], suspended: bool
+) -> None:
+    desk = Desk()
+    for holder, outcome in uses:
+        use(desk, holder, outcome)
+    found = desk.coordinator.health.suspended(desk.now)
+    assert (found == {'u1'}) is suspended
+
+
+def failures_until_suspended(instances: int, rand: random.Random) -> int:
+    """Count the failed requests until nobody is granted a dead upstream.
+
+    Requests come one after the other, each at a random instance.
+    """
+    desk = Desk('u1', 'u2', 'u3')
+    own = [HealthTable() for _ in range(instances)]
+    failures = 0
+    for number in range(20 * instances):
+        instance = rand.randrange(instances)
+        holder = f'run-{instance}'
+        desk.ask(number, holder, excluded=own[instance].suspended(desk.now))
+        outcome = FAILED if desk.upstream == 'u1' else SERVED
+        failures += outcome is FAILED
+        own[instance].record(desk.upstream, outcome, desk.now)
+        desk.release(number, outcome, holder)
+    return failures
+
+
+@pytest.mark.parametrize('instances', [1, 3, 9, 60])
+def test_upstream_that_is_gone_costs_one_more_request_at_most(
+    instances: int,
+) -> None:
+    rand = random.Random(instances)
+    counts = [failures_until_suspended(instances, rand) for _ in range(50)]
+    assert max(counts) <= FAILURES_TO_OPEN + 1
+
+
+def test_failures_of_one_witness_do_not_prolong_the_first_suspension() -> None:
+    desk = Desk()
+    use(desk, 'run-a', *[FAILED] * 5)
+    use(desk, 'run-b', FAILED)
+    assert desk.coordinator.health.suspended(0.4)
+    assert not desk.coordinator.health.suspended(0.5)
+
+
 def test_suspension_is_logged_with_its_witnesses_until_it_is_over(
     logged: Logged,
 ) -> None:
