Slots: failures of a suspect path aren't told of the upstream

Cause: an instance that reaches no upstream reports each failed connection as a failure of the upstream.

Change: while most upstreams tried lately aren't reached (UpstreamReach), an instance gives slots back with UNKNOWN instead of FAILED. The instance's own table still counts the failure, so a service that is partly reached is used at its rest.

Result: test_failure_of_a_suspect_path_is_not_told_of_the_upstream failed before (FAILED was sent). RECOVER is still broken, as nobody passes the requests of instances that are cut off on.

--- a/gentiantrestle/gateway/assembly.py
+++ b/gentiantrestle/gateway/assembly.py
@@ -73,6 +73,7 @@
     slots = build_slots(fleet, rng)
     clock, state = fleet.clock, fleet.state
     reach = UpstreamReach(state.roster, clock.now)
+    slots.parts.client.is_path_suspect = lambda: reach.is_suspect
 
     def forget_contacts(upstream: str) -> None:
         slots.forget_health(upstream)
--- a/gentiantrestle/gateway/slots/client.py
+++ b/gentiantrestle/gateway/slots/client.py
@@ -95,6 +95,8 @@
         # Called with the id and incarnation of each upstream whose answer says
         # that it is leaving.
         self.mark_leaving: Callable[[str, int, float], None] = _mark_nothing
+        # Returns whether failures here may be those of the path.
+        self.is_path_suspect: Callable[[], bool] = _suspect_nothing
 
     @property
     def is_busy(self) -> bool:
@@ -167,13 +169,18 @@
         self._send_release(number, hosts, SlotOutcome.UNKNOWN)
 
     def release(self, lease: SlotLease, outcome: SlotOutcome) -> None:
-        """Give a slot back, to its coordinator and to whoever has its place."""
+        """Give a slot back, to its coordinator and to whoever has its place.
+
+        These aren't told of a failure that may be that of the path.
+        """
         if self._held.pop(lease.number, None) is None:
             return
         now = self._now()
         self.health.record(lease.upstream.id, outcome, now)
         first = self.targets(lease.upstream.zone, now)[:1]
         hosts = {peer.host for peer in first} | {lease.host}
+        if outcome is SlotOutcome.FAILED and self.is_path_suspect():
+            outcome = SlotOutcome.UNKNOWN
         self._send_release(lease.number, hosts - {''}, outcome)
 
     def note_reply(self, lease: SlotLease, reply: Reply) -> None:
@@ -282,3 +289,8 @@
 
 def _mark_nothing(upstream: str, incarnation: int, now: float) -> None:
     """Do nothing until the roster is known."""
+
+
+def _suspect_nothing() -> bool:
+    """Trust the path until failures are compared."""
+    return False
--- a/tests/gateway/test_suspension.py
+++ b/tests/gateway/test_suspension.py
@@ -6,8 +6,16 @@
 import pytest
 
 from gentiantrestle import events
+from gentiantrestle.gateway.slots.client import SlotClient
 from gentiantrestle.gateway.slots.health import FAILURES_TO_OPEN, HealthTable
-from gentiantrestle.gateway.slots.messages import SlotOutcome
+from gentiantrestle.gateway.slots.messages import (
+    Ask,
+    LeaseKey,
+    Outgoing,
+    SlotOutcome,
+)
+from tests.gateway.samples import ENGINES, make_upstream
+from tests.gateway.test_leaving import FakeDirectory
 from tests.gateway.test_slots import Desk
 
 FAILED, SERVED = SlotOutcome.FAILED, SlotOutcome.SERVED
@@ -80,6 +88,23 @@
     assert max(counts) <= FAILURES_TO_OPEN + 1
 
 
+def released_outcome(*, suspect: bool) -> tuple[SlotOutcome, bool]:
+    """Return what is told of a failure, and whether it counts here."""
+    sent: list[Outgoing] = []
+    client = SlotClient('run', 'here', FakeDirectory(), sent.append, lambda: 0)
+    client.is_path_suspect = lambda: suspect
+    for _ in range(FAILURES_TO_OPEN):
+        pending = client.open(Ask(LeaseKey('', 0), '', ENGINES))
+        lease = client.hold(pending, make_upstream('u1'), '')
+        client.release(lease, FAILED)
+    return sent[-1].message.outcome, client.health.suspended(0) == {'u1'}
+
+
+def test_failure_of_a_suspect_path_is_not_told_of_the_upstream() -> None:
+    assert released_outcome(suspect=True) == (SlotOutcome.UNKNOWN, True)
+    assert released_outcome(suspect=False) == (FAILED, True)
+
+
 def test_failures_of_one_witness_do_not_prolong_the_first_suspension() -> None:
     desk = Desk()
     use(desk, 'run-a', *[FAILED] * 5)
