Health: answers that break together don't lengthen the backoff

Cause: each failure doubled the backoff of an upstream. When a path or an upstream fails, all answers that run on it break at once: with 8 running ones the seven that follow the first count as evidence of their own, and the backoff grows towards 20 s. Both systems use this breaker.

Change: what had started before the backoff began failed of the same cause and isn't counted. The start is that of the slot (gateway), of the attempt or of the run of an item (daemon).

Result: test_attempts_that_break_off_together_do_not_lengthen_the_backoff and test_answers_that_break_at_once_suspend_an_upstream_for_half_a_second (eight holders, coordinator) fail without the check of the start and pass with it.

--- a/gentiantrestle/daemon/batch/item_run.py
+++ b/gentiantrestle/daemon/batch/item_run.py
@@ -102,6 +102,7 @@
         self._tokens: list[str] = []
         self._version = ''
         self._reader = TokenStreamReader()
+        self._started_at = float(0)
 
     async def attempt(self, slot: Slot) -> AttemptResult:
         """Make one attempt, resuming after the tokens already received.
@@ -111,6 +112,7 @@
         cancelled; a preempted slot only ends the attempt.
         """
         self._drop_other_version(slot.upstream.name)
+        self._started_at = self._services.ctx.now()
         slot.task = asyncio.create_task(self._stream(slot))
         try:
             return await slot.task
@@ -221,7 +223,9 @@
 
     def _report_failure(self, slot: Slot, exc: BaseException) -> None:
         ctx = self._services.ctx
-        slot.upstream.health.record_failure(ctx.now(), ctx.random.random())
+        slot.upstream.health.record_failure(
+            ctx.now(), ctx.random.random(), self._started_at
+        )
         events.emit(
             events.UPSTREAM_FAILED,
             upstream=slot.upstream.name,
--- a/gentiantrestle/daemon/online/attempt.py
+++ b/gentiantrestle/daemon/online/attempt.py
@@ -256,7 +256,9 @@
     ) -> AttemptError:
         now = self._ctx.now()
         name = self.upstream.name
-        self.upstream.health.record_failure(now, self._ctx.random.random())
+        self.upstream.health.record_failure(
+            now, self._ctx.random.random(), self.started_at
+        )
         events.emit(events.UPSTREAM_FAILED, upstream=name, error=str(error))
         self._ctx.metrics.attempts.inc({'outcome': stage.value})
         reason = f'Upstream {name} failed: {error}'
--- a/gentiantrestle/daemon/upstreams/health.py
+++ b/gentiantrestle/daemon/upstreams/health.py
@@ -25,6 +25,7 @@
         self._failures_to_open = failures_to_open
         self.failures = 0
         self.open_until = float(0)
+        self._opened_at = float('-inf')
         self.pace: float | None = None
         self.samples = 0
         self.measured_at = float(0)
@@ -33,18 +34,23 @@
         """Record a complete answer: the upstream is usable again."""
         self.failures = 0
         self.open_until = 0
+        self._opened_at = float('-inf')
 
-    def record_failure(self, now: float, jitter: float) -> None:
-        """Record a failure; enough of them in a row start a backoff.
+    def record_failure(self, now: float, jitter: float, started: float) -> None:
+        """Record that what was ``started`` then failed, e.g. an attempt.
 
-        The backoff doubles with each further failure; ``jitter``, from 0 to
-        1, is the share of it that is added.
+        Enough failures in a row start a backoff, which doubles with each
+        further one; ``jitter``, from 0 to 1, is the share of it that is added.
+        What had started before the backoff failed of the same cause.
         """
+        if started < self._opened_at:
+            return
         self.failures += 1
         excess = self.failures - self._failures_to_open
         if excess >= 0:
             backoff = min(MAX_BACKOFF, FIRST_BACKOFF * 2**excess)
             self.open_until = now + backoff * (1 + jitter)
+            self._opened_at = now
 
     def record_pace(self, seconds: float, now: float) -> None:
         """Record how many seconds one token took; drop an outdated pace."""
--- a/gentiantrestle/gateway/slots/client.py
+++ b/gentiantrestle/gateway/slots/client.py
@@ -176,7 +176,7 @@
         if self._held.pop(lease.number, None) is None:
             return
         now = self._now()
-        self.health.record(lease.upstream.id, outcome, now)
+        self.health.record(lease.upstream.id, outcome, lease.acquired_at, now)
         first = self.targets(lease.upstream.zone, now)[:1]
         hosts = {peer.host for peer in first} | {lease.host}
         if outcome is SlotOutcome.FAILED and self.is_path_suspect():
--- a/gentiantrestle/gateway/slots/coordinator.py
+++ b/gentiantrestle/gateway/slots/coordinator.py
@@ -228,7 +228,7 @@
     def _record_use(
         self, lease: Lease, outcome: SlotOutcome, now: float
     ) -> None:
-        self.health.record_use(lease.upstream, lease.key.holder, outcome, now)
+        self.health.record_use(lease, outcome, now)
         if not lease.batch:
             known = self._roster.find(lease.upstream)
             service = known.service if known else ''
--- a/gentiantrestle/gateway/slots/health.py
+++ b/gentiantrestle/gateway/slots/health.py
@@ -5,6 +5,7 @@
 from gentiantrestle import events
 from gentiantrestle.daemon.upstreams.health import Health
 from gentiantrestle.gateway.model import Upstream
+from gentiantrestle.gateway.slots.ledger import Lease
 from gentiantrestle.gateway.slots.messages import SlotOutcome
 
 # Consecutive failures after which an upstream is suspended. Low, because a
@@ -19,15 +20,17 @@
         """Start with every upstream healthy."""
         self._health: dict[str, Health] = {}
 
-    def record(self, upstream: str, outcome: SlotOutcome, now: float) -> None:
-        """Note how the use of an upstream ended."""
+    def record(
+        self, upstream: str, outcome: SlotOutcome, started: float, now: float
+    ) -> None:
+        """Note how the use of an upstream that was ``started`` then ended."""
         if outcome is SlotOutcome.UNKNOWN:
             return
         health = self._health.setdefault(upstream, Health(FAILURES_TO_OPEN))
         if outcome is SlotOutcome.SERVED:
             health.record_success()
         else:
-            health.record_failure(now, 0)
+            health.record_failure(now, 0, started)
 
     def forget(self, upstream: str) -> None:
         """Drop what is known of an upstream, which has started again."""
@@ -68,11 +71,12 @@
         self._suspended: set[str] = set()
 
     def record_use(
-        self, upstream: str, holder: str, outcome: SlotOutcome, now: float
+        self, lease: Lease, outcome: SlotOutcome, now: float
     ) -> None:
-        """Note how the use of an upstream by a holder of slots ended."""
+        """Note how the use of a slot ended."""
+        upstream, holder = lease.upstream, lease.key.holder
         if outcome is SlotOutcome.SERVED:
-            self.record(upstream, outcome, now)
+            self.record(upstream, outcome, lease.granted_at, now)
             self._note_usable(upstream, 'served')
             self._witnesses.pop(upstream, None)
         elif outcome is SlotOutcome.FAILED:
@@ -80,7 +84,7 @@
             # Further failures of one witness are no further evidence.
             if witnesses != {holder}:
                 witnesses.add(holder)
-                self.record(upstream, outcome, now)
+                self.record(upstream, outcome, lease.granted_at, now)
             self._note_suspended(upstream, now)
 
     def forget(self, upstream: str) -> None:
--- a/tests/decisions/test_policy.py
+++ b/tests/decisions/test_policy.py
@@ -25,7 +25,12 @@
     StreamMonitor,
     TokenStreamReader,
 )
-from gentiantrestle.daemon.upstreams.health import Health, compare_pace
+from gentiantrestle.daemon.upstreams.health import (
+    FAILURES_TO_OPEN,
+    FIRST_BACKOFF,
+    Health,
+    compare_pace,
+)
 from gentiantrestle.daemon.upstreams.leaving import LeavingUpstreams
 from gentiantrestle.daemon.upstreams.loads import OnlinePressure
 from gentiantrestle.daemon.upstreams.routing import (
@@ -146,17 +151,36 @@
 def test_backoff_grows_with_each_failure_until_a_success() -> None:
     health = Health()
     for _ in range(2):
-        health.record_failure(0, 0)
+        health.record_failure(0, 0, 0)
     assert health.is_usable(0)
-    health.record_failure(0, 0)
+    health.record_failure(0, 0, 0)
     assert not health.is_usable(0.4)
     assert health.is_usable(0.5)
-    health.record_failure(1, 0)
+    health.record_failure(1, 0, 1)
     assert not health.is_usable(1.9)
     health.record_success()
     assert health.is_usable(1)
 
 
+def test_attempts_that_break_off_together_do_not_lengthen_the_backoff() -> None:
+    health = Health()
+    for _ in range(FAILURES_TO_OPEN + 9):
+        health.record_failure(1, 0, 0)
+    assert health.is_usable(1 + FIRST_BACKOFF)
+    health.record_failure(2, 0, 1.9)
+    assert not health.is_usable(2 + FIRST_BACKOFF)
+
+
+def test_failure_after_a_success_counts_whenever_it_started() -> None:
+    health = Health()
+    for _ in range(FAILURES_TO_OPEN):
+        health.record_failure(1, 0, 0)
+    health.record_success()
+    for _ in range(FAILURES_TO_OPEN):
+        health.record_failure(2, 0, 0)
+    assert not health.is_usable(2)
+
+
 @pytest.mark.parametrize(
     ('stage', 'repeatable', 'attempts', 'budget', 'verdict'),
     [
--- a/tests/gateway/test_suspension.py
+++ b/tests/gateway/test_suspension.py
@@ -74,7 +74,7 @@
         desk.ask(number, holder, excluded=own[instance].suspended(desk.now))
         outcome = FAILED if desk.upstream == 'u1' else SERVED
         failures += outcome is FAILED
-        own[instance].record(desk.upstream, outcome, desk.now)
+        own[instance].record(desk.upstream, outcome, desk.now, desk.now)
         desk.release(number, outcome, holder)
     return failures
 
@@ -88,6 +88,20 @@
     assert max(counts) <= FAILURES_TO_OPEN + 1
 
 
+def test_answers_that_break_at_once_suspend_an_upstream_for_half_a_second() -> (
+    None
+):
+    desk = Desk()
+    holders = [f'run-{number}' for number in range(8)]
+    for holder in holders:
+        desk.ask(1, holder)
+    desk.now = 1
+    for holder in holders:
+        desk.release(1, FAILED, holder)
+    assert desk.coordinator.health.suspended(1.4)
+    assert not desk.coordinator.health.suspended(1.5)
+
+
 def released_outcome(*, suspect: bool) -> tuple[SlotOutcome, bool]:
     """Return what is told of a failure, and whether it counts here."""
     sent: list[Outgoing] = []
