Quarantine: a refused connection is no end of an upstream by itself

Cause: an answer that is lost while it begins, at an upstream that refuses connections after that, counts as a crash by its request, for all instances. Over a path that begins to refuse connections all running upstreams look ended, and sound requests gather evidence against them.

Change: a crash is noted only if one of four other upstreams, those reached last first, accepts a connection at that moment. Without others to compare with it is noted as before. Requests and batch items do the same.

Result: test_lost_answer_is_no_crash_while_all_connections_are_refused fails without the comparison (the crash is noted).

--- a/gentiantrestle/gateway/batch/item_progress.py
+++ b/gentiantrestle/gateway/batch/item_progress.py
@@ -100,7 +100,7 @@
             outcome = await self._read(conn, reply, watch, context.clock)
         except (RequestNotSentError, ResponseLostError, TimeoutError) as exc:
             outcome = RunOutcome(None, repr(exc), SlotOutcome.FAILED)
-            await conn.check_crash()
+            await conn.check_crash(context.reach)
         except OutputTooLongError as exc:
             self._output = ItemOutput(self._output.build)
             outcome = self._count_failure(str(exc))
--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -185,7 +185,7 @@
         return await self._slots.find_other(lease, self._silence, version)
 
     async def _check_crash(self, conn: UpstreamConnection) -> None:
-        if await conn.check_crash():
+        if await conn.check_crash(self._context.reach):
             crashes = self._progress.crashes + 1
             self._progress = self._progress._replace(crashes=crashes)
 
--- a/gentiantrestle/gateway/reach/service.py
+++ b/gentiantrestle/gateway/reach/service.py
@@ -28,6 +28,14 @@
         """Return whether other instances should serve a service's requests."""
         return service in self.cut_off
 
+    def others(self, upstream: Upstream) -> list[Upstream]:
+        """Return the other upstreams, those that were reached last first."""
+        now = self._now()
+        known = (up for up in self._roster.entries() if up.id != upstream.id)
+        return sorted(
+            known, key=lambda other: self.table.idle_time(other.id, now)
+        )
+
     def note(self, upstream: Upstream, *, reached: bool) -> None:
         """Note whether a connection to an upstream could be made."""
         self.table.note(upstream.id, self._now(), reached=reached)
--- a/gentiantrestle/gateway/reach/table.py
+++ b/gentiantrestle/gateway/reach/table.py
@@ -4,6 +4,7 @@
 Failures at several upstreams at once point to the path.
 """
 
+import math
 from typing import NamedTuple
 
 # Requests and probes renew what is known within this time.
@@ -41,6 +42,11 @@
             return None
         return contact
 
+    def idle_time(self, upstream: str, now: float) -> float:
+        """Return how many s ago an upstream was reached; else infinity."""
+        contact = self.find(upstream, now)
+        return now - contact.at if contact and contact.reached else math.inf
+
     def is_suspect(self, now: float) -> bool:
         """Return whether failures here say more of the path than of upstreams.
 
--- a/gentiantrestle/gateway/upstream_connection.py
+++ b/gentiantrestle/gateway/upstream_connection.py
@@ -1,8 +1,8 @@
 """A connection to an upstream that carries one request."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
-from typing import NamedTuple
+from collections.abc import AsyncIterator, Callable, Iterable
+from typing import NamedTuple, Protocol
 
 import h11
 
@@ -15,7 +15,7 @@
     RequestNotSentError,
     open_link,
 )
-from gentiantrestle.http.probe import accepts_connections
+from gentiantrestle.http.probe import accepts_connections, is_path_sound
 from gentiantrestle.quarantine.watch import RequestWatch
 
 # Two round trips between regions, with time for one lost packet.
@@ -48,6 +48,13 @@
         return cls(req.id, req.method, req.target, headers, req.body)
 
 
+class Reach(Protocol):
+    """The upstreams that this instance uses."""
+
+    def others(self, upstream: Upstream) -> Iterable[Upstream]:
+        """Return the other upstreams, those that were reached last first."""
+
+
 class UpstreamConnection:
     """A connection for one attempt; it is not reused.
 
@@ -144,10 +151,11 @@
         ends_by_close = self.framing == BY_CLOSE and self._needs_body
         return ends_by_close and not self._body_size
 
-    async def check_crash(self) -> bool:
+    async def check_crash(self, reach: Reach) -> bool:
         """Return whether the upstream ended while it began this answer.
 
-        To be called after the response was lost; the watch is told.
+        To be called after the response was lost; the watch is told. It is no
+        sign of an end if connections to others are refused as well.
         """
         link = self._link
         if link is None or not link.disconnected or not self._watch.is_opening:
@@ -155,6 +163,9 @@
         if not await _refuses_connections(self._upstream):
             return False
         upstream = self._upstream
+        others = (other.address for other in reach.others(upstream))
+        if not await is_path_sound(others, CONNECT_TIMEOUT):
+            return False
         self._watch.note_crash(f'{upstream.id}/{upstream.incarnation}')
         return True
 
--- a/gentiantrestle/http/probe.py
+++ b/gentiantrestle/http/probe.py
@@ -1,9 +1,13 @@
 """Finds out whether a server is still there."""
 
 import asyncio
+from collections.abc import Iterable
+from itertools import islice
 
 from gentiantrestle.models import Address
 
+MAX_COMPARED = 4  # servers
+
 
 async def accepts_connections(address: Address, timeout: float) -> bool:
     """Return whether a connection to ``address`` opens within ``timeout`` s.
@@ -18,3 +22,16 @@
         return False
     writer.close()
     return True
+
+
+async def is_path_sound(others: Iterable[Address], timeout: float) -> bool:
+    """Return whether one of the first few other servers accepts connections.
+
+    If none does, a server that refuses connections need not have ended: they
+    may be refused on the way. Without others to compare with it has.
+    """
+    compared = list(islice(others, MAX_COMPARED))
+    found = await asyncio.gather(
+        *(accepts_connections(address, timeout) for address in compared)
+    )
+    return not compared or any(found)
--- /dev/null
+++ b/tests/gateway/test_path_blame.py
@@ -0,0 +1,110 @@
+"""Faults of the path that look like the end of an upstream."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator, Iterable
+
+import pytest
+
+from gentiantrestle.gateway.batch.context import Clock
+from gentiantrestle.gateway.model import Upstream
+from gentiantrestle.gateway.reach.service import UpstreamReach
+from gentiantrestle.gateway.roster import Roster
+from gentiantrestle.gateway.upstream_connection import (
+    ResponseLostError,
+    UpstreamConnection,
+    UpstreamRequest,
+)
+from gentiantrestle.models import Address
+from gentiantrestle.platform.dialect import PlatformDialect
+from gentiantrestle.quarantine.evidence import Evidence
+from gentiantrestle.quarantine.guard import RequestGuard
+from gentiantrestle.quarantine.watch import RequestWatch
+from tests.gateway.samples import make_upstream
+from tests.utils.ports import HOST, free_ports
+
+TRAITS = ('t',)
+
+
+@pytest.fixture(name='listening')
+async def fixture_listening() -> AsyncIterator[Address]:
+    """Return the address of an upstream that accepts connections."""
+    address = Address(HOST, free_ports(1)[0])
+    server = await asyncio.start_server(_close, *address)
+    yield address
+    server.close()
+
+
+def _close(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    writer.close()
+
+
+def make_reach(upstreams: Iterable[Upstream]) -> UpstreamReach:
+    """Return what an instance knows that uses these upstreams."""
+    roster = Roster()
+    for upstream in upstreams:
+        roster.put(upstream)
+    return UpstreamReach(roster, time.monotonic)
+
+
+async def is_crash_noted(others: Iterable[Upstream]) -> bool:
+    """Lose an answer; return whether its request counts as the cause.
+
+    Its upstream refuses connections after that.
+    """
+
+    async def end(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        server.close()
+        writer.transport.abort()
+
+    ended = make_upstream('u1', address=Address(HOST, free_ports(1)[0]))
+    server = await asyncio.start_server(end, *ended.address)
+    evidence = Evidence()
+    watch = RequestWatch(
+        RequestGuard(evidence, lambda _: True),
+        TRAITS,
+        Clock(time.monotonic, time.time),
+    )
+    conn = UpstreamConnection(PlatformDialect(), watch)
+    await conn.connect(ended)
+    headers = [(b'host', b'x')]
+    with pytest.raises(ResponseLostError):
+        await conn.send(UpstreamRequest('r1', 'GET', '/pay/1', headers, b''))
+    noted = await conn.check_crash(make_reach([ended, *others]))
+    conn.close()
+    assert noted == bool(evidence.findings(time.time()).crashes)
+    return noted
+
+
+async def test_lost_answer_is_no_crash_while_all_connections_are_refused() -> (
+    None
+):
+    ports = free_ports(2)
+    refusing = [
+        make_upstream(f'u{port}', address=Address(HOST, port)) for port in ports
+    ]
+    assert not await is_crash_noted(refusing)
+
+
+async def test_lost_answer_is_a_crash_if_another_upstream_is_reached(
+    listening: Address,
+) -> None:
+    refusing = make_upstream('u2', address=Address(HOST, free_ports(1)[0]))
+    reached = make_upstream('u3', address=listening)
+    assert await is_crash_noted([refusing, reached])
+
+
+async def test_lost_answer_of_the_only_upstream_is_a_crash() -> None:
+    assert await is_crash_noted([])
+
+
+def test_upstreams_that_were_reached_last_are_compared_first() -> None:
+    upstreams = [make_upstream(f'u{number}') for number in range(4)]
+    reach = make_reach(upstreams)
+    for number, reached in ((1, True), (2, False), (3, True)):
+        reach.note(upstreams[number], reached=reached)
+    first, second, *_ = reach.others(upstreams[0])
+    assert (first.id, second.id) == ('u3', 'u1')
