Daemon: a refused connection is no end of an upstream by itself

Cause: as in the gateway, a request whose answer is lost while it begins is evidence that it crashes upstreams if connections are refused after that; a path that refuses connections to all upstreams gives the same picture. The evidence is shared by all instances.

Without others it is noted as before.

Health tables of the daemon are each instance's own, so nobody else is told of a failure.

--- a/gentiantrestle/daemon/online/attempt.py
+++ b/gentiantrestle/daemon/online/attempt.py
@@ -1,7 +1,7 @@
 """Send one attempt of a request to one upstream and read the answer."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import aclosing
 from typing import NamedTuple
 from uuid import uuid4
@@ -18,7 +18,7 @@
     build_call,
     leaving_incarnation,
 )
-from gentiantrestle.daemon.upstreams.endings import refuses_connections
+from gentiantrestle.daemon.upstreams.endings import has_ended
 from gentiantrestle.daemon.upstreams.service import Upstream
 from gentiantrestle.errors import (
     CUT_SHORT,
@@ -39,7 +39,7 @@
     JSON,
     error_document,
 )
-from gentiantrestle.models import DeploymentDoc
+from gentiantrestle.models import Address, DeploymentDoc
 from gentiantrestle.quarantine.guard import TRIAL_INTERVAL, QuarantinedError
 from gentiantrestle.quarantine.watch import RequestWatch
 
@@ -104,6 +104,8 @@
         self.client = request.client
         self.attempt_id = uuid4().hex
         self.started_at = ctx.now()
+        # Returns the other addresses of the deployment, usable ones first.
+        self.others: Callable[[], Iterable[Address]] = tuple
 
     async def send(self) -> ClientResponse:
         """Send the request and wait for the head of the answer.
@@ -244,7 +246,7 @@
         """Return whether the upstream ended while it began this answer."""
         if not self._watch.is_opening:
             return False
-        if not await refuses_connections(self.upstream.pool.address):
+        if not await has_ended(self.upstream.pool.address, self.others()):
             return False
         name = self.upstream.name
         period = int(self._ctx.wall() / RESTART_TIME)
--- a/gentiantrestle/daemon/online/relay.py
+++ b/gentiantrestle/daemon/online/relay.py
@@ -1,6 +1,7 @@
 """Relay requests to upstreams, with retries and hedging where allowed."""
 
 import asyncio
+from functools import partial
 
 from gentiantrestle.context import Context
 from gentiantrestle.daemon.online.admission import Admission, SlotRequest
@@ -220,6 +221,9 @@
     ) -> Response:
         watch = self._crash_guard.watch(progress.traits)
         attempt = Attempt(self._ctx, request, upstream, watch)
+        attempt.others = partial(
+            self._upstreams.others, upstream.name, request.deployment
+        )
         try:
             answer = await attempt.send()
         except UpstreamLeavingError as exc:
--- a/gentiantrestle/daemon/upstreams/service.py
+++ b/gentiantrestle/daemon/upstreams/service.py
@@ -180,6 +180,13 @@
         healthy = self.find(name).health.is_usable(now)
         return healthy and name not in self.leaving
 
+    def others(self, name: str, deployment: DeploymentDoc) -> list[Address]:
+        """Return the other addresses of a deployment, usable ones first."""
+        now = self._ctx.now()
+        known = [other for other in deployment['upstreams'] if other != name]
+        known.sort(key=lambda other: not self.is_usable(other, now))
+        return [self.find(other).pool.address for other in known]
+
     def mark_leaving(self, name: str, incarnation: int) -> None:
         """Give an upstream no new work until a newer incarnation is live."""
         if self.leaving.add(name, incarnation):
