--- a/gentiantrestle/gateway/assembly.py
+++ b/gentiantrestle/gateway/assembly.py
@@ -77,6 +77,7 @@
     reach = UpstreamReach(
         fleet.state.roster, clock.now, lambda: fleet.peers.alive(clock.now())
     )
+    slots.parts.client.is_path_suspect = lambda: reach.is_suspect
 
     def forget_contacts(upstream: str) -> None:
         slots.forget_health(upstream)
--- a/gentiantrestle/gateway/reach/service.py
+++ b/gentiantrestle/gateway/reach/service.py
@@ -72,6 +72,14 @@
         """Return the services that have usable upstreams."""
         return {service for service, found in self._usable().items() if found}
 
+    def others(self, upstream: Upstream) -> list[Upstream]:
+        """Return the other upstreams, those that were reached last first."""
+        now = self._now()
+        known = (up for up in self._roster.entries() if up.id != upstream.id)
+        return sorted(
+            known, key=lambda other: self.table.idle_time(other.id, now)
+        )
+
     def note(self, upstream: Upstream, *, reached: bool) -> None:
         """Note whether a connection to an upstream could be made."""
         now = self._now()
--- a/gentiantrestle/gateway/slots/health.py
+++ b/gentiantrestle/gateway/slots/health.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Iterable
 
+from gentiantrestle import events
 from gentiantrestle.daemon.upstreams.health import Health
 from gentiantrestle.gateway.model import Upstream
+from gentiantrestle.gateway.slots.ledger import Lease
 from gentiantrestle.gateway.slots.messages import SlotOutcome
 
 # Consecutive failures after which an upstream is suspended. Low, because a
@@ -18,15 +20,17 @@
         """Start with every upstream healthy."""
         self._health: dict[str, Health] = {}
 
-    def record(self, upstream: str, outcome: SlotOutcome, now: float) -> None:
-        """Note how the use of an upstream ended."""
+    def record(
+        self, upstream: str, outcome: SlotOutcome, started: float, now: float
+    ) -> None:
+        """Note how the use of an upstream that was ``started`` then ended."""
         if outcome is SlotOutcome.UNKNOWN:
             return
         health = self._health.setdefault(upstream, Health(FAILURES_TO_OPEN))
         if outcome is SlotOutcome.SERVED:
             health.record_success()
         else:
-            health.record_failure(now, 0)
+            health.record_failure(now, 0, started)
 
     def forget(self, upstream: str) -> None:
         """Drop what is known of an upstream, which has started again."""
@@ -50,3 +54,65 @@
             upstream for upstream in listed if upstream.id not in suspended
         ]
         return usable or listed
+
+
+class SharedHealth(HealthTable):
+    """The circuit breakers of a coordinator; it logs what they do.
+
+    A failure may be that of the path between its witness and the upstream, so
+    the breaker opens on the word of several.
+    """
+
+    def __init__(self) -> None:
+        """Start with every upstream healthy."""
+        super().__init__()
+        # Holders whose uses have failed since the last one that was served.
+        self._witnesses: dict[str, set[str]] = {}
+        self._suspended: set[str] = set()
+
+    def record_use(
+        self, lease: Lease, outcome: SlotOutcome, now: float
+    ) -> None:
+        """Note how the use of a slot ended."""
+        upstream, holder = lease.upstream, lease.key.holder
+        if outcome is SlotOutcome.SERVED:
+            self.record(upstream, outcome, lease.granted_at, now)
+            self._note_usable(upstream, 'served')
+            self._witnesses.pop(upstream, None)
+        elif outcome is SlotOutcome.FAILED:
+            witnesses = self._witnesses.setdefault(upstream, set())
+            # Further failures of one witness are no further evidence.
+            if witnesses != {holder}:
+                witnesses.add(holder)
+                self.record(upstream, outcome, lease.granted_at, now)
+            self._note_suspended(upstream, now)
+
+    def forget(self, upstream: str) -> None:
+        """Drop what is known of an upstream, which has started again."""
+        super().forget(upstream)
+        self._witnesses.pop(upstream, None)
+        self._note_usable(upstream, 'started')
+
+    def note_lapsed(self, now: float) -> None:
+        """Log the upstreams whose suspension is over."""
+        for upstream in self._suspended - self.suspended(now):
+            self._note_usable(upstream, 'waited')
+
+    def _note_suspended(self, upstream: str, now: float) -> None:
+        if upstream in self._suspended or upstream not in self.suspended(now):
+            return
+        health = self._health[upstream]
+        self._suspended.add(upstream)
+        events.emit(
+            events.UPSTREAM_SUSPENDED,
+            upstream=upstream,
+            witnesses=', '.join(sorted(self._witnesses[upstream])),
+            for_ms=round((health.open_until - now) * 1000),
+        )
+
+    def _note_usable(self, upstream: str, reason: str) -> None:
+        if upstream in self._suspended:
+            self._suspended.remove(upstream)
+            events.emit(
+                events.UPSTREAM_USABLE, upstream=upstream, reason=reason
+            )
--- a/tests/gateway/test_slots.py
+++ b/tests/gateway/test_slots.py
@@ -73,9 +73,9 @@
         self.now = float(0)
         self.sent: list[Outgoing] = []
 
-    def ask(self, number: int, **changes: object) -> str:
+    def ask(self, number: int, holder: str = 'run', **changes: object) -> str:
         """Ask for a slot; return the verdict or the kind of message sent."""
-        ask = Ask(LeaseKey('run', number), 'there', ENGINES, **changes)
+        ask = Ask(LeaseKey(holder, number), 'there', ENGINES, **changes)
         return self.note(self.coordinator.ask(ask, self.now))
 
     def fill(self, count: int, first: int = 100, **changes: object) -> None:
@@ -84,10 +84,13 @@
             assert self.ask(number, **changes) == Verdict.GRANTED.name
 
     def release(
-        self, number: int, outcome: SlotOutcome = SlotOutcome.SERVED
+        self,
+        number: int,
+        outcome: SlotOutcome = SlotOutcome.SERVED,
+        holder: str = 'run',
     ) -> str:
         """Give a slot back; return what follows."""
-        release = Release(LeaseKey('run', number), outcome)
+        release = Release(LeaseKey(holder, number), outcome)
         return self.note(self.coordinator.release(release, self.now))
 
     def report(self, *slots: HeldSlot) -> str:
@@ -300,18 +303,20 @@
 
 def test_failed_upstream_is_suspended_for_all_instances() -> None:
     desk = Desk('u1', 'u2')
-    for number in (1, 2):
-        desk.fill(1, first=number)
-        desk.release(number, SlotOutcome.FAILED)
+    for holder in ('run-a', 'run-b'):
+        desk.ask(1, holder)
+        assert desk.upstream == 'u1'
+        desk.release(1, SlotOutcome.FAILED, holder)
     desk.fill(4)
     assert desk.load('u1') == 0
 
 
 def test_suspended_upstream_is_used_if_it_is_alone() -> None:
     desk = Desk('u1')
-    for number in (1, 2):
-        desk.fill(1, first=number)
-        desk.release(number, SlotOutcome.FAILED)
+    for holder in ('run-a', 'run-b'):
+        desk.ask(1, holder)
+        desk.release(1, SlotOutcome.FAILED, holder)
+    assert desk.coordinator.health.suspended(desk.now) == {'u1'}
     desk.fill(1)
     assert desk.upstream == 'u1'
 
--- /dev/null
+++ b/tests/gateway/test_suspension.py
@@ -0,0 +1,160 @@
+"""When coordinators suspend an upstream, and what they log of it; no I/O."""
+
+import random
+from typing import Any
+
+import pytest
+
+from gentiantrestle import events
+from gentiantrestle.gateway.slots.client import SlotClient
+from gentiantrestle.gateway.slots.health import FAILURES_TO_OPEN, HealthTable
+from gentiantrestle.gateway.slots.messages import (
+    Ask,
+    LeaseKey,
+    Outgoing,
+    SlotOutcome,
+)
+from tests.gateway.samples import ENGINES, make_upstream
+from tests.gateway.test_leaving import FakeDirectory
+from tests.gateway.test_slots import Desk
+
+FAILED, SERVED = SlotOutcome.FAILED, SlotOutcome.SERVED
+Logged = list[tuple[int, dict[str, Any]]]
+
+
+@pytest.fixture(name='logged')
+def fixture_logged(monkeypatch: pytest.MonkeyPatch) -> Logged:
+    """Return the events that are logged, in their order."""
+    logged: Logged = []
+    monkeypatch.setattr(
+        events,
+        'emit',
+        lambda event, **fields: logged.append((event.code, fields)),
+    )
+    return logged
+
+
+def use(desk: Desk, holder: str, *outcomes: SlotOutcome) -> None:
+    """Use the only upstream of a desk, once for each outcome."""
+    for outcome in outcomes:
+        desk.ask(1, holder)
+        desk.release(1, outcome, holder)
+
+
+@pytest.mark.parametrize(
+    ('uses', 'suspended'),
+    [
+        ([('a', FAILED)] * 5, False),
+        ([('a', FAILED), ('b', FAILED)], True),
+        ([('a', FAILED), ('b', SERVED), ('b', FAILED)], False),
+        ([('a', FAILED), ('b', SERVED), ('b', FAILED), ('a', FAILED)], True),
+    ],
+)
+def test_upstream_is_suspended_for_all_on_the_word_of_two_instances(
+    uses: list[tuple[str, SlotOutcome]], suspended: bool
+) -> None:
+    desk = Desk()
+    for holder, outcome in uses:
+        use(desk, holder, outcome)
+    found = desk.coordinator.health.suspended(desk.now)
+    assert (found == {'u1'}) is suspended
+
+
+def failures_until_suspended(instances: int, rand: random.Random) -> int:
+    """Count the failed requests until nobody is granted a dead upstream.
+
+    Requests come one after the other, each at a random instance.
+    """
+    desk = Desk('u1', 'u2', 'u3')
+    own = [HealthTable() for _ in range(instances)]
+    failures = 0
+    for number in range(20 * instances):
+        instance = rand.randrange(instances)
+        holder = f'run-{instance}'
+        desk.ask(number, holder, excluded=own[instance].suspended(desk.now))
+        outcome = FAILED if desk.upstream == 'u1' else SERVED
+        failures += outcome is FAILED
+        own[instance].record(desk.upstream, outcome, desk.now, desk.now)
+        desk.release(number, outcome, holder)
+    return failures
+
+
+@pytest.mark.parametrize('instances', [1, 3, 9, 60])
+def test_upstream_that_is_gone_costs_one_more_request_at_most(
+    instances: int,
+) -> None:
+    rand = random.Random(instances)
+    counts = [failures_until_suspended(instances, rand) for _ in range(50)]
+    assert max(counts) <= FAILURES_TO_OPEN + 1
+
+
+def test_answers_that_break_at_once_suspend_an_upstream_for_half_a_second() -> (
+    None
+):
+    desk = Desk()
+    holders = [f'run-{number}' for number in range(8)]
+    for holder in holders:
+        desk.ask(1, holder)
+    desk.now = 1
+    for holder in holders:
+        desk.release(1, FAILED, holder)
+    assert desk.coordinator.health.suspended(1.4)
+    assert not desk.coordinator.health.suspended(1.5)
+
+
+def released_outcome(*, suspect: bool) -> tuple[SlotOutcome, bool]:
+    """Return what is told of a failure, and whether it counts here."""
+    sent: list[Outgoing] = []
+    client = SlotClient('run', 'here', FakeDirectory(), sent.append, lambda: 0)
+    client.is_path_suspect = lambda: suspect
+    for _ in range(FAILURES_TO_OPEN):
+        pending = client.open(Ask(LeaseKey('', 0), '', ENGINES))
+        lease = client.hold(pending, make_upstream('u1'), '')
+        client.release(lease, FAILED)
+    return sent[-1].message.outcome, client.health.suspended(0) == {'u1'}
+
+
+def test_failure_of_a_suspect_path_is_not_told_of_the_upstream() -> None:
+    assert released_outcome(suspect=True) == (SlotOutcome.UNKNOWN, True)
+    assert released_outcome(suspect=False) == (FAILED, True)
+
+
+def test_failures_of_one_witness_do_not_prolong_the_first_suspension() -> None:
+    desk = Desk()
+    use(desk, 'run-a', *[FAILED] * 5)
+    use(desk, 'run-b', FAILED)
+    assert desk.coordinator.health.suspended(0.4)
+    assert not desk.coordinator.health.suspended(0.5)
+
+
+def test_suspension_is_logged_with_its_witnesses_until_it_is_over(
+    logged: Logged,
+) -> None:
+    desk = Desk()
+    use(desk, 'run-b', FAILED)
+    use(desk, 'run-a', FAILED)
+    suspended = {
+        'upstream': 'u1',
+        'witnesses': 'run-a, run-b',
+        'for_ms': 500,
+    }
+    assert logged == [(3023, suspended)]
+    desk.tick(0.4)
+    assert len(logged) == 1
+    desk.tick(0.5)
+    assert logged[1:] == [(3024, {'upstream': 'u1', 'reason': 'waited'})]
+
+
+def test_end_of_a_suspension_is_logged_with_its_reason(logged: Logged) -> None:
+    desk = Desk()
+    for end, reason in (
+        (lambda: desk.release(9), 'served'),
+        (lambda: desk.coordinator.health.forget('u1'), 'started'),
+    ):
+        desk.fill(1, first=9)
+        use(desk, 'run-a', FAILED)
+        use(desk, 'run-b', FAILED)
+        logged.clear()
+        end()
+        end()
+        assert logged == [(3024, {'upstream': 'u1', 'reason': reason})]
