Settings: a port for requests that instances pass on

Change: passing_port is the second one of the platform's range of internal ports; None if the range has one port. The fleet of the tests uses a range. Result: tests/gateway/test_adapter.py; the field didn't exist before.

--- a/gentiantrestle/gateway/fleet_context.py
+++ b/gentiantrestle/gateway/fleet_context.py
@@ -24,7 +24,8 @@
 
     ``http_address`` is where callers connect, ``grace`` the time in s that a
     stop may take, ``drain_time`` the one that a leaving upstream serves for,
-    and ``seeds`` are hosts of other instances.
+    and ``seeds`` are hosts of other instances. Requests that these pass on
+    arrive at ``passing_port``, the same on all hosts; None if none may.
     """
 
     instance: str
@@ -35,6 +36,7 @@
     seeds: tuple[str, ...]
     grace: float
     drain_time: float
+    passing_port: int | None = None
 
 
 class FleetContext(NamedTuple):
--- a/gentiantrestle/platform/roles.py
+++ b/gentiantrestle/platform/roles.py
@@ -64,6 +64,7 @@
             node.seeds,
             node.grace,
             node.drain_time,
+            node.passing_port,
         ),
         Adapter(
             ObjectClient(node.store_address, node.max_object_size),
--- a/gentiantrestle/platform/settings.py
+++ b/gentiantrestle/platform/settings.py
@@ -1,7 +1,7 @@
 """Reads and checks the settings file that the platform writes."""
 
 import tomllib
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -22,6 +22,8 @@
 
     ``drain_time`` is how long a leaving server serves, 0 if it isn't set.
     ``max_object_size`` is what the store takes as one object, in bytes.
+    ``passing_port`` is for callers' requests that other instances pass on;
+    None if the platform gives no port for it.
     """
 
     instance: str
@@ -31,6 +33,7 @@
     caller_address: Address | None
     readiness_address: Address | None
     peer_port: int
+    passing_port: int | None
     seeds: tuple[str, ...]
     store_address: Address
     max_object_size: int
@@ -68,6 +71,7 @@
             caller_address=_address(listen.get('front')),
             readiness_address=_address(listen.get('ready-addr')),
             peer_port=int(config['internal-ports'][0]),
+            passing_port=_second_port(config['internal-ports']),
             seeds=tuple(
                 Address.parse(seed).host for seed in config.get('seeds', ())
             ),
@@ -81,5 +85,11 @@
         )
 
 
+def _second_port(ports: Sequence[int]) -> int | None:
+    """Return the second port of a range, given as its first and last one."""
+    first, last = map(int, ports)
+    return first + 1 if last > first else None
+
+
 def _address(text: str | None) -> Address | None:
     return Address.parse(text) if text else None
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -13,7 +13,12 @@
 from tests.gateway.wire import send_exact
 from tests.gateway.wire_samples import ROUTE_HOST, SERVICE, route_docs
 from tests.utils.http import Reply, send, until
-from tests.utils.ports import HOST, free_ports, worker_number
+from tests.utils.ports import (
+    HOST,
+    free_port_pair,
+    free_ports,
+    worker_number,
+)
 
 ENTRIES = 3
 WRITE_RETRY_DELAY = 0.1  # seconds
@@ -27,7 +32,7 @@
 ip = "{host}"
 zone = "a1"
 serves = ["edge", "control_plane"]
-internal-ports = [{peer}, {peer}]
+internal-ports = [{peer}, {passing}]
 seeds = [{seeds}]
 [zones]
 {zones}
@@ -51,13 +56,14 @@
     def __init__(self, folder: Path, entries: int, upstreams: int) -> None:
         """Choose the addresses; nothing is started yet."""
         self.folder = folder
-        ports = free_ports(upstreams + 4)
+        ports = free_ports(upstreams + 3)
         self.store = Address(HOST, ports[0])
-        self.front, self.ready, self.peer = ports[1:4]
+        self.front, self.ready = ports[1:3]
+        self.peer = free_port_pair()
         # Each pytest worker uses its own block of loopback addresses.
         block = f'127.{worker_number() + 7}.{self.front % 250}'
         self.hosts = [f'{block}.{number + 1}' for number in range(entries)]
-        self.upstreams = [Address(HOST, port) for port in ports[4:]]
+        self.upstreams = [Address(HOST, port) for port in ports[3:]]
         self.entries = [
             Child(folder / f'entry{number}.log') for number in range(entries)
         ]
@@ -76,6 +82,11 @@
         # Services of upstreams that serve another one, by number.
         self.services: dict[int, str] = {}
 
+    @property
+    def passing(self) -> int:
+        """Return the port for requests that entries pass on."""
+        return self.peer + 1
+
     def upstream_id(self, upstream: int) -> str:
         """Return an upstream's id."""
         return f'u-{upstream}'
@@ -105,6 +116,7 @@
                 name=f'entry-{number}',
                 host=self.hosts[number],
                 peer=self.peer,
+                passing=self.passing,
                 seeds=', '.join(f'"{host}:1"' for host in listed),
                 front=self.front,
                 ready=self.ready,
--- a/tests/gateway/test_adapter.py
+++ b/tests/gateway/test_adapter.py
@@ -60,6 +60,12 @@
     assert node.caller_address == Address('10.1.0.35', 8144)
     assert node.seeds == ('10.1.0.36',)
     assert node.peer_port == 7660
+    assert node.passing_port == 7661
+
+
+def test_range_of_one_port_leaves_none_for_passing_requests_on() -> None:
+    config = SETTINGS | {'internal-ports': [7660, 7660]}
+    assert NodeSettings.from_config(config).passing_port is None
 
 
 @pytest.mark.parametrize('field', ['node-name', 'zones', 'platform', 'bounds'])
--- a/tests/gateway/test_settings_file.py
+++ b/tests/gateway/test_settings_file.py
@@ -21,6 +21,7 @@
         name='entry-0',
         host='127.0.0.1',
         peer=1,
+        passing=1,
         seeds=', '.join(f'"{seed}:1"' for seed in seeds),
         front=2,
         ready=3,
--- a/tests/utils/ports.py
+++ b/tests/utils/ports.py
@@ -67,3 +67,13 @@
 def free_ports(count: int) -> list[int]:
     """Return ports that are not in use now."""
     return list(islice(PORTS, count))
+
+
+def free_port_pair() -> int:
+    """Return the first of two ports in a row that are not in use now."""
+    first = next(PORTS)
+    for port in PORTS:
+        if port == first + 1:
+            break
+        first = port
+    return first
