Instances without a path to a service pass its requests on to a peer

Change: where UpstreamReach says that a service is cut off, the request goes to a peer as an HTTP request on the port for passing on. The peer runs the ordinary loop in its own name, with the caller's id, deadline, last event, version and attempts, and passes nothing on itself. Its answer names the run of the upstream, or says whether a refusal has run; the origin drops these fields. Detection is not part of this commit: the tests' launcher says what is cut off.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -243,6 +243,21 @@
     'request {request} takes up the stream of {attempt}: {service} {version}, '
     'known from {source}: {known}',
 )
+REQUEST_PASSED_ON = _define(
+    5109,
+    LEVEL_INFO,
+    'request {request} passed on to {instance} in {zone}: {service} is not '
+    'reached from here',
+)
+PASSED_REQUEST_ENDED = _define(
+    5110,
+    LEVEL_INFO,
+    'request {request} passed on by {instance} ended: {outcome} in {took_ms} '
+    'ms',
+)
+PASSED_REQUEST_REFUSED = _define(
+    5111, LEVEL_WARNING, 'request passed on by {instance} refused: {reason}'
+)
 VERSIONS_LISTED = _define(
     2012, LEVEL_INFO, 'versions in use of {versions} services stored'
 )
--- a/gentiantrestle/gateway/answer_relay.py
+++ b/gentiantrestle/gateway/answer_relay.py
@@ -1,5 +1,7 @@
 """Relays answers of upstreams to the caller of one request."""
 
+from collections.abc import Callable
+
 from gentiantrestle.gateway.attempt import (
     AttemptFailedError,
     HeldResponse,
@@ -8,11 +10,13 @@
 from gentiantrestle.gateway.exchange import CONTENT_LENGTH, Exchange
 from gentiantrestle.gateway.forwarding_context import ForwardingContext
 from gentiantrestle.gateway.model import (
+    HeaderTuple,
     Request,
     Route,
     RouteKind,
     Upstream,
 )
+from gentiantrestle.gateway.passing.answers import without_fields
 from gentiantrestle.gateway.ports import Reply
 from gentiantrestle.gateway.retry_policy import AttemptOutcome
 from gentiantrestle.gateway.silence import Silence
@@ -44,7 +48,10 @@
         self._exchange = exchange
         self._splitter = EventSplitter(req.last_event)
         self._held: HeldResponse | None = None
-        self._upstream: Upstream | None = None
+        # The upstream that answers.
+        self.upstream: Upstream | None = None
+        # Returns fields that are added to the answers of an upstream.
+        self.label: Callable[[Upstream], HeaderTuple] = _no_fields
         self._watch: RequestWatch | None = None
         self.silence = Silence(None)
         # Events that the attempt has received.
@@ -64,7 +71,7 @@
         self, upstream: Upstream, silence: Silence, watch: RequestWatch
     ) -> None:
         """Begin an attempt; ``silence`` and ``watch`` are told of it."""
-        self._upstream = upstream
+        self.upstream = upstream
         self.silence = silence
         self._watch = watch
         self.received = 0
@@ -80,6 +87,10 @@
         """
         is_stream = self._route.kind is RouteKind.STREAM and reply.status == OK
         relay = self._relay_stream if is_stream else self._relay_whole
+        added = self.label(self.upstream)
+        if added:
+            kept = without_fields(reply.headers)
+            reply = reply._replace(headers=(*kept, *added))
         try:
             if is_stream and self._splitter.last_id:
                 check_events(reply)
@@ -134,6 +145,11 @@
         if self._exchange.started:
             await self._exchange.send_part(part)
             return
-        self._context.streams.begin(self._req, self._route, self._upstream)
+        self._context.streams.begin(self._req, self._route, self.upstream)
         headers = [pair for pair in reply.headers if pair[0] != CONTENT_LENGTH]
         await self._exchange.start_stream(reply.status, headers, part)
+
+
+def _no_fields(upstream: Upstream) -> HeaderTuple:
+    """Add nothing to answers."""
+    return ()
--- a/gentiantrestle/gateway/ending.py
+++ b/gentiantrestle/gateway/ending.py
@@ -24,6 +24,11 @@
         self._at = at
         self._last_streams = last_streams
 
+    @property
+    def is_planned(self) -> bool:
+        """Return whether an end was planned."""
+        return self._at != NEVER
+
     def bound(self, req: Request, route: Route, now: float) -> Request:
         """Return a request whose deadline is before the end.
 
--- a/gentiantrestle/gateway/forward.py
+++ b/gentiantrestle/gateway/forward.py
@@ -7,6 +7,7 @@
 from gentiantrestle.gateway.forwarded_request import ForwardedRequest
 from gentiantrestle.gateway.forwarding_context import ForwardingContext
 from gentiantrestle.gateway.model import Request, Route
+from gentiantrestle.gateway.passing.messages import PassedRequest
 from gentiantrestle.gateway.retry_policy import Step, next_step
 
 
@@ -29,15 +30,30 @@
 
         Raises ``RefusedError`` if the caller still has to be refused.
         """
-        streams = self._context.streams
-        origin = await streams.find(req, route)
+        origin = await self._context.streams.find(req, route)
         forwarded = ForwardedRequest(
             self._context, req, route, exchange, origin.version
         )
+        return await self.run(req, forwarded, origin.service)
+
+    def take_over(
+        self, passed: PassedRequest, exchange: Exchange
+    ) -> ForwardedRequest:
+        """Return a request that another instance passes on."""
+        forwarded = ForwardedRequest(
+            self._context, passed.req, passed.route, exchange, passed.version
+        )
+        forwarded.continue_passed(passed)
+        return forwarded
+
+    async def run(
+        self, req: Request, forwarded: ForwardedRequest, service: str
+    ) -> str:
+        """Answer a request; return and raise what ``answer`` does."""
         try:
-            return await self._attempt(req, forwarded, origin.service)
+            return await self._attempt(req, forwarded, service)
         finally:
-            streams.end(req)
+            self._context.streams.end(req)
 
     async def _attempt(
         self, req: Request, forwarded: ForwardedRequest, service: str
@@ -62,6 +78,8 @@
                 left_ms=round(left * 1000),
             )
             self.record_attempt(outcome.value, forwarded.framing)
+            if lease.via:
+                self._context.passing.record(outcome.value)
             if step is not Step.RETRY:
                 await forwarded.finish(step, outcome)
                 return outcome.value
--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -5,6 +5,7 @@
 
 from gentiantrestle.errors import (
     UPSTREAM_OUTCOME_UNKNOWN,
+    Refusal,
     RefusedError,
     refuse,
 )
@@ -16,6 +17,9 @@
 from gentiantrestle.gateway.exchange import Exchange
 from gentiantrestle.gateway.forwarding_context import ForwardingContext
 from gentiantrestle.gateway.model import Request, Route
+from gentiantrestle.gateway.passing.answers import upstream_fields
+from gentiantrestle.gateway.passing.hop import PeerHop, allowed_runs
+from gentiantrestle.gateway.passing.messages import PassedRequest
 from gentiantrestle.gateway.ports import Reply
 from gentiantrestle.gateway.refusals import final_refusal, note_abandoned
 from gentiantrestle.gateway.request_slots import RequestSlots
@@ -71,6 +75,17 @@
         self.framing = ''
         self.traits = request_traits(req)
         self._slots = RequestSlots(context, req, route, self.traits)
+        # What another instance has refused this request for.
+        self._refusal: Refusal | None = None
+
+    def continue_passed(self, passed: PassedRequest) -> None:
+        """Go on where the instance that passes the request on has stopped.
+
+        Answers say which upstream has made them.
+        """
+        self._progress = self._progress._replace(runs=passed.runs)
+        self._slots.note_tried(passed.tried)
+        self._relay.label = upstream_fields
 
     @property
     def received(self) -> int:
@@ -110,7 +125,7 @@
         finally:
             self._slots.release(lease, health)
             if self._exchange.started:
-                self.version = lease.upstream.version
+                self.version = self._relay.upstream.version
         return outcome
 
     async def finish(self, step: Step, outcome: AttemptOutcome) -> None:
@@ -121,30 +136,57 @@
         elif step is Step.PASS_ON and self._relay.has_held:
             await self._relay.send_held()
         elif step is not Step.FINISH:
-            now = self._context.clock.now()
-            raise final_refusal(step, outcome, self.reason, self._req, now)
+            raise self._final_refusal(step, outcome)
 
-    def _new_watch(self) -> RequestWatch:
-        return RequestWatch(
-            self._context.guard, self.traits, self._context.clock
-        )
+    def _final_refusal(
+        self, step: Step, outcome: AttemptOutcome
+    ) -> RefusedError:
+        if step is Step.REFUSE and self._refusal is not None:
+            return RefusedError(self._refusal)
+        now = self._context.clock.now()
+        return final_refusal(step, outcome, self.reason, self._req, now)
+
+    def _new_watch(self, lease: SlotLease) -> RequestWatch:
+        """Watch an attempt; a peer watches its own attempts by itself."""
+        traits = () if lease.via else self.traits
+        return RequestWatch(self._context.guard, traits, self._context.clock)
+
+    def _new_silence(self, lease: SlotLease, left: float) -> Silence:
+        """Measure a silence; a peer that may try again seeks others itself."""
+        progress = self.progress()
+        allowed = allowed_runs(progress.max_attempts, progress.runs)
+        if lease.via and allowed > 1:
+            return Silence(None)
+        return Silence(silence_limit(self._route, progress, left))
 
     async def _run_attempt(self, lease: SlotLease) -> AttemptOutcome:
-        watch = self._new_watch()
+        watch = self._new_watch(lease)
         conn = UpstreamConnection(self._context.dialect, watch)
-        conn.on_contact = self._context.reach.note
         left = self._req.deadline - self._context.clock.now()
         self.reason = ''
-        silence = Silence(silence_limit(self._route, self.progress(), left))
-        self._relay.begin(lease.upstream, silence, watch)
+        self._relay.begin(lease.upstream, self._new_silence(lease, left), watch)
+        try:
+            async with asyncio.timeout(left):
+                return await self._send_watched(conn, lease)
+        except TimeoutError:
+            self.reason = 'deadline'
+            return AttemptOutcome.EXPIRED
+        finally:
+            self.framing = conn.framing
+            conn.close()
+
+    async def _send_watched(
+        self, conn: UpstreamConnection, lease: SlotLease
+    ) -> AttemptOutcome:
+        """Run an attempt, and give it up for another one if it is silent."""
         watched = WatchedAttempt(
-            silence,
+            self._relay.silence,
             SlotSearch(partial(self._find_other, lease), self._slots.release),
             self._context.clock.now,
         )
+        send = self._pass_on if lease.via else self._send
         try:
-            async with asyncio.timeout(left):
-                successor = await watched.run(self._send(conn, lease))
+            successor = await watched.run(send(conn, lease))
         except AttemptFailedError as exc:
             self.reason = exc.reason
             if exc.outcome is AttemptOutcome.LOST:
@@ -153,12 +195,6 @@
         except RequestNotSentError as exc:
             self.reason = repr(exc)
             return AttemptOutcome.UNREACHED
-        except TimeoutError:
-            self.reason = 'deadline'
-            return AttemptOutcome.EXPIRED
-        finally:
-            self.framing = conn.framing
-            conn.close()
         if successor is None:
             return AttemptOutcome.DONE
         self._slots.keep(successor)
@@ -167,7 +203,7 @@
 
     async def _find_other(self, lease: SlotLease) -> SlotLease | None:
         started = self._exchange.started
-        version = lease.upstream.version if started else self.version
+        version = self._relay.upstream.version if started else self.version
         return await self._slots.find_other(lease, self._relay.silence, version)
 
     async def _check_crash(self, conn: UpstreamConnection) -> None:
@@ -179,6 +215,7 @@
         before = self._progress
         refused = before._replace(refusals=before.refusals + 1)
         self._progress = refused._replace(unreached=before.unreached + 1)
+        conn.on_contact = self._context.reach.note
         await conn.connect(lease.upstream)
         self._progress = refused
         await self._slots.confirm_run(lease.upstream, self._relay.last_event)
@@ -192,6 +229,37 @@
             )
         await self._relay.pass_on(conn, reply)
 
+    async def _pass_on(
+        self, conn: UpstreamConnection, lease: SlotLease
+    ) -> None:
+        """Have another instance answer."""
+        passing = self._context.passing
+        hop = PeerHop(passing, self._relay, self._progress, lease)
+        passed = self._describe(lease)
+        try:
+            await hop.run(conn, passed, self._context.clock.now())
+        finally:
+            self._note_hop(hop)
+
+    def _note_hop(self, hop: PeerHop) -> None:
+        self._progress = hop.progress
+        self._refusal = hop.refusal
+        self._slots.note_tried(hop.tried)
+
+    def _describe(self, lease: SlotLease) -> PassedRequest:
+        """Return what another instance has to know to go on."""
+        runs = self._progress.runs
+        allowed = runs + allowed_runs(self._route.max_attempts, runs)
+        return PassedRequest(
+            self._context.passing.instance,
+            self._req._replace(last_event=self._relay.last_event),
+            self._route._replace(max_attempts=allowed),
+            lease.upstream.service,
+            lease.upstream.version,
+            runs,
+            self._slots.tried,
+        )
+
     async def _send_head(
         self, conn: UpstreamConnection, lease: SlotLease
     ) -> Reply:
--- a/gentiantrestle/gateway/forwarding_context.py
+++ b/gentiantrestle/gateway/forwarding_context.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from gentiantrestle.gateway.batch.context import Clock
+from gentiantrestle.gateway.passing.origin import PeerPassing
 from gentiantrestle.gateway.ports import Dialect
 from gentiantrestle.gateway.reach.service import UpstreamReach
 from gentiantrestle.gateway.slots.admission import Admission
@@ -12,7 +13,7 @@
 
 
 class ForwardingContext(NamedTuple):
-    """Dependencies of a forwarder."""
+    """Dependencies of a forwarder; without ``passing``, none is passed on."""
 
     admission: Admission
     dialect: Dialect
@@ -21,3 +22,4 @@
     streams: StreamOrigins
     runs: UpstreamRuns
     reach: UpstreamReach
+    passing: PeerPassing | None = None
--- a/gentiantrestle/gateway/metrics.py
+++ b/gentiantrestle/gateway/metrics.py
@@ -40,6 +40,12 @@
             self._labels,
             registry=self._registry,
         )
+        self._passed_on = Counter(
+            'gentiantrestle_gateway_passed_on_total',
+            'Attempts through other instances by outcome.',
+            self._labels,
+            registry=self._registry,
+        )
         self._latency = Histogram(
             'gentiantrestle_gateway_request_seconds',
             'Time from a request to the end of its answer, by route.',
@@ -58,6 +64,10 @@
         """Count one attempt of a request on an upstream."""
         self._attempts.inc({'outcome': outcome, 'framing': framing})
 
+    def record_passed_on(self, outcome: str) -> None:
+        """Count one attempt of a request through another instance."""
+        self._passed_on.inc({'outcome': outcome})
+
     def add_gauge(
         self, name: str, description: str, read: Callable[[], float]
     ) -> None:
--- /dev/null
+++ b/gentiantrestle/gateway/passing/__init__.py
@@ -0,0 +1,1 @@
+"""Passing callers' requests on to instances that reach their upstreams."""
--- a/gentiantrestle/gateway/request_slots.py
+++ b/gentiantrestle/gateway/request_slots.py
@@ -55,6 +55,15 @@
         self._next: SlotLease | None = None
         self._is_repeat = False
 
+    @property
+    def tried(self) -> frozenset[str]:
+        """Return the ids of the upstreams that were tried."""
+        return self._tried
+
+    def note_tried(self, upstreams: frozenset[str]) -> None:
+        """Note that upstreams were tried by other instances."""
+        self._tried |= upstreams
+
     async def take(
         self, service: str, version: str, progress: RequestProgress
     ) -> SlotLease:
@@ -100,8 +109,12 @@
     ) -> SlotLease | None:
         """Take a slot elsewhere while the upstream of ``lease`` is silent.
 
-        An upstream that sends bytes without an event may be asked again.
+        An upstream that sends bytes without an event may be asked again. What
+        was passed on to a peer is only taken from it for another one.
         """
+        peer = self._find_peer(lease.upstream.service, version, lease.via)
+        if peer is not None or lease.via:
+            return peer
         slot_request = self._ask(lease.upstream.service, version)
         try:
             found = await self._context.admission.acquire(slot_request)
@@ -120,7 +133,10 @@
         self, lease: SlotLease, health: SlotOutcome = SlotOutcome.UNKNOWN
     ) -> None:
         """Give a slot back; ``health`` is that of its upstream."""
-        self._context.admission.release(lease, health)
+        if lease.via:
+            self._context.passing.release(lease)
+        else:
+            self._context.admission.release(lease, health)
 
     def release_kept(self) -> None:
         """Give back the slot that was kept, if there is one."""
@@ -150,12 +166,24 @@
         refuse_quarantined(self._context.guard, self._req, self._traits, wall)
         lease = self._next
         self._next = None
+        if lease is None:
+            lease = self._find_peer(slot_request.service, slot_request.version)
         if lease is None:
             lease = await self._context.admission.acquire(slot_request)
+        if lease.via:
+            self._is_repeat = False
+            return lease
         self._is_repeat = lease.upstream.id in self._tried
         self._tried |= {lease.upstream.id}
         return lease
 
+    def _find_peer(
+        self, service: str, version: str, excluded: str = ''
+    ) -> SlotLease | None:
+        if self._context.passing is None:
+            return None
+        return self._context.passing.find(service, version, excluded)
+
     def _may_wait(self, progress: RequestProgress, exc: RefusedError) -> bool:
         if isinstance(exc, VersionGoneError):
             return False
--- a/gentiantrestle/gateway/retry_policy.py
+++ b/gentiantrestle/gateway/retry_policy.py
@@ -20,6 +20,7 @@
     ``FAILED``: the upstream answered with an error.
     ``LOST``: no complete genuine response came; it may have been executed.
     ``EXPIRED``: the request's deadline passed.
+    ``REFUSED``: another instance has refused it for all, and not executed it.
     ``QUARANTINED``: it was not sent, because such requests crash upstreams.
     """
 
@@ -29,10 +30,17 @@
     FAILED = 'failed'
     LOST = 'lost'
     EXPIRED = 'expired'
+    REFUSED = 'refused'
     QUARANTINED = 'quarantined'
 
 
-FINAL_OUTCOMES = frozenset((AttemptOutcome.EXPIRED, AttemptOutcome.QUARANTINED))
+FINAL_OUTCOMES = frozenset(
+    (
+        AttemptOutcome.EXPIRED,
+        AttemptOutcome.REFUSED,
+        AttemptOutcome.QUARANTINED,
+    )
+)
 
 
 class Step(Enum):
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -14,13 +14,16 @@
 from gentiantrestle.gateway.fleet_state import FleetState
 from gentiantrestle.gateway.follower import StoreHandlers
 from gentiantrestle.gateway.forward import Forwarder
-from gentiantrestle.gateway.forwarding_context import ForwardingContext
 from gentiantrestle.gateway.gauges import GaugeSources, build_metrics
-from gentiantrestle.gateway.http_server import HttpServer
 from gentiantrestle.gateway.membership.messages import InstanceStatus
 from gentiantrestle.gateway.peering import Peering, PeeringParts
 from gentiantrestle.gateway.ports import Adapter, StoredObject
 from gentiantrestle.gateway.request_handler import RequestHandler
+from gentiantrestle.gateway.serving import (
+    Servers,
+    build_context,
+    build_servers,
+)
 from gentiantrestle.gateway.state_copier import StateCopier
 from gentiantrestle.gateway.store_watching import StoreWatching
 from gentiantrestle.gateway.zone_watcher import WatcherElection
@@ -68,7 +71,7 @@
             self._gauge_sources(),
             lambda: self._runner.item_states,
         )
-        self.server = self._build_server()
+        self._servers = self._build_servers()
 
     @property
     def ready(self) -> bool:
@@ -77,8 +80,7 @@
 
     async def run(self) -> None:
         """Run all children until cancelled."""
-        address = self._cfg.http_address
-        await self.server.start(address.host, address.port)
+        await self._servers.start()
         await Supervisor(tuple(self._children()), self._clock.now).run()
 
     def update_seeds(self, seeds: Iterable[str]) -> None:
@@ -97,14 +99,14 @@
             started + grace * DEADLINE_GRACE_SHARE,
             started + BALANCER_DRAIN_TIME,
         )
-        self.server.stopping = True
+        self._servers.begin_stop()
         self._peering.leave()
         await self._runner.stop()
         await self._wait_until(started + BALANCER_DRAIN_TIME, idle=False)
-        self.server.close_idle()
+        self._servers.close_idle()
         await self._wait_until(started + grace * DRAIN_GRACE_SHARE, idle=True)
-        cut = self.server.in_flight
-        await self.server.end_requests()
+        cut = self._servers.in_flight
+        await self._servers.end_requests()
         return cut
 
     def _read_status(self) -> InstanceStatus:
@@ -112,7 +114,7 @@
 
     async def _wait_until(self, deadline: float, *, idle: bool) -> None:
         while self._clock.now() < deadline:
-            if idle and self.server.is_drained:
+            if idle and self._servers.is_drained:
                 return
             await asyncio.sleep(STOP_POLL_INTERVAL)
 
@@ -176,17 +178,13 @@
         """Return whether this instance knows enough to serve callers."""
         return self._state.router.has_config and self._peering.is_informed
 
-    def _build_server(self) -> HttpServer:
+    def _build_servers(self) -> Servers:
         dialect = self._adapter.dialect
-        context = ForwardingContext(
-            self._components.admission,
-            dialect,
-            self._clock,
-            self._batch_context.guard,
-            self._components.streams,
-            self._batch_context.runs,
-            self._batch_context.reach,
+        context = build_context(
+            self._cfg, self._fleet, self._components, dialect
         )
+        if context.passing is not None:
+            context.passing.record = self.metrics.record_passed_on
         api = JobApi(
             self._batch_context,
             self._runner,
@@ -206,16 +204,14 @@
         self._ending = request_handler.ending
         request_handler.is_prepared = self._is_prepared
         request_handler.record_request = self.metrics.record_request
-        return HttpServer(
-            request_handler.handle,
-            dialect.write_refusal,
-            lambda: self._state.router.table.limits,
+        return build_servers(
+            self._cfg, request_handler, context, self._state.router
         )
 
     def _gauge_sources(self) -> GaugeSources:
         evidence = self._batch_context.guard.evidence
         return GaugeSources(
-            active=lambda: self.server.in_flight,
+            active=lambda: self._servers.in_flight,
             waiting=lambda: self._components.admission.waiting,
             quarantined_requests=lambda: len(
                 evidence.culprits(self._clock.wall())
--- a/gentiantrestle/gateway/slots/client.py
+++ b/gentiantrestle/gateway/slots/client.py
@@ -47,7 +47,8 @@
     ``host`` is that of the coordinator that granted it; empty if this
     instance chose the upstream itself. ``slack`` in s is that of a batch item,
     and ``tokens_left`` what it has to generate. ``rate_limit`` is the limit of
-    the upstream as its coordinator knew it.
+    the upstream as its coordinator knew it. With ``via`` it is no slot: the
+    instance of that name, which stands in for ``upstream``, takes one.
     """
 
     number: int
@@ -58,6 +59,7 @@
     slack: float = 0
     tokens_left: int = 0
     rate_limit: float = 0
+    via: str = ''
 
 
 class Directory(Protocol):
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -317,6 +317,7 @@
   3: required i32 timeout,
   4: required i32 latency_target,
   5: required i32 priority,
+  /* Executions in all, those before included. */
   6: required i32 max_attempts,
   7: required bool resumable,
   /* Whether requests of the route go to several services. */
@@ -346,6 +347,8 @@
   15: required i32 runs,
   /* Upstreams that were tried. */
   16: required list<string> tried,
+  /* The instance that passes the request on. */
+  17: required string instance,
 }
 
 /* Exactly one of the optional fields is set. */
--- a/gentiantrestle/wire/peer/ttypes.py
+++ b/gentiantrestle/wire/peer/ttypes.py
@@ -4298,6 +4298,7 @@
      - version
      - runs
      - tried
+     - instance
 
     """
 
@@ -4318,10 +4319,11 @@
         'version',
         'runs',
         'tried',
+        'instance',
     )
 
 
-    def __init__(self, id=None, method=None, target=None, host=None, headers=None, body=None, left=None, retry=None, last_event=None, prompt_parts=None, resumes=None, route=None, service_name=None, version=None, runs=None, tried=None,):
+    def __init__(self, id=None, method=None, target=None, host=None, headers=None, body=None, left=None, retry=None, last_event=None, prompt_parts=None, resumes=None, route=None, service_name=None, version=None, runs=None, tried=None, instance=None,):
         self.id = id
         self.method = method
         self.target = target
@@ -4338,6 +4340,7 @@
         self.version = version
         self.runs = runs
         self.tried = tried
+        self.instance = instance
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4445,6 +4448,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4528,6 +4536,10 @@
                 oprot.writeString(iter169.encode('utf-8') if sys.version_info[0] == 2 else iter169)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 17)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4564,6 +4576,8 @@
             raise TProtocolException(message='Required field runs is unset!')
         if self.tried is None:
             raise TProtocolException(message='Required field tried is unset!')
+        if self.instance is None:
+            raise TProtocolException(message='Required field instance is unset!')
         return
 
     def __repr__(self):
@@ -5246,6 +5260,7 @@
     (14, TType.STRING, 'version', 'UTF8', None, ),  # 14
     (15, TType.I32, 'runs', None, None, ),  # 15
     (16, TType.LIST, 'tried', (TType.STRING, 'UTF8', False), None, ),  # 16
+    (17, TType.STRING, 'instance', 'UTF8', None, ),  # 17
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
