Callers' connections: a request that was read whole is answered

Cause: three ways by which a whole request ended with a closed connection or none at all, found by reading. A refusal of a HEAD request, and an answer of status 204 or 304 with a body, wrote a body that the connection's state machine refuses, after it had taken the head: the connection was reset. A `LinkLostError` or an HTTP error of another connection (an upstream's, the store's) was taken for the caller's, which was closed without a word. A handler cancelled by something else left the connection open, without an answer and without an end.

Change: a body is left out where none is allowed, and a head is checked before any of it counts as sent. An error is the caller's only if the caller has left; else it is logged (5003) and answered. A cancelled handler is answered as one whose outcome is unknown. The connection is closed however serving it ends. 5104 says "failed", no longer "left", of a request that ended without an answer while its caller was there.

Result: the new cases in test_http_server failed before: 12 with a connection closed without a byte, one (a cancelled handler) and one (an unexpected error) with no byte and no end in 2 s. They pass, since nothing reaches the state machine that it refuses. Whether the reported losses came by one of these ways isn't shown.

--- a/gentiantrestle/gateway/exchange.py
+++ b/gentiantrestle/gateway/exchange.py
@@ -7,6 +7,7 @@
 from gentiantrestle.http.link import CHUNKED_SINCE, HeaderPairs, Link
 
 CONTENT_LENGTH = b'content-length'
+BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 CONNECTION_CLOSE = (b'Connection', b'close')
 
 
@@ -32,13 +33,18 @@
         headers: HeaderPairs,
         body: bytes = b'',
     ) -> None:
-        """Send a complete response; sets Content-Length."""
+        """Send a complete response; sets Content-Length.
+
+        Raises ``h11.LocalProtocolError``, with nothing sent, for what is no
+        valid head.
+        """
         length = (CONTENT_LENGTH, str(len(body)).encode())
         fields = [pair for pair in headers if pair[0].lower() != CONTENT_LENGTH]
+        head = self._build_head(status, [*fields, length])
         self.started = True
         await self._link.send(
-            self._build_head(status, [*fields, length]),
-            h11.Data(data=body),
+            head,
+            h11.Data(data=body if self._has_body(status) else b''),
             h11.EndOfMessage(),
         )
         self.finished = True
@@ -50,13 +56,11 @@
         first: bytes,
     ) -> None:
         """Send the head and the first part of a streamed response."""
+        head = self._build_head(status, headers)
         self.started = True
         if self.head.http_version < CHUNKED_SINCE:
             self._link.reset_on_close(enabled=True)
-        await self._link.send(
-            self._build_head(status, headers),
-            h11.Data(data=first),
-        )
+        await self._link.send(head, h11.Data(data=first))
 
     async def send_part(self, part: bytes) -> None:
         """Send one more part of a streamed response."""
@@ -69,10 +73,18 @@
         await self._link.send(h11.EndOfMessage())
         self.finished = True
 
+    @property
+    def disconnected(self) -> bool:
+        """Whether the caller has left."""
+        return self._link.disconnected
+
     def abort(self) -> None:
         """Reset the connection, so that the response looks incomplete."""
         self._link.abort()
 
+    def _has_body(self, status: int) -> bool:
+        return self.head.method != b'HEAD' and status not in BODILESS_STATUSES
+
     def _build_head(self, status: int, headers: HeaderPairs) -> h11.Response:
         fields = list(headers)
         if self.close_after:
--- a/gentiantrestle/gateway/http_server.py
+++ b/gentiantrestle/gateway/http_server.py
@@ -132,17 +132,15 @@
 
     async def _serve_connection(self, link: Link) -> None:
         try:
-            await self._serve_requests(link)
+            with suppress(LinkLostError, TimeoutError):
+                await self._serve_requests(link)
         except RefusedError as exc:
             await self._send_refusal(link, exc.refusal)
-        except (LinkLostError, TimeoutError):
-            link.close()
         except h11.ProtocolError:
             link.abort()
-        else:
-            link.close()
         finally:
             self._busy.discard(link)
+            link.close()
         await link.wait_closed()
 
     async def _serve_requests(self, link: Link) -> None:
@@ -232,9 +230,9 @@
         except asyncio.CancelledError:
             if link.disconnected:
                 raise LinkLostError('the caller disconnected') from None
-            if not self._ended:
+            if asyncio.current_task().cancelling():
                 raise
-            _end_exchange(exchange)
+            _end_exchange(exchange, is_planned=self._ended)
         finally:
             link.cancel_on_disconnect(None)
             self._running.pop(link, None)
@@ -247,9 +245,9 @@
                 exchange.abort()
                 return
             await exchange.respond(*self._write_refusal(exc.refusal))
-        except (LinkLostError, h11.ProtocolError):
-            raise
-        except Exception as exc:  # noqa: BLE001 (answered and logged)
+        except Exception as exc:
+            if isinstance(exc, LinkLostError) and exchange.disconnected:
+                raise
             events.emit(events.REQUEST_FAILED, error=repr(exc))
             if exchange.started:
                 exchange.abort()
@@ -287,8 +285,12 @@
     return states == (h11.DONE, h11.DONE)
 
 
-def _end_exchange(exchange: Exchange) -> None:
+def _end_exchange(exchange: Exchange, *, is_planned: bool) -> None:
     """Cut an answer that has begun; refuse a request that may have run."""
+    reason = 'This instance ends'
+    if not is_planned:
+        reason = 'The request was cancelled by mistake'
+        events.emit(events.REQUEST_FAILED, error=reason)
     if not exchange.started:
-        raise refuse(UPSTREAM_OUTCOME_UNKNOWN, 'This instance ends')
+        raise refuse(UPSTREAM_OUTCOME_UNKNOWN, reason)
     exchange.abort()
--- a/gentiantrestle/gateway/request_handler.py
+++ b/gentiantrestle/gateway/request_handler.py
@@ -65,7 +65,7 @@
             )
             return
         req = self._dialect.read_request(exchange.head, exchange.body, started)
-        outcome = 'left'
+        outcome = ''
         route = None
         try:
             route = self._find_route(req)
@@ -74,7 +74,8 @@
             outcome = exc.refusal.kind.name
             raise
         finally:
-            self._record(req, route, outcome, started)
+            unanswered = 'left' if exchange.disconnected else 'failed'
+            self._record(req, route, outcome or unanswered, started)
 
     async def _run_job_operation(self, operation: JobOperation) -> Response:
         if isinstance(operation, CancelJob):
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -6,13 +6,14 @@
 from collections.abc import AsyncIterator
 from contextlib import suppress
 
+import h11
 import pytest
 
-from gentiantrestle.errors import Refusal
+from gentiantrestle.errors import NOT_FOUND, Refusal, refuse
 from gentiantrestle.gateway.exchange import Exchange
 from gentiantrestle.gateway.http_server import HttpServer
 from gentiantrestle.gateway.model import CallerLimits
-from gentiantrestle.http.link import HeaderPairs
+from gentiantrestle.http.link import HeaderPairs, LinkLostError
 from gentiantrestle.models import Address
 from tests.utils.ports import HOST, free_ports
 
@@ -30,9 +31,10 @@
     def __init__(self) -> None:
         self.limits = CallerLimits(idle_timeout=IDLE_TIMEOUT)
         self.handle = _answer
+        self.refusal_body = b''
         self.server = HttpServer(
             lambda exchange: self.handle(exchange),
-            _refuse,
+            self._refuse,
             lambda: self.limits,
         )
         self.address = Address(HOST, free_ports(1)[0])
@@ -57,15 +59,14 @@
         for sock in self._sockets:
             sock.close()
 
+    def _refuse(self, refusal: Refusal) -> tuple[int, HeaderPairs, bytes]:
+        return refusal.kind.status, [], self.refusal_body
+
 
 async def _answer(exchange: Exchange) -> None:
     await exchange.respond(200, [], exchange.body)
 
 
-def _refuse(refusal: Refusal) -> tuple[int, HeaderPairs, bytes]:
-    return refusal.kind.status, [], b''
-
-
 @pytest.fixture
 async def app() -> AsyncIterator[App]:
     """Start the server, and stop it after the test."""
@@ -179,3 +180,82 @@
     with suppress(ConnectionError):
         await asyncio.get_running_loop().sock_sendall(sock, part)
     assert (await _read(sock)).startswith(b'HTTP/1.1 4')
+
+
+@pytest.mark.parametrize('method', ['GET', 'HEAD', 'CONNECT'])
+async def test_refusal_of_any_method_is_sent_and_its_connection_kept(
+    app: App, method: str
+) -> None:
+    async def refuse_it(exchange: Exchange) -> None:
+        raise refuse(NOT_FOUND, 'no such thing')
+
+    app.handle = refuse_it
+    app.refusal_body = b'refused'
+    sock = await app.connect()
+    for _ in range(1 if method == 'CONNECT' else 2):
+        sock.send(REQUEST.replace(b'GET', method.encode()))
+        answer = await _read(sock)
+        assert answer.startswith(b'HTTP/1.1 404')
+        assert answer.endswith(b'refused') == (method != 'HEAD')
+
+
+@pytest.mark.parametrize('status', [200, 204, 304])
+async def test_answer_whose_status_allows_no_body_is_sent_without_it(
+    app: App, status: int
+) -> None:
+    async def answer(exchange: Exchange) -> None:
+        await exchange.respond(status, [], b'body')
+
+    app.handle = answer
+    sock = await app.connect()
+    for _ in range(2):
+        sock.send(REQUEST)
+        answered = await _read(sock)
+        assert answered.startswith(f'HTTP/1.1 {status}'.encode())
+        assert answered.endswith(b'body') == (status == 200)
+
+
+@pytest.mark.parametrize('begin', ['respond', 'start_stream'])
+@pytest.mark.parametrize(
+    ('status', 'name'), [(199, b'a'), (1000, b'a'), (200, b'a\x00')]
+)
+async def test_answer_with_an_invalid_head_becomes_an_internal_error(
+    app: App, begin: str, status: int, name: bytes
+) -> None:
+    app.handle = lambda exchange: getattr(exchange, begin)(
+        status, [(name, b'b')], b'body'
+    )
+    sock = await app.connect()
+    sock.send(REQUEST)
+    assert (await _read(sock)).startswith(b'HTTP/1.1 500')
+
+
+@pytest.mark.parametrize(
+    'error',
+    [
+        LinkLostError('another connection'),
+        h11.LocalProtocolError('of another connection'),
+        h11.RemoteProtocolError('of another connection'),
+        TimeoutError(),
+        asyncio.CancelledError(),
+    ],
+)
+async def test_error_of_another_connection_does_not_close_the_callers(
+    app: App, error: BaseException
+) -> None:
+    async def fail(exchange: Exchange) -> None:
+        raise error
+
+    app.handle = fail
+    sock = await app.connect()
+    sock.send(REQUEST)
+    assert (await _read(sock)).startswith(b'HTTP/1.1 50')
+
+
+async def test_connection_is_closed_after_an_error_that_nobody_expects(
+    app: App,
+) -> None:
+    sock = await app.connect()
+    app.limits = None
+    sock.send(REQUEST)
+    assert await _read(sock) == b''
