Calls between instances: one that waits holds up no other

Cause: the calls on the one connection between two instances were answered one after the other, and a call that got no answer in 1 s closed the connection, so that the other calls on it failed too. A read of a job's results waits at the owner for the store, for up to 1.5 s a chunk where the store's connection says nothing; the copies of configurations, upstreams and jobs waited behind it and were then cut with it.

Change: an instance answers up to 32 calls of a connection at a time; then it stops reading. A call that is late closes the connection only if no other call on it was answered meanwhile, so that a silent connection is still left after 1 s.

Result: three new tests in test_peers. The bound of 32 is tested too. The daemon uses the same client and server. Whether the reported losses came from this isn't shown.

--- a/gentiantrestle/daemon/membership/peers.py
+++ b/gentiantrestle/daemon/membership/peers.py
@@ -17,6 +17,7 @@
 
 CALL_TIMEOUT = 1.0  # seconds
 MAX_INBOUND_CONNECTIONS = 2000
+MAX_CALLS = 32  # of one connection that are answered at the same time
 
 PeerHandler: TypeAlias = Callable[[Envelope], Awaitable[Envelope]]
 
@@ -37,6 +38,7 @@
         self._writer = writer
         self._call_numbers = count(1)
         self._pending: dict[int, asyncio.Future[Envelope]] = {}
+        self._answers = 0
         self._read_task = asyncio.create_task(self._read(reader))
 
     @property
@@ -48,9 +50,10 @@
         """Send a call and return its answer.
 
         Raises ``PeerError`` without an answer in ``timeout`` s, and when the
-        connection is lost.
+        connection is lost. It is closed if no call was answered meanwhile.
         """
         envelope.call = next(self._call_numbers)
+        answers = self._answers
         fut = asyncio.get_running_loop().create_future()
         self._pending[envelope.call] = fut
         try:
@@ -58,6 +61,8 @@
                 self._writer.write(encode(envelope))
                 return await fut
         except (TimeoutError, ConnectionError) as exc:
+            if self._answers == answers:
+                self.close()
             raise PeerError(repr(exc)) from exc
         finally:
             self._pending.pop(envelope.call, None)
@@ -69,6 +74,7 @@
 
     def _resolve(self, envelope: Envelope) -> None:
         """Hand an answer to its call; drop it if none is pending."""
+        self._answers += 1
         fut = self._pending.pop(envelope.call, None)
         if fut is None or fut.done():
             events.emit(events.LATE_ANSWER, call=envelope.call)
@@ -103,15 +109,10 @@
     ) -> Envelope:
         """Call a peer; raise ``PeerError`` if no answer comes.
 
-        ``timeout`` in s applies to connecting and to the call separately. A
-        failed call closes the connection.
+        ``timeout`` in s applies to connecting and to the call separately.
         """
         conn = await self._connect(address, timeout)
-        try:
-            return await conn.call(envelope, timeout)
-        except PeerError:
-            conn.close()
-            raise
+        return await conn.call(envelope, timeout)
 
     def close(self) -> None:
         """Close all connections."""
@@ -170,8 +171,6 @@
             return
         except asyncio.CancelledError:
             return
-        except Exception as exc:  # noqa: BLE001 (logged; the caller is told)
-            events.emit(events.MESSAGE_FAILED, error=repr(exc))
         finally:
             self._connection_tasks.discard(task)
             with suppress(ConnectionError):
@@ -182,9 +181,39 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        while True:
-            envelope = await read_frame(reader)
+        """Answer the calls of a connection, none of which holds up another."""
+        calls: set[asyncio.Task[None]] = set()
+        reading = asyncio.current_task()
+        try:
+            while True:
+                envelope = await read_frame(reader)
+                call = asyncio.create_task(
+                    self._answer(envelope, writer, reading)
+                )
+                calls.add(call)
+                call.add_done_callback(calls.discard)
+                if len(calls) >= MAX_CALLS:
+                    await asyncio.wait(
+                        calls, return_when=asyncio.FIRST_COMPLETED
+                    )
+        finally:
+            for call in calls:
+                call.cancel()
+
+    async def _answer(
+        self,
+        envelope: Envelope,
+        writer: asyncio.StreamWriter,
+        reading: asyncio.Task[None],
+    ) -> None:
+        """Answer a call; if that fails, end the connection."""
+        try:
             answer = await self._handle(envelope)
             answer.call = envelope.call
             writer.write(encode(answer))
             await writer.drain()
+        except ConnectionError:
+            reading.cancel()
+        except Exception as exc:  # noqa: BLE001 (logged; the caller is told)
+            events.emit(events.MESSAGE_FAILED, error=repr(exc))
+            reading.cancel()
--- a/tests/interfaces/test_peers.py
+++ b/tests/interfaces/test_peers.py
@@ -17,6 +17,7 @@
     read_frame,
 )
 from gentiantrestle.daemon.membership.peers import (
+    MAX_CALLS,
     PeerClient,
     PeerError,
     PeerServer,
@@ -31,6 +32,8 @@
 from tests.utils.http import until
 from tests.utils.ports import HOST, free_ports
 
+WAIT = 0.8  # seconds
+LONGER = 3.0  # seconds
 MEMBER = Member(
     'i0',
     7,
@@ -53,6 +56,10 @@
     return Envelope(changes_request=envelope.changes_request)
 
 
+def _ask(after: int) -> Envelope:
+    return Envelope(changes_request=ChangesRequest(after=after))
+
+
 async def _serve() -> tuple[asyncio.Task[None], Address]:
     address = Address(HOST, free_ports(1)[0])
     task = asyncio.create_task(PeerServer(_echo).run(address))
@@ -164,6 +171,73 @@
     task.cancel()
 
 
+@pytest.mark.parametrize('waiting', [1, 3])
+async def test_call_is_answered_while_others_on_its_connection_wait(
+    waiting: int,
+) -> None:
+    task, address = await _serve()
+    client = PeerClient()
+    unanswered = [
+        asyncio.create_task(client.call(address, _ask(-1), timeout=WAIT))
+        for _ in range(waiting)
+    ]
+    await asyncio.sleep(WAIT / 4)
+    answer = await client.call(address, _ask(1), timeout=WAIT / 4)
+    assert answer.changes_request.after == 1
+    for call in unanswered:
+        with pytest.raises(PeerError):
+            await call
+    client.close()
+    task.cancel()
+
+
+async def test_late_answer_ends_no_other_call_on_its_connection() -> None:
+    release = asyncio.Event()
+
+    async def answer(envelope: Envelope) -> Envelope:
+        if envelope.changes_request.after < 0:
+            await asyncio.Event().wait()
+        if envelope.changes_request.after > 1:
+            await release.wait()
+        return Envelope(changes_request=envelope.changes_request)
+
+    address = Address(HOST, free_ports(1)[0])
+    task = asyncio.create_task(PeerServer(answer).run(address))
+    await until(lambda: _is_open(address))
+    client = PeerClient()
+    late = asyncio.create_task(client.call(address, _ask(-1), timeout=WAIT / 4))
+    other = asyncio.create_task(client.call(address, _ask(2), timeout=LONGER))
+    await asyncio.sleep(WAIT / 8)
+    await client.call(address, _ask(1))
+    with pytest.raises(PeerError):
+        await late
+    release.set()
+    assert (await other).changes_request.after == 2
+    client.close()
+    task.cancel()
+
+
+async def test_no_more_calls_of_a_connection_are_read_than_are_answered() -> (
+    None
+):
+    started: list[Envelope] = []
+
+    async def never(envelope: Envelope) -> Envelope:
+        started.append(envelope)
+        return await asyncio.Event().wait()
+
+    address = Address(HOST, free_ports(1)[0])
+    task = asyncio.create_task(PeerServer(never).run(address))
+    await until(lambda: _is_open(address))
+    _, writer = await asyncio.open_connection(*address)
+    call = Envelope(call=1, changes_request=ChangesRequest(after=1))
+    writer.write(encode(call) * MAX_CALLS * 2)
+    await asyncio.sleep(WAIT)
+    assert len(started) == MAX_CALLS
+    writer.close()
+    task.cancel()
+
+
 async def test_timeout_and_refused_connection_raise_peer_error() -> None:
     task, address = await _serve()
     client = PeerClient()
