HTTP server: an answer of any status and method is written

Cause: the same fault as in the gateway's server, in the one that the daemon, readiness and metrics use. An answer to HEAD, one of status 204 or 304 with a body, and one with a status that has no name (an upstream's 299 or 520) raised an error after the handler, where nobody expects one: the connection was closed without an answer.

Change: a body is left out where none is allowed, and its source is closed; a status without a name has an empty phrase; an invalid head is logged and answered as an internal error. Both servers share these functions.

--- a/gentiantrestle/gateway/exchange.py
+++ b/gentiantrestle/gateway/exchange.py
@@ -1,13 +1,11 @@
 """One request of a caller and its one response."""
 
-from http import HTTPStatus
-
 import h11
 
 from gentiantrestle.http.link import CHUNKED_SINCE, HeaderPairs, Link
+from gentiantrestle.http.messages import may_have_body, reason_phrase
 
 CONTENT_LENGTH = b'content-length'
-BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 CONNECTION_CLOSE = (b'Connection', b'close')
 
 
@@ -44,7 +42,9 @@
         self.started = True
         await self._link.send(
             head,
-            h11.Data(data=body if self._has_body(status) else b''),
+            h11.Data(
+                data=body if may_have_body(self.head.method, status) else b''
+            ),
             h11.EndOfMessage(),
         )
         self.finished = True
@@ -82,9 +82,6 @@
         """Reset the connection, so that the response looks incomplete."""
         self._link.abort()
 
-    def _has_body(self, status: int) -> bool:
-        return self.head.method != b'HEAD' and status not in BODILESS_STATUSES
-
     def _build_head(self, status: int, headers: HeaderPairs) -> h11.Response:
         fields = list(headers)
         if self.close_after:
@@ -92,12 +89,5 @@
         return h11.Response(
             status_code=status,
             headers=fields,
-            reason=_reason_phrase(status),
+            reason=reason_phrase(status),
         )
-
-
-def _reason_phrase(status: int) -> bytes:
-    try:
-        return HTTPStatus(status).phrase.encode()
-    except ValueError:
-        return b''
--- a/gentiantrestle/http/connection.py
+++ b/gentiantrestle/http/connection.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from gentiantrestle import events
 from gentiantrestle.errors import (
     BAD_REQUEST,
     HEADERS_TOO_LARGE,
@@ -18,7 +19,15 @@
     refuse,
 )
 from gentiantrestle.http.link import CHUNKED_SINCE, reset_on_close
-from gentiantrestle.http.messages import Request, Response, refusal_response
+from gentiantrestle.http.messages import (
+    Request,
+    Response,
+    close_body,
+    internal_error_response,
+    may_have_body,
+    refusal_response,
+    response_head,
+)
 
 READ_SIZE = 65536  # bytes
 MAX_WRITE_BUFFER = 65536  # bytes
@@ -64,6 +73,7 @@
         # Whether a request has begun to arrive and isn't answered yet.
         self.busy = False
         self._idle_wait: asyncio.Timeout | None = None
+        self._method = b''
 
     async def serve(self, handle: Handler, stopping: asyncio.Event) -> None:
         """Handle requests until either side closes.
@@ -209,6 +219,7 @@
             self._iter_body(),
         )
         self.busy = True
+        self._method = head.method
         response = await handle(req)
         if self._h11.their_state is h11.SEND_BODY:
             await _skip_body(req)
@@ -231,18 +242,17 @@
                     await asyncio.sleep(0)
 
     async def _send(self, response: Response, *, close: bool) -> None:
-        headers = [('Content-Type', response.content_type), *response.headers]
-        if close:
-            headers.append(('Connection', 'close'))
-        whole = isinstance(response.body, bytes)
-        if whole:
-            headers.append(('Content-Length', str(len(response.body))))
-        head = h11.Response(
-            status_code=response.status,
-            headers=headers,
-            reason=HTTPStatus(response.status).phrase,
-        )
-        if whole:
+        try:
+            head = response_head(response, close=close)
+        except h11.LocalProtocolError as exc:
+            events.emit(events.REQUEST_FAILED, error=repr(exc))
+            await close_body(response)
+            response = internal_error_response()
+            head = response_head(response, close=close)
+        if not may_have_body(self._method, response.status):
+            await close_body(response)
+            response = response._replace(body=b'')
+        if isinstance(response.body, bytes):
             await self._send_whole(head, response.body)
             return
         await self._send_stream(head, response.body)
--- a/gentiantrestle/http/messages.py
+++ b/gentiantrestle/http/messages.py
@@ -1,12 +1,20 @@
 """Requests and responses as handlers see them."""
 
 from collections.abc import AsyncIterator, Mapping
+from http import HTTPStatus
 from typing import Any, NamedTuple, TypeAlias
 from urllib.parse import parse_qsl, unquote
 
+import h11
 import msgspec
 
-from gentiantrestle.errors import BAD_REQUEST, TOO_LARGE, Refusal, refuse
+from gentiantrestle.errors import (
+    BAD_REQUEST,
+    INTERNAL,
+    TOO_LARGE,
+    Refusal,
+    refuse,
+)
 
 HeaderPairs: TypeAlias = list[tuple[bytes, bytes]]
 
@@ -14,6 +22,7 @@
 JSON_LINES = 'application/x-ndjson'
 EVENT_STREAM = 'text/event-stream'
 OK = 200
+BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
 class Request:
@@ -74,6 +83,12 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
+async def close_body(response: Response) -> None:
+    """End the source of a body that isn't sent."""
+    if not isinstance(response.body, bytes):
+        await response.body.aclose()
+
+
 def decode_json_object(body: bytes) -> dict[str, Any]:
     """Decode a JSON object, or refuse the body and say where it is wrong."""
     try:
@@ -85,6 +100,33 @@
         ) from None
 
 
+def may_have_body(method: bytes, status: int) -> bool:
+    """Return whether an answer with a status may have a body."""
+    return method != b'HEAD' and status not in BODILESS_STATUSES
+
+
+def reason_phrase(status: int) -> bytes:
+    """Return the phrase of a status; empty for one that has none."""
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b''
+
+
+def response_head(response: Response, *, close: bool) -> h11.Response:
+    """Return the head; raise ``h11.LocalProtocolError`` if it is invalid."""
+    headers = [('Content-Type', response.content_type), *response.headers]
+    if close:
+        headers.append(('Connection', 'close'))
+    if isinstance(response.body, bytes):
+        headers.append(('Content-Length', str(len(response.body))))
+    return h11.Response(
+        status_code=response.status,
+        headers=headers,
+        reason=reason_phrase(response.status),
+    )
+
+
 def json_response(document: Any, status: int = OK) -> Response:
     """Build a response from a JSON document."""
     return Response(status, msgspec.json.Encoder().encode_lines([document]))
@@ -113,3 +155,10 @@
         JSON,
         tuple(headers),
     )
+
+
+def internal_error_response() -> Response:
+    """Build the response to a request that failed for an unknown reason."""
+    return refusal_response(
+        refuse(INTERNAL, 'The request failed with an internal error').refusal
+    )
--- a/gentiantrestle/http/server.py
+++ b/gentiantrestle/http/server.py
@@ -7,7 +7,6 @@
 
 from gentiantrestle import events
 from gentiantrestle.errors import (
-    INTERNAL,
     OVERLOADED,
     RefusedError,
     refuse,
@@ -18,7 +17,12 @@
     ServerConnection,
     ServerLimits,
 )
-from gentiantrestle.http.messages import Request, Response, refusal_response
+from gentiantrestle.http.messages import (
+    Request,
+    Response,
+    internal_error_response,
+    refusal_response,
+)
 
 READ_SIZE = 65536  # bytes
 ACCEPT_BACKLOG = 1024
@@ -104,7 +108,4 @@
             raise
         except Exception as exc:  # noqa: BLE001 (answered and logged)
             events.emit(events.REQUEST_FAILED, error=repr(exc))
-            failure = refuse(
-                INTERNAL, 'The request failed with an internal error'
-            )
-            return refusal_response(failure.refusal)
+            return internal_error_response()
--- a/tests/interfaces/test_http.py
+++ b/tests/interfaces/test_http.py
@@ -62,6 +62,10 @@
             return Response(body=self.endless)
         if req.path == '/cut':
             return Response(body=self._cut())
+        if req.path.startswith('/status/'):
+            return Response(int(req.path.rpartition('/')[2]), b'{}')
+        if req.path == '/odd':
+            return Response(headers=(('Odd', 'a\nb'),))
         if req.path == '/body':
             return Response(body=await req.read(100))
         return Response(body=b'{}')
@@ -127,6 +131,33 @@
     assert answer in await send_raw(app.address, sent)
 
 
+@pytest.mark.parametrize('path', ['/', '/status/404', '/endless'])
+async def test_head_is_answered_without_a_body_and_its_connection_kept(
+    app: App, path: str
+) -> None:
+    raw = f'HEAD {path} HTTP/1.1\r\nHost: x\r\n\r\n'.encode()
+    answers = await send_raw(app.address, raw * 2)
+    assert answers.count(b'HTTP/1.1') == 2
+    assert answers.endswith(b'\r\n\r\n')
+    assert app.endless.closed == (path == '/endless')
+
+
+@pytest.mark.parametrize('status', [204, 299, 304, 520])
+async def test_answer_of_any_status_is_sent(app: App, status: int) -> None:
+    raw = f'GET /status/{status} HTTP/1.1\r\nHost: x\r\n\r\n'.encode()
+    answers = await send_raw(app.address, raw * 2)
+    assert answers.count(f'HTTP/1.1 {status}'.encode()) == 2
+    assert (b'{}' in answers) == (status not in {204, 304})
+
+
+@pytest.mark.parametrize('path', ['/odd', '/status/199', '/status/1000'])
+async def test_answer_with_an_invalid_head_becomes_an_internal_error(
+    app: App, path: str
+) -> None:
+    raw = f'GET {path} HTTP/1.1\r\nHost: x\r\n\r\n'.encode()
+    assert (await send_raw(app.address, raw)).startswith(b'HTTP/1.1 500')
+
+
 async def test_connection_is_reused(app: App) -> None:
     pool = ConnectionPool(app.address, 1, 1)
     conn_ids = set()
