Connections: a side that acknowledges but reads late is not taken for silent

Cause: `TCP_USER_TIMEOUT` (2,500 ms) ends a connection also while the other side acknowledges each probe and merely has a full receive window. So an upstream that read nothing of a long body for 2.8 s was reset, though sound, and a request that may not be repeated got a 502; the answer to a caller that paused as long in reading was cut.

Change: once more than 32 KiB were sent since the last bytes came, the limit is 30 s; with the next bytes that arrive it is 2.5 s again. Deadlines and the silence of an attempt end such a request before that.

Not changed: a caller that vanishes during an answer of more than 32 KiB is noticed at the deadline.

--- a/gentiantrestle/http/link.py
+++ b/gentiantrestle/http/link.py
@@ -20,8 +20,12 @@
 TOO_LONG_HEAD = 431  # status
 KEEPALIVE_IDLE = 1  # seconds of silence before the first probe
 KEEPALIVE_INTERVAL = 1  # seconds between two probes
-KEEPALIVE_COUNT = 2  # unanswered probes that close a connection
-UNACKED_TIMEOUT = 2500  # ms that sent bytes may stay unacknowledged
+KEEPALIVE_COUNT = 2  # unanswered probes; Linux counts none beside the next one
+UNACKED_TIMEOUT = 2500  # ms that sent bytes, or probes, may stay unacknowledged
+# Linux takes a full window for silence. Whoever is sent more than that holds
+# without being read may be alive and read on later.
+WINDOW = 32768  # bytes
+STALL_TIMEOUT = 30000  # ms
 
 # The last two are raised for a host or port that can't exist.
 CONNECT_ERRORS = (OSError, TimeoutError, OverflowError, ValueError)
@@ -35,6 +39,32 @@
     """No byte of the request was sent: connecting or encoding it failed."""
 
 
+class _Patience:
+    """How long the kernel waits for the other side of a connection."""
+
+    def __init__(self) -> None:
+        self._unanswered = 0  # bytes sent since the last ones arrived
+        self._is_long = False
+
+    def note_sent(self, size: int, transport: asyncio.Transport) -> None:
+        self._unanswered += size
+        if self._unanswered > WINDOW:
+            self._switch(transport, is_long=True)
+
+    def note_received(self, transport: asyncio.Transport) -> None:
+        self._unanswered = 0
+        self._switch(transport, is_long=False)
+
+    def _switch(self, transport: asyncio.Transport, *, is_long: bool) -> None:
+        if is_long == self._is_long or transport.is_closing():
+            return
+        self._is_long = is_long
+        limit = STALL_TIMEOUT if is_long else UNACKED_TIMEOUT
+        transport.get_extra_info('socket').setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit
+        )
+
+
 class Link(asyncio.Protocol):
     """One connection whose bytes are fed into an h11 state machine."""
 
@@ -66,6 +96,7 @@
         self._writable.set()
         self._unread = 0
         self._interim = 0
+        self._patience = _Patience()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport and enable TCP keepalive."""
@@ -77,6 +108,7 @@
     def data_received(self, received: bytes) -> None:
         """Feed the state machine; pause reading above the high-water mark."""
         self.machine.receive_data(received)
+        self._patience.note_received(self._transport)
         if self._transport.get_write_buffer_size():
             self.read_while_writing = True
         self._unread += len(received)
@@ -155,6 +187,7 @@
         payload = b''.join(self.machine.send(part) or b'' for part in parts)
         if self.lost:
             raise LinkLostError('reset')
+        self._patience.note_sent(len(payload), self._transport)
         self._transport.write(payload)
         if not self._writable.is_set():
             await self._writable.wait()
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -19,6 +19,8 @@
 
 IDLE_TIMEOUT = 0.3  # seconds
 LONGER = 2.0  # seconds
+LATE_TIME = 4.0  # seconds that a caller reads nothing
+LONG_BODY = bytes(8000000)
 REQUEST = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
 UPLOAD = b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n'
 HALF = len(REQUEST) // 2
@@ -259,3 +261,21 @@
     app.limits = None
     sock.send(REQUEST)
     assert await _read(sock) == b''
+
+
+async def test_caller_that_reads_a_long_answer_late_gets_it_whole(
+    app: App,
+) -> None:
+    async def answer(exchange: Exchange) -> None:
+        await exchange.respond(200, [], LONG_BODY)
+
+    app.handle = answer
+    sock = await app.connect()
+    sock.send(REQUEST)
+    await asyncio.sleep(LATE_TIME)
+    received = b''
+    while len(received) <= len(LONG_BODY):
+        part = await _read(sock)
+        assert part
+        received += part
+    assert received.endswith(b'\r\n\r\n' + LONG_BODY)
--- a/tests/gateway/test_process_silent_changes.py
+++ b/tests/gateway/test_process_silent_changes.py
@@ -15,6 +15,8 @@
 )
 from tests.utils.http import Reply, until
 
+# A deadline of 5 s leaves time for an answer.
+LATE_TIME = 3.4  # seconds that an upstream reads nothing
 STILL_TIME = 1.1  # seconds that an upstream sends nothing
 ROUNDS = 3
 ROUND_TIME = 1.0  # seconds in which requests begin before a change
@@ -88,3 +90,17 @@
             assert reply.body == expected_stream(name, EVENTS)
     served = sum(reply.status == 200 for _, reply in answers)
     assert served > len(answers) / 2
+
+
+@pytest.mark.parametrize('size', [10, 300000, 900000])
+async def test_upstream_that_reads_a_long_body_late_answers_it(
+    fleet: GatewayFleet, size: int
+) -> None:
+    _stand_still(fleet, signal.SIGSTOP)
+    asking = asyncio.create_task(
+        fleet.request(0, 'r1', '/pay/1', {'text': 'x' * size})
+    )
+    await asyncio.sleep(LATE_TIME)
+    _stand_still(fleet, signal.SIGCONT)
+    assert (await asking).status == 200
+    assert len(await fleet.runs()) == 1
