--- a/gentiantrestle/gateway/exchange.py
+++ b/gentiantrestle/gateway/exchange.py
@@ -1,10 +1,9 @@
 """One request of a caller and its one response."""
 
-from http import HTTPStatus
-
 import h11
 
 from gentiantrestle.http.link import CHUNKED_SINCE, HeaderPairs, Link
+from gentiantrestle.http.messages import may_have_body, reason_phrase
 
 CONTENT_LENGTH = b'content-length'
 CONNECTION_CLOSE = (b'Connection', b'close')
@@ -32,13 +31,20 @@
         headers: HeaderPairs,
         body: bytes = b'',
     ) -> None:
-        """Send a complete response; sets Content-Length."""
+        """Send a complete response; sets Content-Length.
+
+        Raises ``h11.LocalProtocolError``, with nothing sent, for what is no
+        valid head.
+        """
         length = (CONTENT_LENGTH, str(len(body)).encode())
         fields = [pair for pair in headers if pair[0].lower() != CONTENT_LENGTH]
+        head = self._build_head(status, [*fields, length])
         self.started = True
         await self._link.send(
-            self._build_head(status, [*fields, length]),
-            h11.Data(data=body),
+            head,
+            h11.Data(
+                data=body if may_have_body(self.head.method, status) else b''
+            ),
             h11.EndOfMessage(),
         )
         self.finished = True
@@ -50,13 +56,11 @@
         first: bytes,
     ) -> None:
         """Send the head and the first part of a streamed response."""
+        head = self._build_head(status, headers)
         self.started = True
         if self.head.http_version < CHUNKED_SINCE:
             self._link.reset_on_close(enabled=True)
-        await self._link.send(
-            self._build_head(status, headers),
-            h11.Data(data=first),
-        )
+        await self._link.send(head, h11.Data(data=first))
 
     async def send_part(self, part: bytes) -> None:
         """Send one more part of a streamed response."""
@@ -69,6 +73,11 @@
         await self._link.send(h11.EndOfMessage())
         self.finished = True
 
+    @property
+    def disconnected(self) -> bool:
+        """Whether the caller has left."""
+        return self._link.disconnected
+
     def abort(self) -> None:
         """Reset the connection, so that the response looks incomplete."""
         self._link.abort()
@@ -80,12 +89,5 @@
         return h11.Response(
             status_code=status,
             headers=fields,
-            reason=_reason_phrase(status),
+            reason=reason_phrase(status),
         )
-
-
-def _reason_phrase(status: int) -> bytes:
-    try:
-        return HTTPStatus(status).phrase.encode()
-    except ValueError:
-        return b''
