--- a/tests/gateway/test_process_operations.py
+++ b/tests/gateway/test_process_operations.py
@@ -117,6 +117,7 @@
     assert 'outcome="done"' in text
     assert 'gateway_request_seconds_bucket' in text
     assert 'gentiantrestle_gateway_store_connected' in text
+    assert 'gentiantrestle_gateway_services_cut_off' in text
 
 
 async def test_stopping_instance_is_not_ready_but_serves(
