Tests: peers that are killed or stand still, and versions behind a peer

Change: a peer killed before its row lapses, one that stands still during a stream, streams of two versions that go on or are taken up behind a peer.

--- a/tests/gateway/test_process_passing.py
+++ b/tests/gateway/test_process_passing.py
@@ -1,6 +1,7 @@
 """Entries without a path to upstreams, which pass requests on to others."""
 
 import asyncio
+import re
 import signal
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -24,6 +25,8 @@
 BEGUN_TIME = 0.3  # seconds in which a stream has sent some events
 STOP_TIME = 0.5  # seconds in which a caller's leaving reaches the upstream
 SETTLING_TIME = 1.5  # seconds until no entry is starting any more
+OLD, NEW = 'v1', 'v2'
+VERSION = re.compile(rb'@(\w+)\n')
 STREAM = {'events': EVENTS, 'pause': PAUSE}
 
 
@@ -295,3 +298,74 @@
     assert reply.body == expected_stream('r1', EVENTS)
     assert len(await fleet.runs()) == 1
     assert not lines(fleet, 0, PASSED_ON)
+
+
+async def test_request_meets_another_peer_if_the_first_was_killed(
+    fleet: GatewayFleet,
+) -> None:
+    await fleet.entries[1].end()
+    replies = [
+        await fleet.request(0, f'r{number}', '/pay/1', {})
+        for number in range(8)
+    ]
+    assert {reply.status for reply in replies} == {200}
+    assert len(await fleet.runs()) == 8
+
+
+async def test_stream_goes_on_if_the_peer_stands_still(
+    fleet: GatewayFleet,
+) -> None:
+    asking, peer = await begin(fleet, body=STREAM)
+    await asyncio.sleep(BEGUN_TIME)
+    fleet.entries[peer].process.send_signal(signal.SIGSTOP)
+    reply = await asking
+    assert reply.body == expected_stream('r1', EVENTS)
+
+
+@pytest.fixture
+async def mixed(tmp_path: Path) -> AsyncIterator[GatewayFleet]:
+    """Start a fleet before upstreams of two versions; entry 0 is cut off."""
+    started = GatewayFleet(tmp_path, ENTRIES, 2 * UPSTREAMS)
+    started.launcher = 'tests.gateway.passing_launcher'
+    started.versions = {0: OLD, 1: OLD, 2: NEW, 3: NEW}
+    try:
+        await started.start()
+        await asyncio.sleep(SETTLING_TIME)
+        cut(started, 0)
+        yield started
+    finally:
+        await started.stop()
+
+
+async def test_stream_keeps_its_version_if_the_peer_is_killed(
+    mixed: GatewayFleet,
+) -> None:
+    asking = [
+        asyncio.create_task(mixed.request(0, f'r{number}', body=STREAM))
+        for number in range(8)
+    ]
+    peer = await find_peer(mixed)
+    await asyncio.sleep(EVENTS * PAUSE / 2)
+    await mixed.entries[peer].end()
+    replies = await asyncio.gather(*asking)
+    for reply in replies:
+        versions = set(VERSION.findall(reply.body))
+        assert len(versions) == 1
+        assert reply.body.count(b'id: ') == EVENTS
+
+
+async def test_stream_begun_through_a_peer_is_taken_up_at_its_version(
+    mixed: GatewayFleet,
+) -> None:
+    first = [
+        await mixed.request(0, f'r{number}', body={'events': 3})
+        for number in range(6)
+    ]
+    await asyncio.sleep(BEGUN_TIME)
+    for number, begun in enumerate(first):
+        headers = {'Last-Event-Id': '3', 'Resumes': f'r{number}'}
+        goes_on = await mixed.request(
+            number % ENTRIES, f's{number}', body={'events': 6}, **headers
+        )
+        assert goes_on.status == 200
+        assert VERSION.findall(goes_on.body) == VERSION.findall(begun.body)
