Passing on: a peer that stands still is given up for another one

Cause: a peer that may make several attempts was not watched for silence, so a request at one that was paused waited until its deadline. Change: it is given the time of two silent upstreams, then another peer is sought; the request goes on only if there is one.

--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -18,7 +18,11 @@
 from gentiantrestle.gateway.forwarding_context import ForwardingContext
 from gentiantrestle.gateway.model import Request, Route
 from gentiantrestle.gateway.passing.answers import upstream_fields
-from gentiantrestle.gateway.passing.hop import PeerHop, allowed_runs
+from gentiantrestle.gateway.passing.hop import (
+    PeerHop,
+    allowed_runs,
+    hop_silence_limit,
+)
 from gentiantrestle.gateway.passing.messages import PassedRequest
 from gentiantrestle.gateway.ports import Reply
 from gentiantrestle.gateway.refusals import final_refusal, note_abandoned
@@ -152,12 +156,8 @@
         return RequestWatch(self._context.guard, traits, self._context.clock)
 
     def _new_silence(self, lease: SlotLease, left: float) -> Silence:
-        """Measure a silence; a peer that may try again seeks others itself."""
-        progress = self.progress()
-        allowed = allowed_runs(progress.max_attempts, progress.runs)
-        if lease.via and allowed > 1:
-            return Silence(None)
-        return Silence(silence_limit(self._route, progress, left))
+        find_limit = hop_silence_limit if lease.via else silence_limit
+        return Silence(find_limit(self._route, self.progress(), left))
 
     async def _run_attempt(self, lease: SlotLease) -> AttemptOutcome:
         watch = self._new_watch(lease)
--- a/gentiantrestle/gateway/passing/hop.py
+++ b/gentiantrestle/gateway/passing/hop.py
@@ -3,6 +3,7 @@
 from gentiantrestle.errors import Refusal
 from gentiantrestle.gateway.answer_relay import AnswerRelay
 from gentiantrestle.gateway.attempt import AttemptFailedError
+from gentiantrestle.gateway.model import Route
 from gentiantrestle.gateway.passing.answers import (
     PeerAnswer,
     PeerRefusal,
@@ -13,6 +14,7 @@
 from gentiantrestle.gateway.passing.origin import PeerPassing
 from gentiantrestle.gateway.ports import Reply
 from gentiantrestle.gateway.retry_policy import AttemptOutcome, RequestProgress
+from gentiantrestle.gateway.silence import silence_limit
 from gentiantrestle.gateway.slots.client import SlotLease
 from gentiantrestle.gateway.upstream_connection import (
     ResponseLostError,
@@ -22,6 +24,7 @@
 from gentiantrestle.http.link import RequestNotSentError
 
 TARGET = '/gentiantrestle/passed'
+MAX_SILENCES = 2  # of upstreams, one after the other, behind one peer
 NOT_RUN_OUTCOMES = frozenset(
     (AttemptOutcome.NOT_RUN, AttemptOutcome.UNREACHED, AttemptOutcome.REFUSED)
 )
@@ -36,6 +39,19 @@
     return max(1, left - 1)
 
 
+def hop_silence_limit(
+    route: Route, progress: RequestProgress, left: float
+) -> float | None:
+    """Return after how long a silence another peer is sought, in s.
+
+    A peer with several attempts is given the time to make another one.
+    """
+    allowed = allowed_runs(route.max_attempts, progress.runs)
+    after = progress._replace(runs=progress.runs + allowed - 1)
+    limit = silence_limit(route, after, left)
+    return limit and limit * min(allowed, MAX_SILENCES)
+
+
 class PeerHop:
     """One attempt through a peer; ``progress`` is that of the request."""
 
--- a/tests/gateway/test_process_passing.py
+++ b/tests/gateway/test_process_passing.py
@@ -9,9 +9,14 @@
 
 import pytest
 
-from tests.gateway.fleet import ENTRIES, UPSTREAMS, GatewayFleet
+from tests.gateway.fleet import (
+    ENTRIES,
+    UPSTREAMS,
+    GatewayFleet,
+    has_applied_config,
+)
 from tests.gateway.passing_launcher import CUT, UNNOTICED
-from tests.gateway.wire_samples import ROUTE_HOST, expected_stream
+from tests.gateway.wire_samples import ROUTE_HOST, expected_stream, route_doc
 from tests.utils.http import Reply, send, until
 
 PASSED_ON = 5109  # event numbers
@@ -312,9 +317,12 @@
     assert len(await fleet.runs()) == 8
 
 
+@pytest.mark.parametrize('max_attempts', [2, 4])
 async def test_stream_goes_on_if_the_peer_stands_still(
-    fleet: GatewayFleet,
+    fleet: GatewayFleet, max_attempts: int
 ) -> None:
+    await fleet.configure([route_doc(max_attempts=max_attempts)])
+    await until(lambda: has_applied_config(fleet, 0, fleet.version))
     asking, peer = await begin(fleet, body=STREAM)
     await asyncio.sleep(BEGUN_TIME)
     fleet.entries[peer].process.send_signal(signal.SIGSTOP)
