--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,6 +1,7 @@
 """A TCP proxy that can delay, block, reset or silence connections."""
 
 import asyncio
+from typing import Any
 
 from gentiantrestle.http.link import reset_on_close
 from gentiantrestle.models import Address
@@ -18,6 +19,11 @@
         self._writers = writers
         self.silent = False
 
+    @property
+    def near_socket(self) -> Any:
+        """The socket of the connecting side, as asyncio wraps it."""
+        return self._writers[0].get_extra_info('socket')
+
     def abort(self) -> None:
         """Close both ends at once."""
         for writer in self._writers:
