Soak: entries that lose their path to the upstreams

Cause: the soak cuts links of all entries at once; none loses only its path to the upstreams (RECOVER).

Change: a trouble 'stranded': entries are cut off for a while, and one of them during the whole calm part, beside kills, stops, reloads and configurations. A check compares first tries there with those at the others.

The check has a breach and an allowed case in test_checks.py.

--- a/tests/gateway/paths.py
+++ b/tests/gateway/paths.py
@@ -107,65 +107,97 @@
                 yield sock
 
 
-class PathFleet(GatewayFleet):
-    """A fleet whose entries have a path of their own to each upstream."""
-
-    def __init__(self, folder: FilePath, entries: int, upstreams: int) -> None:
-        """Choose the addresses; nothing is started yet."""
-        super().__init__(folder, entries, upstreams)
-        self.launcher = 'tests.gateway.own_paths'
-        self._block = self.hosts[0].rpartition('.')[0]
+class PathGrid:
+    """The paths of some entries to some upstreams."""
+
+    def __init__(self, hosts: list[str], targets: list[Address]) -> None:
+        """Let entries on ``hosts``, of one block, reach ``targets``."""
+        self._block = hosts[0].rpartition('.')[0]
+        self._targets = targets
+        self._size = (len(hosts), len(targets))
         self.paths = {
             (entry, upstream): Path(
                 Address(self._path_host(entry), target.port), target
             )
-            for entry in range(entries)
-            for upstream, target in enumerate(self.upstreams)
+            for entry, _ in enumerate(hosts)
+            for upstream, target in enumerate(targets)
         }
 
     async def start(self) -> None:
-        """Start the paths and then the processes."""
+        """Start all paths."""
         for path in self.paths.values():
             await path.start()
-        await super().start()
 
     async def stop(self) -> None:
-        """Kill every process that is running, and end the paths."""
-        await super().stop()
+        """Reset all connections and stop listening."""
         for path in self.paths.values():
             path.clear_faults()
             await path.stop()
 
-    async def start_entry(
-        self, number: int, seeds: tuple[str, ...] | None = None
-    ) -> None:
-        """Start one entry on its paths."""
-        self.environ = {
+    def environ(self, entry: int) -> dict[str, str]:
+        """Return what tells the launcher of an entry its paths."""
+        return {
             LISTED_HOST: self._listed_host,
-            OWN_HOST: self._path_host(number),
+            OWN_HOST: self._path_host(entry),
         }
-        await super().start_entry(number, seeds)
 
-    def upstream_address(self, number: int) -> Address:
+    def listed_address(self, upstream: int) -> Address:
         """Return the address that the store lists for an upstream."""
-        return Address(self._listed_host, self.upstreams[number].port)
+        return Address(self._listed_host, self._targets[upstream].port)
 
     async def cut(
         self,
         mode: Mode,
         entries: Iterable[int] | None = None,
         upstreams: Iterable[int] | None = None,
-    ) -> float:
-        """Set the mode of paths, of all if not told which; return the time."""
-        wanted = (
-            range(len(self.entries)) if entries is None else tuple(entries),
-            range(len(self.upstreams)) if upstreams is None else upstreams,
+    ) -> None:
+        """Set the mode of paths, of all if not told which."""
+        from_entries = set(range(self._size[0]) if entries is None else entries)
+        to_upstreams = set(
+            range(self._size[1]) if upstreams is None else upstreams
         )
-        at = time.time()
         for (entry, upstream), path in self.paths.items():
-            if entry in wanted[0] and upstream in wanted[1]:
+            if entry in from_entries and upstream in to_upstreams:
                 await path.switch(mode)
-        return at
+
+    @property
+    def _listed_host(self) -> str:
+        return f'{self._block}.{LISTED_NUMBER}'
+
+    def _path_host(self, entry: int) -> str:
+        return f'{self._block}.{LISTED_NUMBER + 1 + entry}'
+
+
+class PathFleet(GatewayFleet):
+    """A fleet whose entries have a path of their own to each upstream."""
+
+    def __init__(self, folder: FilePath, entries: int, upstreams: int) -> None:
+        """Choose the addresses; nothing is started yet."""
+        super().__init__(folder, entries, upstreams)
+        self.launcher = 'tests.gateway.own_paths'
+        self.grid = PathGrid(self.hosts, self.upstreams)
+        self.cut = self.grid.cut
+
+    async def start(self) -> None:
+        """Start the paths and then the processes."""
+        await self.grid.start()
+        await super().start()
+
+    async def stop(self) -> None:
+        """Kill every process that is running, and end the paths."""
+        await super().stop()
+        await self.grid.stop()
+
+    async def start_entry(
+        self, number: int, seeds: tuple[str, ...] | None = None
+    ) -> None:
+        """Start one entry on its paths."""
+        self.environ = self.grid.environ(number)
+        await super().start_entry(number, seeds)
+
+    def upstream_address(self, number: int) -> Address:
+        """Return the address that the store lists for an upstream."""
+        return self.grid.listed_address(number)
 
     async def end_upstream(self, number: int, mode: Mode) -> None:
         """Kill an upstream; its address refuses, or is silent as its host."""
@@ -176,7 +208,7 @@
         """Return what has passed on all paths, in order of time."""
         return sorted(
             Passage(at, entry, upstream, request_id)
-            for (entry, upstream), path in self.paths.items()
+            for (entry, upstream), path in self.grid.paths.items()
             for at, request_id in path.passed
         )
 
@@ -206,13 +238,6 @@
         }
         return request_ids & (logged | passed)
 
-    @property
-    def _listed_host(self) -> str:
-        return f'{self._block}.{LISTED_NUMBER}'
-
-    def _path_host(self, entry: int) -> str:
-        return f'{self._block}.{LISTED_NUMBER + 1 + entry}'
-
 
 @asynccontextmanager
 async def started_paths(
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -58,6 +58,8 @@
         self.drains: list[Drain] = []
         self.entries = 0
         self.serving: list[Serving] = []
+        # When entries lost their path to the upstreams, until the end.
+        self.cut_off: dict[int, float] = {}
         self.silences: list[Silence] = []
         # When each entry was started, frozen or resumed.
         self.disturbed: dict[int, list[float]] = defaultdict(list)
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 from tests.soak.callers import Callers
+from tests.soak.cuts import cut_one_off, end_cuts
 from tests.soak.faults import FAULTS, PLANNED, Fault
 from tests.soak.history import History
 from tests.soak.proxy import Proxy
@@ -74,6 +75,8 @@
     if cause.releases:
         numbers = range(len(fleet.upstreams))
         fleet.versions = dict.fromkeys(numbers, FIRST_VERSION)
+    if cause.cuts:
+        fleet.add_paths()
     # A proxy accepts connections for an upstream that has ended.
     fleet.direct = bool(trouble) and cause.new_link is None
     try:
@@ -105,16 +108,25 @@
     special = TROUBLE_FAULTS.get(trouble, {})
     await _inject_faults(fleet, rng, FAULTS, with_kills(special), FAULT_TIME)
     await _clear_faults(fleet)
-    await asyncio.sleep(SETTLE_TIME)
-    fleet.history.calm_from = time.time()
-    await _inject_faults(fleet, rng, PLANNED, special, PLANNED_TIME)
-    await _resume_entries(fleet)
+    await _run_calm_phase(fleet, rng, {} if cause.cuts else special)
     callers.stopping = True
     await asyncio.gather(*tasks)
+    await end_cuts(fleet)
     await _read_accepted_jobs(fleet, callers)
     keeper.cancel()
 
 
+async def _run_calm_phase(
+    fleet: SoakFleet, rng: random.Random, special: Mapping[str, Fault]
+) -> None:
+    if fleet.grid is not None:
+        await cut_one_off(fleet, rng)
+    await asyncio.sleep(SETTLE_TIME)
+    fleet.history.calm_from = time.time()
+    await _inject_faults(fleet, rng, PLANNED, special, PLANNED_TIME)
+    await _resume_entries(fleet)
+
+
 async def _keep_upstreams(fleet: SoakFleet, trouble: str) -> None:
     if trouble:
         await restart_upstreams(fleet)
--- a/tests/soak/skewed.py
+++ b/tests/soak/skewed.py
@@ -1,4 +1,7 @@
-"""Runs an entry whose wall clock is shifted by an offset from a file."""
+"""Runs an entry whose wall clock is shifted by an offset from a file.
+
+It may have paths of its own to the upstreams.
+"""
 
 import os
 import sys
@@ -6,6 +9,11 @@
 from pathlib import Path
 
 from gentiantrestle.platform.__main__ import main
+from tests.gateway.own_paths import (
+    LISTED_HOST,
+    OWN_HOST,
+    redirect_connections,
+)
 
 CLOCK_FILE = 'SOAK_CLOCK_FILE'
 READ_INTERVAL = 0.2  # seconds between reads of the file
@@ -32,5 +40,7 @@
 
 
 if __name__ == '__main__':
+    if LISTED_HOST in os.environ:
+        redirect_connections(os.environ[LISTED_HOST], os.environ[OWN_HOST])
     time.time = SkewedClock(Path(os.environ[CLOCK_FILE]))
     sys.exit(main())
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -11,6 +11,7 @@
 from gentiantrestle.models import Address
 from tests.gateway.child import Child
 from tests.gateway.fleet import STORE_ROOT, WRITE_RETRY_DELAY, GatewayFleet
+from tests.gateway.paths import PathGrid
 from tests.gateway.wire_samples import route_doc, route_docs
 from tests.soak.history import OK, History
 from tests.soak.proxy import Proxy
@@ -58,6 +59,8 @@
             )
         ]
         self._proxy_addresses = addresses
+        # Lead from each entry to the proxies of the upstreams, if needed.
+        self.grid: PathGrid | None = None
         self.history = History()
         self.history.entries = entries
         # Numbers of upstreams: without a process, about to end, and silent.
@@ -90,10 +93,19 @@
         """Return the address of the proxy to an upstream, or its own."""
         if self.direct:
             return self.upstreams[number]
+        if self.grid is not None:
+            return self.grid.listed_address(number)
         return self._proxy_addresses[len(self.hosts) + number]
 
+    def add_paths(self) -> None:
+        """Give each entry paths of its own, before anything is started."""
+        links = self._proxy_addresses[len(self.hosts) :]
+        self.grid = PathGrid(self.hosts, links)
+
     async def start(self) -> None:
         """Start the proxies and then the processes."""
+        if self.grid is not None:
+            await self.grid.start()
         for link in self.links:
             await link.start()
         await super().start()
@@ -108,6 +120,8 @@
             self._note_end(number)
             self.run_numbers[number] += 1
             self.note_disturbed(self.entries[number])
+            if self.grid is not None:
+                self.environ |= self.grid.environ(number)
             await super().start_entry(number)
 
     async def start_upstream(self, number: int) -> None:
@@ -124,6 +138,8 @@
             if not child.running:
                 self._note_end(number)
         await super().stop()
+        if self.grid is not None:
+            await self.grid.stop()
         for link in self.links:
             await link.stop()
         self._read_runs()
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -22,6 +22,7 @@
     FOLLOW_TIME,
     MIN_LOAD,
     MIN_TAKE_UPS,
+    MIN_TRIES,
 )
 
 Mutation = Callable[[History], None]
@@ -149,6 +150,18 @@
     history.requests.append(_request('p2', 'pay', status=502, body=b''))
 
 
+def _refuse_cut_off(history: History, at: float) -> None:
+    """Refuse requests at an entry that was cut off at a time."""
+    history.cut_off[1] = at
+    for number in range(MIN_TRIES):
+        name = f'g{number}'
+        history.requests += [
+            _request(name, 'get'),
+            _request(f'{name}x', 'get', entry=1, status=503, body=b''),
+        ]
+        history.runs.append(_run(name))
+
+
 LATE = 11 + DRAIN_TIME + 0.1
 
 
@@ -207,6 +220,7 @@
     ),
     'ENDED: entry 0': lambda history: history.ends.append((0, 8)),
     'LIST: u-3': _start_idle_upstream,
+    'RECOVER': lambda history: _refuse_cut_off(history, 10 - FOLLOW_TIME),
 }
 
 
@@ -248,6 +262,7 @@
     'take-ups at an entry that is down': lambda history: _refuse_take_ups(
         history, reached=False
     ),
+    'a cut just before': lambda history: _refuse_cut_off(history, 9),
     'a kill': lambda history: history.ends.append((0, -9)),
 }
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,6 +18,7 @@
     'mixed',
     'releasing',
     'repeating',
+    'stranded',
     'unframed',
 )
 TROUBLE_REGRESSIONS = [
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -47,13 +47,15 @@
 
     ``words`` are their arguments, ``crash`` is the request that crashes them,
     and ``new_link`` makes the proxies before them. With ``releases`` they have
-    a version, and there is room for those of the next one.
+    a version, and there is room for those of the next one. With ``cuts``
+    entries lose their path to all of them.
     """
 
     words: tuple[str, ...] = ()
     crash: CrashingRequest | None = None
     new_link: Callable[[Address, Address], Proxy] | None = None
     releases: bool = False
+    cuts: bool = False
 
 
 def _new_unframing_link(listen: Address, target: Address) -> Proxy:
@@ -73,6 +75,7 @@
     'releasing': Trouble(new_link=Proxy, releases=True),
     'leaving': Trouble(new_link=Proxy),
     'silent': Trouble(new_link=Proxy),
+    'stranded': Trouble(new_link=Proxy, cuts=True),
     'odd': Trouble(new_link=Proxy, releases=True),
     'mixed': Trouble(new_link=Proxy, releases=True),
 }
--- a/tests/soak/upstream_checks.py
+++ b/tests/soak/upstream_checks.py
@@ -6,6 +6,7 @@
 from tests.soak.history import (
     APPLY_TIME,
     OK,
+    ONLINE_KINDS,
     Check,
     History,
     iter_rows,
@@ -25,6 +26,9 @@
 EXPECTED_ENDS = frozenset((0, 7, -1, -9, -15))
 FOLLOW_TIME = 4.0  # seconds until a new upstream must have got work
 MIN_LOAD = 20  # runs in that time that show that there was work
+# First tries at entries without a path, against those at the others.
+MIN_CUT_OFF_SHARE = 2 / 3
+MIN_TRIES = 12  # fewer show nothing about their share
 # Id and process of an upstream.
 Run = tuple[str, int]
 UPSTREAM_CHECKS: list[Check] = []
@@ -180,3 +184,41 @@
 
 def _has_run(serving: Serving, runs: list[dict]) -> bool:
     return any(run['upstream'] == serving.upstream for run in runs)
+
+
+@_check
+def entries_without_a_path_serve(history: History) -> Iterator[str]:
+    """Check in the calm phase that callers are served at entries cut off."""
+    tries = [
+        req
+        for req in history.requests
+        if req.sent > history.calm_from
+        and _is_first_try(req)
+        and not _is_settling(history, req)
+    ]
+    here = [req.status == OK for req in tries if req.entry in history.cut_off]
+    others = [
+        req.status == OK for req in tries if req.entry not in history.cut_off
+    ]
+    if min(len(here), len(others)) < MIN_TRIES:
+        return
+    shares = [sum(served) / len(served) for served in (here, others)]
+    if shares[0] < MIN_CUT_OFF_SHARE * shares[1]:
+        yield (
+            f'RECOVER: without a path {shares[0]:.2f} of {len(here)} served, '
+            f'elsewhere {shares[1]:.2f} of {len(others)}'
+        )
+
+
+def _is_first_try(req: CallerRequest) -> bool:
+    """Return whether a caller sent it for the first time, and waited."""
+    begun = req.kind in ONLINE_KINDS and not req.first
+    return begun and req.reached and not req.left
+
+
+def _is_settling(history: History, req: CallerRequest) -> bool:
+    """Return whether an entry was cut off or disturbed shortly before."""
+    changes = list(history.disturbed[req.entry])
+    if req.entry in history.cut_off:
+        changes.append(history.cut_off[req.entry])
+    return any(at < req.sent < at + FOLLOW_TIME for at in changes)
