Slots: one use tries an upstream after its suspension

Cause: when a suspension is over, everything that waits is granted the upstream at once, as it has the most free slots.

Change: after a suspension a coordinator grants one slot, and more once its use has been served or has lasted 0.5 s without failing. Where all upstreams of a service are suspended or on trial, all are used, as before.

Result: test_items_that_wait_do_not_all_try_an_upstream_after_its_suspension and test_long_use_after_a_suspension_does_not_hold_the_others_up failed before (4 slots were granted at once).

--- a/gentiantrestle/gateway/slots/coordinator.py
+++ b/gentiantrestle/gateway/slots/coordinator.py
@@ -58,7 +58,7 @@
         self._scope = scope
         self._roster = roster
         self._ledger = Ledger()
-        self.health = SharedHealth()
+        self.health = SharedHealth(self._ledger.first_use_since)
         self._queues: defaultdict[str, AskQueue] = defaultdict(AskQueue)
         self._hold_times: defaultdict[str, HoldTime] = defaultdict(HoldTime)
         self._notices = YieldNotices(self._ledger)
--- a/gentiantrestle/gateway/slots/health.py
+++ b/gentiantrestle/gateway/slots/health.py
@@ -1,6 +1,6 @@
 """Health of the upstreams as shown by the use of their slots; no I/O."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from gentiantrestle import events
 from gentiantrestle.daemon.upstreams.health import Health
@@ -11,6 +11,8 @@
 # Consecutive failures after which an upstream is suspended. Low, because a
 # refused connection is a reliable sign.
 FAILURES_TO_OPEN = 2
+# A use that has not failed by then has reached its upstream.
+TRIAL_TIME = 0.5  # seconds
 
 
 class HealthTable:
@@ -49,23 +51,33 @@
     ) -> list[Upstream]:
         """Leave out suspended upstreams, unless all are suspended."""
         listed = list(upstreams)
-        suspended = self.suspended(now)
+        withheld = self._withheld(now)
         usable = [
-            upstream for upstream in listed if upstream.id not in suspended
+            upstream for upstream in listed if upstream.id not in withheld
         ]
         return usable or listed
 
+    def _withheld(self, now: float) -> frozenset[str]:
+        return self.suspended(now)
+
 
 class SharedHealth(HealthTable):
     """The circuit breakers of a coordinator; it logs what they do.
 
     A failure may be that of the path between its witness and the upstream, so
-    the breaker opens on the word of several.
+    the breaker opens on the word of several. After a suspension one use tries
+    the upstream before it gets more.
     """
 
-    def __init__(self) -> None:
-        """Start with every upstream healthy."""
+    def __init__(
+        self, first_use_since: Callable[[str, float], float | None]
+    ) -> None:
+        """Start with every upstream healthy.
+
+        ``first_use_since`` tells when the oldest use since then began.
+        """
         super().__init__()
+        self._first_use_since = first_use_since
         # Holders whose uses have failed since the last one that was served.
         self._witnesses: dict[str, set[str]] = {}
         self._suspended: set[str] = set()
@@ -98,6 +110,19 @@
         for upstream in self._suspended - self.suspended(now):
             self._note_usable(upstream, 'waited')
 
+    def _withheld(self, now: float) -> frozenset[str]:
+        on_trial = (
+            upstream
+            for upstream, health in self._health.items()
+            if health.open_until
+            and self._is_on_trial(upstream, health.open_until, now)
+        )
+        return self.suspended(now).union(on_trial)
+
+    def _is_on_trial(self, upstream: str, since: float, now: float) -> bool:
+        began = self._first_use_since(upstream, since)
+        return began is not None and now - began < TRIAL_TIME
+
     def _note_suspended(self, upstream: str, now: float) -> None:
         if upstream in self._suspended or upstream not in self.suspended(now):
             return
--- a/gentiantrestle/gateway/slots/ledger.py
+++ b/gentiantrestle/gateway/slots/ledger.py
@@ -97,6 +97,12 @@
                 if lease.batch:
                     yield lease
 
+    def first_use_since(self, upstream: str, at: float) -> float | None:
+        """Return when the oldest lease since then was granted."""
+        leases = self._by_upstream.get(upstream, {}).values()
+        granted = (lease.granted_at for lease in leases)
+        return min((since for since in granted if since >= at), default=None)
+
     def apply(self, report: Report, now: float) -> None:
         """Take over what a run says that it holds, and drop what it doesn't."""
         reported = {
--- a/tests/gateway/test_suspension.py
+++ b/tests/gateway/test_suspension.py
@@ -7,7 +7,11 @@
 
 from gentiantrestle import events
 from gentiantrestle.gateway.slots.client import SlotClient
-from gentiantrestle.gateway.slots.health import FAILURES_TO_OPEN, HealthTable
+from gentiantrestle.gateway.slots.health import (
+    FAILURES_TO_OPEN,
+    TRIAL_TIME,
+    HealthTable,
+)
 from gentiantrestle.gateway.slots.messages import (
     Ask,
     LeaseKey,
@@ -16,7 +20,7 @@
 )
 from tests.gateway.samples import ENGINES, make_upstream
 from tests.gateway.test_leaving import FakeDirectory
-from tests.gateway.test_slots import Desk
+from tests.gateway.test_slots import ANYTHING, SLOTS, Desk
 
 FAILED, SERVED = SlotOutcome.FAILED, SlotOutcome.SERVED
 Logged = list[tuple[int, dict[str, Any]]]
@@ -102,6 +106,44 @@
     assert not desk.coordinator.health.suspended(1.5)
 
 
+def make_waiting_desk() -> Desk:
+    """Return a desk whose items wait; ``u1`` was suspended at 0 s."""
+    desk = Desk('u1', 'u2')
+    for holder in ('run-a', 'run-b'):
+        desk.ask(1, holder, excluded=frozenset(('u2',)))
+        desk.release(1, FAILED, holder)
+    desk.fill(SLOTS, first=200)
+    for number in range(SLOTS):
+        desk.ask(number, batch=True, **ANYTHING)
+    desk.tick(0.4)
+    assert desk.load('u1') == 0
+    return desk
+
+
+def test_items_that_wait_do_not_all_try_an_upstream_after_its_suspension() -> (
+    None
+):
+    desk = make_waiting_desk()
+    desk.tick(0.5)
+    assert desk.load('u1') == 1
+    desk.release(0, FAILED)
+    desk.tick(1.4)
+    assert desk.load('u1') == 0
+    desk.tick(1.5)
+    assert desk.load('u1') == 1
+    desk.release(1)
+    assert desk.load('u1') > 1
+
+
+def test_long_use_after_a_suspension_does_not_hold_the_others_up() -> None:
+    desk = make_waiting_desk()
+    desk.tick(0.5)
+    desk.tick(0.5 + TRIAL_TIME - 0.1)
+    assert desk.load('u1') == 1
+    desk.tick(0.5 + TRIAL_TIME)
+    assert desk.load('u1') > 1
+
+
 def released_outcome(*, suspect: bool) -> tuple[SlotOutcome, bool]:
     """Return what is told of a failure, and whether it counts here."""
     sent: list[Outgoing] = []
