Batch: an item's request for a slot forgets suspensions that are over

Cause: an item asks with the upstreams that are suspended here when its request is opened, and keeps them however often it asks. A coordinator whose upstreams are all among them passes the request on; a zone where that holds too refuses it, and so on for ever while that zone has free slots. An instance that was cut off has suspended all upstreams for itself.

Change: each repetition names those that are suspended at the time.

Refusals aren't logged, so no line shows them as the cause.

--- a/gentiantrestle/gateway/slots/batch_asks.py
+++ b/gentiantrestle/gateway/slots/batch_asks.py
@@ -74,6 +74,10 @@
             version=slot.version,
         )
 
+    def exclude(self, suspended: frozenset[str]) -> None:
+        """Ask for no slot of the upstreams that are suspended at present."""
+        self.pending.ask = self.pending.ask._replace(excluded=suspended)
+
     def is_due(self, now: float) -> bool:
         """Return whether the request has to be sent again."""
         elapsed = now - self.asked_at
@@ -140,6 +144,7 @@
                 target = targets[turn % len(targets)]
                 ask.tries += int(unanswered)
                 ask.asked_at = now
+                ask.exclude(self._client.health.suspended(now))
                 self._client.send_ask(ask.pending, target)
 
     def _open_ask(self, slot: WantedSlot) -> _OpenAsk:
@@ -149,7 +154,6 @@
                 '',
                 slot.service,
                 batch=True,
-                excluded=self._client.health.suspended(self._now()),
                 slack=slot.slack,
                 tokens_left=slot.tokens_left,
                 version=slot.version,
--- a/tests/gateway/test_suspension.py
+++ b/tests/gateway/test_suspension.py
@@ -6,6 +6,7 @@
 import pytest
 
 from gentiantrestle import events
+from gentiantrestle.gateway.slots.batch_asks import BatchAsks, WantedSlot
 from gentiantrestle.gateway.slots.client import SlotClient
 from gentiantrestle.gateway.slots.health import (
     FAILURES_TO_OPEN,
@@ -13,10 +14,12 @@
     HealthTable,
 )
 from gentiantrestle.gateway.slots.messages import (
+    Answer,
     Ask,
     LeaseKey,
     Outgoing,
     SlotOutcome,
+    Verdict,
 )
 from tests.gateway.samples import ENGINES, make_upstream
 from tests.gateway.test_leaving import FakeDirectory
@@ -144,6 +147,28 @@
     assert desk.load('u1') > 1
 
 
+def test_item_that_is_refused_asks_again_for_what_is_no_longer_suspended() -> (
+    None
+):
+    now = [float(0)]
+    sent: list[Outgoing] = []
+    client = SlotClient(
+        'run', 'here', FakeDirectory(), sent.append, lambda: now[0]
+    )
+    for _ in range(FAILURES_TO_OPEN):
+        client.health.record('u1', FAILED, 0, 0)
+    asks = BatchAsks('a1', client, lambda name: None, lambda: now[0])
+    asks.want([WantedSlot('i1', ENGINES, 9, 100)])
+    ask = sent[-1].message
+    refused = Answer(ask.key, Verdict.REFUSED, '', 0, 'b', 'h')
+    client.receive(refused)
+    now[0] = 1
+    asks.send_due(now[0])
+    assert ask.excluded == {'u1'}
+    assert len(sent) == 2
+    assert not sent[-1].message.excluded
+
+
 def released_outcome(*, suspect: bool) -> tuple[SlotOutcome, bool]:
     """Return what is told of a failure, and whether it counts here."""
     sent: list[Outgoing] = []
