HTTP server: a caller that leaves with its whole answer cancels nothing

Cause: the handler was cancelled on a disconnect until it had returned. A caller that closes as soon as it has read the answer could cut what follows it: the outcome was logged as left, and the slot given back without the upstream's health. Seen at a peer in test_caller_of_a_cut_off_instance_*[/pay/1] (left for done, once in three runs of the file beside other tests). Change: once the answer is sent, a disconnect cancels nothing. Result: test_caller_that_leaves_with_its_answer_cancels_nothing failed before (its handler was cancelled) and passes.

--- a/gentiantrestle/gateway/exchange.py
+++ b/gentiantrestle/gateway/exchange.py
@@ -47,7 +47,7 @@
             ),
             h11.EndOfMessage(),
         )
-        self.finished = True
+        self._finish()
 
     async def start_stream(
         self,
@@ -71,7 +71,7 @@
         if self.head.http_version < CHUNKED_SINCE:
             self._link.reset_on_close(enabled=False)
         await self._link.send(h11.EndOfMessage())
-        self.finished = True
+        self._finish()
 
     @property
     def disconnected(self) -> bool:
@@ -82,6 +82,11 @@
         """Reset the connection, so that the response looks incomplete."""
         self._link.abort()
 
+    def _finish(self) -> None:
+        """Let the handler run to its end even if the caller leaves now."""
+        self.finished = True
+        self._link.cancel_on_disconnect(None)
+
     def _build_head(self, status: int, headers: HeaderPairs) -> h11.Response:
         fields = list(headers)
         if self.close_after:
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -279,3 +279,23 @@
         assert part
         received += part
     assert received.endswith(b'\r\n\r\n' + LONG_BODY)
+
+
+async def test_caller_that_leaves_with_its_answer_cancels_nothing(
+    app: App,
+) -> None:
+    ended = asyncio.Event()
+
+    async def answer_and_go_on(exchange: Exchange) -> None:
+        await exchange.respond(200, [], b'whole')
+        await asyncio.sleep(IDLE_TIMEOUT)
+        ended.set()
+
+    app.handle = answer_and_go_on
+    sock = await app.connect()
+    loop = asyncio.get_running_loop()
+    await loop.sock_sendall(sock, REQUEST)
+    await loop.sock_recv(sock, HALF)
+    sock.close()
+    async with asyncio.timeout(LONGER):
+        await ended.wait()
