Passing on: tries before a cut is noticed don't use up those through peers

Change: refusals count anew from the first peer on. A peer refuses a request that hasn't run there as soon as it knows that it is cut off.

--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -1,6 +1,7 @@
 """One request of a caller over all its attempts on upstreams."""
 
 import asyncio
+from collections.abc import Callable
 from functools import partial
 
 from gentiantrestle.errors import (
@@ -20,8 +21,8 @@
 from gentiantrestle.gateway.passing.answers import upstream_fields
 from gentiantrestle.gateway.passing.hop import (
     PeerHop,
-    allowed_runs,
     hop_silence_limit,
+    peer_route,
 )
 from gentiantrestle.gateway.passing.messages import PassedRequest
 from gentiantrestle.gateway.ports import Reply
@@ -79,8 +80,10 @@
         self.framing = ''
         self.traits = request_traits(req)
         self._slots = RequestSlots(context, req, route, self.traits)
-        # What another instance has refused this request for.
-        self._refusal: Refusal | None = None
+        self._refusal: Refusal | None = None  # of another instance
+        self._is_passed_on = False
+        # Called before each attempt; may raise ``RefusedError``.
+        self.before_slot: Callable[[], None] | None = None
 
     def continue_passed(self, passed: PassedRequest) -> None:
         """Go on where the instance that passes the request on has stopped.
@@ -107,6 +110,8 @@
         Raises ``RefusedError``; it reports an unknown outcome if an earlier
         attempt may have been executed.
         """
+        if self.before_slot is not None:
+            self.before_slot()
         try:
             return await self._slots.take(
                 service, self.version, self.progress()
@@ -151,7 +156,7 @@
         return final_refusal(step, outcome, self.reason, self._req, now)
 
     def _new_watch(self, lease: SlotLease) -> RequestWatch:
-        """Watch an attempt; a peer watches its own attempts by itself."""
+        # A peer watches its attempts itself.
         traits = () if lease.via else self.traits
         return RequestWatch(self._context.guard, traits, self._context.clock)
 
@@ -234,6 +239,10 @@
     ) -> None:
         """Have another instance answer."""
         passing = self._context.passing
+        if not self._is_passed_on:
+            # Upstreams that aren't reached from here say nothing of peers.
+            self._is_passed_on = True
+            self._progress = self._progress._replace(refusals=0, unreached=0)
         hop = PeerHop(passing, self._relay, self._progress, lease)
         passed = self._describe(lease)
         try:
@@ -248,15 +257,13 @@
 
     def _describe(self, lease: SlotLease) -> PassedRequest:
         """Return what another instance has to know to go on."""
-        runs = self._progress.runs
-        allowed = runs + allowed_runs(self._route.max_attempts, runs)
         return PassedRequest(
             self._context.passing.instance,
             self._req._replace(last_event=self._relay.last_event),
-            self._route._replace(max_attempts=allowed),
+            peer_route(self._route, self._progress.runs),
             lease.upstream.service,
             lease.upstream.version,
-            runs,
+            self._progress.runs,
             self._slots.tried,
         )
 
--- a/gentiantrestle/gateway/passing/hop.py
+++ b/gentiantrestle/gateway/passing/hop.py
@@ -39,6 +39,12 @@
     return max(1, left - 1)
 
 
+def peer_route(route: Route, runs: int) -> Route:
+    """Return the route as a peer gets it, after so many executions."""
+    allowed = allowed_runs(route.max_attempts, runs)
+    return route._replace(max_attempts=runs + allowed)
+
+
 def hop_silence_limit(
     route: Route, progress: RequestProgress, left: float
 ) -> float | None:
--- a/gentiantrestle/gateway/passing/peer.py
+++ b/gentiantrestle/gateway/passing/peer.py
@@ -1,6 +1,7 @@
 """Serves requests that other instances pass on to this one."""
 
 from collections.abc import Callable
+from functools import partial
 
 from gentiantrestle import events
 from gentiantrestle.errors import (
@@ -83,6 +84,7 @@
         forwarded = self._forwarder.take_over(
             passed._replace(req=req), exchange
         )
+        forwarded.before_slot = partial(self._check_reach, passed, forwarded)
         try:
             return await self._forwarder.run(req, forwarded, passed.service)
         except RefusedError as exc:
@@ -97,9 +99,21 @@
         if not self.is_prepared():
             raise refuse(NO_CONFIGURATION, 'This instance has just started', 0)
         if self._reach.is_cut_off(passed.service):
-            raise refuse(
-                UNREACHED, f'{passed.service} is not reached from here either'
-            )
+            raise _unreached(passed)
+
+    def _check_reach(
+        self, passed: PassedRequest, forwarded: ForwardedRequest
+    ) -> None:
+        """Refuse what hasn't run here once no upstream is reached."""
+        is_unrun = forwarded.progress().runs == passed.runs
+        if is_unrun and self._reach.is_cut_off(passed.service):
+            raise _unreached(passed)
+
+
+def _unreached(passed: PassedRequest) -> RefusedError:
+    return refuse(
+        UNREACHED, f'{passed.service} is not reached from here either'
+    )
 
 
 def _has_met_none(
