Passing on: a peer that met no upstream doesn't refuse for all

Cause: a peer whose only tries were not connected had suspended these upstreams for itself, and was refused a slot as overloaded. Change: whatever such a peer is refused a slot for, it counts as not reaching the service, and another peer is asked.

--- a/gentiantrestle/gateway/passing/peer.py
+++ b/gentiantrestle/gateway/passing/peer.py
@@ -8,6 +8,7 @@
     BAD_REQUEST,
     NO_CONFIGURATION,
     NO_UPSTREAM,
+    OVERLOADED,
     STOPPING,
     RefusedError,
     refuse,
@@ -122,7 +123,7 @@
     """Return whether no upstream could be connected to from here."""
     progress = forwarded.progress()
     return (
-        exc.refusal.kind is NO_UPSTREAM
+        exc.refusal.kind in {NO_UPSTREAM, OVERLOADED}
         and progress.runs == passed.runs
         and progress.refusals > 0
         and progress.unreached == progress.refusals
--- a/tests/gateway/test_passing_tries.py
+++ b/tests/gateway/test_passing_tries.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from gentiantrestle.errors import RefusedError
+from gentiantrestle.errors import OVERLOADED, RefusedError, refuse
 from gentiantrestle.gateway.batch.context import Clock
 from gentiantrestle.gateway.ending import Ending
 from gentiantrestle.gateway.exchange import Exchange
@@ -43,6 +43,7 @@
         self._noticed_after = noticed_after
         self._address = Address(HOST, free_ports(1)[0])
         self.instance = 'one'
+        self.slots = MAX_REFUSALS
 
     def is_cut_off(self, service: str) -> bool:
         """Return whether enough upstreams were tried."""
@@ -53,7 +54,10 @@
         self.tried.append(upstream.id)
 
     async def acquire(self, slot_request: SlotRequest) -> SlotLease:
-        """Return a slot on an upstream."""
+        """Return a slot on an upstream; refuse after ``slots`` of them."""
+        self.slots -= 1
+        if self.slots < 0:
+            raise refuse(OVERLOADED, 'all that are not suspended are full', 1)
         upstream = make_upstream('u-1', address=self._address)
         return SlotLease(1, upstream, '', 0)
 
@@ -120,8 +124,8 @@
     assert paths.tried.count('peer') == MAX_REFUSALS
 
 
-async def test_peer_that_finds_itself_cut_off_tries_no_further() -> None:
-    paths = BrokenPaths(1)
+async def serve_passed(paths: BrokenPaths) -> RefusedError:
+    """Have a peer serve a request; return its refusal."""
     context = make_context(paths)
     handler = PassedRequestHandler(
         Forwarder(context._replace(passing=None)),
@@ -130,17 +134,26 @@
         context.clock,
     )
     now = time.monotonic()
+    req = make_request('r1', now)
     passed = PassedRequest(
-        'two',
-        make_request('r1', now),
-        make_route(),
-        ENGINES,
-        '',
-        0,
-        frozenset(),
+        'two', req, make_route(), ENGINES, '', 0, frozenset()
     )
     exchange = Exchange(None, None, pack(passed, now))
     with pytest.raises(RefusedError) as caught:
         await handler.handle(exchange)
-    assert caught.value.refusal.kind is UNREACHED
+    return caught.value
+
+
+async def test_peer_that_finds_itself_cut_off_tries_no_further() -> None:
+    paths = BrokenPaths(1)
+    exc = await serve_passed(paths)
+    assert exc.refusal.kind is UNREACHED
+    assert paths.tried == ['u-1']
+
+
+async def test_peer_that_met_no_upstream_does_not_refuse_for_all() -> None:
+    paths = BrokenPaths(OWN_TRIES)
+    paths.slots = 1
+    exc = await serve_passed(paths)
+    assert exc.refusal.kind is UNREACHED
     assert paths.tried == ['u-1']
