Calls between instances: a silent connection ends while it is idle

Cause: connections between instances had no keep-alive probes. One that fell silent for good was kept until the next call on it, however late, which got no answer for 1 s: a copy of a configuration turned to another source after 0.3 s, a read of results to the store after 1 s. The serving side kept such a connection for good.

Change: the same keep-alive and time-outs as on HTTP connections, on both sides.

Result: two new tests with sockets that drop packets failed before: a call 4 s after its connection fell silent had no answer in 0.3 s, and the server still held the connection of a caller that had been silent for 4 s.

--- a/gentiantrestle/daemon/membership/peers.py
+++ b/gentiantrestle/daemon/membership/peers.py
@@ -12,6 +12,7 @@
     encode,
     read_frame,
 )
+from gentiantrestle.http.link import enable_keepalive
 from gentiantrestle.models import Address
 from gentiantrestle.wire.peer.ttypes import Envelope
 
@@ -35,6 +36,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Start a task that reads the answers."""
+        enable_keepalive(writer.get_extra_info('socket'))
         self._writer = writer
         self._call_numbers = count(1)
         self._pending: dict[int, asyncio.Future[Envelope]] = {}
@@ -85,7 +87,7 @@
         try:
             while True:
                 self._resolve(await read_frame(reader))
-        except (BadFrameError, EOFError, ConnectionError):
+        except (BadFrameError, EOFError, OSError):
             self._writer.close()
         finally:
             for fut in self._pending.values():
@@ -164,13 +166,16 @@
     ) -> None:
         task = asyncio.current_task()
         self._connection_tasks.add(task)
+        enable_keepalive(writer.get_extra_info('socket'))
         try:
             if len(self._connection_tasks) <= MAX_INBOUND_CONNECTIONS:
                 await self._serve(reader, writer)
-        except (BadFrameError, EOFError, ConnectionError):
+        except (BadFrameError, EOFError, OSError):
             return
         except asyncio.CancelledError:
             return
+        except Exception as exc:  # noqa: BLE001 (logged; the caller is told)
+            events.emit(events.MESSAGE_FAILED, error=repr(exc))
         finally:
             self._connection_tasks.discard(task)
             with suppress(ConnectionError):
@@ -212,7 +217,7 @@
             answer.call = envelope.call
             writer.write(encode(answer))
             await writer.drain()
-        except ConnectionError:
+        except OSError:
             reading.cancel()
         except Exception as exc:  # noqa: BLE001 (logged; the caller is told)
             events.emit(events.MESSAGE_FAILED, error=repr(exc))
--- a/tests/interfaces/test_peers.py
+++ b/tests/interfaces/test_peers.py
@@ -22,6 +22,7 @@
     PeerError,
     PeerServer,
 )
+from gentiantrestle.daemon.membership.sources import PATIENCE
 from gentiantrestle.daemon.membership.view import Load, Member, State
 from gentiantrestle.models import Address
 from gentiantrestle.wire.peer.ttypes import (
@@ -31,9 +32,12 @@
 )
 from tests.utils.http import until
 from tests.utils.ports import HOST, free_ports
+from tests.utils.silence import drop_packets
 
 WAIT = 0.8  # seconds
 LONGER = 3.0  # seconds
+# Nothing is required of an instance for so long after connections fell silent.
+CONTACT_TIME = 4.0  # seconds
 MEMBER = Member(
     'i0',
     7,
@@ -238,6 +242,48 @@
     task.cancel()
 
 
+async def test_call_is_answered_at_once_after_its_connection_fell_silent() -> (
+    None
+):
+    accepted: list[asyncio.StreamWriter] = []
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        accepted.append(writer)
+        with suppress(EOFError, ConnectionError):
+            while True:
+                writer.write(encode(await read_frame(reader)))
+
+    address = Address(HOST, free_ports(1)[0])
+    server = await asyncio.start_server(answer, *address)
+    client = PeerClient()
+    await client.call(address, _ask(1))
+    drop_packets(accepted[0].get_extra_info('socket'))
+    await asyncio.sleep(CONTACT_TIME)
+    await client.call(address, _ask(2), timeout=PATIENCE)
+    assert len(accepted) == 2
+    client.close()
+    server.close()
+
+
+async def test_silent_caller_takes_no_connection_for_good() -> None:
+    task, address = await _serve()
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(encode(Envelope(call=1, changes_request=ChangesRequest(1))))
+    await read_frame(reader)
+    drop_packets(writer.get_extra_info('socket'))
+    await asyncio.sleep(CONTACT_TIME)
+    left = [
+        waiting
+        for waiting in asyncio.all_tasks()
+        if 'PeerServer._accept' in repr(waiting)
+    ]
+    assert not left
+    writer.transport.abort()
+    task.cancel()
+
+
 async def test_timeout_and_refused_connection_raise_peer_error() -> None:
     task, address = await _serve()
     client = PeerClient()
--- a/tests/interfaces/test_silent_links.py
+++ b/tests/interfaces/test_silent_links.py
@@ -1,13 +1,7 @@
-"""When the kernel ends a connection whose other side is silent for good.
-
-The other side drops each packet by a socket filter, which takes no privilege,
-so that nothing is acknowledged.
-"""
+"""When the kernel ends a connection whose other side is silent for good."""
 
 import asyncio
-import ctypes
 import socket
-import struct
 
 import h11
 import pytest
@@ -16,9 +10,8 @@
 from gentiantrestle.http.link import Link, LinkLostError, open_link
 from gentiantrestle.models import Address
 from tests.utils.ports import HOST
+from tests.utils.silence import drop_packets
 
-SO_ATTACH_FILTER = 26
-DROP_ALL = struct.pack('HBBI', 6, 0, 0, 0)  # returns a length of 0
 HEADER_LIMIT = 1024  # bytes
 # Nothing is required of an instance for so long after connections fell silent.
 CONTACT_TIME = 4.0  # seconds
@@ -28,20 +21,13 @@
 REQUEST = h11.Request(method='GET', target='/', headers=[('Host', 'h')])
 
 
-def _drop_packets(sock: socket.socket) -> None:
-    """Let a socket drop what arrives, without an acknowledgement."""
-    program = ctypes.create_string_buffer(DROP_ALL, len(DROP_ALL))
-    pointer = struct.pack('HL', 1, ctypes.addressof(program))
-    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, pointer)
-
-
 async def _time_to_end(*, with_request: bool) -> float | None:
     """Return after how many s of silence a link ends; None if it doesn't."""
     with socket.create_server((HOST, 0)) as server:
         address = Address(*server.getsockname())
         link = await open_link(address, CONTACT_TIME, HEADER_LIMIT)
         with server.accept()[0] as silent:
-            _drop_packets(silent)
+            drop_packets(silent)
             return await _wait_for_end(link, with_request=with_request)
 
 
@@ -110,7 +96,7 @@
             await sending
             await loop.sock_sendall(busy, ANSWER)
             assert isinstance(await link.next_event(), h11.Response)
-            _drop_packets(busy)
+            drop_packets(busy)
             assert await _wait_for_end(link, with_request=False) < CONTACT_TIME
 
 
