--- a/tests/soak/upstream_checks.py
+++ b/tests/soak/upstream_checks.py
@@ -195,6 +195,7 @@
         if req.sent > history.calm_from
         and _is_first_try(req)
         and not _is_settling(history, req)
+        and not all_drain(history, req.sent)
     ]
     here = [req.status == OK for req in tries if req.entry in history.cut_off]
     others = [
@@ -222,3 +223,13 @@
     if req.entry in history.cut_off:
         changes.append(history.cut_off[req.entry])
     return any(at < req.sent < at + FOLLOW_TIME for at in changes)
+
+
+def all_drain(history: History, at: float) -> bool:
+    """Return whether no upstream may be used at a time."""
+    draining = {
+        drain.upstream
+        for drain in history.drains
+        if drain.at <= at <= drain.until + APPLY_TIME
+    }
+    return draining >= {run['upstream'] for run in history.runs}
