Reach: the first instance that confirms its reach is enough

Cause: the answers of all that were asked were waited for, and those that are cut off themselves need 0.3 s to find out. Change: the first good answer counts; the other calls end.

--- a/gentiantrestle/gateway/reach/probing.py
+++ b/gentiantrestle/gateway/reach/probing.py
@@ -36,15 +36,15 @@
     return await accepts_connections(upstream.address, CONNECT_TIMEOUT)
 
 
-async def any_reached(chosen: Iterable[Upstream], connects: Connect) -> bool:
-    """Return whether an upstream is reached, as soon as one is."""
-    probes = [asyncio.ensure_future(connects(known)) for known in chosen]
+async def any_true(asked: Iterable[Awaitable[bool]]) -> bool:
+    """Return whether one of these is true, as soon as one is; end the rest."""
+    answers = [asyncio.ensure_future(one) for one in asked]
     try:
-        for reached in asyncio.as_completed(probes):
-            if await reached:
+        for answer in asyncio.as_completed(answers):
+            if await answer:
                 return True
     finally:
-        for unfinished in probes:
+        for unfinished in answers:
             unfinished.cancel()
     return False
 
--- a/gentiantrestle/gateway/reach/service.py
+++ b/gentiantrestle/gateway/reach/service.py
@@ -20,7 +20,7 @@
 )
 from gentiantrestle.gateway.reach.probing import (
     Connect,
-    any_reached,
+    any_true,
     connect,
     probe,
     round_interval,
@@ -139,7 +139,7 @@
         """
         usable = {service: self._usable().get(service, ())}
         chosen = choose_sample(usable, (service,), self.rng)
-        reached = await any_reached(chosen, self.connects)
+        reached = await any_true(map(self.connects, chosen))
         if not reached:
             for upstream in chosen:
                 self.note(upstream, reached=False)
@@ -159,10 +159,7 @@
         for service in self._way_round.unconfirmed(self.unreached):
             able = reaching(self._alive_peers(), service)
             asked = self.rng.sample(able, min(MAX_ASKED, len(able)))
-            found = await asyncio.gather(
-                *(self.ask(peer, service) for peer in asked)
-            )
-            if any(found):
+            if await any_true(self.ask(peer, service) for peer in asked):
                 self._way_round.confirm(service)
         self._way_round.update(self.unreached, self._alive_peers())
 
