Passing on: an instance that leaves serves others where nobody stays

Cause: instances that are leaving were no way round. Change: they are chosen last, and refuse only if an instance that stays reaches the service.

--- a/gentiantrestle/gateway/passing/choice.py
+++ b/gentiantrestle/gateway/passing/choice.py
@@ -52,7 +52,10 @@
             for peer in alive
             if peer.instance != excluded and self._is_able(peer, service)
         ]
-        return self._choose_idler(self._preferred(able, alive, service))
+        staying = [peer for peer in able if not peer.leaving]
+        return self._choose_idler(
+            self._preferred(staying or able, alive, service)
+        )
 
     def _preferred(
         self, able: list[Peer], alive: Iterable[Peer], service: str
@@ -78,8 +81,7 @@
 
     def _is_able(self, peer: Peer, service: str) -> bool:
         return not (
-            peer.leaving
-            or peer.starting
+            peer.starting
             or service in peer.cut_off
             or peer.instance in self._avoided_until
         )
--- a/gentiantrestle/gateway/passing/peer.py
+++ b/gentiantrestle/gateway/passing/peer.py
@@ -95,7 +95,10 @@
 
     def _check(self, passed: PassedRequest) -> None:
         """Refuse at once what this instance can't serve."""
-        if self._ending.is_planned:
+        is_ending = self._ending.is_planned
+        if is_ending and self._reach.is_served_elsewhere(
+            passed.service, passed.instance
+        ):
             raise refuse(STOPPING, 'This instance is about to end', 0)
         if not self.is_prepared():
             raise refuse(NO_CONFIGURATION, 'This instance has just started', 0)
--- a/gentiantrestle/gateway/reach/service.py
+++ b/gentiantrestle/gateway/reach/service.py
@@ -90,6 +90,16 @@
             known, key=lambda other: self.table.idle_time(other.id, now)
         )
 
+    def is_served_elsewhere(self, service: str, asking: str) -> bool:
+        """Return whether an instance that stays, beside ``asking``, reaches it.
+
+        As far as is known by the rows of the others.
+        """
+        return any(
+            not peer.leaving and peer.instance != asking
+            for peer in reaching(self._alive_peers(), service)
+        )
+
     def note(self, upstream: Upstream, *, reached: bool) -> None:
         """Note whether a connection to an upstream could be made."""
         now = self._now()
--- a/gentiantrestle/gateway/reach/way_round.py
+++ b/gentiantrestle/gateway/reach/way_round.py
@@ -6,12 +6,13 @@
 
 
 def reaching(peers: Iterable[Peer], service: str) -> list[Peer]:
-    """List the instances that reach a service, as far as is known."""
-    return [
-        peer
-        for peer in peers
-        if not peer.leaving and service not in peer.cut_off
-    ]
+    """List the instances that reach a service, as far as is known.
+
+    Those that are leaving serve until they stop listening; they are listed only
+    where there are no others.
+    """
+    able = [peer for peer in peers if service not in peer.cut_off]
+    return [peer for peer in able if not peer.leaving] or able
 
 
 class WayRound:
