Passing on: a peer doesn't note where the streams of others begin

Cause: a peer noted a passed stream as begun, by the caller's attempt id, with its upstream's version, and told its coordinators. If its answer is lost on the way, the instance that passed it on may have another peer begin the stream at another version. A caller that takes it up at the first peer, or where that peer's note has arrived, would be sent to the wrong version. Change: a peer notes no stream; the instance that answers the caller does.

--- a/gentiantrestle/gateway/passing/service.py
+++ b/gentiantrestle/gateway/passing/service.py
@@ -10,18 +10,42 @@
 from gentiantrestle.gateway.forward import Forwarder
 from gentiantrestle.gateway.forwarding_context import ForwardingContext
 from gentiantrestle.gateway.http_server import HttpServer, RefusalWriter
-from gentiantrestle.gateway.model import CallerLimits
+from gentiantrestle.gateway.model import (
+    CallerLimits,
+    Request,
+    Route,
+    Upstream,
+)
 from gentiantrestle.gateway.passing.answers import refusal_fields
 from gentiantrestle.gateway.passing.choice import PeerChoice
 from gentiantrestle.gateway.passing.origin import PassingParts, PeerPassing
 from gentiantrestle.gateway.passing.peer import PassedRequestHandler
 from gentiantrestle.gateway.reach.service import UpstreamReach
+from gentiantrestle.gateway.streams.service import StreamOrigins
 from gentiantrestle.http.link import HeaderPairs
 
 # What a message has beside the header and body of its request.
 MESSAGE_MARGIN = 65536  # bytes
 
 
+class PassedStreams:
+    """The streams of an instance, for those that it serves for others.
+
+    Only the instance that answers the caller knows where a stream began: an
+    event may be lost on its way there, and another peer begin it again.
+    """
+
+    def __init__(self, streams: StreamOrigins) -> None:
+        """Ask ``streams`` about versions."""
+        self.may_be_mixed = streams.may_be_mixed
+
+    def begin(self, req: Request, route: Route, upstream: Upstream) -> None:
+        """Note nothing."""
+
+    def end(self, req: Request) -> None:
+        """Note nothing."""
+
+
 def build_passing(
     fleet: FleetContext, port: int | None, reach: UpstreamReach
 ) -> PeerPassing | None:
@@ -48,7 +72,14 @@
     """Build the server; what it answers is never passed on again."""
     clock: Clock = context.clock
     handler = PassedRequestHandler(
-        Forwarder(context._replace(passing=None)), context.reach, ending, clock
+        Forwarder(
+            context._replace(
+                passing=None, streams=PassedStreams(context.streams)
+            )
+        ),
+        context.reach,
+        ending,
+        clock,
     )
     handler.is_prepared = is_prepared
     return HttpServer(
