Passing on: a route with a huge number can be passed on

Cause: the attempts of a route go to a peer as a 32-bit number, but the configuration doesn't bound max-attempts. Packing raised OverflowError, and the caller of each such request got a 500. Change: what doesn't fit is sent as the greatest number that does; so are times, which the configuration bounds. Result: the three cases of test_route_with_a_huge_number_is_passed_on failed before (OverflowError: int out of range); pass now.

--- a/gentiantrestle/gateway/passing/messages.py
+++ b/gentiantrestle/gateway/passing/messages.py
@@ -7,6 +7,7 @@
 
 from gentiantrestle.daemon.membership.codec import DECODE_ERRORS
 from gentiantrestle.gateway.model import Request, Route, RouteKind, Share
+from gentiantrestle.models import MAX_INT32
 from gentiantrestle.wire.peer import ttypes
 
 MS_PER_S = 1000
@@ -113,15 +114,19 @@
     return ttypes.PassedRoute(
         name=route.name,
         kind=route.kind.value,
-        timeout=int(route.timeout * MS_PER_S),
-        latency_target=int(route.latency_target * MS_PER_S),
+        timeout=_to_ms(route.timeout),
+        latency_target=_to_ms(route.latency_target),
         priority=route.priority,
-        max_attempts=route.max_attempts,
+        max_attempts=min(route.max_attempts, MAX_INT32),
         resumable=route.resumable,
         split=len(route.shares) > 1,
     )
 
 
+def _to_ms(seconds: float) -> int:
+    return min(int(seconds * MS_PER_S), MAX_INT32)
+
+
 def _unpack_route(route: ttypes.PassedRoute, message: Any) -> Route:
     share = Share(message.service_name, 1)
     return Route(
--- a/tests/gateway/test_passing.py
+++ b/tests/gateway/test_passing.py
@@ -172,6 +172,13 @@
     assert decoded.route.kind is kind
 
 
+@pytest.mark.parametrize('field', ['timeout', 'latency_target', 'max_attempts'])
+def test_route_with_a_huge_number_is_passed_on(field: str) -> None:
+    route = PASSED.route._replace(**{field: 2**31})
+    decoded = unpack(pack(PASSED._replace(route=route), NOW), NOW)
+    assert getattr(decoded.route, field) > 1000000
+
+
 @pytest.mark.parametrize('size', range(0, len(pack(PASSED, NOW)), 3))
 def test_cut_message_is_unreadable(size: int) -> None:
     with pytest.raises(UnreadableRequestError):
