Passing on: a peer is given no time that has passed while connecting

Cause: what a request's deadline leaves was computed before the connection to the peer was opened, which may take 0.3 s, so the upstream was given that much too long. Change: it is computed when the request is sent.

--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -246,7 +246,7 @@
         hop = PeerHop(passing, self._relay, self._progress, lease)
         passed = self._describe(lease)
         try:
-            await hop.run(conn, passed, self._context.clock.now())
+            await hop.run(conn, passed)
         finally:
             self._note_hop(hop)
 
--- a/gentiantrestle/gateway/passing/hop.py
+++ b/gentiantrestle/gateway/passing/hop.py
@@ -80,7 +80,7 @@
         self.tried: frozenset[str] = frozenset()
 
     async def run(
-        self, conn: UpstreamConnection, passed: PassedRequest, now: float
+        self, conn: UpstreamConnection, passed: PassedRequest
     ) -> None:
         """Have the peer answer; raises as an attempt on an upstream does."""
         self._passing.log(passed, self._lease)
@@ -89,7 +89,7 @@
         await self._connect(conn)
         # From here on it counts as executed, as often as the peer may.
         self.progress = self._before._replace(runs=passed.route.max_attempts)
-        reply = await self._send(conn, passed, now)
+        reply = await self._send(conn, passed)
         answer = self._read(reply)
         if answer.refusal is not None:
             self._raise_refusal(answer.refusal)
@@ -107,11 +107,12 @@
             raise
 
     async def _send(
-        self, conn: UpstreamConnection, passed: PassedRequest, now: float
+        self, conn: UpstreamConnection, passed: PassedRequest
     ) -> Reply:
         host = str(self._lease.upstream.address).encode()
+        body = pack(passed, self._passing.now())
         message = UpstreamRequest(
-            passed.req.id, 'POST', TARGET, [(b'host', host)], pack(passed, now)
+            passed.req.id, 'POST', TARGET, [(b'host', host)], body
         )
         self._relay.await_upstream()
         try:
--- a/gentiantrestle/gateway/passing/origin.py
+++ b/gentiantrestle/gateway/passing/origin.py
@@ -34,7 +34,7 @@
         """Reach the other instances at ``port``."""
         self._parts = parts
         self._port = port
-        self._now = now
+        self.now = now
         # Called with the outcome of each attempt through a peer.
         self.record: Callable[[str], None] = _record_nothing
 
@@ -53,7 +53,7 @@
         """
         if not self._parts.reach.is_cut_off(service):
             return None
-        now = self._now()
+        now = self.now()
         alive = self._parts.peers.alive(now)
         peer = self._parts.choice.choose(service, alive, now, excluded)
         if peer is None:
@@ -68,11 +68,11 @@
 
     def avoid(self, lease: SlotLease) -> None:
         """Pass nothing on to the peer of a lease for a while."""
-        self._parts.choice.avoid(lease.via, self._now())
+        self._parts.choice.avoid(lease.via, self.now())
 
     def note_leaving(self, upstream: Upstream) -> None:
         """Note that the upstream of an answer is leaving."""
-        self._parts.roster.leaving.add(*upstream.run, self._now())
+        self._parts.roster.leaving.add(*upstream.run, self.now())
 
     def log(self, passed: PassedRequest, lease: SlotLease) -> None:
         """Log that a request is passed on."""
