Calls between instances: those that wait for one connection fail together

Cause: calls to one instance wait for a lock while one of them connects. Where it accepts nothing each tried by itself, one after the other, so that the sixth failed after six times its time-out: a copy of state or a vote waited behind reads of results. Change: the time-out covers the wait for the connection.

--- a/gentiantrestle/daemon/membership/peers.py
+++ b/gentiantrestle/daemon/membership/peers.py
@@ -111,7 +111,8 @@
     ) -> Envelope:
         """Call a peer; raise ``PeerError`` if no answer comes.
 
-        ``timeout`` in s applies to connecting and to the call separately.
+        ``timeout`` in s applies to connecting and to the call separately;
+        those that wait for one connection wait no longer.
         """
         conn = await self._connect(address, timeout)
         return await conn.call(envelope, timeout)
@@ -127,16 +128,18 @@
         address: Address,
         timeout: float,
     ) -> PeerConnection:
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._share_connection(address)
+        except (OSError, TimeoutError) as exc:
+            raise PeerError(f'{address}: {exc!r}') from exc
+
+    async def _share_connection(self, address: Address) -> PeerConnection:
         async with self._connect_locks.setdefault(address, asyncio.Lock()):
             conn = self._conns.get(address)
             if conn is not None and conn.usable:
                 return conn
-            try:
-                async with asyncio.timeout(timeout):
-                    streams = await asyncio.open_connection(*address)
-            except (OSError, TimeoutError) as exc:
-                raise PeerError(f'{address}: {exc!r}') from exc
-            conn = PeerConnection(*streams)
+            conn = PeerConnection(*await asyncio.open_connection(*address))
             self._conns[address] = conn
             return conn
 
--- a/tests/interfaces/test_peers.py
+++ b/tests/interfaces/test_peers.py
@@ -312,3 +312,17 @@
     assert await reader.read() == b''
     writer.close()
     task.cancel()
+
+
+async def test_calls_to_an_instance_that_accepts_none_fail_together(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def hang(*address: object) -> None:
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(asyncio, 'open_connection', hang)
+    client = PeerClient()
+    calls = [client.call(Address(HOST, 9), _ask(1), WAIT / 4) for _ in range(6)]
+    async with asyncio.timeout(WAIT):
+        failures = await asyncio.gather(*calls, return_exceptions=True)
+    assert {type(failure) for failure in failures} == {PeerError}
