Slots: one witness lengthens no suspension

Cause: after two instances had an upstream suspended, one alone prolonged it with each trial, 1, 2, 4 up to 20 s, also if only its own path was broken (found by review). Change: the backoff grows on the word of several since the last suspension; a trial that fails for one repeats the first backoff, 0.5 s.

--- a/gentiantrestle/daemon/upstreams/health.py
+++ b/gentiantrestle/daemon/upstreams/health.py
@@ -52,6 +52,12 @@
             self.open_until = now + backoff * (1 + jitter)
             self._opened_at = now
 
+    def repeat_backoff(self, now: float, started: float) -> None:
+        """Start the first backoff again, after one failure in a trial."""
+        if started >= self._opened_at:
+            self.open_until = now + FIRST_BACKOFF
+            self._opened_at = now
+
     def record_pace(self, seconds: float, now: float) -> None:
         """Record how many seconds one token took; drop an outdated pace."""
         if self.pace is None or now - self.measured_at > MAX_PACE_AGE:
--- a/gentiantrestle/gateway/slots/health.py
+++ b/gentiantrestle/gateway/slots/health.py
@@ -78,7 +78,8 @@
         """
         super().__init__()
         self._first_use_since = first_use_since
-        # Holders whose uses have failed since the last one that was served.
+        # Holders whose uses have failed since the last one that was served, or
+        # since several of them had the upstream suspended.
         self._witnesses: dict[str, set[str]] = {}
         self._suspended: set[str] = set()
 
@@ -93,11 +94,11 @@
             self._witnesses.pop(upstream, None)
         elif outcome is SlotOutcome.FAILED:
             witnesses = self._witnesses.setdefault(upstream, set())
-            # Further failures of one witness are no further evidence.
-            if witnesses != {holder}:
-                witnesses.add(holder)
-                self.record(upstream, outcome, lease.granted_at, now)
-            self._note_suspended(upstream, now)
+            is_new = holder not in witnesses
+            witnesses.add(holder)
+            named = tuple(witnesses)
+            self._count_failure(lease, len(named), now, is_new=is_new)
+            self._note_suspended(upstream, named, now)
 
     def forget(self, upstream: str) -> None:
         """Drop what is known of an upstream, which has started again."""
@@ -110,6 +111,22 @@
         for upstream in self._suspended - self.suspended(now):
             self._note_usable(upstream, 'waited')
 
+    def _count_failure(
+        self, lease: Lease, witnesses: int, now: float, *, is_new: bool
+    ) -> None:
+        """Count a failure; one witness alone lengthens no suspension."""
+        upstream, started = lease.upstream, lease.granted_at
+        health = self._health.get(upstream)
+        if witnesses > 1:
+            self.record(upstream, SlotOutcome.FAILED, started, now)
+            if upstream in self.suspended(now):
+                self._witnesses[upstream].clear()
+        elif health is not None and health.open_until:
+            health.repeat_backoff(now, started)
+        elif is_new:
+            # Further failures of one witness are no further evidence.
+            self.record(upstream, SlotOutcome.FAILED, started, now)
+
     def _withheld(self, now: float) -> frozenset[str]:
         on_trial = (
             upstream
@@ -123,7 +140,9 @@
         began = self._first_use_since(upstream, since)
         return began is not None and now - began < TRIAL_TIME
 
-    def _note_suspended(self, upstream: str, now: float) -> None:
+    def _note_suspended(
+        self, upstream: str, witnesses: Iterable[str], now: float
+    ) -> None:
         if upstream in self._suspended or upstream not in self.suspended(now):
             return
         health = self._health[upstream]
@@ -131,7 +150,7 @@
         events.emit(
             events.UPSTREAM_SUSPENDED,
             upstream=upstream,
-            witnesses=', '.join(sorted(self._witnesses[upstream])),
+            witnesses=', '.join(sorted(witnesses)),
             for_ms=round((health.open_until - now) * 1000),
         )
 
