Reach: the upstream that was reached last is among the probes of a lost service

Change: while a service isn't reached, up to four probes of a round go to the upstreams that were reached last.

--- a/gentiantrestle/gateway/reach/sampling.py
+++ b/gentiantrestle/gateway/reach/sampling.py
@@ -9,6 +9,7 @@
 MAX_PER_ZONE = 2  # probes of a service in one zone
 # Other services tell whether the path as a whole is broken.
 RESERVED = 4  # probes
+MAX_REPEATED = 4  # probes of upstreams that were reached last
 
 
 def choose_sample(
@@ -27,6 +28,25 @@
     return chosen + rest[: MAX_PROBES - len(chosen)]
 
 
+def add_last_reached(
+    chosen: list[Upstream],
+    usable: Mapping[str, Collection[Upstream]],
+    last_reached: Mapping[str, Upstream],
+) -> list[Upstream]:
+    """Return a sample with upstreams of ``last_reached``, by service.
+
+    Where most upstreams of a service have ended, a random sample would rarely
+    hold one that lives.
+    """
+    missing = [
+        upstream
+        for service, upstream in last_reached.items()
+        if upstream not in chosen and upstream in usable.get(service, ())
+    ]
+    repeated = missing[:MAX_REPEATED]
+    return chosen[: MAX_PROBES - len(repeated)] + repeated
+
+
 def _take_turns(
     usable: Mapping[str, Collection[Upstream]],
     services: list[str],
--- a/gentiantrestle/gateway/reach/service.py
+++ b/gentiantrestle/gateway/reach/service.py
@@ -25,7 +25,10 @@
     probe,
     round_interval,
 )
-from gentiantrestle.gateway.reach.sampling import choose_sample
+from gentiantrestle.gateway.reach.sampling import (
+    add_last_reached,
+    choose_sample,
+)
 from gentiantrestle.gateway.reach.table import ReachTable
 from gentiantrestle.gateway.reach.way_round import WayRound, reaching
 from gentiantrestle.gateway.roster import Roster
@@ -52,6 +55,8 @@
         self._judge = ReachJudge()
         self._way_round = WayRound()
         self._woken = asyncio.Event()
+        # The upstream of each service that was reached last.
+        self._last_reached: dict[str, Upstream] = {}
         self.table = ReachTable()
         # Chooses the upstreams that are probed.
         self.rng = random.Random()
@@ -105,7 +110,9 @@
         now = self._now()
         self.table.note(upstream.id, now, reached=reached)
         self._judge.note(upstream, now, reached=reached)
-        if not reached:
+        if reached:
+            self._last_reached[upstream.service] = upstream
+        else:
             self._woken.set()
 
     def forget(self, upstream: str) -> None:
@@ -136,6 +143,9 @@
         """Probe a sample of the upstreams and judge by it."""
         usable = self._usable()
         chosen = choose_sample(usable, self._judge.suspects, self.rng)
+        # What isn't decided yet needs all the probes of a round.
+        if self._judge.undecided_since() is None:
+            chosen = add_last_reached(chosen, usable, self._last_known())
         done = await probe(chosen, self._now, self.connects)
         if done.is_valid:
             self._apply(done._replace(passed_on=self.cut_off))
@@ -155,6 +165,14 @@
                 self.note(upstream, reached=False)
         return reached
 
+    def _last_known(self) -> dict[str, Upstream]:
+        """Return the upstreams reached last of what isn't reached now."""
+        return {
+            service: upstream
+            for service, upstream in self._last_reached.items()
+            if service in self.unreached
+        }
+
     def _apply(self, done: ProbeRound) -> None:
         # One success ends a row of failures, so it is noted last.
         for probed in sorted(done.probed, key=lambda found: found.reached):
--- a/tests/gateway/test_reach.py
+++ b/tests/gateway/test_reach.py
@@ -20,6 +20,7 @@
 CALL_INTERVAL = 0.05  # seconds
 CUT_AT = 1.0  # seconds
 DECIDED_WITHIN = 1.0  # seconds
+CONTACT_TIME = 4.0  # seconds
 WAYS = ('hanging', 'refusing')
 
 
@@ -301,6 +302,30 @@
     assert not world.reach.is_served_elsewhere(ENGINES, 'p')
 
 
+@pytest.mark.parametrize('seed', range(4))
+def test_service_is_back_soon_though_few_of_its_upstreams_live(
+    seed: int,
+) -> None:
+    async def main() -> float:
+        world = ReachWorld(make_upstreams(ZONES, 20), [make_peer('p')])
+        world.reach.rng.seed(seed)
+        alive = {world.upstreams[7].id, world.upstreams[33].id}
+        running = asyncio.create_task(world.reach.run())
+        world.refusing = world.everything - alive
+        await world.call(0.01, 120)
+        world.refusing = world.everything
+        await world.call(0.01, 200)
+        assert world.reach.unreached
+        world.refusing = world.everything - alive
+        mended_at = virtual_now()
+        while world.reach.unreached:
+            await asyncio.sleep(0.1)
+        running.cancel()
+        return virtual_now() - mended_at
+
+    assert run_virtual(main()) <= CONTACT_TIME
+
+
 def test_service_without_upstreams_left_is_not_cut_off() -> None:
     async def main() -> ReachWorld:
         world = ReachWorld(make_upstreams(ZONES, 2), [make_peer('p')])
