Quarantine: a crash counts unless several upstreams reached lately are out of reach

Cause: a crash was noted only while another upstream accepted connections. Change: upstreams are compared with that were reached within the last second, in the daemon those that are usable; with fewer than two of them a refused connection is an end, as before. The new case of test_path_blame (others down for a while) failed before.

--- a/gentiantrestle/daemon/upstreams/service.py
+++ b/gentiantrestle/daemon/upstreams/service.py
@@ -181,11 +181,13 @@
         return healthy and name not in self.leaving
 
     def others(self, name: str, deployment: DeploymentDoc) -> list[Address]:
-        """Return the other addresses of a deployment, usable ones first."""
+        """Return the addresses of a deployment's other usable upstreams."""
         now = self._ctx.now()
-        known = [other for other in deployment['upstreams'] if other != name]
-        known.sort(key=lambda other: not self.is_usable(other, now))
-        return [self.find(other).pool.address for other in known]
+        return [
+            self.find(other).pool.address
+            for other in deployment['upstreams']
+            if other != name and self.is_usable(other, now)
+        ]
 
     def mark_leaving(self, name: str, incarnation: int) -> None:
         """Give an upstream no new work until a newer incarnation is live."""
--- a/gentiantrestle/gateway/reach/service.py
+++ b/gentiantrestle/gateway/reach/service.py
@@ -36,6 +36,8 @@
 
 MS_PER_S = 1000
 MAX_LOGGED = 8  # names in one event
+# An upstream that was reached within this time has hardly ended since.
+LATELY = 1.0  # seconds
 MAX_ASKED = 3  # instances that are asked about a service at once
 
 
@@ -88,12 +90,15 @@
         return {service for service, found in self._usable().items() if found}
 
     def others(self, upstream: Upstream) -> list[Upstream]:
-        """Return the other upstreams, those that were reached last first."""
+        """Return the other upstreams reached lately, the last one first."""
         now = self._now()
-        known = (up for up in self._roster.entries() if up.id != upstream.id)
-        return sorted(
-            known, key=lambda other: self.table.idle_time(other.id, now)
-        )
+        idle_times = {
+            other: self.table.idle_time(other.id, now)
+            for other in self._roster.entries()
+            if other.id != upstream.id
+        }
+        lately = (other for other, idle in idle_times.items() if idle <= LATELY)
+        return sorted(lately, key=idle_times.__getitem__)
 
     def is_served_elsewhere(self, service: str, asking: str) -> bool:
         """Return whether an instance that stays, beside ``asking``, reaches it.
--- a/gentiantrestle/gateway/upstream_connection.py
+++ b/gentiantrestle/gateway/upstream_connection.py
@@ -52,7 +52,7 @@
     """The upstreams that this instance uses."""
 
     def others(self, upstream: Upstream) -> Iterable[Upstream]:
-        """Return the other upstreams, those that were reached last first."""
+        """Return the other upstreams reached lately, the last one first."""
 
 
 class UpstreamConnection:
@@ -155,7 +155,7 @@
         """Return whether the upstream ended while it began this answer.
 
         To be called after the response was lost; the watch is told. It is no
-        sign of an end if connections to others are refused as well.
+        sign of an end if others reached lately can't be reached any more.
         """
         link = self._link
         if link is None or not link.disconnected or not self._watch.is_opening:
--- a/gentiantrestle/http/probe.py
+++ b/gentiantrestle/http/probe.py
@@ -8,6 +8,8 @@
 from gentiantrestle.models import Address
 
 MAX_COMPARED = 4  # servers
+# One other server that doesn't answer may have ended, too.
+MIN_COMPARED = 2  # servers
 
 
 async def accepts_connections(address: Address, timeout: float) -> bool:
@@ -28,11 +30,14 @@
 async def is_path_sound(others: Iterable[Address], timeout: float) -> bool:
     """Return whether one of the first few other servers accepts connections.
 
-    If none does, a server that refuses connections need not have ended: they
-    may be refused on the way. Without others to compare with it has.
+    ``others`` accepted connections until just now. If none does any more, a
+    server that refuses connections need not have ended: they may be refused on
+    the way. With too few others to compare with it has.
     """
     compared = list(islice(others, MAX_COMPARED))
+    if len(compared) < MIN_COMPARED:
+        return True
     found = await asyncio.gather(
         *(accepts_connections(address, timeout) for address in compared)
     )
-    return not compared or any(found)
+    return any(found)
--- a/tests/gateway/test_path_blame.py
+++ b/tests/gateway/test_path_blame.py
@@ -47,10 +47,19 @@
     return UpstreamReach(roster, time.monotonic)
 
 
-async def is_crash_noted(others: Iterable[Upstream]) -> bool:
+def note_reached(reach: UpstreamReach, upstreams: Iterable[Upstream]) -> None:
+    """Note that upstreams were reached just now."""
+    for upstream in upstreams:
+        reach.note(upstream, reached=True)
+
+
+async def is_crash_noted(
+    others: Iterable[Upstream], lately: Iterable[Upstream] | None = None
+) -> bool:
     """Lose an answer; return whether its request counts as the cause.
 
-    Its upstream refuses connections after that.
+    Its upstream refuses connections after that. All others were reached
+    ``lately`` if these aren't given.
     """
 
     async def end(
@@ -73,7 +82,9 @@
     headers = [(b'host', b'x')]
     with pytest.raises(ResponseLostError):
         await conn.send(UpstreamRequest('r1', 'GET', '/pay/1', headers, b''))
-    noted = await conn.check_crash(make_reach([ended, *others]))
+    reach = make_reach([ended, *others])
+    note_reached(reach, others if lately is None else lately)
+    noted = await conn.check_crash(reach)
     conn.close()
     assert noted == bool(evidence.findings(time.time()).crashes)
     return noted
@@ -97,14 +108,26 @@
     assert await is_crash_noted([refusing, reached])
 
 
+async def test_crashes_are_noted_while_others_have_been_down_for_a_while() -> (
+    None
+):
+    down = [
+        make_upstream(f'u{port}', address=Address(HOST, port))
+        for port in free_ports(3)
+    ]
+    assert await is_crash_noted(down, lately=())
+    assert await is_crash_noted(down, lately=down[:1])
+    assert not await is_crash_noted(down, lately=down[:2])
+
+
 async def test_lost_answer_of_the_only_upstream_is_a_crash() -> None:
     assert await is_crash_noted([])
 
 
-def test_upstreams_that_were_reached_last_are_compared_first() -> None:
+def test_upstreams_that_were_reached_lately_are_compared() -> None:
     upstreams = [make_upstream(f'u{number}') for number in range(4)]
     reach = make_reach(upstreams)
     for number, reached in ((1, True), (2, False), (3, True)):
         reach.note(upstreams[number], reached=reached)
-    first, second, *_ = reach.others(upstreams[0])
-    assert (first.id, second.id) == ('u3', 'u1')
+    found = [upstream.id for upstream in reach.others(upstreams[0])]
+    assert found == ['u3', 'u1']
