--- a/review/common2/server.py
+++ b/review/common2/server.py
@@ -1,7 +1,8 @@
 """A model server as the users' pages describe it, of this review.
 
-``python3 -m review.common2.server PORT ID BORN`` serves streams of events. Its
-answers have no length and end with their channel, which the pages allow.
+``python3 -m review.common2.server PORT ID BORN [VERSION]`` serves streams of
+events, which name its software version if it is given. Its answers have no
+length and end with their channel, which the pages allow.
 """
 
 import asyncio
@@ -18,9 +19,10 @@
 class Server:
     """Serves requests and prints each run."""
 
-    def __init__(self, name: str, born: int) -> None:
+    def __init__(self, name: str, born: int, version: str = '') -> None:
         """Be the server ``name`` since ``born``."""
         self._name = name
+        self._version = version
         self._born = born
         self._running = 0
 
@@ -84,7 +86,7 @@
         writer.write(_head(OK, head))
         for number in range(last + 1, wanted['events'] + 1):
             await asyncio.sleep(wanted['pause'])
-            writer.write(event(attempt, number))
+            writer.write(event(attempt, number, self._version))
             await writer.drain()
 
     def _send(
@@ -112,14 +114,15 @@
         }
 
 
-def text_of(attempt: str, number: int) -> str:
+def text_of(attempt: str, number: int, version: str = '') -> str:
     """Return the data of an event."""
-    return f'{attempt} {number}'
+    return f'{attempt} {number} {version}'.rstrip()
 
 
-def event(attempt: str, number: int) -> bytes:
+def event(attempt: str, number: int, version: str = '') -> bytes:
     """Return the bytes of an event."""
-    return f'id: {number}\ndata: {text_of(attempt, number)}\n\n'.encode()
+    text = text_of(attempt, number, version)
+    return f'id: {number}\ndata: {text}\n\n'.encode()
 
 
 def _head(status: str, fields: dict[str, str]) -> bytes:
@@ -129,8 +132,8 @@
 
 async def main() -> None:
     """Serve until the process is ended."""
-    port, name, born = sys.argv[1:]
-    server = Server(name, int(born))
+    port, name, born, *version = sys.argv[1:]
+    server = Server(name, int(born), *version)
     listening = await asyncio.start_server(server.serve, '127.0.0.1', int(port))
     await listening.serve_forever()
 
--- a/review/common2/stage.py
+++ b/review/common2/stage.py
@@ -84,6 +84,9 @@
     def __init__(self, target: int) -> None:
         """Lead to a port of the loopback address; nothing is cut."""
         self._target = target
+        # Whether channels are reset.
+        self.resets = False
+        self._writers: set[asyncio.StreamWriter] = set()
         self._open = asyncio.Event()
         self._open.set()
         # The loop itself doesn't keep tasks.
@@ -97,25 +100,38 @@
         """Hold back all bytes and ends of channels, as a partition does."""
         self._open.clear()
 
+    def reset(self) -> None:
+        """Reset all channels, and all that come, until ``heal``."""
+        self.resets = True
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
+
     def heal(self) -> None:
         """Pass on what was held back, and what follows."""
+        self.resets = False
         self._open.set()
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._tasks.add(asyncio.current_task())
+        if self.resets:
+            writer.transport.abort()
+            return
         await self._open.wait()
         try:
             there = await asyncio.open_connection(LOCAL, self._target)
         except OSError:
             writer.transport.abort()
             return
+        self._writers |= {writer, there[1]}
         await asyncio.gather(
             self._pump(reader, there[1]), self._pump(there[0], writer)
         )
         writer.close()
         there[1].close()
+        self._writers -= {writer, there[1]}
 
     async def _pump(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -150,9 +166,7 @@
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self._ports = iter(_free_ports(60))
         self.store = self.port()
-        self._front, self._ready, self._control = (
-            self.port() for _ in range(3)
-        )
+        self.front, self._ready, self._control = (self.port() for _ in range(3))
         self._peer = self.port()
         self.port()
         self.port()
@@ -228,7 +242,7 @@
                 zones='\n'.join(
                     f'{key} = "{place}"' for key, place in self.places.items()
                 ),
-                front=self._front,
+                front=self.front,
                 ready=self._ready,
                 control=self._control,
                 store=f'{LOCAL}:{store}',
@@ -257,10 +271,25 @@
 
     async def kill(self, name: str) -> None:
         """Kill a process that was started."""
+        await self.stop_process(name, signal.SIGKILL)
+
+    async def stop_process(self, name: str, signum: signal.Signals) -> None:
+        """Send a signal to a process that was started, and await its end."""
         process = self._processes[name]
-        process.send_signal(signal.SIGKILL)
+        if process.returncode is None:
+            process.send_signal(signum)
         await process.wait()
 
+    def memory(self, name: str) -> int:
+        """Return the bytes of memory that a process uses; 0 if it has ended."""
+        path = Path(f'/proc/{self._processes[name].pid}/status')
+        try:
+            lines = path.read_text().splitlines()
+        except OSError:
+            return 0
+        found = [line for line in lines if line.startswith('VmRSS:')]
+        return int(found[0].split()[1]) * 1024 if found else 0
+
     async def stop(self) -> None:
         """End all processes that were started."""
         for process in self._processes.values():
@@ -280,7 +309,7 @@
     ) -> tuple[int, bytes]:
         """Send a client's request to an entry, on a new channel."""
         return await call(
-            self.ips[entry], self._front, method, path, fields, body
+            self.ips[entry], self.front, method, path, fields, body
         )
 
     async def _is_ready(self, ip: str) -> bool:
