--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 export PYTHONPATH="$PWD/target/deps:$PWD"
 export PYTHONDONTWRITEBYTECODE=1
-exec timeout -k 2 118 python3 review/6/play.py
+exec timeout -k 5 -s INT 112 python3 review/6/play.py
--- a/review/common2/stage.py
+++ b/review/common2/stage.py
@@ -164,6 +164,7 @@
         self.store_ports: dict[str, int] = {}
         self._record = record.open('w')
         self._processes: dict[str, asyncio.subprocess.Process] = {}
+        self._is_ending = False
         self._ports = iter(_free_ports(60))
         self.store = self.port()
         self.front, self._ready, self._control = (self.port() for _ in range(3))
@@ -258,6 +259,8 @@
 
     async def run(self, name: str, *words: str, **environ: str) -> None:
         """Start ``python3 -m`` with these words; its output goes to a log."""
+        if self._is_ending:
+            raise CannotRunError('the play is over')
         with (self.folder / f'{name}.log').open('ab') as log:
             self._processes[name] = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -292,6 +295,9 @@
 
     async def stop(self) -> None:
         """End all processes that were started."""
+        self._is_ending = True
+        # What is being started is known after that.
+        await asyncio.sleep(0.3)
         for process in self._processes.values():
             if process.returncode is None:
                 process.send_signal(signal.SIGKILL)
