review: a play that fails by itself exits with 2

Cause: an exception of a script would have ended it with 1, as a breach. Change: review/common2/stage.py takes every exception for a play that could not be run.

--- a/review/common2/stage.py
+++ b/review/common2/stage.py
@@ -417,7 +417,7 @@
     """Play a case and exit with its status; 2 if it couldn't be played."""
     try:
         status = asyncio.run(play())
-    except (CannotRunError, OSError, TimeoutError, ValueError) as exc:
+    except Exception as exc:  # noqa: BLE001 (no failure of its own is a breach)
         print(f'the case could not run: {exc!r}')
         status = 2
     sys.exit(status)
