--- a/review/common2/stage.py
+++ b/review/common2/stage.py
@@ -164,6 +164,8 @@
         self.store_ports: dict[str, int] = {}
         self._record = record.open('w')
         self._processes: dict[str, asyncio.subprocess.Process] = {}
+        # All of them, also those that another one has followed.
+        self._started: list[asyncio.subprocess.Process] = []
         self._is_ending = False
         self._ports = iter(_free_ports(60))
         self.store = self.port()
@@ -262,7 +264,7 @@
         if self._is_ending:
             raise CannotRunError('the play is over')
         with (self.folder / f'{name}.log').open('ab') as log:
-            self._processes[name] = await asyncio.create_subprocess_exec(
+            process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
                 *words,
@@ -271,6 +273,8 @@
                 stderr=log,
                 env={**os.environ, **environ},
             )
+        self._started.append(process)
+        self._processes[name] = process
 
     async def kill(self, name: str) -> None:
         """Kill a process that was started."""
@@ -298,10 +302,10 @@
         self._is_ending = True
         # What is being started is known after that.
         await asyncio.sleep(0.3)
-        for process in self._processes.values():
+        for process in self._started:
             if process.returncode is None:
                 process.send_signal(signal.SIGKILL)
-        for process in self._processes.values():
+        for process in self._started:
             await process.wait()
         self._record.close()
 
