--- a/review/common2/stage.py
+++ b/review/common2/stage.py
@@ -43,7 +43,7 @@
 ready-addr = "{ip}:{ready}"
 control = "{ip}:{control}"
 [limits]
-memory-mb = 300
+memory-mb = {memory}
 max-fds = 4100
 [bounds]
 seed-lag-s = 3
@@ -162,6 +162,8 @@
         self.ips: dict[str, str] = {}
         # Ports by which entries reach the store, where not directly.
         self.store_ports: dict[str, int] = {}
+        # MB that an entry is told it may use.
+        self.memory_mb = 300
         self._record = record.open('w')
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         # All of them, also those that another one has followed.
@@ -236,6 +238,7 @@
         path.write_text(
             SETTINGS.format(
                 name=name,
+                memory=self.memory_mb,
                 ip=self.ips[name],
                 zone=zone,
                 region=self.places[zone],
--- a/review/common2/store.py
+++ b/review/common2/store.py
@@ -3,7 +3,7 @@
 ``python3 -m review.common2.store PORT`` keeps objects by kind and name. Lists
 come in pages of 500. ``POST /fill`` with ``kind``, ``like``, ``count`` and
 ``prefix`` stores so many objects more that are equal to the one named ``like``,
-under names of their own, as if they had been written long ago.
+under names of their own. Watches hear of them as of all others.
 """
 
 import asyncio
@@ -13,7 +13,7 @@
 from urllib.parse import parse_qs, unquote
 
 PAGE = 500  # objects in one answer
-HISTORY = 20000  # changes that are kept
+HISTORY = 40000  # changes that are kept
 ROOT = '/gentiantrestle/objects/'
 
 
@@ -36,15 +36,16 @@
         """Answer one call."""
         path, _, query = target.partition('?')
         fields = {key: row[0] for key, row in parse_qs(query).items()}
-        if path == '/fill':
-            return self._fill(json.loads(body))
         kind, _, name = unquote(path.removeprefix(ROOT)).partition('/')
         if method == 'GET' and 'watch' in fields:
             return await self._watch(kind, fields)
         if method == 'GET':
             return self._read(kind, name, fields.get('after', ''))
         async with self._changed:
-            answer = self._write(method, kind, name, body)
+            if path == '/fill':
+                answer = self._fill(json.loads(body))
+            else:
+                answer = self._write(method, kind, name, body)
             self._changed.notify_all()
         return answer
 
@@ -126,16 +127,14 @@
             self._lost = self._history[0][0]
 
     def _fill(self, wanted: dict) -> tuple[int, dict]:
-        """Store equal objects; all history up to now is dropped."""
+        """Store objects that are equal to one, but for the name in them."""
         like = self._objects[wanted['kind']][wanted['like']]
         text = json.dumps(like['spec'])
         for number in range(wanted['count']):
-            name = f'{wanted["prefix"]}{number:08x}'
+            name = f'{wanted["prefix"]}{number:04x}'
             # The ids of items begin with that of their job.
             spec = json.loads(text.replace(wanted['like'], name))
             self._put(wanted['kind'], name, spec, like['status'])
-        self._history.clear()
-        self._lost = self._revision
         return 200, {'objects': len(self._objects[wanted['kind']])}
 
 
