Answers without length are whole only if their run outlived them

Cause: an answer may end with its connection, and so does a crash. _confirm_end told them apart by a new connection to the address. A run that had started meanwhile accepted it; nothing asked whether it was the run that began the answer.

Ruled out: the framing (h11 reports the end as the upstream sent it), the list of upstreams (it plays no part in the check), the proxy of the case.

Change: AnswerEnd collects evidence from the head of such an answer on. It is whole if the run that reports itself after the end had begun before the request was sent, by the list or an earlier report; or if a second connection, opened at the head, is answered after the end, and the answer was still sent when it was open. Else the answer is lost, as after a reset. Over a hop the end is always marked; without a mark it is lost.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -261,6 +261,11 @@
 DELIVERY_UNKNOWN = warning_event(
     5130, 'what a server has taken of a request is not known: {error}'
 )
+ANSWER_END_UNPROVEN = warning_event(
+    5131,
+    'answer of {upstream} without length may have been cut: runs {known} had '
+    'begun before it, {found} is there after it',
+)
 LINES_DROPPED = warning_event(
     7001, 'log buffer was full; {count} lines dropped'
 )
--- a/gentiantrestle/gateway/batch/item_progress.py
+++ b/gentiantrestle/gateway/batch/item_progress.py
@@ -98,7 +98,7 @@
         self._begin_at(lease.upstream, context.clock.now())
         parts = context.dialect.item_prompt_parts(self.spec)
         watch = RequestWatch(context.guard, parts, context.clock, owed=True)
-        conn = UpstreamConnection(context.dialect, watch)
+        conn = UpstreamConnection(context.dialect, watch, context.runs)
         conn.on_contact = context.reach.note
         started = self._started
         before = len(self._output.texts)
--- a/gentiantrestle/gateway/forwarded_request.py
+++ b/gentiantrestle/gateway/forwarded_request.py
@@ -166,8 +166,9 @@
 
     async def _run_attempt(self, lease: SlotLease) -> AttemptOutcome:
         watch = self._new_watch(lease)
-        conn = UpstreamConnection(self._context.dialect, watch)
-        left = self._req.deadline - self._context.clock.now()
+        ctx = self._context
+        conn = UpstreamConnection(ctx.dialect, watch, ctx.runs)
+        left = self._req.deadline - ctx.clock.now()
         self.reason = ''
         self._relay.begin(lease.upstream, self._new_silence(lease, left), watch)
         try:
@@ -244,9 +245,8 @@
             self._is_passed_on = True
             self._progress = self._progress._replace(refusals=0, unreached=0)
         hop = PeerHop(passing, self._relay, self._progress, lease)
-        passed = self._describe(lease)
         try:
-            await hop.run(conn, passed)
+            await hop.run(conn, self._describe(lease))
         finally:
             self._note_hop(hop)
 
--- a/gentiantrestle/gateway/passing/hop.py
+++ b/gentiantrestle/gateway/passing/hop.py
@@ -17,6 +17,7 @@
 from gentiantrestle.gateway.silence import silence_limit
 from gentiantrestle.gateway.slots.client import SlotLease
 from gentiantrestle.gateway.upstream_connection import (
+    BY_CLOSE,
     ResponseLostError,
     UpstreamConnection,
     UpstreamRequest,
@@ -90,6 +91,9 @@
         # From here on it counts as executed, as often as the peer may.
         self.progress = self._before._replace(runs=passed.route.max_attempts)
         reply = await self._send(conn, passed)
+        if conn.framing == BY_CLOSE:
+            # Of a body that an instance sends the end is always marked.
+            raise AttemptFailedError(AttemptOutcome.LOST, 'no framing')
         answer = self._read(reply)
         if answer.refusal is not None:
             self._raise_refusal(answer.refusal)
--- a/gentiantrestle/gateway/upstream_connection.py
+++ b/gentiantrestle/gateway/upstream_connection.py
@@ -7,9 +7,11 @@
 import h11
 
 from gentiantrestle.errors import RefusedError
+from gentiantrestle.gateway.answer_end import AnswerEnd
 from gentiantrestle.gateway.memory.budget import Claim
 from gentiantrestle.gateway.model import Request, Upstream
 from gentiantrestle.gateway.ports import Dialect, Reply
+from gentiantrestle.gateway.upstream_runs import UpstreamRuns
 from gentiantrestle.http.delivery import is_taken
 from gentiantrestle.http.link import (
     Link,
@@ -17,8 +19,8 @@
     RequestNotSentError,
     open_link,
 )
-from gentiantrestle.http.messages import needs_body
-from gentiantrestle.http.probe import accepts_connections, is_path_sound
+from gentiantrestle.http.messages import may_have_body, needs_body
+from gentiantrestle.http.probe import is_path_sound, refuses_connections
 from gentiantrestle.quarantine.watch import RequestWatch
 
 # Two round trips between regions, with time for one lost packet.
@@ -68,13 +70,21 @@
     This way bytes of one response can't be taken for part of another.
     """
 
-    def __init__(self, dialect: Dialect, watch: RequestWatch) -> None:
+    def __init__(
+        self, dialect: Dialect, watch: RequestWatch, runs: UpstreamRuns
+    ) -> None:
         """Decode responses with ``dialect``; ``connect`` opens the link.
 
-        Nothing is sent that ``watch`` holds back.
+        Nothing is sent that ``watch`` holds back. ``runs`` show whether an
+        answer without length is whole.
         """
         self._dialect = dialect
         self._watch = watch
+        self._runs = runs
+        # Runs of the upstream that had begun before the request was sent.
+        self._known_runs: frozenset[int] = frozenset()
+        self._sent_at = float(0)
+        self._end: AnswerEnd | None = None  # of an answer without length
         self._link: Link | None = None
         self._upstream: Upstream | None = None
         # What tells where the body ends; empty until the head has arrived.
@@ -91,6 +101,7 @@
         Raises ``RequestNotSentError``; then nothing was sent.
         """
         self._upstream = upstream
+        self._known_runs = self._runs.known(upstream)
         try:
             self._link = await open_link(
                 upstream.address, CONNECT_TIMEOUT, MAX_HEADER_SIZE
@@ -109,6 +120,7 @@
         """
         head = _encode_head(req)
         self._request_size = len(req.body)
+        self._sent_at = asyncio.get_running_loop().time()
         self._watch.check()
         if self._link.has_input:
             raise RequestNotSentError('bytes arrived before the request')
@@ -134,6 +146,8 @@
         event = await self._next_body_event(stall_timeout)
         while not isinstance(event, h11.EndOfMessage):
             self._body_size += len(event.data)
+            if self._end is not None:
+                self._end.note_part()
             yield bytes(event.data)
             event = await self._next_body_event(stall_timeout)
         await self._confirm_end()
@@ -173,9 +187,9 @@
         link = self._link
         if link is None or not link.disconnected or not self._watch.is_opening:
             return False
-        if not await _refuses_connections(self._upstream):
-            return False
         upstream = self._upstream
+        if not await refuses_connections(upstream.address, CONNECT_TIMEOUT):
+            return False
         others = (other.address for other in reach.others(upstream))
         if not await is_path_sound(others, CONNECT_TIMEOUT):
             return False
@@ -186,19 +200,21 @@
         """Reset the connection; an upstream that is still working stops."""
         if self._link is not None:
             self._link.abort()
+        if self._end is not None:
+            self._end.close()
 
     async def _confirm_end(self) -> None:
-        """Raise ``ResponseLostError`` if the upstream ended with the body.
+        """Raise ``ResponseLostError`` unless a body without length is whole.
 
-        Also if it reset the connection before it had taken the request.
+        It is not if the upstream ended with it, or reset the connection before
+        it had taken the request.
         """
-        if self.framing != BY_CLOSE or not self._link.eof_seen:
+        if self._end is None or not self._link.eof_seen:
             return
         if not await is_taken(self._link, self._request_size):
             raise ResponseLostError('ended before the request was taken')
-        address = self._upstream.address
-        if not await accepts_connections(address, CONNECT_TIMEOUT):
-            raise ResponseLostError('the upstream ended with its answer')
+        if not await self._end.is_whole():
+            raise ResponseLostError('the upstream may have ended before it')
 
     async def _next_body_event(
         self, stall_timeout: float | None
@@ -212,12 +228,25 @@
             return event
         raise ResponseLostError('connection closed before the body ended')
 
+    def _expect_end(self, method: str, status: int) -> None:
+        """Prepare to show that a body without length is whole."""
+        if self.framing == BY_CLOSE and may_have_body(method.encode(), status):
+            now = asyncio.get_running_loop().time
+            self._end = AnswerEnd(
+                self._runs,
+                self._upstream,
+                self._known_runs,
+                self._sent_at,
+                now,
+            )
+
     async def _read_head(self, method: str) -> Reply:
         while True:
             event = await self._link.next_event()
             if isinstance(event, h11.Response):
                 self.framing = _framing(event)
                 self._needs_body = needs_body(method, event.status_code)
+                self._expect_end(method, event.status_code)
                 return self._dialect.read_reply(event)
             if not isinstance(event, h11.InformationalResponse):
                 raise LinkLostError('connection closed before the response')
@@ -253,18 +282,6 @@
     return BY_LENGTH if b'content-length' in names else BY_CLOSE
 
 
-async def _refuses_connections(upstream: Upstream) -> bool:
-    """Return whether nothing listens at the upstream's address any more."""
-    try:
-        link = await open_link(
-            upstream.address, CONNECT_TIMEOUT, MAX_HEADER_SIZE
-        )
-    except RequestNotSentError as exc:
-        return isinstance(exc.__cause__, ConnectionRefusedError)
-    link.abort()
-    return False
-
-
 def _encode_head(req: UpstreamRequest) -> h11.Request:
     length = (b'content-length', str(len(req.body)).encode())
     try:
--- a/gentiantrestle/http/probe.py
+++ b/gentiantrestle/http/probe.py
@@ -15,8 +15,7 @@
 async def accepts_connections(address: Address, timeout: float) -> bool:
     """Return whether a connection to ``address`` opens within ``timeout`` s.
 
-    An answer that ends with its connection is only known to be whole if its
-    server has not ended as well.
+    That says nothing of the run of the server that was there before.
     """
     try:
         async with asyncio.timeout(timeout):
@@ -27,6 +26,22 @@
     return True
 
 
+async def refuses_connections(address: Address, timeout: float) -> bool:
+    """Return whether nothing listens at ``address`` any more.
+
+    One that doesn't answer at all within ``timeout`` s may still be running.
+    """
+    try:
+        async with asyncio.timeout(timeout):
+            _, writer = await asyncio.open_connection(*address)
+    except ConnectionRefusedError:
+        return True
+    except CONNECT_ERRORS:
+        return False
+    writer.close()
+    return False
+
+
 async def is_path_sound(others: Iterable[Address], timeout: float) -> bool:
     """Return whether one of the first few other servers accepts connections.
 
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -238,8 +238,13 @@
             and line['code'] == REQUEST_ENDED
         ]
 
-    async def register(self, number: int, state: str = 'ready') -> None:
-        """Write an upstream's record to the store as an upstream does."""
+    async def register(
+        self, number: int, state: str = 'ready', born: int | None = None
+    ) -> None:
+        """Write an upstream's record to the store as an upstream does.
+
+        ``born`` is the start of the stand-in unless it is given.
+        """
         spec = {
             'service': self.services.get(number, SERVICE),
             'address': str(self.upstream_address(number)),
@@ -247,7 +252,7 @@
             'version': self.versions.get(number, VERSION),
             'slots': 8,
             'state': state,
-            'born': self._incarnations[number],
+            'born': self._incarnations[number] if born is None else born,
         }
         await self.write('servers', self.upstream_id(number), spec)
 
--- a/tests/gateway/test_passing_tries.py
+++ b/tests/gateway/test_passing_tries.py
@@ -1,7 +1,6 @@
 """How often a request is tried where paths to upstreams are broken."""
 
 import time
-from types import SimpleNamespace
 
 import pytest
 
@@ -21,6 +20,7 @@
 from gentiantrestle.gateway.slots.slot_request import SlotRequest
 from gentiantrestle.gateway.slots.timing import NO_TIMING, AnswerTiming
 from gentiantrestle.gateway.streams.origins import StreamOrigin
+from gentiantrestle.gateway.upstream_runs import UpstreamRuns
 from gentiantrestle.models import Address
 from gentiantrestle.quarantine.evidence import Evidence
 from gentiantrestle.quarantine.guard import RequestGuard
@@ -113,7 +113,7 @@
         Clock(time.monotonic, time.time),
         RequestGuard(Evidence(), lambda key: True),
         NewStreams(),
-        SimpleNamespace(),
+        UpstreamRuns(None),
         paths,
         paths,
     )
--- a/tests/gateway/test_path_blame.py
+++ b/tests/gateway/test_path_blame.py
@@ -15,6 +15,7 @@
     UpstreamConnection,
     UpstreamRequest,
 )
+from gentiantrestle.gateway.upstream_runs import UpstreamRuns
 from gentiantrestle.models import Address
 from gentiantrestle.platform.dialect import PlatformDialect
 from gentiantrestle.quarantine.evidence import Evidence
@@ -77,7 +78,9 @@
         TRAITS,
         Clock(time.monotonic, time.time),
     )
-    conn = UpstreamConnection(PlatformDialect(), watch)
+    conn = UpstreamConnection(
+        PlatformDialect(), watch, UpstreamRuns(PlatformDialect())
+    )
     await conn.connect(ended)
     headers = [(b'host', b'x')]
     with pytest.raises(ResponseLostError):
--- a/tests/gateway/test_unread_answers.py
+++ b/tests/gateway/test_unread_answers.py
@@ -10,6 +10,7 @@
     UpstreamConnection,
     UpstreamRequest,
 )
+from gentiantrestle.gateway.upstream_runs import UpstreamRuns
 from gentiantrestle.http.link import RequestNotSentError
 from gentiantrestle.models import Address
 from gentiantrestle.platform.dialect import PlatformDialect
@@ -41,7 +42,9 @@
     server = await asyncio.start_server(serve, *address)
     clock = Clock(time.monotonic, time.time)
     watch = RequestWatch(RequestGuard(Evidence(), lambda _: True), (), clock)
-    conn = UpstreamConnection(PlatformDialect(), watch)
+    conn = UpstreamConnection(
+        PlatformDialect(), watch, UpstreamRuns(PlatformDialect())
+    )
     await conn.connect(make_upstream('u1', address=address))
     await asyncio.sleep(ARRIVAL_TIME)
     headers = [(b'host', b'x'), (b'x-attempt-id', NAME.encode())]
