Streams of unknown origin go on only by a list newer than they are

Cause: two conclusions from lists that nothing showed to be newer than the stream. _conclude_alone trusted this instance's view if any other instance had been heard lately, which says nothing of the age of a list. _conclude joined that view with the list of versions that others save some time after a version appears; a second look after 0.35 s stood for "saved by now".

Ruled out: records told wrongly (each record was of the version that made the events), restarts in place (the upstreams had ids of their own).

Change: a take-up is asked for at the zone's instances, from their memory: "began here" needs no list, and costs no call to the store. Else the versions at which it can have begun are those that the store lists, read after the take-up has come, with those noted and seen lately. Who can't read the store has another instance read it. If none can, it is refused. The read isn't put in force, as entries that lapsed in an outage are missing; upstreams that have lapsed count as in use.

--- a/gentiantrestle/gateway/assembly.py
+++ b/gentiantrestle/gateway/assembly.py
@@ -134,6 +134,6 @@
         ),
         runner,
         slots,
-        StreamOrigins(fleet, slots.parts.directory, adapter.store),
+        StreamOrigins(fleet, slots.parts.directory, adapter),
         owners,
     )
--- a/gentiantrestle/gateway/membership/peers.py
+++ b/gentiantrestle/gateway/membership/peers.py
@@ -154,16 +154,6 @@
             peer for peer in self._by_name.values() if self._is_alive(peer, now)
         ]
 
-    def in_touch(self, now: float) -> bool:
-        """Return whether any instance was heard of within ``TOUCH_TIME``.
-
-        One that has stood still, or was cut off, may hold the others for alive
-        for a while; what it knows may be out of date by then.
-        """
-        return any(
-            peer.is_alive(now, TOUCH_TIME) for peer in self._by_name.values()
-        )
-
     def alive_in(self, zone: str, now: float) -> list[Peer]:
         """List the instances of a zone that are alive."""
         return [peer for peer in self.alive(now) if peer.zone == zone]
--- a/gentiantrestle/gateway/peer_calls.py
+++ b/gentiantrestle/gateway/peer_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
+from typing import TypeAlias
 
 from gentiantrestle import events
 from gentiantrestle.daemon.membership.peers import (
@@ -25,6 +26,11 @@
 MS_PER_S = 1000
 
 
+TellOrigins: TypeAlias = Callable[
+    [ttypes.OriginRequest], Awaitable[ttypes.OriginAnswer]
+]
+
+
 class PeerCalls:
     """Calls the other instances and answers their calls."""
 
@@ -49,6 +55,8 @@
         self.confirm_results: Callable[[JobEntry], Awaitable[bool]] = _never
         # Returns whether this instance reaches a service now.
         self.confirm_reach: Callable[[str], Awaitable[bool]] = _never
+        # Tells where streams began, as far as is known here.
+        self.tell_origins: TellOrigins = _know_nothing
 
     async def serve(self, host: str) -> None:
         """Answer the other instances until cancelled."""
@@ -95,6 +103,17 @@
             return False
         return bool(envelope.reach_answer and envelope.reach_answer.reached)
 
+    async def ask_origins(
+        self, peer: Peer, request: ttypes.OriginRequest
+    ) -> ttypes.OriginAnswer | None:
+        """Ask an instance where streams began; None if it doesn't answer."""
+        try:
+            return (
+                await self._call(peer, origin_request=request)
+            ).origin_answer
+        except PeerError:
+            return None
+
     async def _ask_next(self, now: float) -> bool:
         """Ask one source; return whether it is silent, so that one follows."""
         states = self._sources.states(now)
@@ -162,6 +181,9 @@
             service = envelope.reach_request.service_name
             reached = await self.confirm_reach(service)
             answer.reach_answer = ttypes.ReachAnswer(reached)
+        elif envelope.origin_request is not None:
+            request = envelope.origin_request
+            answer.origin_answer = await self.tell_origins(request)
         return answer
 
     async def _build_results(
@@ -187,3 +209,10 @@
 
 async def _never(asked: JobEntry | str) -> bool:
     return False
+
+
+async def _know_nothing(
+    request: ttypes.OriginRequest,
+) -> ttypes.OriginAnswer:
+    """Know of no stream until this is set."""
+    return ttypes.OriginAnswer([])
--- a/gentiantrestle/gateway/peering.py
+++ b/gentiantrestle/gateway/peering.py
@@ -22,6 +22,7 @@
 from gentiantrestle.gateway.peer_calls import PeerCalls
 from gentiantrestle.gateway.reach.service import UpstreamReach
 from gentiantrestle.gateway.state_copier import StateCopier
+from gentiantrestle.gateway.streams.service import StreamOrigins
 from gentiantrestle.gateway.zone_watcher import CopySourceSelector
 from gentiantrestle.models import Address
 from gentiantrestle.quarantine.evidence import Evidence, Findings
@@ -138,6 +139,11 @@
         self._peer_calls.confirm_reach = reach.confirm
         reach.ask = self._peer_calls.ask_reach
 
+    def connect_streams(self, streams: StreamOrigins) -> None:
+        """Let calls tell where streams began."""
+        self._peer_calls.tell_origins = streams.answer
+        streams.peers.ask = self._peer_calls.ask_origins
+
     def announce_cancelled_job(self, job: str) -> None:
         """List a job as cancelled by its client in the next datagrams."""
         self._cancelled_jobs.append(job)
--- a/gentiantrestle/gateway/roster.py
+++ b/gentiantrestle/gateway/roster.py
@@ -126,6 +126,12 @@
         """Return the upstreams whose entries are in the store."""
         return tuple(self._listed.values())
 
+    def in_use(self, now: float) -> tuple[Upstream, ...]:
+        """Return the upstreams that are listed, and those that have lapsed."""
+        self._expire(now)
+        lapsed = (known.upstream for known in self._lapsed.values())
+        return (*self._listed.values(), *lapsed)
+
     def _draining_upstreams(
         self, service: str, version: str, now: float
     ) -> list[Upstream]:
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -181,6 +181,7 @@
         )
         peering.update_role = self._update_role
         peering.connect_reach(self._batch_context.reach)
+        peering.connect_streams(self._components.streams)
         return peering
 
     def _is_prepared(self) -> bool:
--- a/gentiantrestle/gateway/streams/service.py
+++ b/gentiantrestle/gateway/streams/service.py
@@ -11,17 +11,22 @@
     RouteKind,
     Upstream,
 )
-from gentiantrestle.gateway.ports import ObjectStore
+from gentiantrestle.gateway.ports import Adapter
 from gentiantrestle.gateway.routing import choose_service
 from gentiantrestle.gateway.slots.directory import SlotDirectory
+from gentiantrestle.gateway.streams.asking import PeerOrigins
 from gentiantrestle.gateway.streams.origins import (
     ANY_VERSION,
     OriginLog,
     StreamOrigin,
 )
+from gentiantrestle.gateway.streams.reading import (
+    StreamReader,
+    VersionReader,
+)
 from gentiantrestle.gateway.streams.resolving import (
     OriginResolver,
-    StreamReader,
+    OriginSources,
 )
 from gentiantrestle.gateway.streams.saving import StreamSaver
 from gentiantrestle.gateway.streams.sharing import OriginSharer
@@ -45,7 +50,7 @@
         self,
         fleet: FleetContext,
         directory: SlotDirectory,
-        store: ObjectStore,
+        adapter: Adapter,
     ) -> None:
         """Tell the coordinators of ``directory``; nothing is known yet."""
         self._fleet = fleet
@@ -57,17 +62,19 @@
         self._told = OriginLog()
         self._sharer = OriginSharer(self._own)
         self._saver = StreamSaver(
-            fleet.identity.zone, store, self._told, self._history, now
+            fleet.identity.zone, adapter.store, self._told, self._history, now
         )
         self._saver.is_leading = self._is_leading
-        self._reader = StreamReader(store, now)
+        self._reader = StreamReader(adapter.store)
+        self.peers = PeerOrigins(fleet.identity.zone, fleet.peers, now)
         self._resolver = OriginResolver(
             (self._own, self._told),
             self._history,
-            self._reader,
+            OriginSources(self._reader, VersionReader(adapter), self.peers),
             now,
         )
-        self._resolver.has_peers = fleet.peers.in_touch
+        # Tells another instance of streams.
+        self.answer = self._resolver.answer
         self._wake = asyncio.Event()
         fleet.port.on(BEGUN_STREAMS, self._receive)
 
@@ -80,7 +87,7 @@
     def note_upstreams(self) -> None:
         """Note that the upstreams may have changed."""
         now = self._now()
-        changed = self._history.note(self._fleet.state.roster.entries(), now)
+        changed = self._history.note(self._fleet.state.roster.in_use(now), now)
         self._sharer.share_services(changed, now)
 
     def begin(self, req: Request, route: Route, upstream: Upstream) -> None:
--- a/gentiantrestle/gateway/streams/versions.py
+++ b/gentiantrestle/gateway/streams/versions.py
@@ -55,7 +55,7 @@
 
     def adopt(self, listed: Versions, now: float) -> None:
         """Take over versions that other instances have seen lately."""
-        self._last_seen.update(dict.fromkeys(_flatten(listed), now))
+        self._last_seen.update(dict.fromkeys(flatten_versions(listed), now))
         self.is_informed = True
 
     def recent(self, now: float) -> Versions:
@@ -105,23 +105,32 @@
         versions that it lacks stay listed for longer.
         """
         hold_time = VIEW_LAG if history.is_complete(now) else RETENTION
-        keys = set(_flatten(listed))
+        keys = set(flatten_versions(listed))
         self._listed_since = {
             key: self._listed_since.get(key, now) for key in keys
         }
         kept = {
             key for key in keys if now - self._listed_since[key] <= hold_time
         }
-        return _group(kept | set(_flatten(history.recent(now))))
+        return group_versions(kept | set(flatten_versions(history.recent(now))))
 
 
-def _flatten(versions: Versions) -> Iterable[ServiceVersion]:
+def flatten_versions(versions: Versions) -> Iterable[ServiceVersion]:
+    """Yield the versions of all services."""
     for service, names in versions.items():
         for name in names:
             yield ServiceVersion(service, name)
 
 
-def _group(keys: Iterable[ServiceVersion]) -> Versions:
+def join_versions(*lists: Versions) -> Versions:
+    """Return what any of some lists has."""
+    return group_versions(
+        key for listed in lists for key in flatten_versions(listed)
+    )
+
+
+def group_versions(keys: Iterable[ServiceVersion]) -> Versions:
+    """Return the versions of each service."""
     found: dict[str, frozenset[str]] = {}
     for key in keys:
         known = found.get(key.service, NO_VERSIONS)
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -270,6 +270,27 @@
   3: required list<string> attempts,
 }
 
+/* Software versions of a service's upstreams. */
+struct ServiceVersions {
+  1: required string service_name,
+  2: required list<string> versions,
+}
+
+/* Asks where streams began, by the attempts that brought their first events. */
+struct OriginRequest {
+  1: required list<string> attempts,
+  /* Whether to have the store confirm the versions: the sender can't. */
+  2: required bool confirm,
+}
+
+struct OriginAnswer {
+  /* Those of the streams that are known. */
+  1: required list<BegunStreams> known,
+  /* All versions at which a stream that had begun by the request can have
+   * begun, by service; absent if the store hasn't confirmed them since. */
+  2: optional list<ServiceVersions> versions,
+}
+
 /* An object of the platform's store, as the sender knows it. */
 struct KnownObject {
   1: required string name,
@@ -468,4 +489,6 @@
   30: optional AllowanceReturn allowance_return,
   31: optional AllowanceSpent allowance_spent,
   32: optional AllowanceConfirmed allowance_confirmed,
+  33: optional OriginRequest origin_request,
+  34: optional OriginAnswer origin_answer,
 }
--- a/gentiantrestle/wire/peer/ttypes.py
+++ b/gentiantrestle/wire/peer/ttypes.py
@@ -3445,6 +3445,290 @@
         return not (self == other)
 
 
+class ServiceVersions(object):
+    """
+    Attributes:
+     - service_name
+     - versions
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'versions',
+    )
+
+
+    def __init__(self, service_name=None, versions=None,):
+        self.service_name = service_name
+        self.versions = versions
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.versions = []
+                    (_etype131, _size128) = iprot.readListBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.versions.append(_elem133)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceVersions')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.versions is not None:
+            oprot.writeFieldBegin('versions', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.versions))
+            for iter134 in self.versions:
+                oprot.writeString(iter134.encode('utf-8') if sys.version_info[0] == 2 else iter134)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.versions is None:
+            raise TProtocolException(message='Required field versions is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OriginRequest(object):
+    """
+    Attributes:
+     - attempts
+     - confirm
+
+    """
+
+    __slots__ = (
+        'attempts',
+        'confirm',
+    )
+
+
+    def __init__(self, attempts=None, confirm=None,):
+        self.attempts = attempts
+        self.confirm = confirm
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.attempts = []
+                    (_etype138, _size135) = iprot.readListBegin()
+                    for _i139 in range(_size135):
+                        _elem140 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.attempts.append(_elem140)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.confirm = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OriginRequest')
+        if self.attempts is not None:
+            oprot.writeFieldBegin('attempts', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.attempts))
+            for iter141 in self.attempts:
+                oprot.writeString(iter141.encode('utf-8') if sys.version_info[0] == 2 else iter141)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.confirm is not None:
+            oprot.writeFieldBegin('confirm', TType.BOOL, 2)
+            oprot.writeBool(self.confirm)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.attempts is None:
+            raise TProtocolException(message='Required field attempts is unset!')
+        if self.confirm is None:
+            raise TProtocolException(message='Required field confirm is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OriginAnswer(object):
+    """
+    Attributes:
+     - known
+     - versions
+
+    """
+
+    __slots__ = (
+        'known',
+        'versions',
+    )
+
+
+    def __init__(self, known=None, versions=None,):
+        self.known = known
+        self.versions = versions
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.known = []
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = BegunStreams()
+                        _elem147.read(iprot)
+                        self.known.append(_elem147)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.versions = []
+                    (_etype151, _size148) = iprot.readListBegin()
+                    for _i152 in range(_size148):
+                        _elem153 = ServiceVersions()
+                        _elem153.read(iprot)
+                        self.versions.append(_elem153)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OriginAnswer')
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.known))
+            for iter154 in self.known:
+                iter154.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.versions is not None:
+            oprot.writeFieldBegin('versions', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.versions))
+            for iter155 in self.versions:
+                iter155.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.known is None:
+            raise TProtocolException(message='Required field known is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class KnownObject(object):
     """
     Attributes:
@@ -3699,22 +3983,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype131, _size128) = iprot.readListBegin()
-                    for _i132 in range(_size128):
-                        _elem133 = KnownObject()
-                        _elem133.read(iprot)
-                        self.upstreams.append(_elem133)
+                    (_etype159, _size156) = iprot.readListBegin()
+                    for _i160 in range(_size156):
+                        _elem161 = KnownObject()
+                        _elem161.read(iprot)
+                        self.upstreams.append(_elem161)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.jobs = []
-                    (_etype137, _size134) = iprot.readListBegin()
-                    for _i138 in range(_size134):
-                        _elem139 = KnownObject()
-                        _elem139.read(iprot)
-                        self.jobs.append(_elem139)
+                    (_etype165, _size162) = iprot.readListBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = KnownObject()
+                        _elem167.read(iprot)
+                        self.jobs.append(_elem167)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3748,15 +4032,15 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter140 in self.upstreams:
-                iter140.write(oprot)
+            for iter168 in self.upstreams:
+                iter168.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter141 in self.jobs:
-                iter141.write(oprot)
+            for iter169 in self.jobs:
+                iter169.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lapse_left is not None:
@@ -4024,11 +4308,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype145, _size142) = iprot.readListBegin()
-                    for _i146 in range(_size142):
-                        _elem147 = ResultRow()
-                        _elem147.read(iprot)
-                        self.rows.append(_elem147)
+                    (_etype173, _size170) = iprot.readListBegin()
+                    for _i174 in range(_size170):
+                        _elem175 = ResultRow()
+                        _elem175.read(iprot)
+                        self.rows.append(_elem175)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4058,8 +4342,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter148 in self.rows:
-                iter148.write(oprot)
+            for iter176 in self.rows:
+                iter176.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.chunks is not None:
@@ -4589,11 +4873,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype152, _size149) = iprot.readListBegin()
-                    for _i153 in range(_size149):
-                        _elem154 = HeaderField()
-                        _elem154.read(iprot)
-                        self.headers.append(_elem154)
+                    (_etype180, _size177) = iprot.readListBegin()
+                    for _i181 in range(_size177):
+                        _elem182 = HeaderField()
+                        _elem182.read(iprot)
+                        self.headers.append(_elem182)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4620,10 +4904,10 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.prompt_parts = []
-                    (_etype158, _size155) = iprot.readListBegin()
-                    for _i159 in range(_size155):
-                        _elem160 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.prompt_parts.append(_elem160)
+                    (_etype186, _size183) = iprot.readListBegin()
+                    for _i187 in range(_size183):
+                        _elem188 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.prompt_parts.append(_elem188)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4656,10 +4940,10 @@
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.tried = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.tried.append(_elem166)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.tried.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4702,8 +4986,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter167 in self.headers:
-                iter167.write(oprot)
+            for iter195 in self.headers:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -4725,8 +5009,8 @@
         if self.prompt_parts is not None:
             oprot.writeFieldBegin('prompt_parts', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.prompt_parts))
-            for iter168 in self.prompt_parts:
-                oprot.writeString(iter168.encode('utf-8') if sys.version_info[0] == 2 else iter168)
+            for iter196 in self.prompt_parts:
+                oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.resumes is not None:
@@ -4752,8 +5036,8 @@
         if self.tried is not None:
             oprot.writeFieldBegin('tried', TType.LIST, 16)
             oprot.writeListBegin(TType.STRING, len(self.tried))
-            for iter169 in self.tried:
-                oprot.writeString(iter169.encode('utf-8') if sys.version_info[0] == 2 else iter169)
+            for iter197 in self.tried:
+                oprot.writeString(iter197.encode('utf-8') if sys.version_info[0] == 2 else iter197)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.instance is not None:
@@ -5566,6 +5850,8 @@
      - allowance_return
      - allowance_spent
      - allowance_confirmed
+     - origin_request
+     - origin_answer
 
     """
 
@@ -5602,10 +5888,12 @@
         'allowance_return',
         'allowance_spent',
         'allowance_confirmed',
+        'origin_request',
+        'origin_answer',
     )
 
 
-    def __init__(self, call=None, heartbeat=None, changes_request=None, changes=None, answer_request=None, answer=None, load_report=None, report_request=None, report=None, pulse=None, results_request=None, results=None, copy_request=None, copy=None, slot_ask=None, slot_answer=None, slot_release=None, slot_yield=None, slot_report=None, zone_sums=None, rate_limit_notice=None, begun_streams=None, leaving_notice=None, reach_request=None, reach_answer=None, confirmation_ask=None, confirmation_answer=None, allowance_ask=None, allowance_answer=None, allowance_return=None, allowance_spent=None, allowance_confirmed=None,):
+    def __init__(self, call=None, heartbeat=None, changes_request=None, changes=None, answer_request=None, answer=None, load_report=None, report_request=None, report=None, pulse=None, results_request=None, results=None, copy_request=None, copy=None, slot_ask=None, slot_answer=None, slot_release=None, slot_yield=None, slot_report=None, zone_sums=None, rate_limit_notice=None, begun_streams=None, leaving_notice=None, reach_request=None, reach_answer=None, confirmation_ask=None, confirmation_answer=None, allowance_ask=None, allowance_answer=None, allowance_return=None, allowance_spent=None, allowance_confirmed=None, origin_request=None, origin_answer=None,):
         self.call = call
         self.heartbeat = heartbeat
         self.changes_request = changes_request
@@ -5638,6 +5926,8 @@
         self.allowance_return = allowance_return
         self.allowance_spent = allowance_spent
         self.allowance_confirmed = allowance_confirmed
+        self.origin_request = origin_request
+        self.origin_answer = origin_answer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5839,6 +6129,18 @@
                     self.allowance_confirmed.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 33:
+                if ftype == TType.STRUCT:
+                    self.origin_request = OriginRequest()
+                    self.origin_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 34:
+                if ftype == TType.STRUCT:
+                    self.origin_answer = OriginAnswer()
+                    self.origin_answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5977,6 +6279,14 @@
             oprot.writeFieldBegin('allowance_confirmed', TType.STRUCT, 32)
             self.allowance_confirmed.write(oprot)
             oprot.writeFieldEnd()
+        if self.origin_request is not None:
+            oprot.writeFieldBegin('origin_request', TType.STRUCT, 33)
+            self.origin_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.origin_answer is not None:
+            oprot.writeFieldBegin('origin_answer', TType.STRUCT, 34)
+            self.origin_answer.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6233,6 +6543,24 @@
     (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
     (3, TType.LIST, 'attempts', (TType.STRING, 'UTF8', False), None, ),  # 3
 )
+all_structs.append(ServiceVersions)
+ServiceVersions.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'versions', (TType.STRING, 'UTF8', False), None, ),  # 2
+)
+all_structs.append(OriginRequest)
+OriginRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'attempts', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.BOOL, 'confirm', None, None, ),  # 2
+)
+all_structs.append(OriginAnswer)
+OriginAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'known', (TType.STRUCT, [BegunStreams, None], False), None, ),  # 1
+    (2, TType.LIST, 'versions', (TType.STRUCT, [ServiceVersions, None], False), None, ),  # 2
+)
 all_structs.append(KnownObject)
 KnownObject.thrift_spec = (
     None,  # 0
@@ -6414,6 +6742,8 @@
     (30, TType.STRUCT, 'allowance_return', [AllowanceReturn, None], None, ),  # 30
     (31, TType.STRUCT, 'allowance_spent', [AllowanceSpent, None], None, ),  # 31
     (32, TType.STRUCT, 'allowance_confirmed', [AllowanceConfirmed, None], None, ),  # 32
+    (33, TType.STRUCT, 'origin_request', [OriginRequest, None], None, ),  # 33
+    (34, TType.STRUCT, 'origin_answer', [OriginAnswer, None], None, ),  # 34
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/gateway/test_process_silent_store.py
+++ b/tests/gateway/test_process_silent_store.py
@@ -29,9 +29,9 @@
 class LinkedFleet(GatewayFleet):
     """A fleet whose entries reach the store through a link each."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, upstreams: int = UPSTREAMS) -> None:
         """Choose the addresses; nothing is started yet."""
-        super().__init__(folder, ENTRIES, UPSTREAMS)
+        super().__init__(folder, ENTRIES, upstreams)
         addresses = [Address(HOST, port) for port in free_ports(ENTRIES)]
         self._addresses = addresses
         self.links = [Proxy(address, self.store) for address in addresses]
--- a/tests/gateway/test_relaying.py
+++ b/tests/gateway/test_relaying.py
@@ -80,17 +80,20 @@
 
 
 @pytest.mark.parametrize('zone', [ZONE, 'b1'])
-def test_instance_that_stood_still_is_not_in_touch_though_others_count_as_alive(
+def test_instance_that_stood_still_hears_nobody_though_others_count_as_alive(
     zone: str,
 ) -> None:
+    def is_heard(now: float) -> bool:
+        return any(peer.is_alive(now, TOUCH_TIME) for peer in peers.alive(now))
+
     peers = _make_peers()
-    assert not peers.in_touch(0)
+    assert not is_heard(0)
     peers.update(_make_peer('1', zone=zone))
-    assert peers.in_touch(TOUCH_TIME - 0.1)
+    assert is_heard(TOUCH_TIME - 0.1)
     assert peers.alive(TOUCH_TIME + 0.1)
-    assert not peers.in_touch(TOUCH_TIME + 0.1)
+    assert not is_heard(TOUCH_TIME + 0.1)
     peers.update(_make_peer('1', zone=zone, sequence=2, received_at=9))
-    assert peers.in_touch(9)
+    assert is_heard(9)
 
 
 def test_host_of_lost_instance_is_tried_for_a_while() -> None:
--- a/tests/gateway/test_stream_look_up.py
+++ b/tests/gateway/test_stream_look_up.py
@@ -7,16 +7,15 @@
 
 from gentiantrestle.errors import RefusedError
 from gentiantrestle.gateway.ports import Page
-from gentiantrestle.gateway.streams.resolving import (
-    OriginResolver,
-    StreamReader,
-)
+from gentiantrestle.gateway.streams.reading import StreamReader
+from gentiantrestle.gateway.streams.resolving import OriginResolver
 from gentiantrestle.gateway.streams.versions import VersionHistory
 from gentiantrestle.store.client import StoreUnavailableError
 from tests.gateway.memory import MemoryStore
+from tests.gateway.origins import make_sources
 from tests.gateway.samples import make_request, make_route
 
-RESOLVING = 'gentiantrestle.gateway.streams.resolving'
+READING = 'gentiantrestle.gateway.streams.reading'
 PATIENCE = 2.0  # seconds
 READ_TIMEOUT = 0.1  # seconds
 TAKE_UPS = 10
@@ -37,9 +36,9 @@
 async def test_take_ups_share_a_call_that_the_store_does_not_answer(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(f'{RESOLVING}.READ_TIMEOUT', READ_TIMEOUT)
+    monkeypatch.setattr(f'{READING}.READ_TIMEOUT', READ_TIMEOUT)
     store = HangingStore()
-    reader = StreamReader(store, time.monotonic)
+    reader = StreamReader(store)
     reads = [reader.read() for _ in range(TAKE_UPS)]
     found = await asyncio.gather(*reads, return_exceptions=True)
     assert {type(exc) for exc in found} == {StoreUnavailableError}
@@ -48,8 +47,8 @@
 
 async def test_take_up_is_refused_before_its_deadline() -> None:
     now = time.monotonic
-    reader = StreamReader(HangingStore(), now)
-    resolver = OriginResolver((), VersionHistory(now()), reader, now)
+    sources = make_sources(HangingStore(), now)
+    resolver = OriginResolver((), VersionHistory(now()), sources, now)
     deadline = now() + READ_TIMEOUT
     req = make_request('r1', now(), last_event=3, deadline=deadline)
     with pytest.raises(RefusedError):
--- a/tests/gateway/test_stream_touch.py
+++ b/tests/gateway/test_stream_touch.py
@@ -1,4 +1,4 @@
-"""Streams taken up at an instance that has lost touch with the others."""
+"""Streams taken up at an instance that can't reach the store."""
 
 import asyncio
 from types import SimpleNamespace
@@ -6,11 +6,19 @@
 import pytest
 
 from gentiantrestle.errors import RefusedError
-from gentiantrestle.gateway.membership.peers import TOUCH_TIME, Peer, PeerList
+from gentiantrestle.gateway.membership.peers import Peer, PeerList
 from gentiantrestle.gateway.roster import Roster
-from gentiantrestle.gateway.streams.origins import RETENTION
+from gentiantrestle.gateway.streams.asking import (
+    MAX_READERS,
+    READ_TIMEOUT,
+    write_answer,
+)
+from gentiantrestle.gateway.streams.origins import RETENTION, StreamOrigin
 from gentiantrestle.gateway.streams.service import StreamOrigins
+from gentiantrestle.gateway.streams.versions import Versions
+from gentiantrestle.wire.peer import ttypes
 from tests.gateway.memory import MemoryStore
+from tests.gateway.origins import ZONE, list_upstream, make_adapter
 from tests.gateway.samples import (
     ENGINES,
     make_request,
@@ -19,19 +27,51 @@
 )
 from tests.utils.virtual_time import run_virtual, virtual_now
 
-ZONE = 'a1'
+OLD, NEW = 'v1', 'v2'
+LEFT = 5.0  # seconds that a take-up has
+
+
+class Other:
+    """Another instance, which is asked; ``None`` where it is silent."""
 
+    def __init__(
+        self,
+        zone: str = ZONE,
+        versions: Versions | None = None,
+        began: StreamOrigin | None = None,
+        *,
+        silent: bool = False,
+    ) -> None:
+        """Tell ``versions`` if asked to read, and where ``began`` began."""
+        self.zone = zone
+        self.silent = silent
+        self.asked: list[ttypes.OriginRequest] = []
+        self._versions = versions
+        self._began = began
 
-async def _take_up(last_heard: float) -> str:
+    async def answer(
+        self, request: ttypes.OriginRequest
+    ) -> ttypes.OriginAnswer | None:
+        """Answer as an instance does."""
+        self.asked.append(request)
+        if self.silent:
+            await asyncio.sleep(LEFT)
+            return None
+        known = [self._began] if self._began else []
+        return write_answer(known, self._versions if request.confirm else None)
+
+
+async def _take_up(*others: Other) -> str:
     """Take a stream up without the store; return the version it is bound to.
 
-    The instance has watched upstreams of one version for long, and another
-    instance was heard ``last_heard`` s ago.
+    The instance has watched upstreams of one version for long, and the others
+    were heard just now.
     """
     store = MemoryStore()
+    await list_upstream(store, OLD)
     store.down = True
     roster = Roster()
-    roster.put(make_upstream('u1', version='v1'))
+    roster.put(make_upstream('u1', version=OLD))
     peers = PeerList('me', '10.0.0.1', ZONE, ())
     fleet = SimpleNamespace(
         clock=SimpleNamespace(now=virtual_now),
@@ -41,24 +81,74 @@
         peers=peers,
     )
     started = virtual_now()
-    origins = StreamOrigins(fleet, None, store)
+    origins = StreamOrigins(fleet, None, make_adapter(store))
+    origins.peers.ask = lambda peer, request: others[int(peer.instance)].answer(
+        request
+    )
     while virtual_now() < started + RETENTION + 1:
         origins.note_upstreams()
         await asyncio.sleep(1)
-    heard_at = virtual_now() - last_heard
-    peers.update(Peer('x', 1, 1, '10.0.0.2', ZONE, False, 3, True, heard_at))
+    for number, other in enumerate(others):
+        host = f'10.0.1.{number}'
+        row = (str(number), 1, 1, host, other.zone, False, 3, True)
+        peers.update(Peer(*row, virtual_now()))
     req = make_request('r1', last_event=7)._replace(
-        resumes='r0', deadline=virtual_now() + 5
+        resumes='r0', deadline=virtual_now() + LEFT
     )
     found = await origins.find(req, make_route())
     assert found.service == ENGINES
     return found.version
 
 
-def test_stream_goes_on_by_what_is_known_here_while_in_touch() -> None:
-    assert run_virtual(_take_up(TOUCH_TIME - 0.5)) == 'v1'
+def _reads(*versions: str) -> Versions:
+    return {ENGINES: frozenset(versions)}
+
+
+# ORDER: that others are heard says nothing of the age of the list here.
+def test_stream_is_refused_where_no_other_instance_confirms_the_list() -> None:
+    with pytest.raises(RefusedError):
+        run_virtual(_take_up(Other(), Other('b1')))
+
+
+def test_stream_is_refused_where_nobody_is_heard() -> None:
+    with pytest.raises(RefusedError):
+        run_virtual(_take_up())
+
+
+def test_stream_goes_on_where_another_instance_confirms_the_list() -> None:
+    other = Other('b1', _reads(OLD))
+    assert run_virtual(_take_up(other)) == OLD
+    assert [request.confirm for request in other.asked] == [True]
+
+
+# ORDER: the new version was not known here yet.
+def test_stream_is_refused_if_another_instance_knows_of_a_new_version() -> None:
+    with pytest.raises(RefusedError):
+        run_virtual(_take_up(Other('b1', _reads(OLD, NEW))))
 
 
-def test_stream_is_refused_at_an_instance_that_stood_still() -> None:
+def test_version_seen_here_counts_beside_those_that_others_confirm() -> None:
     with pytest.raises(RefusedError):
-        run_virtual(_take_up(TOUCH_TIME + 0.2))
+        run_virtual(_take_up(Other('b1', _reads(NEW))))
+
+
+@pytest.mark.parametrize('version', [OLD, NEW])
+def test_stream_goes_on_at_the_version_named_where_it_began(
+    version: str,
+) -> None:
+    began = StreamOrigin('r0', ENGINES, version)
+    silent = Other(silent=True)
+    told = run_virtual(_take_up(silent, Other(began=began)))
+    assert told == version
+    assert not any(request.confirm for request in silent.asked)
+
+
+def test_silent_instances_hold_no_take_up_for_long() -> None:
+    async def take_up() -> float:
+        silent = [Other('b1', silent=True) for _ in range(MAX_READERS - 1)]
+        began_at = virtual_now()
+        assert await _take_up(*silent, Other('c1', _reads(OLD))) == OLD
+        return virtual_now() - began_at
+
+    waited = run_virtual(take_up()) - RETENTION - 1
+    assert waited <= MAX_READERS * READ_TIMEOUT + 1
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -13,10 +13,7 @@
     StreamOrigin,
 )
 from gentiantrestle.gateway.streams.records import STREAM_KIND, VERSIONS_NAME
-from gentiantrestle.gateway.streams.resolving import (
-    OriginResolver,
-    StreamReader,
-)
+from gentiantrestle.gateway.streams.resolving import OriginResolver
 from gentiantrestle.gateway.streams.saving import StreamSaver
 from gentiantrestle.gateway.streams.sharing import COPIES, OriginSharer
 from gentiantrestle.gateway.streams.versions import (
@@ -25,6 +22,7 @@
 )
 from gentiantrestle.store.client import StoreUnavailableError
 from tests.gateway.memory import MemoryStore
+from tests.gateway.origins import list_upstream, make_sources
 from tests.gateway.samples import (
     ENGINES,
     make_request,
@@ -64,11 +62,12 @@
         self.history = VersionHistory(clock.now())
         self.saver = StreamSaver('a1', store, self.log, self.history, clock.now)
         self.saver.is_leading = _always
-        self.reader = StreamReader(store, clock.now)
         self.resolver = OriginResolver(
-            (self.log,), self.history, self.reader, clock.now
+            (self.log,),
+            self.history,
+            make_sources(store, clock.now),
+            clock.now,
         )
-        self.resolver.has_peers = _always
 
     async def see(self, *upstreams: object) -> None:
         """Learn which upstreams exist, and save what follows from it."""
@@ -276,25 +275,37 @@
     assert not history.may_be_mixed(ENGINES, RETENTION)
 
 
-async def test_without_the_store_only_a_complete_view_is_trusted(
+async def test_without_the_store_no_view_of_this_instance_is_trusted(
     store: MemoryStore, clock: Time
 ) -> None:
     instance = Instance(store, clock)
-    await instance.see(OLD)
+    await instance.see_for(RETENTION + 1, OLD)
+    assert (await instance.resolve('unknown')).version == 'v1'
     store.down = True
     with pytest.raises(RefusedError):
         await instance.resolve('unknown')
 
-    store.down = False
+
+# ORDER: other instances save what they see some time after it is listed.
+async def test_a_version_that_only_the_list_of_upstreams_has_counts(
+    store: MemoryStore, clock: Time
+) -> None:
+    instance = Instance(store, clock)
+    await list_upstream(store, 'v1')
     await instance.see_for(RETENTION + 1, OLD)
-    store.down = True
-    assert (await instance.resolve('unknown')).version == 'v1'
-    clock.pass_by(RETENTION)  # as if the process was paused
-    instance.history.note((OLD,), clock.now())
+    await list_upstream(store, 'v1.1')
     with pytest.raises(RefusedError):
         await instance.resolve('unknown')
 
 
+async def test_an_instance_that_has_just_started_needs_the_noted_versions(
+    store: MemoryStore, clock: Time
+) -> None:
+    await list_upstream(store, 'v1')
+    with pytest.raises(RefusedError):
+        await Instance(store, clock).resolve('unknown')
+
+
 async def test_take_ups_at_one_time_share_a_read(
     store: MemoryStore, clock: Time
 ) -> None:
@@ -303,6 +314,7 @@
     store.calls.clear()
     await asyncio.gather(*(instance.resolve(f'a{one}') for one in range(20)))
 
+    # One of the streams, and one of the upstreams.
     assert store.calls.count('list') <= 2
 
 
