Test of items that share a prompt reads all pages of results

Cause: the test asked entry 0 for `after=0` only. Where other instances have taken over the job, it answers with the results that it has, which the pages allow: "`results` (the results at positions N onward, counted from 0; at least one if one exists, and at most 1 MB), and `next`".

Change: the test reads on from `next` at the same entry, as clients do, in the same time, and wants the same outputs. read_all also checks that `next` counts the results that came.

--- a/tests/gateway/test_process_crashing_requests.py
+++ b/tests/gateway/test_process_crashing_requests.py
@@ -10,8 +10,8 @@
 
 from tests.gateway.crowd import CONTACT_TIME, SYSTEM, Crowd, Sent, served_share
 from tests.gateway.fleet import GatewayFleet
+from tests.gateway.test_process_jobs import read_all
 from tests.gateway.wire_samples import expected_output, job_doc
-from tests.utils.http import until
 
 ENTRIES = 3
 UPSTREAMS = 6
@@ -114,16 +114,8 @@
     if submitted == 'after':
         await crowd.fleet.request(0, 'j', '/lists/1', job)
 
-    async def has_all_outputs() -> bool:
-        reply = await crowd.fleet.request(
-            0, 'x', '/gentiantrestle/lots/j?after=0', method='GET'
-        )
-        outputs = {
-            item['id']: item['output'] for item in reply.json()['results']
-        }
-        return outputs == {
-            f'j-{number}': expected_output(f'j-{number}', 40)
-            for number in range(ITEMS)
-        }
-
-    await until(has_all_outputs, FINISH_TIME)
+    outputs = await read_all(crowd.fleet, 0, 'j', timeout=FINISH_TIME)
+    assert outputs == {
+        f'j-{number}': expected_output(f'j-{number}', 40)
+        for number in range(ITEMS)
+    }
--- a/tests/gateway/test_process_jobs.py
+++ b/tests/gateway/test_process_jobs.py
@@ -15,11 +15,11 @@
 
 
 async def read_all(
-    fleet: GatewayFleet, entry: int, name: str
+    fleet: GatewayFleet, entry: int, name: str, *, timeout: float = 30
 ) -> dict[str, str]:
     """Return a job's outputs by item id, once all results are stored.
 
-    Reads page after page, as clients do.
+    Reads page after page, as clients do, for ``timeout`` s at most.
     """
     rows: list[dict[str, Any]] = []
 
@@ -33,7 +33,7 @@
         assert body['next'] == len(rows)
         return body['next'] == body['total']
 
-    await until(read_page)
+    await until(read_page, timeout)
     return {row['id']: row['output'] for row in rows}
 
 
