--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -76,6 +76,8 @@
         self.runs: list[dict[str, Any]] = []
         # Start of the calm phase, in which all operations are planned ones.
         self.calm_from = float('inf')
+        # When callers have sent their last requests.
+        self.loaded_until = float('inf')
 
     def end_drain(self, upstream: str) -> None:
         """Record that a draining upstream is about to accept work again."""
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -117,6 +117,7 @@
     await _clear_faults(fleet)
     await _run_calm_phase(fleet, rng, {} if cause.cuts else special)
     callers.stopping = True
+    fleet.history.loaded_until = time.time()
     await asyncio.gather(*tasks)
     await end_cuts(fleet)
     await _read_accepted_jobs(fleet, callers)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -136,6 +136,16 @@
     history.runs += [_run('a'), _run('b', at=sent)]
 
 
+def _leave_last(history: History, told: float, *others: Serving) -> None:
+    """Let an upstream get work late, which the store has had as leaving.
+
+    It is the only one of its version, but for ``others``.
+    """
+    _leave(history, LATE)
+    history.serving = [Serving('u-0', 'v1', 0, 10), *others]
+    history.drains = [Drain('u-0', told)]
+
+
 def _start_idle_upstream(history: History) -> None:
     """Register an upstream that gets no work, while others do."""
     history.serving.append(Serving('u-3', 'v2', 10, 10 + FOLLOW_TIME + 1))
@@ -224,6 +234,24 @@
 }
 
 
+LATE_WORK: dict[str, Mutation] = {
+    'another upstream of its version serves': lambda history: _leave_last(
+        history, LATE - 1, Serving('u-1', 'v1', 0)
+    ),
+    'the store has had it as leaving for long': lambda history: _leave_last(
+        history, LATE - DRAIN_TIME - 0.1
+    ),
+    'the store has it as ready': lambda history: _leave_last(history, LATE + 1),
+}
+
+
+@pytest.mark.parametrize('case', LATE_WORK)
+def test_late_work_of_a_leaving_upstream_is_a_breach(case: str) -> None:
+    history = _valid_history()
+    LATE_WORK[case](history)
+    assert any('DRAIN: b reached' in line for line in breaches('', history))
+
+
 def test_valid_history_has_no_breach() -> None:
     assert breaches('', _valid_history()) == []
 
@@ -264,6 +292,13 @@
     ),
     'a cut just before': lambda history: _refuse_cut_off(history, 9),
     'a kill': lambda history: history.ends.append((0, -9)),
+    'work for the last upstream of a version': lambda history: _leave_last(
+        history, LATE - 1, Serving('u-1', 'v2', 0)
+    ),
+    'an upstream that is idle as the play ends': lambda history: (
+        _start_idle_upstream(history),
+        setattr(history, 'loaded_until', 9 + FOLLOW_TIME),
+    ),
 }
 
 
