Empty answers complete an item only if no event came between them

Batch items were listed as completed without their last events: two empty answers after an item's last event show that there is no more, but events between the two didn't start the count anew; only another build did.

Change: an event sets the count to 0. Test: test_item_is_not_completed_by_empty_answers_between_its_events failed before (completed with 2 of 3 events) and passes.

--- a/gentiantrestle/gateway/batch/item_progress.py
+++ b/gentiantrestle/gateway/batch/item_progress.py
@@ -229,6 +229,7 @@
             timer.note_part(now, has_event=bool(found))
             for event in filter(_has_content, found):
                 self._output.add(event.data, splitter.last_id)
+                self._empty_answers = 0
                 watch.note_event()
             if found:
                 self._timer.note_events(now, len(found))
--- a/tests/gateway/test_process_framing.py
+++ b/tests/gateway/test_process_framing.py
@@ -1,6 +1,7 @@
 """Answers that end with their connection, with real processes."""
 
 from collections.abc import AsyncIterator
+from itertools import pairwise
 from pathlib import Path
 
 import pytest
@@ -151,12 +152,8 @@
     assert len(upstream.requests) == 2
 
 
-async def test_item_with_all_its_events_is_completed_by_empty_answers(
-    upstream: ScriptedUpstream,
-) -> None:
-    upstream.answers = [expected_stream('r1', 2) + b'id', b'', b'']
-    job = job_doc('j', 1, 2, id='r1')
-    await upstream.fleet.request(0, 'j', '/lists/1', job)
+async def read_outputs(upstream: ScriptedUpstream) -> list[str]:
+    """Return the outputs of the job, once it has some."""
 
     async def outputs() -> list[str]:
         reply = await upstream.fleet.request(
@@ -164,5 +161,34 @@
         )
         return [item['output'] for item in reply.json()['results']]
 
-    assert await until(outputs) == [expected_output('r1', 2)]
+    return await until(outputs)
+
+
+async def test_item_with_all_its_events_is_completed_by_empty_answers(
+    upstream: ScriptedUpstream,
+) -> None:
+    upstream.answers = [expected_stream('r1', 2) + b'id', b'', b'']
+    job = job_doc('j', 1, 2, id='r1')
+    await upstream.fleet.request(0, 'j', '/lists/1', job)
+    assert await read_outputs(upstream) == [expected_output('r1', 2)]
     assert len(upstream.requests) == 3
+
+
+# MIXED: empty answers were counted over events that came between them.
+async def test_item_is_not_completed_by_empty_answers_between_its_events(
+    upstream: ScriptedUpstream,
+) -> None:
+    ends = [len(expected_stream('r1', count)) for count in range(4)]
+    events = [
+        expected_stream('r1', 3)[begin:end] for begin, end in pairwise(ends)
+    ]
+    upstream.answers = [
+        events[0] + b'id',
+        b'',
+        events[1] + b'id',
+        b'',
+        events[2],
+    ]
+    job = job_doc('j', 1, 3, id='r1')
+    await upstream.fleet.request(0, 'j', '/lists/1', job)
+    assert await read_outputs(upstream) == [expected_output('r1', 3)]
