Daemon's client: answers without length end with the run that began them

Streams and items end with [DONE], so they hold; a part of a JSON object of the store can't be read.

Change: a second connection leads to the run that was there when it opened. It is opened as a head without length arrives, or before the request once a pool has met such an answer, and asked by OPTIONS * after the end; the probe of before only asked whether anything accepts connections now. Servers of the daemon name no run, so there is nothing to compare. The pool has a module of its own.

--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -17,7 +17,7 @@
     build_call,
     drive,
 )
-from gentiantrestle.http.client import ConnectionPool
+from gentiantrestle.http.pool import ConnectionPool
 from tests.utils.fleet import CLIENT_KEY, Fleet
 
 ROUNDS = 600
--- a/gentiantrestle/daemon/upstreams/service.py
+++ b/gentiantrestle/daemon/upstreams/service.py
@@ -18,7 +18,7 @@
     OnlinePressure,
 )
 from gentiantrestle.daemon.upstreams.routing import Candidate, Snapshot
-from gentiantrestle.http.client import ConnectionPool
+from gentiantrestle.http.pool import ConnectionPool
 from gentiantrestle.models import Address, DeploymentDoc, UpstreamDoc
 
 CONNECT_TIMEOUT = 1.0  # seconds
--- a/gentiantrestle/http/client.py
+++ b/gentiantrestle/http/client.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 client connections, and a bounded pool that reuses them."""
+"""HTTP/1.1 client connections."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -14,11 +14,10 @@
     RequestNotSentError,
     open_link,
 )
-from gentiantrestle.http.messages import HeaderPairs, needs_body
-from gentiantrestle.http.probe import accepts_connections
+from gentiantrestle.http.messages import HeaderPairs, may_have_body, needs_body
+from gentiantrestle.http.witness import Witness
 from gentiantrestle.models import Address
 
-MAX_IDLE = 64  # connections
 MAX_HEADER = 65536  # bytes
 MAX_BODY = 33554432  # bytes of a body that is read whole
 PROBE_TIMEOUT = 1.0  # seconds
@@ -53,7 +52,8 @@
         """Use an open link to a server."""
         self._link = link
         self._address = address
-        self._ends_by_close = False
+        self.ends_by_close = False
+        self._witness: Witness | None = None
         self._request_size = 0
         self._needs_body = True
         self._has_answered = False
@@ -80,6 +80,13 @@
         is_open = not self._link.disconnected
         return self._keep and is_idle and is_open and not self._link.has_input
 
+    async def expect_no_length(self) -> None:
+        """Prepare for an answer that ends with its connection.
+
+        Then the run of the server that answers is known for certain.
+        """
+        self._witness = await Witness.opened(self._address, PROBE_TIMEOUT)
+
     def end_after_answer(self) -> None:
         """Let no further request follow on this connection."""
         self._keep = False
@@ -110,8 +117,10 @@
         event = await self._next_event()
         while not isinstance(event, h11.Response):
             event = await self._next_event()
-        self._check_head(event)
+        self._check_head(req.method, event)
         self._needs_body = needs_body(req.method, event.status_code)
+        if self.ends_by_close and self._witness is None:
+            self._witness = Witness(self._address, PROBE_TIMEOUT)
         return ClientResponse(
             event.status_code, event.headers.raw_items(), self
         )
@@ -136,8 +145,10 @@
     def close(self) -> None:
         """Close the connection without waiting."""
         self._link.close()
+        if self._witness is not None:
+            self._witness.close()
 
-    def _check_head(self, head: h11.Response) -> None:
+    def _check_head(self, method: str, head: h11.Response) -> None:
         """Raise ``ConnectionLostError`` for what is no answer to the request.
 
         A server may write an earlier answer once more. It may also answer
@@ -152,16 +163,24 @@
             self._keep = False
         self._has_answered = True
         names = {name for name, _ in head.headers}
-        self._ends_by_close = not names & FRAMING
+        is_framed = bool(names & FRAMING)
+        self.ends_by_close = not is_framed and may_have_body(
+            method.encode(), head.status_code
+        )
 
     async def _confirm_end(self, *, is_empty: bool) -> None:
-        if not self._ends_by_close or not self._link.eof_seen:
+        """Raise ``ConnectionLostError`` if a body without length may be cut.
+
+        Where no second connection was opened before the request, the server may
+        have ended and started again before its answer was read.
+        """
+        if not self.ends_by_close or not self._link.eof_seen:
             return
         if is_empty and self._needs_body:
             raise ConnectionLostError('the connection ended with the head')
         if not await is_taken(self._link, self._request_size):
             raise ConnectionLostError('ended before the request was taken')
-        if not await accepts_connections(self._address, PROBE_TIMEOUT):
+        if not await self._witness.answers():
             raise ConnectionLostError('the server ended with its response')
 
     def _reset_when_done(self) -> None:
@@ -226,70 +245,3 @@
                     )
                 parts.append(part)
         return b''.join(parts)
-
-
-class ConnectionPool:
-    """Reusable connections to one address, at most ``size`` in use."""
-
-    def __init__(self, address: Address, size: int, timeout: float) -> None:
-        """Open connections on demand, each within ``timeout`` s."""
-        self.address = address
-        self._timeout = timeout
-        self._semaphore = asyncio.Semaphore(size)
-        self._idle: list[ClientConnection] = []
-
-    async def send(
-        self, req: ClientRequest, *, fresh: bool = False
-    ) -> ClientResponse:
-        """Send a request; the caller must ``release`` its response.
-
-        With ``fresh``, for what may not be taken for run or not run by mistake,
-        it gets a connection of its own: nothing that the server wrote for
-        another request can be read as its answer. Raises ``NotSentError`` and
-        ``ConnectionLostError``.
-        """
-        await self._semaphore.acquire()
-        conn = None
-        try:
-            conn = await self._connect(fresh=fresh)
-            return await conn.send(req, str(self.address))
-        except BaseException:
-            self._semaphore.release()
-            if conn is not None:
-                conn.close()
-            raise
-
-    def release(self, response: ClientResponse) -> None:
-        """Take a connection back; close it if it can't be reused."""
-        self._semaphore.release()
-        if response.conn.usable and len(self._idle) < MAX_IDLE:
-            self._idle.append(response.conn)
-            return
-        response.conn.close()
-
-    async def fetch(
-        self, req: ClientRequest, *, fresh: bool = False
-    ) -> tuple[ClientResponse, bytes]:
-        """Send a request as ``send`` does, and read its whole response."""
-        response = await self.send(req, fresh=fresh)
-        try:
-            body = await response.read()
-        finally:
-            self.release(response)
-        return response, body
-
-    def close(self) -> None:
-        """Close the idle connections."""
-        while self._idle:
-            self._idle.pop().close()
-
-    async def _connect(self, *, fresh: bool) -> ClientConnection:
-        while self._idle and not fresh:
-            conn = self._idle.pop()
-            if conn.usable:
-                return conn
-            conn.close()
-        conn = await ClientConnection.open(self.address, self._timeout)
-        if fresh:
-            conn.end_after_answer()
-        return conn
--- a/gentiantrestle/platform/object_client.py
+++ b/gentiantrestle/platform/object_client.py
@@ -12,9 +12,9 @@
 from gentiantrestle.http.client import (
     ClientRequest,
     ConnectionLostError,
-    ConnectionPool,
     NotSentError,
 )
+from gentiantrestle.http.pool import ConnectionPool
 from gentiantrestle.models import Address
 from gentiantrestle.platform.object_decoder import (
     ObjectDecoder,
--- a/gentiantrestle/store/client.py
+++ b/gentiantrestle/store/client.py
@@ -15,9 +15,9 @@
     ClientRequest,
     ClientResponse,
     ConnectionLostError,
-    ConnectionPool,
     NotSentError,
 )
+from gentiantrestle.http.pool import ConnectionPool
 from gentiantrestle.store.listing import (
     DECODE_ERRORS,
     ListDecoder,
--- a/tests/gateway/reborn_upstream.py
+++ b/tests/gateway/reborn_upstream.py
@@ -1,6 +1,7 @@
 """An upstream whose process is replaced by a new run, in-process."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
 from gentiantrestle.models import Address
@@ -30,6 +31,8 @@
         self._reports = reports
         # Whether answers are held back after their first event.
         self.holds = True
+        # Called once the first event of an answer has been written.
+        self.on_answer: Callable[[], Awaitable[None]] = _nothing
         self._server: asyncio.Server | None = None
         self._writers: list[asyncio.StreamWriter] = []
         # Those that carry an answer.
@@ -41,10 +44,14 @@
 
     async def end(self) -> None:
         """End as a process does: its connections end in their order."""
+        self.close()
+        await self._server.wait_closed()
+
+    def close(self) -> None:
+        """Close all connections, and accept no others."""
         self._server.close()
         for writer in self._writers:
             writer.close()
-        await self._server.wait_closed()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -57,6 +64,7 @@
                     writer.write(self._report())
                 else:
                     self._answer(head.lower(), writer)
+                    await self.on_answer()
                     return
         writer.close()
 
@@ -96,7 +104,16 @@
         self.run = Run(self.address, self._born, reports=self._reports)
         await self.run.start()
 
+    async def replace_now(self) -> None:
+        """End the present run, which is answering, and begin the next one."""
+        self.run.close()
+        await self.start()
+
     async def start_again(self) -> None:
         """End the present run, and let the next one begin."""
         await self.run.end()
         await self.start()
+
+
+async def _nothing() -> None:
+    """Do nothing."""
--- a/tests/interfaces/test_early_answers.py
+++ b/tests/interfaces/test_early_answers.py
@@ -6,11 +6,8 @@
 
 import pytest
 
-from gentiantrestle.http.client import (
-    ClientRequest,
-    ConnectionLostError,
-    ConnectionPool,
-)
+from gentiantrestle.http.client import ClientRequest, ConnectionLostError
+from gentiantrestle.http.pool import ConnectionPool
 from gentiantrestle.models import Address
 from tests.utils.early_server import STATUS_ZERO, EarlyServer
 from tests.utils.fleet import UNREACHABLE
--- a/tests/interfaces/test_http.py
+++ b/tests/interfaces/test_http.py
@@ -9,11 +9,11 @@
 from gentiantrestle.http.client import (
     ClientRequest,
     ConnectionLostError,
-    ConnectionPool,
     NotSentError,
 )
 from gentiantrestle.http.connection import ServerLimits
 from gentiantrestle.http.messages import Request, Response
+from gentiantrestle.http.pool import ConnectionPool
 from gentiantrestle.http.server import Server
 from gentiantrestle.models import Address
 from tests.utils.http import send_raw, until
--- a/tests/interfaces/test_http_framing.py
+++ b/tests/interfaces/test_http_framing.py
@@ -6,15 +6,14 @@
 
 import pytest
 
-from gentiantrestle.http.client import (
-    ClientRequest,
-    ConnectionLostError,
-    ConnectionPool,
-)
+from gentiantrestle.http.client import ClientRequest, ConnectionLostError
+from gentiantrestle.http.pool import ConnectionPool
 from gentiantrestle.models import Address
+from tests.gateway.reborn_upstream import RebornUpstream, event
 from tests.utils.ports import HOST, free_ports
 
 TIMEOUT = 1.0  # seconds
+SOON = 0.05  # seconds
 
 
 @asynccontextmanager
@@ -57,3 +56,50 @@
         response, body = await pool.fetch(ClientRequest(method, '/'))
     assert response.status == int(answer.split()[1])
     assert body == answer.partition(b'\r\n\r\n')[2]
+
+
+@pytest.fixture
+async def server() -> AsyncIterator[RebornUpstream]:
+    """Start a server that holds answers without length back."""
+    chosen = RebornUpstream(reports=False)
+    await chosen.start()
+    yield chosen
+    await chosen.run.end()
+
+
+# MIXED: answers cut by a crash were whole, as a new run accepted connections.
+async def test_answer_is_cut_by_a_crash_though_a_new_run_answers(
+    server: RebornUpstream,
+) -> None:
+    pool = ConnectionPool(server.address, 1, TIMEOUT)
+    response = await pool.send(ClientRequest('GET', '/'))
+    await asyncio.sleep(SOON)
+    await server.start_again()
+    with pytest.raises(ConnectionLostError):
+        await response.read()
+    pool.release(response)
+
+
+async def test_answer_of_a_server_that_goes_on_is_whole(
+    server: RebornUpstream,
+) -> None:
+    pool = ConnectionPool(server.address, 1, TIMEOUT)
+    response = await pool.send(ClientRequest('GET', '/'))
+    server.run.answers[0].close()
+    assert await response.read() == event(1)
+    pool.release(response)
+
+
+# The same where nothing was read before the new run listened.
+async def test_answer_is_cut_by_a_crash_before_it_is_read(
+    server: RebornUpstream,
+) -> None:
+    pool = ConnectionPool(server.address, 1, TIMEOUT)
+    server.run.holds = False
+    assert (await pool.fetch(ClientRequest('GET', '/')))[1]
+    server.run.holds = True
+    server.run.on_answer = server.replace_now
+    response = await pool.send(ClientRequest('GET', '/'))
+    with pytest.raises(ConnectionLostError):
+        await response.read()
+    pool.release(response)
--- a/tests/interfaces/test_repeated_answers.py
+++ b/tests/interfaces/test_repeated_answers.py
@@ -11,9 +11,9 @@
 from gentiantrestle.http.client import (
     ClientRequest,
     ConnectionLostError,
-    ConnectionPool,
     NotSentError,
 )
+from gentiantrestle.http.pool import ConnectionPool
 from gentiantrestle.models import Address
 from gentiantrestle.platform.object_client import ObjectClient
 from gentiantrestle.store.client import ABSENT, StoreClient
