Take-ups go on at versions that are new here, and while the store is out

And while no instance of a zone reaches the store, nobody can confirm a stream of an instance that has ended, as only streams of mixed services were told to coordinators.

Change: a take-up whose version was not seen here waits up to 0.8 s for the list; a version that was seen and has no upstream left is refused at once as before. While nobody in the zone reaches the store, coordinators are told of all streams, and of those that run as it gets out of reach.

Tests: test_stream_touch, the wait for a version that comes and for one that doesn't, and what is told. The process tests begin 8 streams, as 12 and their take-ups don't fit into 16 slots for a moment: with 12, 6 of 14 plays of the two cases failed, and 1 of 6 on; with 8, 0 of 12.

--- a/gentiantrestle/gateway/streams/service.py
+++ b/gentiantrestle/gateway/streams/service.py
@@ -1,7 +1,7 @@
 """Remembers where streams begin, and finds it out when they are taken up."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 
 from gentiantrestle.gateway.fleet_context import FleetContext
@@ -30,7 +30,10 @@
 )
 from gentiantrestle.gateway.streams.saving import StreamSaver
 from gentiantrestle.gateway.streams.sharing import OriginSharer
-from gentiantrestle.gateway.streams.versions import VersionHistory
+from gentiantrestle.gateway.streams.versions import (
+    NO_VERSIONS,
+    VersionHistory,
+)
 from gentiantrestle.store.client import StoreUnavailableError
 from gentiantrestle.supervisor import Child
 from gentiantrestle.wire.peer import ttypes
@@ -39,6 +42,9 @@
 SHARE_INTERVAL = 0.05  # seconds between two batches
 LEARN_INTERVAL = 1.0  # seconds between two looks whether that is to be done
 IDLE_INTERVAL = 0.25  # seconds between two looks while nothing is shared
+# Another instance may know of an upstream this much earlier.
+LIST_LAG = 0.8  # seconds
+LIST_POLL = 0.05  # seconds between two looks whether it is known here
 # The one that saves, and the one that takes over if it is silent.
 COORDINATORS_TOLD = 2
 
@@ -75,6 +81,9 @@
         )
         # Tells another instance of streams.
         self.answer = self._resolver.answer
+        # Whether nobody in the zone reaches the store, as far as is known.
+        self.is_store_out: Callable[[], bool] = bool
+        self._was_store_out = False
         self._wake = asyncio.Event()
         fleet.port.on(BEGUN_STREAMS, self._receive)
 
@@ -99,7 +108,10 @@
         self._own.open(
             StreamOrigin(attempt_id, upstream.service, upstream.version)
         )
-        if self.may_be_mixed(upstream.service) or len(route.shares) > 1:
+        is_hard_to_tell = (
+            self.may_be_mixed(upstream.service) or len(route.shares) > 1
+        )
+        if is_hard_to_tell or self.is_store_out():
             self._sharer.share(attempt_id, now)
             self._wake.set()
 
@@ -121,18 +133,45 @@
             service = choose_service(route, req.id)
             return StreamOrigin(req.id, service, ANY_VERSION)
         self.note_upstreams()
-        return await self._resolver.resolve(req, route)
+        origin = await self._resolver.resolve(req, route)
+        await self._await_version(origin, req.deadline)
+        return origin
+
+    async def _await_version(
+        self, origin: StreamOrigin, deadline: float
+    ) -> None:
+        """Wait a moment for upstreams of a version that is new here."""
+        now = self._now()
+        until = min(now + LIST_LAG, (now + deadline) / 2)
+        while self._now() < until:
+            seen = self._history.recent(self._now())
+            if origin.version in seen.get(origin.service, NO_VERSIONS):
+                return
+            await asyncio.sleep(LIST_POLL)
+            self.note_upstreams()
 
     async def _run_sharing(self) -> None:
         while True:
             self.note_upstreams()
             now = self._now()
             self._own.expire(now)
+            self._share_before_outage(now)
             self._share(now)
             await asyncio.sleep(SHARE_INTERVAL)
             if not self._sharer.is_busy:
                 await self._wait_for_work()
 
+    def _share_before_outage(self, now: float) -> None:
+        """Tell of all streams as the store gets out of reach.
+
+        Nobody can confirm then at which version they can have begun.
+        """
+        is_out = self.is_store_out()
+        if is_out and not self._was_store_out:
+            known = {origin.service for origin in self._own.recent(now)}
+            self._sharer.share_services(known, now)
+        self._was_store_out = is_out
+
     async def _run_learning(self) -> None:
         """Learn of versions that had gone before this run, or its pause."""
         while True:
