A crash is noticed though the upstream has started again

Requests that crash upstreams were sent on to more of them than their evidence allows, where an upstream started again before the entry looked: check_crash took "something listens" for "has not ended", the same question as that of answers without length.

--- a/gentiantrestle/gateway/answer_end.py
+++ b/gentiantrestle/gateway/answer_end.py
@@ -18,6 +18,7 @@
     open_report_link,
 )
 from gentiantrestle.http.link import Link, RequestNotSentError
+from gentiantrestle.http.witness import abort_opened
 
 # Bytes on their way as a connection opens arrive within this time; it covers
 # two round trips between regions and a lost packet.
@@ -115,7 +116,7 @@
     def close(self) -> None:
         """Close the second connection."""
         self._opening.cancel()
-        self._opening.add_done_callback(_abort)
+        self._opening.add_done_callback(abort_opened)
 
     async def _open(self) -> Link | None:
         try:
@@ -135,11 +136,3 @@
         if link is None or link.disconnected:
             return NO_SIGHTING
         return await self._runs.ask_on(link, self._upstream)
-
-
-def _abort(opening: asyncio.Task[Link | None]) -> None:
-    if opening.cancelled():
-        return
-    link = opening.result()
-    if link is not None:
-        link.abort()
--- a/gentiantrestle/http/witness.py
+++ b/gentiantrestle/http/witness.py
@@ -55,7 +55,7 @@
     def close(self) -> None:
         """Close the connection."""
         self._opening.cancel()
-        self._opening.add_done_callback(_abort)
+        self._opening.add_done_callback(abort_opened)
 
     async def _open(self) -> Link | None:
         try:
@@ -74,7 +74,8 @@
         return isinstance(event, h11.Response)
 
 
-def _abort(opening: asyncio.Task[Link | None]) -> None:
+def abort_opened(opening: asyncio.Task[Link | None]) -> None:
+    """Close the connection that a task has opened, if it has."""
     if opening.cancelled():
         return
     link = opening.result()
--- a/tests/gateway/reborn_upstream.py
+++ b/tests/gateway/reborn_upstream.py
@@ -31,7 +31,9 @@
         self._reports = reports
         # Whether answers are held back after their first event.
         self.holds = True
-        # Called once the first event of an answer has been written.
+        # Whether nothing of an answer is sent at all.
+        self.holds_heads = False
+        # Called once as much of an answer has been sent as is to be.
         self.on_answer: Callable[[], Awaitable[None]] = _nothing
         self._server: asyncio.Server | None = None
         self._writers: list[asyncio.StreamWriter] = []
@@ -70,6 +72,8 @@
 
     def _answer(self, head: bytes, writer: asyncio.StreamWriter) -> None:
         self.answers.append(writer)
+        if self.holds_heads:
+            return
         if self.holds:
             writer.write(HEAD + event(1))
             return
--- a/tests/gateway/test_path_blame.py
+++ b/tests/gateway/test_path_blame.py
@@ -21,6 +21,7 @@
 from gentiantrestle.quarantine.evidence import Evidence
 from gentiantrestle.quarantine.guard import RequestGuard
 from gentiantrestle.quarantine.watch import RequestWatch
+from tests.gateway.reborn_upstream import RebornUpstream
 from tests.gateway.samples import make_upstream
 from tests.utils.ports import HOST, free_ports
 
@@ -54,6 +55,27 @@
         reach.note(upstream, reached=True)
 
 
+async def is_loss_noted(upstream: Upstream, reach: UpstreamReach) -> bool:
+    """Lose the answer of an upstream; return whether that counts as a crash."""
+    evidence = Evidence()
+    watch = RequestWatch(
+        RequestGuard(evidence, lambda _: True),
+        TRAITS,
+        Clock(time.monotonic, time.time),
+    )
+    conn = UpstreamConnection(
+        PlatformDialect(), watch, UpstreamRuns(PlatformDialect())
+    )
+    await conn.connect(upstream)
+    headers = [(b'host', b'x')]
+    with pytest.raises(ResponseLostError):
+        await conn.send(UpstreamRequest('r1', 'GET', '/pay/1', headers, b''))
+    noted = await conn.check_crash(reach)
+    conn.close()
+    assert noted == bool(evidence.findings(time.time()).crashes)
+    return noted
+
+
 async def is_crash_noted(
     others: Iterable[Upstream], lately: Iterable[Upstream] | None = None
 ) -> bool:
@@ -72,25 +94,9 @@
 
     ended = make_upstream('u1', address=Address(HOST, free_ports(1)[0]))
     server = await asyncio.start_server(end, *ended.address)
-    evidence = Evidence()
-    watch = RequestWatch(
-        RequestGuard(evidence, lambda _: True),
-        TRAITS,
-        Clock(time.monotonic, time.time),
-    )
-    conn = UpstreamConnection(
-        PlatformDialect(), watch, UpstreamRuns(PlatformDialect())
-    )
-    await conn.connect(ended)
-    headers = [(b'host', b'x')]
-    with pytest.raises(ResponseLostError):
-        await conn.send(UpstreamRequest('r1', 'GET', '/pay/1', headers, b''))
     reach = make_reach([ended, *others])
     note_reached(reach, others if lately is None else lately)
-    noted = await conn.check_crash(reach)
-    conn.close()
-    assert noted == bool(evidence.findings(time.time()).crashes)
-    return noted
+    return await is_loss_noted(ended, reach)
 
 
 async def test_lost_answer_is_no_crash_while_all_connections_are_refused() -> (
@@ -127,6 +133,27 @@
     assert await is_crash_noted([])
 
 
+# A restart before anybody looked hid which request had caused the crash.
+@pytest.mark.parametrize('is_new', [True, False])
+async def test_lost_answer_is_a_crash_if_another_run_is_there(
+    *, is_new: bool
+) -> None:
+    upstream = RebornUpstream()
+    await upstream.start()
+
+    async def end() -> None:
+        if is_new:
+            await upstream.replace_now()
+        else:
+            upstream.run.answers[0].transport.abort()
+
+    upstream.run.holds_heads = True
+    upstream.run.on_answer = end
+    listed = make_upstream('u1', address=upstream.address, incarnation=1)
+    assert await is_loss_noted(listed, make_reach([listed])) == is_new
+    await upstream.run.end()
+
+
 def test_upstreams_that_were_reached_lately_are_compared() -> None:
     upstreams = [make_upstream(f'u{number}') for number in range(4)]
     reach = make_reach(upstreams)
