A stream passed on goes on at another peer than the one that broke off

Cause, by the logs: after the answer had broken off, the retry drew the same peer. Its process still accepted the connection and reset it, so that the attempt counted as run, the last one allowed. Only peers that can't be connected to, or lose the request, were avoided.

Test: test_peer_whose_answer_broke_off_is_the_last_one_to_be_chosen; there was no such preference before.

--- a/gentiantrestle/gateway/passing/choice.py
+++ b/gentiantrestle/gateway/passing/choice.py
@@ -19,6 +19,7 @@
         self._rand = rand
         self._loads: Counter[str] = Counter()
         self._avoided_until: dict[str, float] = {}
+        self._doubted_until: dict[str, float] = {}
 
     def begin(self, instance: str) -> None:
         """Note that a request is passed on to an instance."""
@@ -34,6 +35,13 @@
         """Ask others for a while: this one can't be reached, or can't serve."""
         self._avoided_until[instance] = now + AVOID_TIME
 
+    def doubt(self, instance: str, now: float) -> None:
+        """Prefer others for a while: an answer through this one broke off.
+
+        Its upstream may have ended as well as the instance.
+        """
+        self._doubted_until[instance] = now + AVOID_TIME
+
     def choose(
         self,
         service: str,
@@ -52,9 +60,12 @@
             for peer in alive
             if peer.instance != excluded and self._is_able(peer, service)
         ]
-        staying = [peer for peer in able if not peer.leaving]
+        staying = [peer for peer in able if not peer.leaving] or able
+        sound = [
+            peer for peer in staying if peer.instance not in self._doubted_until
+        ]
         return self._choose_idler(
-            self._preferred(staying or able, alive, service)
+            self._preferred(sound or staying, alive, service)
         )
 
     def _preferred(
@@ -87,8 +98,10 @@
         )
 
     def _forget(self, now: float) -> None:
-        self._avoided_until = {
-            instance: until
-            for instance, until in self._avoided_until.items()
-            if now < until
-        }
+        self._avoided_until = _still(self._avoided_until, now)
+        self._doubted_until = _still(self._doubted_until, now)
+
+
+def _still(until: dict[str, float], now: float) -> dict[str, float]:
+    """Leave out the instances whose time is over."""
+    return {name: end for name, end in until.items() if now < end}
--- a/gentiantrestle/gateway/passing/hop.py
+++ b/gentiantrestle/gateway/passing/hop.py
@@ -98,7 +98,15 @@
         if answer.refusal is not None:
             self._raise_refusal(answer.refusal)
         self._note_upstream(answer, passed.version)
-        await self._relay.pass_on(conn, answer.reply)
+        await self._pass_on(conn, answer.reply)
+
+    async def _pass_on(self, conn: UpstreamConnection, reply: Reply) -> None:
+        try:
+            await self._relay.pass_on(conn, reply)
+        except AttemptFailedError as exc:
+            if exc.outcome is AttemptOutcome.LOST:
+                self._passing.doubt(self._lease)
+            raise
 
     def _refused(self) -> RequestProgress:
         return self._before._replace(refusals=self._before.refusals + 1)
--- a/gentiantrestle/gateway/passing/origin.py
+++ b/gentiantrestle/gateway/passing/origin.py
@@ -70,6 +70,10 @@
         """Pass nothing on to the peer of a lease for a while."""
         self._parts.choice.avoid(lease.via, self.now())
 
+    def doubt(self, lease: SlotLease) -> None:
+        """Prefer other peers for a while to that of a lease."""
+        self._parts.choice.doubt(lease.via, self.now())
+
     def note_leaving(self, upstream: Upstream) -> None:
         """Note that the upstream of an answer is leaving."""
         self._parts.roster.leaving.add(*upstream.run, self.now())
--- a/tests/gateway/test_passing.py
+++ b/tests/gateway/test_passing.py
@@ -87,6 +87,17 @@
     return {peer.instance for peer in chosen if peer is not None}
 
 
+# LOST: a stream went on at the peer that had just ended, and was cut there.
+def test_peer_whose_answer_broke_off_is_the_last_one_to_be_chosen() -> None:
+    choice = new_choice()
+    broken, other = make_peer('two', 'a1'), make_peer('three', 'a1')
+    choice.doubt('two', NOW)
+    assert draw(choice, broken, other) == {'three'}
+    assert draw(choice, broken) == {'two'}
+    later = NOW + AVOID_TIME
+    assert draw(choice, broken, other, now=later) == {'two', 'three'}
+
+
 @pytest.mark.parametrize(
     'changes',
     [{'starting': True}, {'cut_off': CUT_OFF}],
