--- a/gentiantrestle/gateway/upstream_connection.py
+++ b/gentiantrestle/gateway/upstream_connection.py
@@ -20,7 +20,7 @@
     open_link,
 )
 from gentiantrestle.http.messages import may_have_body, needs_body
-from gentiantrestle.http.probe import is_path_sound
+from gentiantrestle.http.probe import is_path_sound, refuses_connections
 from gentiantrestle.quarantine.watch import RequestWatch
 
 # Two round trips between regions, with time for one lost packet.
@@ -182,14 +182,13 @@
         """Return whether the upstream ended while it began this answer.
 
         To be called after the response was lost; the watch is told. It is no
-        sign of an end if others reached lately can't be reached any more. That
-        something listens is no sign of the contrary.
+        sign of an end if others reached lately can't be reached any more.
         """
         link = self._link
         if link is None or not link.disconnected or not self._watch.is_opening:
             return False
         upstream = self._upstream
-        if not await self._runs.has_ended(upstream, self._known_runs):
+        if not await refuses_connections(upstream.address, CONNECT_TIMEOUT):
             return False
         others = (other.address for other in reach.others(upstream))
         if not await is_path_sound(others, CONNECT_TIMEOUT):
--- a/gentiantrestle/gateway/upstream_runs.py
+++ b/gentiantrestle/gateway/upstream_runs.py
@@ -18,11 +18,9 @@
     RequestNotSentError,
     open_link,
 )
-from gentiantrestle.http.probe import refuses_connections
 
 # Asking takes two round trips; an upstream that is busy answers late.
 REPORT_TIMEOUT = 0.5  # seconds
-CONNECT_TIMEOUT = 0.3  # seconds
 MAX_HEADER_SIZE = 16384  # bytes
 MAX_REPORT_SIZE = 65536  # bytes
 MAX_SEEN = 4096  # upstreams whose last report is remembered
@@ -96,18 +94,6 @@
             )
             raise OtherRunError('the upstream has started again')
 
-    async def has_ended(
-        self, upstream: Upstream, known: frozenset[int]
-    ) -> bool:
-        """Return whether none of the ``known`` runs is there any more.
-
-        One that doesn't say which it is, or nothing at all, may be one of them.
-        """
-        if await refuses_connections(upstream.address, CONNECT_TIMEOUT):
-            return True
-        found = await self.ask(upstream)
-        return found is not None and found not in known
-
     async def ask(self, upstream: Upstream) -> int | None:
         """Return the incarnation that answers; None if that isn't known."""
         try:
