The log tells how many requests a blame for crashes concerns

Nobody could see how much sound work one blame held back: each refusal has a line of its own (5106), but no line says since when traits are blamed, for how many ends of upstreams, when that ended and how many requests it concerned.

Added: 3025 when an instance begins to blame traits, 3026 when the blame ends.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -121,6 +121,14 @@
 QUARANTINED_TRIED = info_event(
     3014, 'trying a quarantined request with {traits} again'
 )
+BLAME_BEGUN = warning_event(
+    3025,
+    'requests with {traits} are held back: {crashes} upstreams crashed',
+)
+BLAME_ENDED = info_event(
+    3026,
+    'requests with {traits} are sent on again: {refused} refused in {held_s} s',
+)
 RATE_LIMIT_NAMED = info_event(
     3015, 'upstream {upstream} takes {limit} requests a second (0: no limit)'
 )
--- a/gentiantrestle/quarantine/guard.py
+++ b/gentiantrestle/quarantine/guard.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 
 from gentiantrestle import events
+from gentiantrestle.quarantine.blames import BlameLog
 from gentiantrestle.quarantine.culprits import (
     MIN_CRASHES,
     Crash,
@@ -43,6 +44,7 @@
         self.evidence = evidence
         self._is_elected = is_elected
         self._trials: dict[Traits, float] = {}
+        self._blames = BlameLog()
         evidence.on_crash = _log_crash
 
     def find_culprit(
@@ -53,6 +55,7 @@
         ``wall`` is a wall-clock time in s.
         """
         culprits = self.evidence.culprits(wall)
+        self._blames.update(culprits, wall)
         if not culprits:
             return None
         owned = frozenset(traits)
@@ -82,6 +85,8 @@
         culprit = self.find_culprit(traits, wall)
         if culprit is None or self._is_trial_due(culprit, wall, owed):
             return None
+        if not owed:
+            self._blames.note_refused(culprit.traits)
         return culprit
 
     def _may_try(self, culprit: Culprit, wall: float, owed: bool) -> bool:
