A class that upstreams are answering is not blamed for crashes

Callers of sound requests got 503, with Retry-After 60, and answers that had begun were cut: where three upstreams ended with answers of a class that had hardly begun, the part that all its prompts share was held back, though the other upstreams were answering the same class. After a start, or a restart of all entries, nothing is known to be sound yet.

Cause: a request counted as sound 1 s after its first event, while an end of its upstream is blamed on it for 0.3 s only; and an instance that learned that a blamed part is sound went on refusing for up to 1 s, until conclusions were drawn again. Change: a request is sound once events of a later read arrive after the time in which it can be blamed. Events that waited here while the process stood still prove nothing, which they did before. A blame on a trait ends as soon as this instance notes, or is told, that it is sound.

--- a/gentiantrestle/quarantine/evidence.py
+++ b/gentiantrestle/quarantine/evidence.py
@@ -61,14 +61,14 @@
         self._add(Crash(upstream, int(wall), frozenset((suspect,))), wall)
 
     def note_sound(self, traits: Iterable[str], wall: float) -> None:
-        """Note that an answer to a request with these traits was completed."""
-        for trait in traits:
-            self._sound.note(trait, wall)
+        """Note that a request with these traits has ended no upstream."""
+        self._note_sound(SoundTrait(trait, wall) for trait in traits)
 
     def merge(self, findings: Findings, wall: float) -> None:
         """Add what another instance knows."""
-        for trait, at in findings.sound:
-            self._sound.note(trait, min(at, wall))
+        self._note_sound(
+            SoundTrait(trait, min(at, wall)) for trait, at in findings.sound
+        )
         for crash in findings.crashes:
             # The clock of another instance may be ahead.
             seen_at = min(crash.at, int(wall))
@@ -87,6 +87,22 @@
             return NO_FINDINGS
         return self._conclude(wall).findings
 
+    def _note_sound(self, found: Iterable[SoundTrait]) -> None:
+        """Note sound traits; a blame on one of them ends at once."""
+        blamed = self._blamed()
+        for trait, at in found:
+            self._sound.note(trait, at)
+            if trait in blamed:
+                self._conclusions = None
+
+    def _blamed(self) -> Traits:
+        """Return the traits of the culprits concluded last."""
+        if self._conclusions is None:
+            return frozenset()
+        return frozenset().union(
+            *(known.traits for known in self._conclusions.culprits)
+        )
+
     def _add(self, crash: Crash, wall: float) -> None:
         known = self._crashes.get(crash.upstream)
         merged = crash
--- a/gentiantrestle/quarantine/watch.py
+++ b/gentiantrestle/quarantine/watch.py
@@ -7,7 +7,8 @@
 # An upstream that a request crashes ends while it begins the answer. Its first
 # events, or the head of a plain answer, may still arrive.
 OPENING_TIME = 0.3  # seconds after the first event, or the head
-SOUND_AFTER = 1.0  # seconds after the first event
+# Events may have waited here; those of a later read came from a live upstream.
+STEADY_TIME = 0.1  # seconds
 
 
 class Clock(Protocol):
@@ -37,6 +38,8 @@
         self._traits = traits
         self._clock = clock
         self._began_at: float | None = None
+        # When an event arrived after the opening time.
+        self._outlasted_at: float | None = None
         self._sound = False
 
     def check(self) -> None:
@@ -49,11 +52,14 @@
         now = self._clock.now()
         if self._began_at is None:
             self._began_at = now
-        elif now - self._began_at > SOUND_AFTER:
+        elif self._outlasted_at is None:
+            if now - self._began_at >= OPENING_TIME:
+                self._outlasted_at = now
+        elif now - self._outlasted_at >= STEADY_TIME:
             self.note_sound()
 
     def note_sound(self) -> None:
-        """Note that the answer is complete, or well under way."""
+        """Note that the answer is complete, or past its beginning."""
         if not self._sound:
             self._sound = True
             self._guard.evidence.note_sound(self._traits, self._clock.wall())
