--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -80,6 +80,16 @@
 FOLLOWER_FAILED = error_event(
     2011, 'applying changes of {kind} failed; listing again: {error}'
 )
+CHANGE_UNHEARD = warning_event(
+    2021,
+    '{kind} {name} of revision {revision} was not told by watches from '
+    '{watched} to {answered}',
+)
+JOB_UNHEARD = warning_event(
+    2022,
+    'job {job} of revision {revision} was unknown, though jobs are known up '
+    'to {known}',
+)
 ENTRY_UNREADABLE = warning_event(
     3004, 'ignoring unusable entry {name}: {error}'
 )
--- a/gentiantrestle/gateway/batch/job_index.py
+++ b/gentiantrestle/gateway/batch/job_index.py
@@ -4,6 +4,7 @@
 
 from gentiantrestle.gateway.batch.records import JobRecord
 from gentiantrestle.gateway.model import ItemResult, ItemSpec, Job
+from gentiantrestle.gateway.ports import StoredObject
 
 
 def _ignore(size: int) -> None:
@@ -147,6 +148,11 @@
             entry.update(record)
         return entry
 
+    def should_have(self, stored: StoredObject) -> bool:
+        """Return whether a job is missing that should be known by now."""
+        is_told = 0 < stored.revision <= self.revision
+        return is_told and stored.name not in self.entries
+
     def open_entries(self) -> list[JobEntry]:
         """List the jobs whose items may still be run."""
         return [entry for entry in self.entries.values() if entry.open]
--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -76,10 +76,18 @@
             self._unreadable.pop(stored.name, None)
             return None
         try:
-            return self.index.put(job_from_stored(stored))
+            record = job_from_stored(stored)
         except DECODE_ERRORS as exc:
             self._log_unreadable(stored, exc)
             return None
+        if self.index.should_have(stored):
+            events.emit(
+                events.JOB_UNHEARD,
+                job=stored.name,
+                revision=stored.revision,
+                known=self.index.revision,
+            )
+        return self.index.put(record)
 
     def apply_changes(
         self, found: Iterable[StoredObject], revision: int
--- a/gentiantrestle/gateway/follower.py
+++ b/gentiantrestle/gateway/follower.py
@@ -12,7 +12,11 @@
     StoredObject,
 )
 from gentiantrestle.gateway.state.clocks import boottime
-from gentiantrestle.gateway.state.watch_proof import WatchProof, proven_time
+from gentiantrestle.gateway.state.watch_proof import (
+    SilentRange,
+    WatchProof,
+    proven_time,
+)
 from gentiantrestle.store.client import StoreUnavailableError
 
 # A watch is one call however long it waits. A connection that has fallen silent
@@ -122,6 +126,7 @@
         self._failure_backoff = Backoff(rng)
         self._revision: int | None = None
         self._proof = WatchProof()
+        self._silent = SilentRange()
         self.connected = False
         self.now = boottime
 
@@ -162,24 +167,29 @@
     async def _step(self) -> None:
         if self._revision is None:
             self._revision = self._handlers.known_revision()
+            self._silent.begin(self._revision)
         if self._revision == NO_REVISION:
             await self._list()
             return
+        await self._watch(self._revision)
+
+    async def _watch(self, revision: int) -> None:
         max_wait = self._max_wait()
         asked_at = self.now()
-        page = await self._store.watch(self._kind, self._revision, max_wait)
+        page = await self._store.watch(self._kind, revision, max_wait)
         heard_for = min(self.now() - asked_at, max_wait)
         self._note_connected()
         if page.entries:
-            self._revision = page.revision
-            self._proof.reset()
+            self._note_told(page.entries, page.revision)
             self._handlers.change(page.entries, page.revision)
             self._handlers.confirm(asked_at)
             self._failure_backoff.reset()
             await asyncio.sleep(self._spec.pause)
-        elif self._handlers.confirm_wait():
+            return
+        self._silent.extend(page.revision)
+        if self._handlers.confirm_wait():
             self._revision = self._proof.next_revision(
-                self._revision, page.revision, heard_for
+                revision, page.revision, heard_for
             )
             self._handlers.confirm(proven_time(asked_at, heard_for))
         else:
@@ -204,10 +214,24 @@
             page = await self._store.list_page(self._kind, found[-1].name)
             found.extend(page.entries)
         self._note_connected()
-        self._proof.reset()
+        self._note_told(found, revision)
         self._handlers.replace(found, revision)
         self._handlers.confirm(asked_at)
         self._failure_backoff.reset()
+
+    def _note_told(self, found: Iterable[StoredObject], revision: int) -> None:
+        """Note an answer that tells all up to ``revision``."""
+        for stored in self._silent.unheard(found):
+            events.emit(
+                events.CHANGE_UNHEARD,
+                kind=self._kind,
+                name=stored.name,
+                revision=stored.revision,
+                watched=self._silent.watched,
+                answered=self._silent.answered,
+            )
+        self._silent.begin(revision)
+        self._proof.reset()
         self._revision = revision
 
     @property
--- a/gentiantrestle/gateway/gauges.py
+++ b/gentiantrestle/gateway/gauges.py
@@ -26,6 +26,7 @@
     'services_cut_off': (
         'Services none of whose upstreams this instance reaches.'
     ),
+    'jobs_open': 'Jobs known here whose items may still be run, by anybody.',
     'memory_held': 'Bytes held for callers, upstreams and batch items.',
     'accounts_over_share': (
         'Accounts over their share of slots, if this instance counts these.'
@@ -50,6 +51,7 @@
     config_confirmation_age_seconds: Callable[[], float]
     store_connected: Callable[[], int]
     services_cut_off: Callable[[], int]
+    jobs_open: Callable[[], int]
     memory_held: Callable[[], int]
     accounts_over_share: Callable[[], int]
     upstreams_slow: Callable[[], int]
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -240,6 +240,7 @@
             ),
             store_connected=lambda: int(self._watching.is_connected),
             services_cut_off=lambda: len(self._batch_context.reach.unreached),
+            jobs_open=lambda: len(self._batch_context.index.open_entries()),
             memory_held=lambda: self._batch_context.budget.held,
             accounts_over_share=lambda: queues.accounts_over_share(
                 self._clock.now()
