Watches: one that heard nothing is proof for every kind, or not used

Cause: a store may lose touch with its watches for up to a second. A watch that ends in it without changes names a revision beyond changes that it didn't tell, and the follower went on from that revision. Only the configuration on a deployment with a bound on revocations asked for proof. Copies are made from the same revision, so that nobody was told of such a change before the next list. Fix: for all kinds the next watch goes on from such a revision only once later watches from the old one have outlasted the time for which a store may be deaf. The history of two watches is needed, tested with 4.1 s.

--- a/gentiantrestle/gateway/follower.py
+++ b/gentiantrestle/gateway/follower.py
@@ -187,14 +187,11 @@
             await asyncio.sleep(self._spec.pause)
             return
         self._silent.extend(page.revision)
+        self._revision = self._proof.next_revision(
+            revision, page.revision, heard_for
+        )
         if self._handlers.confirm_wait():
-            self._revision = self._proof.next_revision(
-                revision, page.revision, heard_for
-            )
             self._handlers.confirm(proven_time(asked_at, heard_for))
-        else:
-            self._revision = page.revision
-            self._proof.reset()
 
     def _max_wait(self) -> float:
         if not self.connected:
--- a/tests/gateway/test_unheard_changes.py
+++ b/tests/gateway/test_unheard_changes.py
@@ -12,6 +12,7 @@
 from gentiantrestle.gateway.batch.job_store import JobStore
 from gentiantrestle.gateway.batch.records import JOB_KIND, job_to_content
 from gentiantrestle.gateway.follower import (
+    WATCH_WAIT,
     Follower,
     StoreHandlers,
     WatchGate,
@@ -30,8 +31,9 @@
 
 KIND = 'kind'
 STEP = 0.01
+DEAF_FROM = 10.0
 LONG = 60.0
-DROPPED_AT = 30.0
+TICK = 0.1  # seconds between two changes of other kinds
 
 
 class _DeafStore(MemoryStore):
@@ -55,22 +57,30 @@
                 raise StoreUnavailableError('cut')
         return Page((), self.revision)
 
+    @property
+    def is_deaf(self) -> bool:
+        """Return whether watches hear nothing now."""
+        return 0 <= virtual_now() - self._deaf_from < DEAF_TIME
+
     def _hear(self, kind: str, revision: int) -> Page:
         if revision < self.compacted:
             raise HistoryGoneError(kind)
         found = () if self.is_deaf else self._since(kind, revision)
         return Page(found, self.revision)
 
-    @property
-    def is_deaf(self) -> bool:
-        """Return whether watches hear nothing now."""
-        return 0 <= virtual_now() - self._deaf_from < DEAF_TIME
-
 
 class _World:
     """A follower of one kind, and what it was told."""
 
-    def __init__(self, deaf_from: float = LONG) -> None:
+    def __init__(
+        self,
+        deaf_from: float = LONG,
+        dropped_at: float = LONG,
+        kept: float = LONG,
+    ) -> None:
+        """Drop the history once, and beside that what is ``kept`` s old."""
+        self._dropped_at = dropped_at
+        self._kept = kept
         self.store = _DeafStore(deaf_from)
         self.told: dict[str, float] = {}
         self._handlers = StoreHandlers(
@@ -80,8 +90,7 @@
     async def run(self, changes: dict[float, str]) -> None:
         """Follow for long; write objects of these names at these times.
 
-        Objects of other kinds change all the time, and the history is dropped
-        once.
+        Objects of other kinds change all the time.
         """
         follower = Follower(
             self.store,
@@ -92,16 +101,22 @@
         )
         follower.now = virtual_now
         following = asyncio.create_task(follower.run())
-        for step in range(round(LONG / 0.1)):
-            if step / 10 in changes:
-                name = changes[step / 10]
+        for step in range(round(LONG / TICK)):
+            name = changes.get(step / 10)
+            if name is not None:
                 self.store.write(KIND, StoredObject(name, 0, 1))
-            if step / 10 == DROPPED_AT:
-                self.store.compact()
             self.store.write('other', StoredObject('other', 0, step))
-            await asyncio.sleep(0.1)
+            self._drop_history(step)
+            await asyncio.sleep(TICK)
         following.cancel()
 
+    def _drop_history(self, step: int) -> None:
+        if step / 10 == self._dropped_at:
+            self.store.compact()
+        kept = round(self._kept / TICK)
+        oldest = self.store.revision - kept
+        self.store.compacted = max(self.store.compacted, oldest)
+
     def _note(self, found: Iterable[StoredObject], revision: int) -> None:
         for stored in found:
             self.told.setdefault(stored.name, virtual_now())
@@ -119,8 +134,22 @@
     return found
 
 
+PHASES = [DEAF_FROM + number / 5 for number in range(10)]
+
+
+@pytest.mark.parametrize('deaf_from', PHASES)
+@pytest.mark.parametrize('later', [0.1, 0.4, 0.8])
+def test_change_that_no_watch_heard_is_not_passed_over(
+    deaf_from: float, later: float
+) -> None:
+    world = _World(deaf_from)
+    changed_at = round(deaf_from + later, 1)
+    run_virtual(world.run({changed_at: 'unheard'}))
+    assert world.told['unheard'] <= deaf_from + DEAF_TIME + 0.3
+
+
 def test_change_that_no_watch_heard_is_logged(logged: list[Any]) -> None:
-    world = _World(10.6)
+    world = _World(10.6, dropped_at=30)
     run_virtual(world.run({10.7: 'unheard'}))
     lines = [
         fields for event, fields in logged if event == events.CHANGE_UNHEARD
@@ -137,6 +166,21 @@
     assert events.CHANGE_UNHEARD not in [event for event, _ in logged]
 
 
+def test_calm_watches_call_the_store_no_more_often() -> None:
+    world = _World()
+    run_virtual(world.run({}))
+    # A list, the short first watch, and the one that still waits.
+    assert len(world.store.calls) <= LONG / WATCH_WAIT + 3
+
+
+def test_history_of_some_seconds_is_enough_for_watches_without_changes() -> (
+    None
+):
+    world = _World(kept=2 * WATCH_WAIT + 0.5)
+    run_virtual(world.run({}))
+    assert world.store.calls.count('list') == 1
+
+
 async def test_job_that_should_have_been_told_is_logged(
     logged: list[Any],
 ) -> None:
