Streams that go on are queued before those that begin

Cause: where they began was known for 30 of the 32, within 0 to 125 ms. 26 were refused by the coordinator (5102, expected wait 1049 to 1627 ms), as all that waited counted as served before them: new requests, and the retries of streams of which their callers had nothing. A stream that is taken up came after those retries, and its caller has less time left.

A stream that goes on, by its caller or within an answer, is one whose ask is a retry and bound to a version. These are served first now and are refused only for the wait behind their like. Above its share an account has no such preference, as before. Nothing changes on the wire.

The test failed before: QUEUED expected, REFUSED returned, with and without accounts.

--- a/gentiantrestle/gateway/slots/queueing.py
+++ b/gentiantrestle/gateway/slots/queueing.py
@@ -1,8 +1,9 @@
 """Who waits for a slot, how long and in which order; no I/O.
 
 Made for bursts that exceed all slots. A request that can't be served in time
-is refused at once, and its caller retries later. Retries go before new
-requests, because a caller that is refused again gives up. Batch items take
+is refused at once, and its caller retries later. Streams that go on go first,
+as their callers have the beginning, then the other retries, because a caller
+that is refused again gives up, then new requests. Batch items take
 what requests leave: those that can just be in time go first, then those that
 can wait, then those that are late; of each the one with the fewest tokens left
 goes first, so that most are in time.
@@ -111,10 +112,10 @@
             slack = self.slack_until - now
             urgency = 2 if slack < 0 else int(slack > URGENT_SLACK)
             return (1, urgency, level, ask.tokens_left, self.number)
-        first = ask.retry and not level
+        rank = 2 if level else 2 - int(ask.retry) - int(goes_on(ask))
         # Among its own requests an account's retries still go first.
         turn = 2 * level + int(not ask.retry)
-        return (0, int(not first), ask.priority, turn, self.number)
+        return (0, rank, ask.priority, turn, self.number)
 
     def is_hopeless(self, wait: float, now: float) -> bool:
         """Return whether ``wait`` s more are clearly over the wait limit."""
@@ -122,11 +123,22 @@
         return wait > max(0, left) * HOPELESS_FACTOR
 
 
+def goes_on(ask: Ask) -> bool:
+    """Return whether a stream is to go on whose caller has its beginning."""
+    return ask.retry and not ask.batch and bool(ask.version)
+
+
 class Group(NamedTuple):
     """The requests, or the batch items, that are bound to one version."""
 
     version: str
     batch: bool
+    goes_on: bool
+
+    @classmethod
+    def from_ask(cls, ask: Ask) -> 'Group':
+        """Return the group that an ask counts in."""
+        return cls(ask.version, ask.batch, goes_on(ask))
 
 
 class WaitingAsk(NamedTuple):
@@ -192,7 +204,7 @@
         number = next(self._numbers) if known is None else known.number
         queued_at = now if known is None else known.queued_at
         self.remove(ask.key)
-        self._waiting[Group(ask.version, ask.batch)] += 1
+        self._waiting[Group.from_ask(ask)] += 1
         self._queued[ask.key] = QueuedAsk(
             ask, number, now, now + ask.slack, queued_at
         )
@@ -202,21 +214,21 @@
         queued = self._queued.pop(key, None)
         if queued is None:
             return None
-        self._waiting[Group(queued.ask.version, queued.ask.batch)] -= 1
+        self._waiting[Group.from_ask(queued.ask)] -= 1
         return queued.ask
 
     def judge(self, ask: Ask, now: float) -> WaitingAsk:
         """Count the requests that are served before a new one.
 
-        Without accounts these are all that wait.
+        Without accounts these are all that wait, and for a stream that goes on
+        those that do, too.
         """
         if not ask.account and not self._uses[False].has_accounts:
-            ahead = {
-                group.version: waiting
-                for group, waiting in self._waiting.items()
-                if not group.batch
-            }
-            return WaitingAsk(ask, Counter(ahead))
+            ahead: Counter[str] = Counter()
+            for group, waiting in self._waiting.items():
+                if not group.batch and group.goes_on >= goes_on(ask):
+                    ahead[group.version] += waiting
+            return WaitingAsk(ask, ahead)
         level = self._levels(now)[ask.batch].get(ask.account, 0)
         place = QueuedAsk(ask, math.inf, now, now, now).sort_key(now, level)
         before = (
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -104,6 +104,29 @@
     assert [sent.message.key.number for sent in desk.sent[-3:]] == [1, 2, 3]
 
 
+@pytest.mark.parametrize('account', ['', 'a'])
+def test_stream_that_goes_on_is_not_refused_for_those_that_begin(
+    account: str,
+) -> None:
+    desk = make_mixed_desk()
+    desk.fill(2 * SLOTS, account=account)
+    for number in range(60):
+        retry = {'retry': bool(number % 2), 'account': account}
+        assert desk.ask(number, wait=9, **retry) == Verdict.QUEUED.name
+    going_on = {'retry': True, 'wait': 0.7, 'account': account}
+    assert desk.ask(97, version=OLD, **going_on) == Verdict.QUEUED.name
+    assert desk.ask(98, version=OLD, **going_on) == Verdict.QUEUED.name
+    assert desk.ask(99, **going_on) == Verdict.REFUSED.name
+    on_old = [
+        sent.message.key.number
+        for sent in desk.sent
+        if sent.message.upstream == 'u1'
+    ]
+    for number in on_old[:2]:
+        desk.release(number)
+    assert [sent.message.key.number for sent in desk.sent[-2:]] == [97, 98]
+
+
 def test_repeated_ask_may_drop_its_version_while_it_waits() -> None:
     desk = make_mixed_desk()
     desk.fill(2 * SLOTS)
