Log refusals of jobs and bodies, and what owned jobs wait for

Now 6110 and 6111 say what was looked at, 6112 why a submission was refused, and 6113 with three gauges what an owned job waits for before its items are queued: results, bodies, or room for them. No behaviour changes.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -270,6 +270,18 @@
     '{items} items wait for service {service}, which has no usable upstream',
 )
 JOBS_LEFT = info_event(6107, 'other instances run the jobs of this one: {left}')
+JOB_UNFOUND = info_event(
+    6110,
+    'job {job} refused as unknown: the index has it: {indexed}, the store: '
+    '{stored}',
+)
+BODY_UNFOUND = warning_event(
+    6111, 'body of item {item} of job {job} not given: {reason}'
+)
+JOB_REFUSED = info_event(6112, 'job {job} refused: {kind}, {reason}')
+JOB_WAITS = info_event(
+    6113, '{items} items of job {job} are not queued yet: {cause}'
+)
 MEMORY_REFUSED = warning_event(
     5120, 'no memory for {size} bytes of {use}: {held} of {limit} bytes held'
 )
--- a/gentiantrestle/gateway/batch/api.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from gentiantrestle import events
-from gentiantrestle.errors import NOT_FOUND, OVERLOADED, refuse
+from gentiantrestle.errors import OVERLOADED, refuse
 from gentiantrestle.gateway.batch.access import (
     JobCaller,
     is_submitted_by,
@@ -16,6 +16,9 @@
 from gentiantrestle.gateway.batch.result_reader import ResultReader
 from gentiantrestle.gateway.batch.runner import Runner
 from gentiantrestle.gateway.batch.store_refusals import (
+    no_such_item,
+    no_such_job,
+    noting_refusal,
     refusing_unaccepted,
     refusing_unavailable,
     taken,
@@ -95,28 +98,8 @@
         ``STORE_UNAVAILABLE`` if the job was not accepted, and
         ``UPSTREAM_OUTCOME_UNKNOWN`` if it may have been.
         """
-        known = self._index.entries.get(request.id)
-        if known is not None:
-            if not is_submitted_by(known.job, request.account):
-                raise taken()
-            return _accepted()
-        job = Job(
-            request.id,
-            request.host,
-            request.target,
-            submission.submitted,
-            self._run_name,
-            self._dialect.read_items(request.body, request.account),
-            submission.config_version,
-            account=request.account,
-        )
-        await self._check_quota(job, route)
-        new = await self._accept(job)
-        events.emit(
-            events.JOB_ACCEPTED, job=job.id, items=len(job.items), new=new
-        )
-        self._runner.wake()
-        return _accepted()
+        with noting_refusal(request.id):
+            return await self._submit(request, route, submission)
 
     async def read_results(
         self, operation: ReadResults, caller: JobCaller = UNRESTRICTED
@@ -145,7 +128,12 @@
         entry = await self._find(operation.job, caller)
         body = await self._load_body(entry, operation.item_id)
         if body is None:
-            raise refuse(NOT_FOUND, 'The job has no such item')
+            raise no_such_item(
+                operation.job,
+                operation.item_id,
+                f'the job names it: {entry.has_item(operation.item_id)}, '
+                f'bodies are here: {entry.has_bodies}',
+            )
         return Response(OK, BYTES_HEADERS, body)
 
     async def cancel(
@@ -161,12 +149,38 @@
         with refusing_unavailable(StoreOutcomeUnknownError):
             known = await self._job_store.cancel(operation.job)
         if not known:
-            raise refuse(NOT_FOUND, 'No such job')
+            raise no_such_job(operation.job, indexed=False, stored='none')
         events.emit(events.JOB_FINISHED, job=operation.job, state='ended')
         self.on_cancel(operation.job)
         self._runner.wake()
         return Response(OK, JSON_HEADERS, b'{}')
 
+    async def _submit(
+        self, request: Request, route: Route, submission: Submission
+    ) -> Response:
+        known = self._index.entries.get(request.id)
+        if known is not None:
+            if not is_submitted_by(known.job, request.account):
+                raise taken()
+            return _accepted()
+        job = Job(
+            request.id,
+            request.host,
+            request.target,
+            submission.submitted,
+            self._run_name,
+            self._dialect.read_items(request.body, request.account),
+            submission.config_version,
+            account=request.account,
+        )
+        await self._check_quota(job, route)
+        new = await self._accept(job)
+        events.emit(
+            events.JOB_ACCEPTED, job=job.id, items=len(job.items), new=new
+        )
+        self._runner.wake()
+        return _accepted()
+
     async def _accept(self, job: Job) -> bool:
         """Store a job; return False if it was accepted before."""
         with refusing_unaccepted():
@@ -178,13 +192,20 @@
         One that isn't costs the same read of the store as one that doesn't
         exist.
         """
-        entry = self._index.entries.get(job_id)
-        if not self._is_there(entry, caller):
-            with refusing_unavailable():
-                entry = await self._job_store.read(job_id)
-        if not self._is_there(entry, caller):
-            raise caller.refusal or refuse(NOT_FOUND, 'No such job')
-        return entry
+        known = self._index.entries.get(job_id)
+        if self._is_there(known, caller):
+            return known
+        with refusing_unavailable():
+            entry = await self._job_store.read(job_id)
+        if self._is_there(entry, caller):
+            return entry
+        refusal = no_such_job(
+            job_id,
+            indexed=known is not None,
+            stored='none' if entry is None else 'not for this caller',
+            jobs_revision=self._index.revision,
+        )
+        raise caller.refusal or refusal
 
     def _is_there(self, entry: JobEntry | None, caller: JobCaller) -> bool:
         return entry is not None and may_use(caller, entry.job, self._router)
--- a/gentiantrestle/gateway/batch/item_states.py
+++ b/gentiantrestle/gateway/batch/item_states.py
@@ -11,7 +11,8 @@
     """How many items are in each state; each is in one.
 
     ``unserved`` ones wait for a service that has no usable upstream, and
-    ``unwritten`` ones have a result that is not in the store yet.
+    ``unwritten`` ones have a result that is not in the store yet. Those of
+    jobs that can't be queued yet wait for what ``job_waits`` names.
     """
 
     running: int = 0
@@ -20,6 +21,9 @@
     delayed: int = 0
     quarantined: int = 0
     unwritten: int = 0
+    unread: int = 0
+    bodiless: int = 0
+    no_room: int = 0
 
 
 class ItemStateLog:
--- a/gentiantrestle/gateway/batch/job_index.py
+++ b/gentiantrestle/gateway/batch/job_index.py
@@ -82,6 +82,10 @@
         """Return whether an item's result is stored."""
         return item_id in self._stored_ids
 
+    def has_item(self, item_id: str) -> bool:
+        """Return whether the job names an item."""
+        return any(spec.id == item_id for spec in self.job.items)
+
     def unfinished_items(self) -> Iterator[ItemSpec]:
         """Yield the items without a stored result, in the job's order."""
         return (
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -12,6 +12,12 @@
     ItemStates,
 )
 from gentiantrestle.gateway.batch.job_index import JobEntry
+from gentiantrestle.gateway.batch.job_waits import (
+    BODILESS,
+    NO_ROOM,
+    UNREAD,
+    JobWaits,
+)
 from gentiantrestle.gateway.batch.result_writer import ResultWriter
 from gentiantrestle.gateway.batch.run_table import RunTable
 from gentiantrestle.gateway.batch.scheduling import (
@@ -59,6 +65,7 @@
         self._retry_times: dict[str, float] = {}
         self._catching_up: set[str] = set()
         self._takeovers = Takeovers(run_name)
+        self._waits = JobWaits()
         self._woken = asyncio.Event()
         self._waiting: dict[str, QueuedItem] = {}
         self._state_log = ItemStateLog()
@@ -129,6 +136,9 @@
                 delayed=len(delayed - running - unwritten),
                 quarantined=len(ready) - len(waiting),
                 unwritten=len(unwritten),
+                unread=self._waits.count(UNREAD),
+                bodiless=self._waits.count(BODILESS),
+                no_room=self._waits.count(NO_ROOM),
             ),
         )
 
@@ -200,24 +210,27 @@
     def _owned_entries(self) -> Iterator[tuple[JobEntry, Route | None]]:
         """Yield the jobs to run here whose bodies and results are loaded."""
         found = self._context.index.open_entries()
+        waiting = []
         for entry in self._takeovers.select_owned(found, self.owns):
             if not entry.results_loaded or not entry.has_bodies:
-                self._catch_up(entry)
+                waiting.append((entry, self._catch_up(entry)))
                 continue
             yield entry, self._context.router.match_job(entry.job)
+        self._waits.update(waiting)
 
-    def _catch_up(self, entry: JobEntry) -> None:
-        """Read a job's stored results and bodies before running it.
+    def _catch_up(self, entry: JobEntry) -> str:
+        """Read a job's stored results and bodies; return what it waits for.
 
         It waits while there is no room for the bodies.
         """
         size = LARGE_JOB * (len(self._catching_up) + 1)
         has_room = self._context.budget.has_room_for_items(size)
         if not has_room and not entry.has_bodies:
-            return
+            return NO_ROOM
         if entry.job.id not in self._catching_up:
             self._catching_up.add(entry.job.id)
             asyncio.create_task(self._load(entry))
+        return BODILESS if entry.results_loaded else UNREAD
 
     async def _load(self, entry: JobEntry) -> None:
         try:
--- a/gentiantrestle/gateway/batch/store_refusals.py
+++ b/gentiantrestle/gateway/batch/store_refusals.py
@@ -3,8 +3,10 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+from gentiantrestle import events
 from gentiantrestle.errors import (
     CONFLICT,
+    NOT_FOUND,
     STORE_UNAVAILABLE,
     TOO_LARGE,
     UPSTREAM_OUTCOME_UNKNOWN,
@@ -45,6 +47,36 @@
         raise _refusal_of_job(exc) from exc
 
 
+@contextmanager
+def noting_refusal(job_id: str) -> Iterator[None]:
+    """Log why a job that was submitted is refused."""
+    try:
+        yield
+    except RefusedError as exc:
+        events.emit(
+            events.JOB_REFUSED,
+            job=job_id,
+            kind=exc.refusal.kind.name,
+            reason=exc.refusal.reason,
+        )
+        raise
+
+
+def no_such_job(job_id: str, **seen: object) -> RefusedError:
+    """Return the refusal of a call on a job that isn't there; log it.
+
+    ``seen`` is what was looked at, as event 6110 names it.
+    """
+    events.emit(events.JOB_UNFOUND, job=job_id, **seen)
+    return refuse(NOT_FOUND, 'No such job')
+
+
+def no_such_item(job_id: str, item_id: str, reason: str) -> RefusedError:
+    """Return the refusal of a body that isn't given; log why."""
+    events.emit(events.BODY_UNFOUND, item=item_id, job=job_id, reason=reason)
+    return refuse(NOT_FOUND, 'The job has no such item')
+
+
 def taken() -> RefusedError:
     """Return the refusal of a job whose id another account has used."""
     return refuse(CONFLICT, 'Another account has a job of this id')
