A blame that holds back many requests is tried after 4 s, not 60

Callers of sound requests got 503 for a minute or longer: where all upstreams of a service ended before anything was known to be sound, the part that all prompts share was blamed, and as every request with it was refused, no answer could show that it is sound.

Cause: the first trial of a blame came 60 s after the last crash, and 60 s later for each further crash, however many requests it held back. The delay protects upstreams from a rare request that crashes them; a trait of all requests recurs in any three ends by chance. Change: if 8 different requests, apart from the blamed traits, were refused at the elected instance, and no upstream has ended for the blame since it began, one request is tried 4 s after the last crash, once. If an upstream ends under it, the intervals are as before. So a real culprit that many different requests carry ends one upstream more. A refused caller is told to come back after 4 s while the blame is fresh, in both systems; the daemon's traits are fingerprints of whole requests, so it never tries early.

The play now sends findings with heartbeats, and a trial needs an upstream that is up, as in the product. test_blame.py: the early trial comes once, not for few requests, not elsewhere, not again.

--- a/benchmarks/quarantine_arms.py
+++ b/benchmarks/quarantine_arms.py
@@ -27,6 +27,7 @@
 TICK = 0.01  # seconds
 WALL = 1_700_000_000  # wall-clock time in s at the start
 GOSSIP_DELAY = 0.4  # seconds until findings reach the other instances
+HEARTBEAT_TICKS = 50  # between two times that an instance tells its findings
 BEGIN_TIME = 0.1  # seconds until an answer begins, or its upstream ends
 RUN_TIME = 0.65  # seconds
 SESSIONS = 60  # parts that some requests share
@@ -44,7 +45,7 @@
 
     ``culprit`` is the trait that crashes upstreams. Prompts begin with one of
     ``families`` first parts. At ``restart_at`` s all instances forget what
-    they know.
+    they know. At ``ends_at`` s all upstreams end by themselves.
     """
 
     arm: str = 'rule'
@@ -56,6 +57,7 @@
     crashing_rate: float = 2
     families: int = 4
     restart_at: float = float('inf')
+    ends_at: float = float('inf')
     seed: int = 1
 
 
@@ -109,6 +111,11 @@
             if abs(self._now - plan.restart_at) < TICK / 2:
                 self._guards = [_new_guard(0) for _ in self._guards]
                 self._gossip.clear()
+            if abs(self._now - plan.ends_at) < TICK / 2:
+                for upstream in range(plan.upstreams):
+                    self._crash(upstream)
+            if not tick % HEARTBEAT_TICKS:
+                self._tell()
             self._exchange()
             self._arrive()
             self._advance()
@@ -139,7 +146,7 @@
         if crashing and self.plan.arm == 'perfect':
             return
         instance = int(self._rng.random() * self.plan.instances)
-        if not self._may_send(instance, traits):
+        if self._is_refused(instance, traits):
             self.counts['crashing refused' if crashing else 'refused'] += 1
             return
         up = [
@@ -150,11 +157,22 @@
         if not up:
             self.counts['no upstream'] += 1
             return
+        if not self._may_send(instance, traits):
+            self.counts['crashing refused' if crashing else 'refused'] += 1
+            return
         if crashing:
             self.sent.append(self._now)
         upstream = self._rng.choice(up)
         self._runs.append(Run(traits, instance, upstream, self._now, crashes))
 
+    def _is_refused(self, instance: int, traits: tuple[str, ...]) -> bool:
+        """Return whether a request is refused on its arrival."""
+        if self.plan.arm not in {'parts only', 'rule'}:
+            return False
+        known = self._known_traits(traits)
+        guard = self._guards[instance]
+        return guard.find_refused(known, WALL + self._now) is not None
+
     def _may_send(self, instance: int, traits: tuple[str, ...]) -> bool:
         if self.plan.arm not in {'parts only', 'rule'}:
             return True
@@ -208,6 +226,12 @@
         if crashes < MAX_CRASHES:
             self._send(run.traits, crashes)
 
+    def _tell(self) -> None:
+        due = self._now + GOSSIP_DELAY
+        for guard in self._guards:
+            findings = guard.evidence.findings(WALL + self._now)
+            self._gossip.append((due, findings))
+
     def _exchange(self) -> None:
         for due, findings in tuple(self._gossip):
             if due <= self._now:
--- a/gentiantrestle/daemon/online/crashes.py
+++ b/gentiantrestle/daemon/online/crashes.py
@@ -7,9 +7,9 @@
 from gentiantrestle.daemon.online.attempt import OnlineRequest
 from gentiantrestle.errors import QUARANTINED, refuse
 from gentiantrestle.quarantine.guard import (
-    TRIAL_INTERVAL,
     RequestGuard,
     describe,
+    retry_after,
 )
 from gentiantrestle.quarantine.traits import fingerprint
 from gentiantrestle.quarantine.watch import RequestWatch
@@ -30,14 +30,15 @@
         Raises ``RefusedError`` for one that crashes upstreams.
         """
         traits = request_traits(request)
-        culprit = self._guard.find_refused(traits, self._ctx.wall())
+        wall = self._ctx.wall()
+        culprit = self._guard.find_refused(traits, wall)
         if culprit is None:
             return traits
         reason = describe(culprit)
         events.emit(
             events.REQUEST_QUARANTINED, request=traits[-1], reason=reason
         )
-        raise refuse(QUARANTINED, reason, TRIAL_INTERVAL)
+        raise refuse(QUARANTINED, reason, retry_after(culprit, wall))
 
     def watch(self, traits: tuple[str, ...]) -> RequestWatch:
         """Return the watch of one attempt of a request."""
--- a/gentiantrestle/gateway/refusals.py
+++ b/gentiantrestle/gateway/refusals.py
@@ -19,6 +19,7 @@
     TRIAL_INTERVAL,
     RequestGuard,
     describe,
+    retry_after,
 )
 
 
@@ -48,7 +49,7 @@
         return
     reason = describe(culprit)
     events.emit(events.REQUEST_QUARANTINED, request=req.id, reason=reason)
-    raise refuse(QUARANTINED, reason, TRIAL_INTERVAL)
+    raise refuse(QUARANTINED, reason, retry_after(culprit, wall))
 
 
 def note_abandoned(req: Request, version: str, reason: str) -> None:
--- a/gentiantrestle/quarantine/blames.py
+++ b/gentiantrestle/quarantine/blames.py
@@ -1,4 +1,4 @@
-"""Logs what is blamed for crashes, and how many requests that concerns."""
+"""Notes what is blamed for crashes, and which requests that concerns."""
 
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -6,16 +6,23 @@
 from gentiantrestle import events
 from gentiantrestle.quarantine.culprits import Culprit, Traits
 
+# So many different requests show that a blame holds back more than a few.
+MANY = 8
+
 
 class Blame(NamedTuple):
-    """Since when (wall-clock time in s), and requests refused for it."""
+    """Since when (wall-clock time in s), and requests refused for it.
+
+    ``kinds`` are the other traits of the first different ones.
+    """
 
     since: float
     refused: int = 0
+    kinds: frozenset[Traits] = frozenset()
 
 
-class BlameLog:
-    """What this instance blames, as far as it has been logged."""
+class Blames:
+    """What this instance blames; logs where that begins and ends."""
 
     def __init__(self) -> None:
         """Blame nothing yet."""
@@ -40,7 +47,15 @@
                 crashes=current[begun].crashes,
             )
 
-    def note_refused(self, traits: Traits) -> None:
-        """Note that a request was refused for these blamed traits."""
-        blame = self._blames[traits]
-        self._blames[traits] = blame._replace(refused=blame.refused + 1)
+    def note_refused(self, blamed: Traits, traits: Iterable[str]) -> None:
+        """Note that a request was refused for the ``blamed`` ones of traits."""
+        blame = self._blames[blamed]
+        kinds = blame.kinds
+        if len(kinds) < MANY:
+            kinds |= {frozenset(traits) - blamed}
+        self._blames[blamed] = Blame(blame.since, blame.refused + 1, kinds)
+
+    def concerns_many(self, blamed: Traits) -> bool:
+        """Return whether many different requests were refused for a blame."""
+        known = self._blames.get(blamed)
+        return known is not None and len(known.kinds) >= MANY
--- a/gentiantrestle/quarantine/culprits.py
+++ b/gentiantrestle/quarantine/culprits.py
@@ -16,6 +16,8 @@
 # A request is sent to two upstreams at the most that end under it, so that it
 # becomes no culprit by its own attempts.
 MIN_CRASHES = 3
+# What had been sent before a blame was known ends upstreams for this long.
+SETTLING_TIME = 2  # seconds
 
 
 class Crash(NamedTuple):
@@ -50,12 +52,19 @@
 class Culprit(NamedTuple):
     """Traits that crash upstreams when one request has them all.
 
-    ``last`` is the wall-clock time in s of the last of the ``crashes``.
+    ``last`` is the wall-clock time in s of the last of the ``crashes``, and
+    ``blamed_at`` that of the one that made these traits a culprit.
     """
 
     traits: Traits
     crashes: int
     last: int
+    blamed_at: int = 0
+
+    @property
+    def is_proved(self) -> bool:
+        """Return whether they ended an upstream while they were blamed."""
+        return self.last > self.blamed_at + SETTLING_TIME
 
 
 def find_culprits(crashes: Iterable[Crash]) -> Iterator[Culprit]:
@@ -69,8 +78,9 @@
         if traits is None:
             return
         explained = [crash for crash in unexplained if crash.involves(traits)]
-        last = max(crash.at for crash in explained)
-        yield Culprit(traits, len(explained), last)
+        times = sorted(crash.at for crash in explained)
+        blamed_at = times[MIN_CRASHES - 1]
+        yield Culprit(traits, len(explained), times[-1], blamed_at)
         unexplained = [
             crash for crash in unexplained if not crash.involves(traits)
         ]
--- a/gentiantrestle/quarantine/guard.py
+++ b/gentiantrestle/quarantine/guard.py
@@ -2,14 +2,16 @@
 
 A request with all traits of a culprit is refused. Since a conclusion can be
 wrong, one instance lets a single request through after a long time without a
-crash: if its answer is completed, the traits are sound again. Accepted items
-are owed, so the instance that runs their job tries one sooner.
+crash: if its answer is completed, the traits are sound again. A blame that
+concerns many different requests, and isn't proved, is tried once much sooner:
+while all of them are refused, no answer can show that they are sound. Accepted
+items are owed, so the instance that runs their job tries one sooner, too.
 """
 
 from collections.abc import Callable, Iterable
 
 from gentiantrestle import events
-from gentiantrestle.quarantine.blames import BlameLog
+from gentiantrestle.quarantine.blames import Blames
 from gentiantrestle.quarantine.culprits import (
     MIN_CRASHES,
     Crash,
@@ -21,6 +23,8 @@
 # Time after the last crash until such a request is tried again; longer by the
 # same time for each further crash.
 TRIAL_INTERVAL = 60  # seconds
+EARLY_INTERVAL = 4  # seconds from the last crash to an early trial
+ANSWER_TIME = 2  # seconds until all instances know that a trial was answered
 OWED_INTERVAL = 8  # seconds from the last crash or trial to that of an item
 
 
@@ -44,7 +48,7 @@
         self.evidence = evidence
         self._is_elected = is_elected
         self._trials: dict[Traits, float] = {}
-        self._blames = BlameLog()
+        self._blames = Blames()
         evidence.on_crash = _log_crash
 
     def find_culprit(
@@ -86,7 +90,7 @@
         if culprit is None or self._is_trial_due(culprit, wall, owed):
             return None
         if not owed:
-            self._blames.note_refused(culprit.traits)
+            self._blames.note_refused(culprit.traits, traits)
         return culprit
 
     def _may_try(self, culprit: Culprit, wall: float, owed: bool) -> bool:
@@ -108,10 +112,18 @@
         waited = wall - max(culprit.last, tried_at)
         if owed:
             return waited >= OWED_INTERVAL
-        if waited < TRIAL_INTERVAL * (culprit.crashes - MIN_CRASHES + 1):
+        if waited < self._trial_interval(culprit):
             return False
         return self._is_elected(' '.join(sorted(culprit.traits)))
 
+    def _trial_interval(self, culprit: Culprit) -> int:
+        """Return the time in s from the last crash or trial to the next."""
+        is_untried = culprit.traits not in self._trials
+        concerns_many = self._blames.concerns_many(culprit.traits)
+        if concerns_many and is_untried and not culprit.is_proved:
+            return EARLY_INTERVAL
+        return TRIAL_INTERVAL * (culprit.crashes - MIN_CRASHES + 1)
+
 
 def describe(culprit: Culprit) -> str:
     """Say why a request is refused."""
@@ -119,6 +131,17 @@
     return f'{culprit.crashes} upstreams crashed on requests with {traits}'
 
 
+def is_fresh(culprit: Culprit, wall: float) -> bool:
+    """Return whether a blame may still end by an early trial."""
+    age = wall - culprit.last
+    return not culprit.is_proved and age < EARLY_INTERVAL + ANSWER_TIME
+
+
+def retry_after(culprit: Culprit, wall: float) -> int:
+    """Return the time in s after which to send a refused request again."""
+    return EARLY_INTERVAL if is_fresh(culprit, wall) else TRIAL_INTERVAL
+
+
 def _log_crash(crash: Crash) -> None:
     events.emit(
         events.UPSTREAM_CRASHED,
--- a/tests/gateway/test_blame.py
+++ b/tests/gateway/test_blame.py
@@ -5,11 +5,18 @@
 import pytest
 
 from gentiantrestle import events
-from gentiantrestle.quarantine import blames
+from gentiantrestle.errors import RefusedError
+from gentiantrestle.gateway.refusals import refuse_quarantined
+from gentiantrestle.quarantine.blames import MANY
 from gentiantrestle.quarantine.culprits import MIN_CRASHES
 from gentiantrestle.quarantine.evidence import Evidence
-from gentiantrestle.quarantine.guard import RequestGuard
+from gentiantrestle.quarantine.guard import (
+    EARLY_INTERVAL,
+    TRIAL_INTERVAL,
+    RequestGuard,
+)
 from gentiantrestle.quarantine.watch import OPENING_TIME, RequestWatch
+from tests.gateway.samples import make_request
 
 EVENT_INTERVAL = 0.05  # seconds
 UPSTREAMS = 30
@@ -52,9 +59,9 @@
     clock.time = until
 
 
-def make_guard() -> RequestGuard:
+def make_guard(*, elected: bool = False) -> RequestGuard:
     """Return the guard of an instance that knows nothing."""
-    return RequestGuard(Evidence(), lambda key: False)
+    return RequestGuard(Evidence(), lambda key: elected)
 
 
 def end_upstreams(guard: RequestGuard, count: int, *own: str) -> None:
@@ -69,7 +76,7 @@
 ) -> None:
     logged: list[tuple[int, dict[str, Any]]] = []
     monkeypatch.setattr(
-        blames.events,
+        events,
         'emit',
         lambda event, **fields: logged.append((event.code, fields)),
     )
@@ -128,3 +135,60 @@
     else:
         guard.evidence.note_sound((CLASS,), START)
     assert guard.find_refused((CLASS,), START) is None
+
+
+def refuse_each(guard: RequestGuard, count: int) -> None:
+    """Have requests of the class refused that differ otherwise."""
+    for number in range(count):
+        assert guard.find_refused((CLASS, f'path:{number}'), START)
+
+
+def test_blame_that_holds_back_all_requests_is_tried_early_once() -> None:
+    guard = make_guard(elected=True)
+    end_upstreams(guard, MIN_CRASHES)
+    refuse_each(guard, MANY)
+    assert guard.find_refused((CLASS,), START + EARLY_INTERVAL - 1)
+    later = START + EARLY_INTERVAL
+    guard.check((CLASS,), later)
+    assert guard.find_refused((CLASS,), later + TRIAL_INTERVAL - 1)
+    guard.evidence.note_sound((CLASS,), later)
+    guard.check((CLASS,), later)
+
+
+def test_early_trial_that_ends_an_upstream_is_not_repeated() -> None:
+    guard = make_guard(elected=True)
+    end_upstreams(guard, MIN_CRASHES)
+    refuse_each(guard, MANY)
+    later = START + EARLY_INTERVAL
+    traits = frozenset((CLASS, 'path:trial'))
+    guard.evidence.add_crash('tried/1', traits, later)
+    assert guard.find_refused((CLASS,), later + 2 * TRIAL_INTERVAL - 1)
+    assert guard.find_refused((CLASS,), later + 2 * TRIAL_INTERVAL) is None
+
+
+@pytest.mark.parametrize(
+    ('kinds', 'elected'), [(MANY - 1, True), (MANY, False)]
+)
+def test_blame_on_few_requests_or_elsewhere_elected_is_not_tried_early(
+    *, kinds: int, elected: bool
+) -> None:
+    guard = make_guard(elected=elected)
+    end_upstreams(guard, MIN_CRASHES)
+    refuse_each(guard, kinds)
+    refuse_each(guard, 1)
+    assert guard.find_refused((CLASS,), START + TRIAL_INTERVAL - 1)
+
+
+@pytest.mark.parametrize(
+    ('at', 'delay'),
+    [(1, EARLY_INTERVAL), (EARLY_INTERVAL + 3, TRIAL_INTERVAL)],
+)
+def test_caller_is_told_to_come_back_when_a_blame_may_have_ended(
+    at: int, delay: int
+) -> None:
+    guard = make_guard()
+    end_upstreams(guard, MIN_CRASHES)
+    req = make_request('r1', 0)
+    with pytest.raises(RefusedError) as refused:
+        refuse_quarantined(guard, req, (CLASS,), START + at)
+    assert refused.value.refusal.retry_after == delay
--- a/tests/gateway/test_quarantine_load.py
+++ b/tests/gateway/test_quarantine_load.py
@@ -38,3 +38,18 @@
 
 def test_parts_alone_do_not_show_which_request_crashes_upstreams() -> None:
     assert play(Plan('parts only', CRASHING_REQUEST)).late > MAX_LATE
+
+
+# All upstreams ended before anything was known to be sound; all was refused.
+@pytest.mark.parametrize('seed', range(4))
+@pytest.mark.parametrize('ends_at', [0.3, 0.6])
+@pytest.mark.parametrize('upstreams', [3, 6, 30])
+def test_sound_requests_are_served_soon_after_all_upstreams_ended(
+    seed: int, ends_at: float, upstreams: int
+) -> None:
+    plan = Plan('rule', crashing_rate=0, families=1, sound_rate=60)
+    plan = plan._replace(upstreams=upstreams, ends_at=ends_at, seed=seed)
+    played = play(plan)
+    bound = play(plan._replace(arm='perfect'))
+    served = MIN_SOUND_SHARE * bound.counts['served']
+    assert played.counts['served'] >= served
