Only a status that says so confirms a write to the store

What callers saw: the daemon answered 202 for a job although its store had answered the write with 429, 503 or 500: each status but 412 counted as written. The gateway did so for 404 and 410, and took 500, 502 and 504 for "nothing was done": a job could be refused as not run, and run.

Now each method names the statuses that settle it; others are logged (2005), and after 5xx other than 503 the outcome of a write is unknown, so that it is repeated under its condition.

--- a/gentiantrestle/platform/object_client.py
+++ b/gentiantrestle/platform/object_client.py
@@ -27,6 +27,7 @@
     StoreRejectedError,
     StoreUnavailableError,
 )
+from gentiantrestle.store.statuses import leaves_unsure
 
 ROOT = '/gentiantrestle/objects'
 POOL_SIZE = 32
@@ -111,6 +112,8 @@
         """Create an object; return False if it exists."""
         document = {'metadata': {'name': name}, 'spec': content}
         status, _ = await self._call('POST', _path(kind), body=document)
+        if status in {NOT_FOUND, GONE}:
+            raise _status_error('POST', status)
         return status != CONFLICT
 
     async def put_status(
@@ -123,7 +126,7 @@
         }
         path = f'{_path(kind, stored.name)}/status'
         status_code, _ = await self._call('PUT', path, body=document)
-        return status_code not in {CONFLICT, NOT_FOUND}
+        return status_code not in {CONFLICT, NOT_FOUND, GONE}
 
     async def replace(
         self, kind: str, stored: StoredObject, content: Any
@@ -139,7 +142,7 @@
         }
         path = _path(kind, stored.name)
         status_code, body = await self._call('PUT', path, body=document)
-        if status_code in {CONFLICT, NOT_FOUND}:
+        if status_code in {CONFLICT, NOT_FOUND, GONE}:
             return None
         return _decode_answer(stored.name, self._decoder.decode_object, body)
 
@@ -181,7 +184,7 @@
                 call=f'{method} {path}',
                 answer=received[:MAX_LOGGED].decode(errors='replace'),
             )
-        raise _status_error(response.status)
+        raise _status_error(method, response.status)
 
     def _build_request(
         self, method: str, target: str, body: Any
@@ -202,9 +205,11 @@
     return StoreOutcomeUnknownError(repr(exc))
 
 
-def _status_error(status: int) -> StoreUnavailableError:
-    """Return the error of a status at which the store has done nothing."""
+def _status_error(method: str, status: int) -> Exception:
+    """Return the error of a status that confirms nothing."""
     reason = f'status {status}'
+    if leaves_unsure(method, status):
+        return StoreOutcomeUnknownError(reason)
     if status == TOO_LARGE:
         return ObjectTooLargeError(reason)
     if status in UNACCEPTABLE_STATUSES:
--- a/gentiantrestle/store/client.py
+++ b/gentiantrestle/store/client.py
@@ -4,11 +4,9 @@
 import re
 from collections.abc import Callable
 from typing import Any, NamedTuple, TypeVar
-from urllib.parse import quote, urlencode
+from urllib.parse import urlencode
 from uuid import uuid4
 
-import msgspec
-
 from gentiantrestle import events
 from gentiantrestle.context import Context
 from gentiantrestle.http.client import (
@@ -25,17 +23,26 @@
     ObjectList,
     decode_document,
 )
+from gentiantrestle.store.requests import (
+    ROOT,
+    get_request,
+    put_request,
+    target_of,
+)
+from gentiantrestle.store.statuses import (
+    NOT_FOUND,
+    PRECONDITION_FAILED,
+    is_final,
+    leaves_unsure,
+)
 
 ABSENT = 0  # expected version of an object that must not exist yet
 WRITE_TOKEN = 'token'
-ROOT = '/v1/objects'
 POOL_SIZE = 32  # connections
 WATCH_WAIT = 10.0  # seconds
 RETRY_DELAY = 0.1  # seconds; doubled with each attempt
 MAX_WRITE_ATTEMPTS = 5
 VERSION_PATTERN = re.compile(r'[0-9]{1,18}')
-NOT_FOUND = 404
-PRECONDITION_FAILED = 412
 Document = dict[str, Any]
 Decoded = TypeVar('Decoded')
 
@@ -100,7 +107,7 @@
 
     async def get(self, name: str) -> VersionedDocument | None:
         """Read an object; None if it does not exist."""
-        reply = await self._call('get', _get_request(name))
+        reply = await self._call('get', get_request(name))
         if reply.status == NOT_FOUND:
             return None
         document = _decode(name, decode_document, reply.body)
@@ -137,7 +144,7 @@
         written and ``StoreOutcomeUnknownError`` if it may have been.
         """
         written = {**document, WRITE_TOKEN: uuid4().hex}
-        req = _put_request(name, written, expected)
+        req = put_request(name, written, expected)
         for attempt in range(MAX_WRITE_ATTEMPTS):
             reply = await self._try_write(name, req, first=attempt == 0)
             if reply is None:
@@ -153,7 +160,7 @@
 
         Raises ``StoreUnavailableError`` or ``StoreOutcomeUnknownError``.
         """
-        await self._call('write', ClientRequest('DELETE', _target(name)))
+        await self._call('write', ClientRequest('DELETE', target_of(name)))
 
     def close(self) -> None:
         """Close idle connections."""
@@ -247,6 +254,7 @@
                 raise StoreOutcomeUnknownError(repr(exc)) from exc
             raise StoreUnavailableError(repr(exc)) from exc
         self._set_reachable(reachable=True)
+        _check_status(req, response.status)
         return StoreReply(response.status, _version(response), body)
 
     def _set_reachable(self, *, reachable: bool, error: str = '') -> None:
@@ -267,22 +275,21 @@
         raise StoreUnavailableError(f'unreadable answer: {exc!r}') from exc
 
 
+def _check_status(req: ClientRequest, status: int) -> None:
+    """Log a status that settles nothing, and raise its error."""
+    if is_final(req.method, status):
+        return
+    events.emit(
+        events.STORE_UNEXPECTED_STATUS,
+        status=status,
+        call=f'{req.method} {req.target}',
+        answer='',
+    )
+    if leaves_unsure(req.method, status):
+        raise StoreOutcomeUnknownError(f'status {status}')
+    raise StoreUnavailableError(f'status {status}')
+
+
 def _version(response: ClientResponse) -> int:
     version = response.header('X-Version')
     return int(version) if VERSION_PATTERN.fullmatch(version) else 0
-
-
-def _target(name: str) -> str:
-    return f'{ROOT}/{quote(name)}'
-
-
-def _get_request(name: str) -> ClientRequest:
-    return ClientRequest('GET', _target(name))
-
-
-def _put_request(name: str, document: Document, expected: int) -> ClientRequest:
-    condition = ('If-Match', str(expected))
-    if expected == ABSENT:
-        condition = ('If-None-Match', '*')
-    body = msgspec.json.encode(document)
-    return ClientRequest('PUT', _target(name), (condition,), body)
