A job or a body that can't be read here isn't said to be absent

What callers saw: 404 for an accepted job whose record this build can't decode (another build can), 200 for its cancellation, which cancelled nothing, and 404 "no such item" for an item of the job whose stored bodies weren't all found. An owner read such bodies again and again without a pause.

Now a record or a part that can't be had is an error of the store, 503; only what the store says isn't there, and an item that the job doesn't name, is 404.

test_find_returns_none_for_a_malformed_job stated the fault (None became the 404). It now demands the error and, beside it, None for a job that isn't there.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -275,8 +275,8 @@
     'job {job} refused as unknown: the index has it: {indexed}, the store: '
     '{stored}',
 )
-BODY_UNFOUND = warning_event(
-    6111, 'body of item {item} of job {job} not given: {reason}'
+BODY_UNFOUND = info_event(
+    6111, 'body of item {item} refused: job {job} names no such item'
 )
 JOB_REFUSED = info_event(6112, 'job {job} refused: {kind}, {reason}')
 JOB_WAITS = info_event(
--- a/gentiantrestle/gateway/batch/job_index.py
+++ b/gentiantrestle/gateway/batch/job_index.py
@@ -115,6 +115,10 @@
         spec = self._specs.get(item_id)
         return None if spec is None else spec.body
 
+    def require_body(self, item_id: str) -> bytes:
+        """Return the body of an item of the job, whose bodies are here."""
+        return self._specs[item_id].body
+
     @property
     def waiting_tokens(self) -> int:
         """Sum the tokens of items that may still run."""
--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -142,12 +142,11 @@
             )
         )
         if None in parts:
+            reason = 'the bodies of the job are missing in the store'
             events.emit(
-                events.ENTRY_UNREADABLE,
-                name=entry.job.id,
-                error='the bodies of the job are missing in the store',
+                events.ENTRY_UNREADABLE, name=entry.job.id, error=reason
             )
-            return
+            raise StoreUnavailableError(reason)
         decoded = [decode_part(part, _as_it_is) for part in parts]
         entry.load_bodies(
             decode_part(parts[0], lambda _: join_bodies(entry.job, decoded))
@@ -169,8 +168,8 @@
     async def find(self, job_id: str) -> JobEntry | None:
         """Return a job, reading it from the store if the index lacks it.
 
-        Returns None if it does not exist or can't be decoded. Raises
-        ``StoreUnavailableError``.
+        Returns None if it does not exist. Raises ``StoreUnavailableError``,
+        also if it can't be decoded: another instance may be able to.
         """
         known = self.index.entries.get(job_id)
         return await self.read(job_id) if known is None else known
@@ -178,7 +177,7 @@
     async def read(self, job_id: str) -> JobEntry | None:
         """Return a job as the store has it now; as ``find`` otherwise."""
         stored = await self._store.get(JOB_KIND, job_id)
-        return None if stored is None else self.apply(stored)
+        return None if stored is None else self._apply_readable(stored)
 
     async def cancel(self, job_id: str) -> bool:
         """Cancel a job permanently; return False if there is no such job.
@@ -208,6 +207,13 @@
         """Append results to those in the store, as ``ResultStore``."""
         await self._results.append(entry, results)
 
+    def _apply_readable(self, stored: StoredObject) -> JobEntry | None:
+        """Apply a job's object; return None if the job was deleted."""
+        entry = self.apply(stored)
+        if entry is None and not stored.deleted:
+            raise StoreUnavailableError(f'job {stored.name} is unreadable')
+        return entry
+
     def _keep_bodies(self, entry: JobEntry, job: Job) -> None:
         """Keep the bodies of a new job if there is room; they are stored."""
         size = sum(len(spec.body) for spec in job.items)
@@ -273,8 +279,8 @@
         return stored is not None
 
     def _is_final(self, stored: StoredObject) -> bool:
-        """Update the index; return whether the state is final or unreadable."""
-        entry = self.apply(stored)
+        """Update the index; return whether the state is final."""
+        entry = self._apply_readable(stored)
         return entry is None or entry.job.done or state_of(stored) == CANCELLED
 
 
--- a/gentiantrestle/gateway/batch/store_refusals.py
+++ b/gentiantrestle/gateway/batch/store_refusals.py
@@ -71,9 +71,9 @@
     return refuse(NOT_FOUND, 'No such job')
 
 
-def no_such_item(job_id: str, item_id: str, reason: str) -> RefusedError:
-    """Return the refusal of a body that isn't given; log why."""
-    events.emit(events.BODY_UNFOUND, item=item_id, job=job_id, reason=reason)
+def no_such_item(job_id: str, item_id: str) -> RefusedError:
+    """Return the refusal of a body of an item that a job lacks; log it."""
+    events.emit(events.BODY_UNFOUND, item=item_id, job=job_id)
     return refuse(NOT_FOUND, 'The job has no such item')
 
 
--- a/tests/gateway/test_batch.py
+++ b/tests/gateway/test_batch.py
@@ -151,11 +151,14 @@
         await job_store.cancel('job1')
 
 
-async def test_find_returns_none_for_a_malformed_job() -> None:
+async def test_find_does_not_take_a_malformed_job_for_none() -> None:
     store = MemoryStore()
-    job_store, _ = _make_job_store(store)
+    job_store, index = _make_job_store(store)
     store.write(JOB_KIND, StoredObject('odd', 0, {'items': 7}))
-    assert await job_store.find('odd') is None
+    with pytest.raises(StoreUnavailableError):
+        await job_store.find('odd')
+    assert not index.entries
+    assert await job_store.find('none') is None
 
 
 def test_job_owner_is_acceptor_while_it_lives_then_another_run() -> None:
