Results and runs that meet an unexpected error are tried again

What callers saw: nothing yet; by reading, items that are listed nowhere for good. The task that writes a job's results ended by any error that its retries don't know; its items stayed unwritten, so they were neither run nor listed unless another result of the job came. Errors of a run, or of reading bodies, left no line.

Evidence: test_result_writer.py on the code before: TimeoutError (results never listed after ZeroDivisionError or OSError) and IndexError in _Unwritten.adapt (a result refused as too large that another instance has stored meanwhile). Items of failed runs were run again before, too, but nothing was logged.

Now such an error is logged (6114), and the step is repeated after a pause.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -282,6 +282,9 @@
 JOB_WAITS = info_event(
     6113, '{items} items of job {job} are not queued yet: {cause}'
 )
+BATCH_STEP_FAILED = error_event(
+    6114, 'internal error in {step} of {subject}, it is repeated: {error}'
+)
 MEMORY_REFUSED = warning_event(
     5120, 'no memory for {size} bytes of {use}: {held} of {limit} bytes held'
 )
--- a/gentiantrestle/gateway/batch/result_store.py
+++ b/gentiantrestle/gateway/batch/result_store.py
@@ -73,6 +73,8 @@
         if not isinstance(exc, StoreRejectedError):
             return False
         chunk = self.next_chunk()
+        if not chunk:
+            return True
         if len(chunk) > 1:
             self._max_size = sum(map(result_size, chunk)) // 2
             return True
--- a/gentiantrestle/gateway/batch/result_writer.py
+++ b/gentiantrestle/gateway/batch/result_writer.py
@@ -63,5 +63,21 @@
             if not self._stopping:
                 await asyncio.sleep(WRITE_DELAY)
             results = tuple(unwritten)
+            if await self._try_store(entry, results):
+                del unwritten[: len(results)]  # noqa: WPS420 (more may follow)
+
+    async def _try_store(
+        self, entry: JobEntry, results: tuple[ItemResult, ...]
+    ) -> bool:
+        try:
             await self._job_store.store_results(entry, results)
-            del unwritten[: len(results)]  # noqa: WPS420 (more may have come)
+        except Exception as exc:  # noqa: BLE001 (logged; written again)
+            events.emit(
+                events.BATCH_STEP_FAILED,
+                step='writing',
+                subject=entry.job.id,
+                error=repr(exc),
+            )
+            await asyncio.sleep(WRITE_DELAY)
+            return False
+        return True
--- a/gentiantrestle/gateway/batch/run_table.py
+++ b/gentiantrestle/gateway/batch/run_table.py
@@ -162,6 +162,15 @@
         try:
             outcome = await progress.run(lease, self._context)
             health = outcome.upstream_health
+        except Exception as exc:  # noqa: BLE001 (logged; run again)
+            item_id = progress.spec.id
+            events.emit(
+                events.BATCH_STEP_FAILED,
+                step='run',
+                subject=item_id,
+                error=repr(exc),
+            )
+            outcome = RunOutcome(None, repr(exc), health)
         finally:
             self._release(progress, lease, health)
         if outcome.result is not None and outcome.result.completed:
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -31,7 +31,6 @@
 from gentiantrestle.gateway.routing import choose_service
 from gentiantrestle.gateway.slots.batch_asks import WantedSlot
 from gentiantrestle.gateway.slots.client import SlotLease
-from gentiantrestle.store.client import StoreUnavailableError
 
 # Longest time between two scheduling rounds while items run or wait; a finished
 # item starts a round at once.
@@ -239,7 +238,7 @@
                 await self._context.job_store.load_bodies(entry)
             if not entry.results_loaded:
                 await asyncio.sleep(RETRY_DELAY)
-        except StoreUnavailableError as exc:
+        except Exception as exc:  # noqa: BLE001 (logged; read again)
             events.emit(
                 events.STORE_CALL_FAILED, name=entry.job.id, error=repr(exc)
             )
