An instance that is asked for a job it should run learns of it

What callers would see: an accepted job of which no item is ever run or listed. The owner of a job is its acceptor while that lives, and everybody takes it for the owner, but it need not know the job: the answer to its write was lost and the job came again at another instance, or a watch didn't tell it. Others asked it for results, were told "not known" and read the store; it went on not knowing.

Found by reading; that it was the users' loss isn't shown.

Now the one that is asked reads such a job from the store, once, logs it (6115) and runs it. A question comes only from an instance that knows the job, so it costs one read for each job that was missed. PeerCalls needs no index any more; test_silent_sources no longer passes it one.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -285,6 +285,11 @@
 BATCH_STEP_FAILED = error_event(
     6114, 'internal error in {step} of {subject}, it is repeated: {error}'
 )
+JOB_LEARNED = info_event(
+    6115,
+    'job {job} was not known here, though another instance takes this one for '
+    'its owner; found in the store: {found}',
+)
 MEMORY_REFUSED = warning_event(
     5120, 'no memory for {size} bytes of {use}: {held} of {limit} bytes held'
 )
--- a/gentiantrestle/gateway/batch/result_reader.py
+++ b/gentiantrestle/gateway/batch/result_reader.py
@@ -58,6 +58,19 @@
             return False
         return True
 
+    async def find_current(self, job_id: str) -> JobEntry | None:
+        """Return a job with all its results, if this instance runs it.
+
+        One that others know, but that wasn't known here, is read from the store
+        and run from now on. Returns None also if the store is unavailable.
+        """
+        entry = self._job_store.index.entries.get(job_id)
+        if entry is None:
+            entry = await self._learn(job_id)
+        if entry is None or not await self.ensure_current(entry):
+            return None
+        return entry
+
     async def refresh(self, entry: JobEntry) -> None:
         """Read a job's new results from its owner, or else from the store.
 
@@ -72,6 +85,16 @@
         if peer is None or not await self.fetch_from_peer(peer, entry):
             await self._job_store.refresh(entry)
 
+    async def _learn(self, job_id: str) -> JobEntry | None:
+        try:
+            entry = await self._job_store.find(job_id)
+        except StoreUnavailableError as exc:
+            events.emit(events.STORE_CALL_FAILED, name=job_id, error=repr(exc))
+            return None
+        events.emit(events.JOB_LEARNED, job=job_id, found=entry is not None)
+        self._runner.wake()
+        return entry
+
 
 async def _fetch_nothing(peer: Peer, entry: JobEntry) -> bool:
     return False
--- a/gentiantrestle/gateway/peer_calls.py
+++ b/gentiantrestle/gateway/peer_calls.py
@@ -12,7 +12,7 @@
     PeerServer,
 )
 from gentiantrestle.daemon.membership.sources import SourceCalls
-from gentiantrestle.gateway.batch.job_index import JobEntry, JobIndex
+from gentiantrestle.gateway.batch.job_index import JobEntry
 from gentiantrestle.gateway.membership.peers import Peer, PeerList
 from gentiantrestle.gateway.model import ItemResult
 from gentiantrestle.gateway.state_copier import StateCopier
@@ -38,21 +38,21 @@
         self,
         copier: StateCopier,
         peers: PeerList,
-        index: JobIndex,
         selector: CopySourceSelector,
         port: int,
     ) -> None:
         """Call the others at ``port``, which is the same on all hosts."""
         self._copier = copier
         self._peers = peers
-        self._index = index
         self._selector = selector
         self._port = port
         self._client = PeerClient()
         self._sources = SourceCalls()
         self._server = PeerServer(self._answer)
-        # Returns whether this instance knows all results of a job.
-        self.confirm_results: Callable[[JobEntry], Awaitable[bool]] = _never
+        # Returns a job if this instance runs it and knows all its results.
+        self.find_current: Callable[[str], Awaitable[JobEntry | None]] = (
+            _find_nothing
+        )
         # Returns whether this instance reaches a service now.
         self.confirm_reach: Callable[[str], Awaitable[bool]] = _never
         # Tells where streams began, as far as is known here.
@@ -189,8 +189,8 @@
     async def _build_results(
         self, request: ttypes.ResultsRequest
     ) -> ttypes.Results:
-        entry = self._index.entries.get(request.job)
-        if entry is None or not await self.confirm_results(entry):
+        entry = await self.find_current(request.job)
+        if entry is None:
             return ttypes.Results(
                 known=False, complete=False, rows=[], chunks=0
             )
@@ -207,10 +207,14 @@
     return round((time.monotonic() - began) * MS_PER_S)
 
 
-async def _never(asked: JobEntry | str) -> bool:
+async def _never(service: str) -> bool:
     return False
 
 
+async def _find_nothing(job_id: str) -> JobEntry | None:
+    """Run no job until this is set."""
+
+
 async def _know_nothing(
     request: ttypes.OriginRequest,
 ) -> ttypes.OriginAnswer:
--- a/gentiantrestle/gateway/peering.py
+++ b/gentiantrestle/gateway/peering.py
@@ -89,9 +89,9 @@
             identity.zone, random.Random(identity.incarnation).random
         )
         self._peer_calls = PeerCalls(
-            parts.copier, peers, parts.index, selector, identity.port
+            parts.copier, peers, selector, identity.port
         )
-        self._peer_calls.confirm_results = parts.reader.ensure_current
+        self._peer_calls.find_current = parts.reader.find_current
         parts.reader.fetch_from_peer = self._peer_calls.fetch_results
 
     @property
--- a/tests/gateway/test_silent_sources.py
+++ b/tests/gateway/test_silent_sources.py
@@ -130,7 +130,6 @@
     calls = PeerCalls(
         copier,
         peers,
-        JobIndex(),
         CopySourceSelector(ZONE, rand),
         sources.port,
     )
