Daemon: the refusal of a reused key says why

What callers saw: 409 for a job under a key of another job with a message made of an error kind's fields, and a text as Retry-After: OVERLOADED stood where the reason belongs.

Evidence: tests/processes/test_batch.py -k another_job_is fails on the code before: AttributeError, the message is a list, not a text.

--- a/gentiantrestle/daemon/batch/acceptance.py
+++ b/gentiantrestle/daemon/batch/acceptance.py
@@ -195,7 +195,6 @@
         if existing.document['digest'] != digest:
             raise refuse(
                 KEY_REUSED,
-                OVERLOADED,
                 'This Idempotency-Key was already used for another job',
             )
         name = job_name(existing.document['id'])
--- a/tests/processes/test_batch.py
+++ b/tests/processes/test_batch.py
@@ -304,3 +304,14 @@
     paused.send_signal(signal.SIGCONT)
     await until(lambda: b'finished: cancelled' in paused.log.read_bytes())
     assert await fleet.results(other, job) == before
+
+
+async def test_key_of_another_job_is_a_conflict(start_fleet) -> None:
+    fleet = await start_fleet()
+    assert (await fleet.submit(0, job_lines(ITEMS), 'job')).status == 202
+    other = await fleet.submit(1, job_lines(ITEMS + 1), 'job')
+    assert other.status == 409
+    error = other.json()['error']
+    assert error['type'] == 'idempotency_key_reused'
+    assert error['message'].startswith('This Idempotency-Key was already used')
+    assert 'retry-after' not in other.headers
