A begun answer waits for a fresh blame to end before it is cut

Cause: a quarantined request was refused at once however fresh the blame, also if its answer had begun. Such a blame often ends within a second or two, as answers elsewhere show that it is wrong. It goes on when the blame has ended, and ends as before otherwise. It is not itself the early trial: it has met a crash. New requests are refused at once, as before.

The stub guard of the other tests says that no blame is fresh.

--- a/gentiantrestle/gateway/request_slots.py
+++ b/gentiantrestle/gateway/request_slots.py
@@ -72,8 +72,8 @@
 
         Only upstreams of ``version`` will do, unless it is empty. For a
         request that may have been executed it is sought until the deadline,
-        unless the request is quarantined or its version is gone. A slot that
-        was kept is given back if it isn't taken.
+        unless its version is gone or the request is quarantined; while that may
+        end soon it waits. A slot that was kept is given back if it isn't taken.
         """
         try:
             return await self._seek(service, version, progress)
@@ -158,6 +158,7 @@
             req = self._req._replace(is_retry=True)
             slot_request = slot_request._replace(request=req)
         while True:
+            await self._outwait_blame(progress)
             try:
                 return await self._take(slot_request)
             except RefusedError as exc:
@@ -165,6 +166,19 @@
                     raise
             await asyncio.sleep(OWED_INTERVAL)
 
+    async def _outwait_blame(self, progress: RequestProgress) -> None:
+        """Wait while a request that was executed may soon be sent on.
+
+        It has met a failure, so others are better for a trial.
+        """
+        guard = self._context.guard
+        clock = self._context.clock
+        while progress.is_owed and self._has_time():
+            if not guard.may_be_cleared(self._traits, clock.wall()):
+                return
+            self.release_kept()
+            await asyncio.sleep(OWED_INTERVAL)
+
     async def _take(self, slot_request: SlotRequest) -> SlotLease:
         wall = self._context.clock.wall()
         refuse_quarantined(self._context.guard, self._req, self._traits, wall)
@@ -191,13 +205,17 @@
     def _may_wait(self, progress: RequestProgress, exc: RefusedError) -> bool:
         if isinstance(exc, VersionGoneError):
             return False
-        left = self._req.deadline - self._context.clock.now()
         return (
             progress.is_owed
             and exc.refusal.kind is not QUARANTINED
-            and left > OWED_INTERVAL + MIN_TIME_LEFT
+            and self._has_time()
         )
 
+    def _has_time(self) -> bool:
+        """Return whether to wait and try again before the deadline."""
+        left = self._req.deadline - self._context.clock.now()
+        return left > OWED_INTERVAL + MIN_TIME_LEFT
+
     def _ask(self, service: str, version: str) -> SlotRequest:
         return SlotRequest(
             self._req, self._route, service, self._tried, version
--- a/gentiantrestle/quarantine/guard.py
+++ b/gentiantrestle/quarantine/guard.py
@@ -93,6 +93,11 @@
             self._blames.note_refused(culprit.traits, traits)
         return culprit
 
+    def may_be_cleared(self, traits: Iterable[str], wall: float) -> bool:
+        """Return whether a request is held back, but maybe not for long."""
+        culprit = self.find_culprit(traits, wall)
+        return culprit is not None and is_fresh(culprit, wall)
+
     def _may_try(self, culprit: Culprit, wall: float, owed: bool) -> bool:
         if not self._is_trial_due(culprit, wall, owed):
             return False
--- a/tests/gateway/test_request_slots.py
+++ b/tests/gateway/test_request_slots.py
@@ -8,12 +8,19 @@
 
 from gentiantrestle.errors import RefusedError
 from gentiantrestle.gateway.batch.context import Clock
-from gentiantrestle.gateway.request_slots import RequestSlots
+from gentiantrestle.gateway.request_slots import OWED_INTERVAL, RequestSlots
 from gentiantrestle.gateway.retry_policy import MAX_REFUSALS, RequestProgress
 from gentiantrestle.gateway.slots.client import SlotLease
 from gentiantrestle.gateway.slots.messages import SlotOutcome
+from gentiantrestle.gateway.slots.slot_request import SlotRequest
 from gentiantrestle.gateway.slots.timing import AnswerTiming
-from gentiantrestle.quarantine.culprits import Culprit
+from gentiantrestle.quarantine.culprits import MIN_CRASHES, Culprit
+from gentiantrestle.quarantine.evidence import Evidence
+from gentiantrestle.quarantine.guard import (
+    ANSWER_TIME,
+    EARLY_INTERVAL,
+    RequestGuard,
+)
 from tests.gateway.samples import (
     ENGINES,
     make_request,
@@ -22,6 +29,7 @@
 )
 
 KEPT = SlotLease(1, make_upstream('u-1'), '', 0)
+OTHER = SlotLease(2, make_upstream('u-2'), '', 0)
 CULPRIT = Culprit(frozenset(('t',)), 0, 0)
 PROGRESS = RequestProgress(True, 2, response_started=True)
 
@@ -29,11 +37,21 @@
 class Held:
     """The slots of a request that keeps one, and what was given back."""
 
-    def __init__(self, culprit: Culprit | None = None) -> None:
+    def __init__(
+        self,
+        culprit: Culprit | None = None,
+        guard: RequestGuard | None = None,
+    ) -> None:
         self.released: list[SlotLease] = []
-        guard = SimpleNamespace(find_refused=lambda traits, wall: culprit)
+        guard = guard or SimpleNamespace(
+            find_refused=lambda traits, wall: culprit,
+            may_be_cleared=lambda traits, wall: False,
+        )
         context = SimpleNamespace(
-            admission=SimpleNamespace(release=self._release),
+            passing=None,
+            admission=SimpleNamespace(
+                release=self._release, acquire=self._acquire
+            ),
             clock=Clock(time.monotonic, time.time),
             guard=guard,
         )
@@ -47,6 +65,9 @@
         progress = PROGRESS._replace(refusals=refusals)
         return await self._slots.take(ENGINES, '', progress)
 
+    async def _acquire(self, wanted: SlotRequest) -> SlotLease:
+        return OTHER
+
     def _release(
         self, lease: SlotLease, health: SlotOutcome, timing: AnswerTiming
     ) -> None:
@@ -74,3 +95,29 @@
     with pytest.raises(asyncio.CancelledError):
         await taking
     assert held.released == [KEPT]
+
+
+def blaming_guard(age: float) -> RequestGuard:
+    """Return a guard that has blamed the request for ``age`` s."""
+    guard = RequestGuard(Evidence(), lambda key: False)
+    for number in range(MIN_CRASHES):
+        traits = frozenset(('t',))
+        guard.evidence.add_crash(f'u{number}/1', traits, time.time() - age)
+    return guard
+
+
+async def test_answer_that_has_begun_is_not_cut_for_a_fresh_blame() -> None:
+    guard = blaming_guard(0)
+    held = Held(guard=guard)
+    taking = asyncio.create_task(held.take())
+    await asyncio.sleep(0.1)
+    assert held.released == [KEPT]
+    guard.evidence.note_sound(('t',), time.time())
+    assert await taking == OTHER
+
+
+async def test_answer_that_has_begun_is_cut_at_once_for_an_old_blame() -> None:
+    held = Held(guard=blaming_guard(EARLY_INTERVAL + ANSWER_TIME + 1))
+    with pytest.raises(RefusedError):
+        async with asyncio.timeout(OWED_INTERVAL):
+            await held.take()
