Bodies of jobs that others run make room for those of an owner

Cause: bodies that an instance held for a job that others run by now (it reached no upstream for a while), or that was completed elsewhere, counted until the store said that the job is done. Change: an owner without room drops the bodies of jobs that it doesn't own; the store keeps them. Bodies go as soon as all results of a job are known. 5122 says which job waits for room; without shortage nothing is dropped or read again.

Tests: test_body_room.py: bodies_of_jobs_that_others_run failed on the code before in both cases (assert [] == ['waiting-0', 'waiting-1']); bodies of a job that runs here stay.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -296,6 +296,9 @@
 ITEMS_KEPT_OUT = info_event(
     5121, 'bodies of job {job} stay in the store: {held} of {limit} bytes held'
 )
+JOB_WITHOUT_ROOM = info_event(
+    5122, 'job {job} waits for room for bodies: {held} of {limit} bytes held'
+)
 DELIVERY_UNKNOWN = warning_event(
     5130, 'what a server has taken of a request is not known: {error}'
 )
--- a/gentiantrestle/gateway/batch/job_index.py
+++ b/gentiantrestle/gateway/batch/job_index.py
@@ -69,6 +69,8 @@
             self.results.append(result)
             self._stored_ids.add(result.id)
         self.chunk_count += 1
+        if self.complete:
+            self.drop_bodies()
 
     def add_peer_results(self, rows: list[ItemResult], chunks: int) -> None:
         """Append results read from the instance that runs the job.
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -5,6 +5,7 @@
 from contextlib import suppress
 
 from gentiantrestle import events
+from gentiantrestle.gateway.batch.body_room import BodyRoom
 from gentiantrestle.gateway.batch.context import BatchContext
 from gentiantrestle.gateway.batch.item_progress import ItemProgress, RunOutcome
 from gentiantrestle.gateway.batch.item_states import (
@@ -63,6 +64,7 @@
         self._writer = ResultWriter(context.job_store)
         self._retry_times: dict[str, float] = {}
         self._catching_up: set[str] = set()
+        self._room = BodyRoom(context, self.owns)
         self._takeovers = Takeovers(run_name)
         self._waits = JobWaits()
         self._woken = asyncio.Event()
@@ -223,8 +225,7 @@
         It waits while there is no room for the bodies.
         """
         size = LARGE_JOB * (len(self._catching_up) + 1)
-        has_room = self._context.budget.has_room_for_items(size)
-        if not has_room and not entry.has_bodies:
+        if not entry.has_bodies and not self._room.find(entry, size):
             return NO_ROOM
         if entry.job.id not in self._catching_up:
             self._catching_up.add(entry.job.id)
--- a/tests/gateway/owners_world.py
+++ b/tests/gateway/owners_world.py
@@ -66,7 +66,9 @@
 class OwnersInstance:
     """One instance's runner, with its own view of the fleet."""
 
-    def __init__(self, name: str, store: MemoryStore) -> None:
+    def __init__(
+        self, name: str, store: MemoryStore, memory_limit: int = 0
+    ) -> None:
         self.name = name
         self.run_name = run_name(name, 1)
         self.unreached = NONE
@@ -77,6 +79,8 @@
         router.apply(make_table(make_batch_route()))
         index = JobIndex()
         self.job_store = JobStore(store, index, random.Random(1), virtual_now)
+        budget = MemoryBudget(memory_limit)
+        budget.read_items = lambda: index.body_bytes
         self.peers = PeerList(name, name, 'a1', ())
         self.owners = JobOwners(self.run_name, self.peers, self, virtual_now)
         self.asks = GrantingAsks()
@@ -89,7 +93,7 @@
             asks=self.asks,
             clock=Clock(virtual_now, virtual_now),
             guard=SimpleNamespace(evidence=Evidence()),
-            budget=MemoryBudget(),
+            budget=budget,
             reach=self,
         )
         self.runner = Runner(context, self.run_name)
