An answer that seeks a successor is queued with those that go on

What callers could see: a stream whose upstream falls silent midway while others wait for slots pauses until its caller leaves (callers do after 2 s), though new streams begin.

Cause: the slot for the successor of a silent upstream was asked for as for a new request that has been waiting since it was received. So its wait limit was mostly 0, and with anything in the queue it was refused each time, each 0.25 s. After a loss the same stream asks as a retry.

Now an answer that is bound to a version asks as a retry, which is served first and may wait in the queue while its upstream may still speak. Other requests that seek a successor ask as before.

The test failed before: assert None == 'u3' (tests/gateway/ test_successor_slots.py). With it 66 tests of silences, trickles, later answers and versions at the instance that asks pass.

--- a/gentiantrestle/gateway/request_slots.py
+++ b/gentiantrestle/gateway/request_slots.py
@@ -111,12 +111,16 @@
         """Take a slot elsewhere while the upstream of ``lease`` is silent.
 
         An upstream that sends bytes without an event may be asked again. What
-        was passed on to a peer is only taken from it for another one.
+        was passed on to a peer is only taken from it for another one. An answer
+        that is bound to ``version`` goes on, and is no new request.
         """
         peer = self._find_peer(lease.upstream.service, version, lease.via)
         if peer is not None or lease.via:
             return peer
         slot_request = self._ask(lease.upstream.service, version)
+        if version:
+            req = self._req._replace(is_retry=True)
+            slot_request = slot_request._replace(request=req)
         try:
             found = await self._context.admission.acquire(slot_request)
         except RefusedError:
