--- a/standins/objects.py
+++ b/standins/objects.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from gentiantrestle.http.connection import ConnectionClosedError
 from gentiantrestle.http.messages import Request, Response, json_response
 
 ROOT = '/gentiantrestle/objects/'
@@ -32,8 +33,8 @@
     delays each by some seconds, ``lose`` holds back the answers of so many
     writes for ``silence`` seconds after they took effect, and ``compact``
     forgets the changes so far, so that older watches get 410; while ``mute`` is
-    set, watches hear nothing. ``POST /raw/KIND/NAME`` stores the body as a spec
-    without looking at it.
+    set, watches hear nothing; ``cut`` ends the watches that wait, unanswered.
+    ``POST /raw/KIND/NAME`` stores the body as a spec without looking at it.
     """
 
     def __init__(self) -> None:
@@ -43,6 +44,7 @@
         self._revision = 1
         self._compacted_revision = 1
         self._changed = asyncio.Condition()
+        self._cuts = 0
         self._faults: dict[str, Any] = {}
         self._calls: list[str] = []
 
@@ -57,9 +59,7 @@
     async def handle(self, req: Request) -> Response:
         """Answer one request."""
         if req.path == '/control':
-            self._faults = await req.read_json(MAX_BODY)
-            if self._faults.pop('compact', False):
-                await self._compact()
+            await self._control(await req.read_json(MAX_BODY))
             return json_response({})
         if req.path == '/calls':
             return json_response(self._calls)
@@ -73,6 +73,15 @@
             await asyncio.sleep(self._faults.get('silence', 5))
         return answer
 
+    async def _control(self, faults: dict[str, Any]) -> None:
+        self._faults = faults
+        if faults.pop('compact', False):
+            await self._compact()
+        if faults.pop('cut', False):
+            self._cuts += 1
+            async with self._changed:
+                self._changed.notify_all()
+
     async def _store_raw(self, req: Request) -> Response:
         kind, _, name = req.path.removeprefix(RAW_ROOT).partition('/')
         spec = msgspec.Raw(await req.read(MAX_BODY))
@@ -128,13 +137,16 @@
         if after < self._compacted_revision:
             return json_response({}, GONE)
         wait = int(query.get('wait-ms', 0)) / 1000
+        cuts = self._cuts
         try:
             async with asyncio.timeout(wait), self._changed:
                 await self._changed.wait_for(
-                    lambda: self._heard_after(kind, after)
+                    lambda: self._cuts > cuts or self._heard_after(kind, after)
                 )
         except TimeoutError:
             return json_response({'events': [], 'as-of': self._revision})
+        if self._cuts > cuts:
+            raise ConnectionClosedError('watch cut by the cut fault')
         changes = self._changes_after(kind, after)
         return json_response({'events': changes, 'as-of': self._revision})
 
