--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -170,18 +170,6 @@
     3041,
     'configuration {version} is confirmed by {source}: keys are served',
 )
-COUNTER_SILENT = warning_event(
-    3050, 'instance {instance}, which counts allowances, does not answer'
-)
-ALLOWANCES_TAKEN_OVER = info_event(
-    3051, 'this instance counts {accounts} more accounts'
-)
-ALLOWANCE_HANDED_OVER = info_event(
-    3052, 'account {account} is counted by {instance} from now on: {left} left'
-)
-COUNTS_DISTRUSTED = warning_event(
-    3053, 'stood still for {gap_ms} ms; accounts are counted with few tokens'
-)
 OVER_SHARE = info_event(
     3060,
     'account {account} is over its share of {service}: {slots} slots of '
@@ -240,16 +228,6 @@
 KEY_REFUSED = info_event(
     5112, 'request {request} on {route} refused for its key: {reason}'
 )
-ALLOWANCE_USED_UP = info_event(
-    5118,
-    'request {request} refused: account {account} has used up its allowance; '
-    'there is room in {wait_ms} ms',
-)
-CHARGED_ALONE = warning_event(
-    5119,
-    'no instance counts account {account} for request {request}; granted: '
-    '{granted}',
-)
 VERSIONS_LISTED = info_event(
     2012, 'versions in use of {versions} services stored'
 )
--- a/gentiantrestle/gateway/accounts/allowance_client.py
+++ b/gentiantrestle/gateway/accounts/allowance_client.py
@@ -4,7 +4,7 @@
 from itertools import count, islice
 from typing import NamedTuple
 
-from gentiantrestle import events
+from gentiantrestle import allowance_events, events
 from gentiantrestle.gateway.accounts.allowance_charge import PendingCharge
 from gentiantrestle.gateway.accounts.allowance_counter import (
     ASK,
@@ -237,4 +237,4 @@
         if known is not None:
             seconds = min(known.seconds * 2, MAX_SUSPICION_TIME)
         self._suspects[name] = Suspicion(now + seconds, seconds)
-        events.emit(events.COUNTER_SILENT, instance=name)
+        events.emit(allowance_events.COUNTER_SILENT, instance=name)
--- a/gentiantrestle/gateway/accounts/allowance_counter.py
+++ b/gentiantrestle/gateway/accounts/allowance_counter.py
@@ -5,7 +5,7 @@
 from itertools import islice
 from typing import NamedTuple
 
-from gentiantrestle import events
+from gentiantrestle import allowance_events, events
 from gentiantrestle.gateway.accounts.allowance_ledger import (
     AllowanceLedger,
     Limits,
@@ -207,7 +207,7 @@
                 yield from self._hand_over(account, limit, now)
                 taken += self._own(account, limit, now)
         if taken:
-            events.emit(events.ALLOWANCES_TAKEN_OVER, accounts=taken)
+            events.emit(allowance_events.ALLOWANCES_TAKEN_OVER, accounts=taken)
 
     def _own(self, account: str, limits: Limits, now: float) -> bool:
         """Open or leave a count; return whether it is this instance's now."""
@@ -248,7 +248,7 @@
         message = ttypes.AllowanceSpent(account, 0, left)
         yield Outgoing(first.host, SPENT, message)
         events.emit(
-            events.ALLOWANCE_HANDED_OVER,
+            allowance_events.ALLOWANCE_HANDED_OVER,
             account=account,
             instance=first.instance,
             left=left,
--- a/gentiantrestle/gateway/accounts/allowance_service.py
+++ b/gentiantrestle/gateway/accounts/allowance_service.py
@@ -7,7 +7,7 @@
 from functools import partial
 from typing import Any
 
-from gentiantrestle import events
+from gentiantrestle import allowance_events, events
 from gentiantrestle.errors import ALLOWANCE_USED, RefusedError, Run, refuse
 from gentiantrestle.gateway.accounts.allowance_charge import PendingCharge
 from gentiantrestle.gateway.accounts.allowance_client import AllowanceClient
@@ -132,7 +132,7 @@
         self.record(f'{outcome} alone' if charge.is_alone else outcome)
         if charge.is_alone:
             events.emit(
-                events.CHARGED_ALONE,
+                allowance_events.CHARGED_ALONE,
                 account=req.account,
                 request=req.id,
                 granted=verdict.granted,
@@ -140,7 +140,7 @@
         if verdict.granted:
             return
         events.emit(
-            events.ALLOWANCE_USED_UP,
+            allowance_events.ALLOWANCE_USED_UP,
             request=req.id,
             account=req.account,
             wait_ms=round(verdict.wait * MS_PER_S),
@@ -187,7 +187,9 @@
         self._counter.give_back(key, message.account, self._now())
 
     def _note_standstill(self, gap: float, now: float) -> None:
-        events.emit(events.COUNTS_DISTRUSTED, gap_ms=round(gap * MS_PER_S))
+        events.emit(
+            allowance_events.COUNTS_DISTRUSTED, gap_ms=round(gap * MS_PER_S)
+        )
         self._client.note_standstill(gap, now)
 
 
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -3,8 +3,8 @@
 import re
 from pathlib import Path
 
-from gentiantrestle import errors
-from gentiantrestle.event_kinds import CATALOGUE
+from gentiantrestle import allowance_events, errors, events
+from gentiantrestle.event_kinds import CATALOGUE, Event
 from gentiantrestle.options import OPTIONS
 
 DOCS = Path(__file__).parent.parent / 'docs'
@@ -21,6 +21,16 @@
     )
 
 
+def test_catalogue_holds_the_events_of_all_modules() -> None:
+    named = {
+        event
+        for module in (allowance_events, events)
+        for event in vars(module).values()
+        if isinstance(event, Event)
+    }
+    assert named == set(CATALOGUE)
+
+
 def test_event_numbers_are_unique() -> None:
     codes = [event.code for event in CATALOGUE]
     assert len(codes) == len(set(codes))
