Daemon: a watch that heard nothing moves the mirror on only with proof

The same cause as in the gateway, in the product's own system; found by reading. Its object API doesn't say what a watch without changes proves. A relay's mirror took over the revision of such an answer, its peers copy and compare from there, so a change that the watch had not heard was told to nobody until it changed again: a configuration not in force, a job not run. Fix: the mirror's revision moves on with WatchProof, which moves to store/, as the daemon doesn't import the gateway. A compare without waiting proves nothing. Calls: as many watches as before, from an older revision.

--- a/gentiantrestle/daemon/configuration/service.py
+++ b/gentiantrestle/daemon/configuration/service.py
@@ -18,6 +18,7 @@
 from gentiantrestle.daemon.membership.view import Member
 from gentiantrestle.models import EMPTY_FLEET, FleetDoc
 from gentiantrestle.store.client import (
+    WATCH_WAIT,
     StoreClient,
     StoreUnavailableError,
 )
@@ -27,6 +28,7 @@
     ObjectList,
     decode_document,
 )
+from gentiantrestle.store.watch_proof import WatchProof
 from gentiantrestle.wire.peer.ttypes import (
     Change,
     Changes,
@@ -56,6 +58,7 @@
         self._membership = membership
         self._random = random.Random(ctx.incarnation)
         self._sources = SourceCalls()
+        self._proof = WatchProof()
         self.mirror = Mirror()
         self.fleet: FleetDoc = EMPTY_FLEET
         self.loaded = asyncio.Event()
@@ -93,9 +96,8 @@
         """
         if self.loaded.is_set():
             after = self.mirror.revision
-            self._apply_listing(
-                await self._store.read_changes(after, *PREFIXES)
-            )
+            listing = await self._store.read_changes(after, *PREFIXES)
+            self._apply_changes(after, listing, heard_for=0)
         else:
             self._apply_listing(await self._store.list_documents(*PREFIXES))
 
@@ -119,7 +121,10 @@
             await asyncio.sleep(RETRY_PERIOD)
             return
         after = self.mirror.revision
-        self._apply_listing(await self._store.watch(after, *PREFIXES))
+        asked_at = self._ctx.now()
+        listing = await self._store.watch(after, *PREFIXES)
+        heard_for = min(self._ctx.now() - asked_at, WATCH_WAIT)
+        self._apply_changes(after, listing, heard_for)
 
     async def _follow_peers(self) -> None:
         try:
@@ -198,6 +203,22 @@
         )
         return Envelope(changes=changes)
 
+    def _apply_changes(
+        self, after: int, listing: ObjectList, heard_for: float
+    ) -> None:
+        """Apply what has changed since ``after``.
+
+        Without changes the answer is no proof that there were none.
+        """
+        if listing['objects']:
+            self._proof.reset()
+            self._apply_listing(listing)
+            return
+        revision = self._proof.next_revision(
+            after, listing['revision'], heard_for
+        )
+        self._apply((), revision)
+
     def _apply_listing(self, listing: ObjectList) -> None:
         changes = map(_from_listed, listing['objects'])
         self._apply(changes, listing['revision'])
--- a/gentiantrestle/gateway/follower.py
+++ b/gentiantrestle/gateway/follower.py
@@ -12,12 +12,9 @@
     StoredObject,
 )
 from gentiantrestle.gateway.state.clocks import boottime
-from gentiantrestle.gateway.state.watch_proof import (
-    SilentRange,
-    WatchProof,
-    proven_time,
-)
+from gentiantrestle.gateway.state.silent_range import SilentRange
 from gentiantrestle.store.client import StoreUnavailableError
+from gentiantrestle.store.watch_proof import WatchProof, proven_time
 
 # A watch is one call however long it waits. A connection that has fallen silent
 # is noticed after this and the client's slack. Nothing is required of an
--- a/gentiantrestle/gateway/state/confirmation.py
+++ b/gentiantrestle/gateway/state/confirmation.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from gentiantrestle.gateway.state.watch_proof import DEAF_TIME
+from gentiantrestle.store.watch_proof import DEAF_TIME
 
 # Clocks of two machines, and the steps of their timers, differ by less.
 CLOCK_MARGIN = 0.01  # of the time that a revocation may take
--- a/tests/gateway/test_confirmation.py
+++ b/tests/gateway/test_confirmation.py
@@ -21,12 +21,12 @@
     ConfirmationAsks,
     Situation,
 )
-from gentiantrestle.gateway.state.watch_proof import (
+from gentiantrestle.platform.document_decoder import StoreDocumentDecoder
+from gentiantrestle.store.watch_proof import (
     DEAF_TIME,
     WatchProof,
     proven_time,
 )
-from gentiantrestle.platform.document_decoder import StoreDocumentDecoder
 from tests.gateway.wire_samples import config_doc
 
 LIMIT = 5.0
--- a/tests/gateway/test_unheard_changes.py
+++ b/tests/gateway/test_unheard_changes.py
@@ -23,8 +23,8 @@
     Page,
     StoredObject,
 )
-from gentiantrestle.gateway.state.watch_proof import DEAF_TIME
 from gentiantrestle.store.client import StoreUnavailableError
+from gentiantrestle.store.watch_proof import DEAF_TIME
 from tests.gateway.memory import MemoryStore
 from tests.gateway.samples import make_job
 from tests.utils.virtual_time import run_virtual, virtual_now
