--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -246,6 +246,26 @@
     assert [entry.name for entry in again.jobs] == ['job8']
 
 
+async def test_job_known_by_other_ways_is_copied_to_whoever_may_lack_it() -> (
+    None
+):
+    source, _, store = _copier()
+    await store.accept(make_job('own'))
+    store.apply_changes([], 5)
+    read = StoredObject('read', 8, job_to_content(make_job('read')))
+    store.apply(read)
+    target, _, jobs = _copier()
+    target.apply_copy(source.build_copy(target.build_request()))
+    # The changes up to 5 didn't tell of the own job, so it is newer.
+    assert set(jobs.index.entries) == {'read'}
+    assert jobs.index.revision == 5
+    own = StoredObject('own', 6, job_to_content(make_job('own')))
+    store.apply_changes([own, read], 9)
+    target.apply_copy(source.build_copy(target.build_request()))
+    assert set(jobs.index.entries) == {'own', 'read'}
+    assert not source.build_copy(target.build_request()).jobs
+
+
 def test_older_copy_does_not_replace_newer_state() -> None:
     old, state, _ = _copier()
     state.replace_upstreams([], 3)
