Upstreams: an older removal passes over an entry that is known as newer

A watcher that has copied newer entries is told the changes before them by its own watch, all the more as that may stay at an older revision now. An entry that was removed and written again in between was removed and put again, and counted as started again: it gets few slots for a while. Fix: a removal older than the known entry changes nothing, as an older entry. Test: the upstream counted as started on the code before ('b' in ['b', 'c']).

--- a/gentiantrestle/gateway/fleet_state.py
+++ b/gentiantrestle/gateway/fleet_state.py
@@ -145,10 +145,10 @@
             return
         now = self._now()
         for stored in found:
-            if stored.deleted:
-                self._remove(stored.name, now)
-            else:
+            if not stored.deleted:
                 self._put(stored, now)
+            elif not _is_newer(self.upstreams.get(stored.name), stored):
+                self._remove(stored.name, now)
         self._finish_change(revision)
 
     def _replace_configs(
@@ -217,6 +217,10 @@
         self.on_change()
 
 
+def _is_newer(known: StoredObject | None, stored: StoredObject) -> bool:
+    return known is not None and known.revision > stored.revision
+
+
 def _fingerprint(entries: Iterable[StoredObject]) -> int:
     listed = sorted((entry.name, entry.revision) for entry in entries)
     return xxhash.xxh32_intdigest(repr(listed).encode())
--- a/tests/gateway/test_fleet_state.py
+++ b/tests/gateway/test_fleet_state.py
@@ -40,6 +40,19 @@
     assert state.upstreams_revision == COPIED
 
 
+def test_upstream_known_from_a_copy_does_not_start_again_by_older_changes() -> (
+    None
+):
+    state = _copied()
+    started: list[str] = []
+    state.on_start = started.append
+    gone = StoredObject('b', 6, None, deleted=True)
+    changes = [gone, _entry('b', 9), _entry('c', 11)]
+    state.upstream_handlers().change(changes, COPIED + 1)
+    assert _usable(state) == ['a', 'b', 'c']
+    assert started == ['c']
+
+
 def test_upstream_that_has_left_does_not_come_back_with_older_changes() -> None:
     state = _copied()
     state.replace_upstreams([_entry('b', 9)], COPIED + 1)
