A finished job is marked as done until the store has it

What callers would see: jobs of an instance that get no room for their bodies. The mark was tried once. If the store failed just then, the job stayed open for all other instances: bodies that one of them had loaded while it ran the job stayed in its memory (19 MB for items in a process of 160 MB), and its tokens counted for quotas until its results were read again.

Evidence: test_result_writer.py -k store_failed_once fails on the code before in 2 of 2 (the job isn't done 40 s later).

Now it is tried again each 1.5 to 4.5 s. Only jobs whose last results were stored and whose mark then failed cost more calls.

--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -38,6 +38,8 @@
     StoreUnavailableError,
 )
 
+MARK_INTERVAL = 3.0  # seconds between tries to mark a job as done
+
 
 class JobStore:
     """Jobs and their results in the store, mirrored in a ``JobIndex``.
@@ -63,6 +65,7 @@
         # Revisions of the objects that were logged as unreadable.
         self._unreadable: dict[str, int] = {}
         self._store = store
+        self._rng = rng
         self.index = index
         self.budget = MemoryBudget()
 
@@ -189,13 +192,11 @@
     async def mark_done(self, job_id: str) -> None:
         """Mark a job whose items all have results as done.
 
-        Store failures are only logged: if the state is not stored, instances
-        have to read the job's results again.
+        Repeated until the store has it: for the other instances the job is open
+        until then, and its bodies stay in their memory.
         """
-        try:
-            await self._set_state(job_id, DONE)
-        except (StoreUnavailableError, StoreOutcomeUnknownError) as exc:
-            events.emit(events.STORE_CALL_FAILED, name=job_id, error=repr(exc))
+        while not await self._try_mark_done(job_id):
+            await asyncio.sleep(MARK_INTERVAL * (0.5 + self._rng.random()))
 
     async def refresh(self, entry: JobEntry) -> None:
         """Read what the store has of a job's results, as ``ResultStore``."""
@@ -263,6 +264,14 @@
         if entry.job.acceptor == job.acceptor:
             self._keep_bodies(entry, job)
 
+    async def _try_mark_done(self, job_id: str) -> bool:
+        try:
+            await self._set_state(job_id, DONE)
+        except (StoreUnavailableError, StoreOutcomeUnknownError) as exc:
+            events.emit(events.STORE_CALL_FAILED, name=job_id, error=repr(exc))
+            return False
+        return True
+
     async def _set_state(self, job_id: str, state: str) -> bool:
         """Write a job's state; retry while the job changes concurrently.
 
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -246,9 +246,9 @@
             await asyncio.sleep(RETRY_DELAY)
         finally:
             self._catching_up.discard(entry.job.id)
+        self.wake()
         if entry.complete:
             await self._context.job_store.mark_done(entry.job.id)
-        self.wake()
 
     def _retrying_later(self, now: float) -> set[str]:
         """Return the items whose retry delay is not over."""
--- a/tests/gateway/test_result_writer.py
+++ b/tests/gateway/test_result_writer.py
@@ -13,7 +13,11 @@
 from gentiantrestle.gateway.batch.result_writer import ResultWriter
 from gentiantrestle.gateway.model import ItemResult
 from gentiantrestle.gateway.ports import StoredObject
-from gentiantrestle.store.client import ObjectTooLargeError
+from gentiantrestle.store.client import (
+    ObjectTooLargeError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
 from tests.gateway.memory import MemoryStore
 from tests.gateway.owners_world import OwnersInstance, run_item
 from tests.gateway.samples import make_job
@@ -29,6 +33,15 @@
     def __init__(self, failures: Iterable[Exception]) -> None:
         super().__init__()
         self.failures = list(failures)
+        self.status_failures: list[Exception] = []
+
+    async def put_status(
+        self, kind: str, stored: StoredObject, status: object
+    ) -> bool:
+        """Replace a status, or fail."""
+        if self.status_failures:
+            raise self.status_failures.pop()
+        return await super().put_status(kind, stored, status)
 
     async def create(self, kind: str, name: str, content: object) -> bool:
         """Create an object, or fail."""
@@ -76,6 +89,28 @@
     assert run_virtual(main()).results == _results(2)
 
 
+@pytest.mark.parametrize(
+    'error', [StoreUnavailableError('down'), StoreOutcomeUnknownError('lost')]
+)
+def test_others_learn_that_a_job_is_done_though_the_store_failed_once(
+    error: Exception,
+) -> None:
+    async def main() -> JobEntry | None:
+        store = _OddStore([])
+        job_store = _job_store(store)
+        await job_store.accept(make_job())
+        store.status_failures = [error] * 3
+        writer = ResultWriter(job_store)
+        for result in _results(2):
+            writer.add(job_store.index.entries['job1'], result)
+        await asyncio.sleep(TIME_LIMIT * 2)
+        return await _job_store(store).find('job1')
+
+    found = run_virtual(main())
+    assert found is not None
+    assert found.job.done
+
+
 def test_refusal_of_a_result_that_is_stored_meanwhile_ends_no_writing() -> None:
     async def main() -> list[ItemResult]:
         store = _Overtaken()
