A request counts as sound only well after the time of a crash

What callers could see: a prompt part that crashes upstreams is sent on again for two minutes, as one of its requests outlasted the time in which an end is blamed on it, by less than 0.2 s, before its upstream ended. Now a request has to outlast twice that time, 0.6 s, and a later read.

--- a/gentiantrestle/quarantine/watch.py
+++ b/gentiantrestle/quarantine/watch.py
@@ -7,6 +7,8 @@
 # An upstream that a request crashes ends while it begins the answer. Its first
 # events, or the head of a plain answer, may still arrive.
 OPENING_TIME = 0.3  # seconds after the first event, or the head
+# A slow upstream may end later than that.
+SOUND_AFTER = 2 * OPENING_TIME  # seconds after the first event
 # Events may have waited here; those of a later read came from a live upstream.
 STEADY_TIME = 0.1  # seconds
 
@@ -38,7 +40,7 @@
         self._traits = traits
         self._clock = clock
         self._began_at: float | None = None
-        # When an event arrived after the opening time.
+        # When an event arrived after ``SOUND_AFTER``.
         self._outlasted_at: float | None = None
         self._sound = False
 
@@ -53,7 +55,7 @@
         if self._began_at is None:
             self._began_at = now
         elif self._outlasted_at is None:
-            if now - self._began_at >= OPENING_TIME:
+            if now - self._began_at >= SOUND_AFTER:
                 self._outlasted_at = now
         elif now - self._outlasted_at >= STEADY_TIME:
             self.note_sound()
