Slots of a run whose instance has started again are free at once

Cause: coordinators count the slots that a run holds for 4 s after they last heard of them, as it may only be cut off. But a killed instance starts again after 2 to 2.6 s, and its rows tell of the new run: then the old one has ended, and its connections are closed. What it had asked for and waited for was granted meanwhile, too, and held for 4 s more by nobody.

Slots and waiting requests of a run are dropped now as soon as a later run of its instance is heard of. A run that is only silent keeps its slots for 4 s, as before.

The test failed with the check of runs taken out: '' in place of GRANTED (on the code before there is no such argument).

--- a/benchmarks/slot_fleet.py
+++ b/benchmarks/slot_fleet.py
@@ -244,6 +244,7 @@
             peer.zone,
             lambda now: frozenset((peer.zone,)),
             directory.find_host,
+            lambda run: False,
         )
         sender = SlotSender(SimulatedPort(peer.host, fleet.network))
         client = SlotClient(
--- a/gentiantrestle/gateway/assembly.py
+++ b/gentiantrestle/gateway/assembly.py
@@ -54,6 +54,7 @@
         identity.zone,
         directory.zones,
         directory.find_host,
+        fleet.peers.has_ended,
     )
     sender = SlotSender(fleet.port)
     client = SlotClient(
--- a/gentiantrestle/gateway/membership/peers.py
+++ b/gentiantrestle/gateway/membership/peers.py
@@ -21,6 +21,7 @@
 # Hosts of lost instances still get heartbeats, so that both sides find each
 # other after a network partition. Seeds are never forgotten.
 FORGET_AFTER = 60.0  # seconds
+HEX = 16
 
 
 class Peer(NamedTuple):
@@ -148,6 +149,12 @@
             (peer for peer in self._by_name.values() if peer.run == run), None
         )
 
+    def has_ended(self, run: str) -> bool:
+        """Return whether a later run of the same instance was heard of."""
+        instance, _, incarnation = run.rpartition('/')
+        known = self._by_name.get(instance)
+        return known is not None and known.incarnation > int(incarnation, HEX)
+
     def alive(self, now: float) -> list[Peer]:
         """List the instances that are alive."""
         return [
--- a/gentiantrestle/gateway/slots/coordinator.py
+++ b/gentiantrestle/gateway/slots/coordinator.py
@@ -120,10 +120,11 @@
         Only the ``leading`` coordinator of its zone is told of slots that are
         given back, and may take upstreams for overbooked.
         """
-        self._ledger.remove_lapsed(now)
+        has_ended = self._scope.has_ended
+        self._ledger.remove_lapsed(now, has_ended)
         self.health.note_lapsed(now)
         for queue in self.queues:
-            queue.asks.remove_expired(now)
+            queue.asks.remove_expired(now, has_ended)
         yield from self._notices.repeat(now)
         if leading:
             yield from self._preempt_overbooked(now)
--- a/gentiantrestle/gateway/slots/ledger.py
+++ b/gentiantrestle/gateway/slots/ledger.py
@@ -8,6 +8,7 @@
     HeldSlot,
     LeaseKey,
     Report,
+    find_ended,
 )
 from gentiantrestle.gateway.slots.rates import RateLimits
 
@@ -132,12 +133,15 @@
         for key, slot in reported.items():
             self._renew(key, slot, report.host, now)
 
-    def remove_lapsed(self, now: float) -> list[Lease]:
-        """Remove and return the leases of holders that were silent."""
+    def remove_lapsed(
+        self, now: float, has_ended: Callable[[str], bool]
+    ) -> list[Lease]:
+        """Remove and return the leases of holders that ended or were silent."""
+        ended = find_ended(self._leases, has_ended)
         lapsed = [
             lease
             for lease in self._leases.values()
-            if now - lease.renewed_at > LEASE_TIME
+            if now - lease.renewed_at > LEASE_TIME or lease.key.holder in ended
         ]
         for lease in lapsed:
             self.remove(lease.key, now)
--- a/gentiantrestle/gateway/slots/messages.py
+++ b/gentiantrestle/gateway/slots/messages.py
@@ -1,5 +1,6 @@
 """Messages between slot coordinators and the instances that use slots."""
 
+from collections.abc import Callable, Iterable
 from enum import Enum
 from typing import Any, NamedTuple
 
@@ -23,6 +24,13 @@
     number: int
 
 
+def find_ended(
+    keys: Iterable[LeaseKey], has_ended: Callable[[str], bool]
+) -> frozenset[str]:
+    """Return the holders of ``keys`` that have ended."""
+    return frozenset(filter(has_ended, {key.holder for key in keys}))
+
+
 class Ask(NamedTuple):
     """A request for a slot of a service; times are in s.
 
--- a/gentiantrestle/gateway/slots/placing.py
+++ b/gentiantrestle/gateway/slots/placing.py
@@ -26,8 +26,9 @@
 class CoordinatorScope(NamedTuple):
     """What an instance coordinates, and where it finds the others.
 
-    ``zones`` returns the zones whose upstreams count here, and ``find_host``
-    the host of another zone's coordinator.
+    ``zones`` returns the zones whose upstreams count here, ``find_host`` the
+    host of another zone's coordinator, and ``has_ended`` whether a run that
+    holds slots has ended.
     """
 
     instance: str
@@ -35,6 +36,7 @@
     zone: str
     zones: Callable[[float], frozenset[str]]
     find_host: Callable[[str, float], str | None]
+    has_ended: Callable[[str], bool]
 
 
 class SlotPlacer:
--- a/gentiantrestle/gateway/slots/queueing.py
+++ b/gentiantrestle/gateway/slots/queueing.py
@@ -17,13 +17,17 @@
 import heapq
 import math
 from collections import Counter
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from itertools import count
 from typing import NamedTuple
 
 from gentiantrestle.gateway.model import Request, Route
 from gentiantrestle.gateway.slots.fair_use import FairUse
-from gentiantrestle.gateway.slots.messages import Ask, LeaseKey
+from gentiantrestle.gateway.slots.messages import (
+    Ask,
+    LeaseKey,
+    find_ended,
+)
 from gentiantrestle.gateway.slots.pool import URGENT_SLACK
 
 # Share of the route's latency target that a request may wait. The upstream
@@ -267,10 +271,13 @@
             group.version for group, waiting in self._waiting.items() if waiting
         }
 
-    def remove_expired(self, now: float) -> None:
-        """Drop the requests whose holders have stopped asking."""
+    def remove_expired(
+        self, now: float, has_ended: Callable[[str], bool]
+    ) -> None:
+        """Drop the requests whose holders ended or have stopped asking."""
+        ended = find_ended(self._queued, has_ended)
         for key, queued in tuple(self._queued.items()):
-            if now - queued.asked_at > ASK_LIFETIME:
+            if now - queued.asked_at > ASK_LIFETIME or key.holder in ended:
                 self.remove(key)
 
     def _keyed(self, now: float) -> Iterator[tuple[SortKey, QueuedAsk]]:
--- a/tests/gateway/competition.py
+++ b/tests/gateway/competition.py
@@ -69,6 +69,7 @@
                 'a1',
                 lambda now: frozenset(('a1',)),
                 lambda zone, now: None,
+                lambda run: False,
             ),
             roster,
             RemoteZones(Topology('a1', ZONES), self.rng.random),
--- a/tests/gateway/pace_world.py
+++ b/tests/gateway/pace_world.py
@@ -93,6 +93,7 @@
                 'a1',
                 lambda now: frozenset(('a1',)),
                 lambda zone, now: None,
+                lambda run: False,
             ),
             self.roster,
             RemoteZones(Topology('a1', ZONES), self.rng.random),
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -30,6 +30,21 @@
 SETTLED = 3.0  # seconds after the start
 
 
+def test_run_has_ended_once_a_later_one_of_its_instance_is_heard() -> None:
+    peers = PeerList('me', '10.0.0.me', 'a1', ())
+    first, second = (
+        Peer('x', born, 1, '10.0.0.x', 'a1', False, 1, True, 0)
+        for born in (0xFF, 0x100)
+    )
+    peers.update(first)
+    assert not peers.has_ended(first.run)
+    peers.update(second)
+    assert [peers.has_ended(peer.run) for peer in (first, second)] == [
+        True,
+        False,
+    ]
+
+
 class _Port:
     """Stands in for a ``DatagramPort``; counts what is sent."""
 
--- a/tests/gateway/test_slots.py
+++ b/tests/gateway/test_slots.py
@@ -58,6 +58,7 @@
         for name in names or ('u1',):
             self.roster.put(make_upstream(name, slots=SLOTS))
         self.remote = RemoteZones(Topology('a1', ZONES), lambda: 0)
+        self.ended: set[str] = set()
         self.coordinator = SlotCoordinator(
             CoordinatorScope(
                 'me',
@@ -65,6 +66,7 @@
                 'a1',
                 lambda now: frozenset(('a1',)),
                 lambda zone, now: f'host of {zone}',
+                lambda run: run in self.ended,
             ),
             self.roster,
             self.remote,
@@ -391,6 +393,17 @@
     assert desk.load() == 0
 
 
+def test_slots_of_a_run_whose_instance_has_started_again_are_free() -> None:
+    desk = Desk()
+    desk.fill(SLOTS)
+    assert desk.ask(1, wait=1) == Verdict.QUEUED.name
+    assert desk.ask(1, 'other', wait=1) == Verdict.QUEUED.name
+    desk.ended.add('run')
+    assert desk.tick(0.1) == Verdict.GRANTED.name
+    assert desk.sent[-1].message.key == LeaseKey('other', 1)
+    assert desk.load() == 1
+
+
 def test_report_adds_unknown_slots_and_drops_those_it_lacks() -> None:
     desk = Desk()
     desk.fill(2)
