Jobs change hands where one service is not reached

Cause: a run left its jobs to others only if it reached no upstream of any service (StrandedRuns with all services at once). With one service lost it stayed the owner, asked for no slots there, and nobody else took the items.

Change: JobOwners keeps a StrandedRuns for each service; a run leaves the jobs whose route leads to a service that it doesn't reach. If no run reaches all services of a route, its jobs stay. Runner and ResultReader ask for the job. During a rolling update, earlier builds judge by all services, so owners may differ until all are new.

Tests: the world of test_job_owners has a second service now. What tested `is_stranded` tests `services_left`, which is as strict.

The daemon was not looked at.

--- a/gentiantrestle/gateway/assembly.py
+++ b/gentiantrestle/gateway/assembly.py
@@ -121,8 +121,8 @@
     batch_context.job_store.budget = batch_context.budget
     batch_context.budget.read_items = lambda: index.body_bytes
     runner = Runner(batch_context, fleet.run_name)
-    owners = JobOwners(fleet.run_name, fleet.peers, reach, clock.now)
-    runner.is_stranded = lambda: owners.is_stranded
+    owners = JobOwners(fleet.run_name, fleet.peers, reach, fleet.state.router)
+    runner.find_stranded = owners.find_stranded
     slots.preempt = runner.run_table.preempt
     return WorkComponents(
         batch_context,
--- a/gentiantrestle/gateway/batch/job_owners.py
+++ b/gentiantrestle/gateway/batch/job_owners.py
@@ -1,50 +1,97 @@
-"""Leaves the jobs of instances that reach no upstream to the others."""
+"""Leaves jobs to other instances while their services are not reached here."""
 
-from collections.abc import Callable
+from collections.abc import Collection, Mapping
 
 from gentiantrestle import events
 from gentiantrestle.gateway.batch.stranded_runs import StrandedRuns
 from gentiantrestle.gateway.membership.peers import PeerList
+from gentiantrestle.gateway.model import Job
 from gentiantrestle.gateway.reach.service import UpstreamReach
+from gentiantrestle.gateway.routing import Router
+
+NOBODY: frozenset[str] = frozenset()
 
 
 class JobOwners:
-    """Tells the list of instances, and the runner, who runs no jobs now."""
+    """Tells the runner which runs leave which jobs to the others now.
+
+    An instance may reach the upstreams of one service and not those of another.
+    """
 
     def __init__(
         self,
         run_name: str,
         peers: PeerList,
         reach: UpstreamReach,
-        now: Callable[[], float],
+        router: Router,
     ) -> None:
         """Start with all instances running jobs; this run is ``run_name``."""
         self._run_name = run_name
         self._peers = peers
         self._reach = reach
-        self._now = now
-        self._stranded = StrandedRuns()
+        self._router = router
+        self._by_service: dict[str, StrandedRuns] = {}
+        self._live = NOBODY
 
     @property
-    def is_stranded(self) -> bool:
-        """Return whether others run the jobs of this instance."""
-        return self._run_name in self._stranded.runs
+    def services_left(self) -> list[str]:
+        """Name the services whose jobs here are run by others."""
+        return sorted(
+            service
+            for service, known in self._by_service.items()
+            if self._run_name in known.runs
+        )
+
+    def find_stranded(self, job: Job) -> frozenset[str]:
+        """Return the runs that leave a job to others.
+
+        Those that don't reach all services of its route; none if no run does.
+        """
+        if not any(known.runs for known in self._by_service.values()):
+            return NOBODY
+        route = self._router.match_job(job)
+        shares = route.shares if route else ()
+        services = self._by_service.keys() & {known.service for known in shares}
+        found = NOBODY.union(
+            *(self._by_service[name].runs for name in services)
+        )
+        return found if self._live - found else NOBODY
 
-    def update(self) -> bool:
+    def update(self, now: float) -> bool:
         """Look at all rows; return whether jobs change hands."""
-        now = self._now()
         unreached = {
             peer.run: peer.cut_off
             for peer in self._peers.alive(now)
             if not peer.leaving
         }
         unreached[self._run_name] = self._reach.unreached
+        self._live = frozenset(unreached)
         in_doubt = any(unreached.values())
-        services = self._reach.services() if in_doubt else ()
-        was_stranded = self.is_stranded
-        if not self._stranded.update(unreached, services, now):
-            return False
-        self._peers.stranded = self._stranded.runs
-        if was_stranded != self.is_stranded:
-            events.emit(events.JOBS_LEFT, left=self.is_stranded)
-        return True
+        services = set(self._reach.services()) if in_doubt else set()
+        left = self.services_left
+        changes = [
+            self._update_service(service, unreached, services, now)
+            for service in services | self._by_service.keys()
+        ]
+        self._log_left(left)
+        return any(changes)
+
+    def _update_service(
+        self,
+        service: str,
+        unreached: Mapping[str, Collection[str]],
+        services: Collection[str],
+        now: float,
+    ) -> bool:
+        stranded = self._by_service.setdefault(service, StrandedRuns())
+        is_known = service in services
+        judged = (service,) if is_known else ()
+        changed = stranded.update(unreached, judged, now)
+        if not is_known and stranded.is_idle:
+            self._by_service.pop(service)
+        return changed
+
+    def _log_left(self, before: list[str]) -> None:
+        left = self.services_left
+        if left != before:
+            events.emit(events.JOBS_LEFT, left=bool(left), services=left)
--- a/gentiantrestle/gateway/batch/result_reader.py
+++ b/gentiantrestle/gateway/batch/result_reader.py
@@ -78,7 +78,8 @@
         """
         if entry.complete:
             return
-        owner = job_owner(entry, self._peers.working_runs(self._now()))
+        others = set(self._peers.working_runs(self._now()))
+        owner = job_owner(entry, others - self._runner.find_stranded(entry.job))
         peer = self._peers.find_run(owner) if owner else None
         if self._runner.owns(entry):
             peer = None
--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -27,8 +27,9 @@
     owns_job,
     queued_items,
 )
+from gentiantrestle.gateway.batch.stranded_runs import find_nobody
 from gentiantrestle.gateway.batch.takeovers import Takeovers
-from gentiantrestle.gateway.model import Route
+from gentiantrestle.gateway.model import Job, Route
 from gentiantrestle.gateway.routing import choose_service
 from gentiantrestle.gateway.slots.batch_asks import WantedSlot
 from gentiantrestle.gateway.slots.client import SlotLease
@@ -51,14 +52,14 @@
         """Run jobs as ``run_name``, the name of this instance's run.
 
         ``live_runs`` must be set to return the names of the runs of other live
-        instances that run jobs, and ``is_stranded`` whether those run the
-        jobs of this one.
+        instances that run jobs, and ``find_stranded`` those that leave a job
+        to others.
         """
         self._context = context
         self._run_name = run_name
         self._started = context.clock.now()
         self.live_runs: Callable[[], Iterable[str]] = tuple
-        self.is_stranded: Callable[[], bool] = bool
+        self.find_stranded: Callable[[Job], frozenset[str]] = find_nobody
         self.run_table = RunTable(context, self._note_outcome, self.wake)
         context.asks.start = self._start_granted
         self._writer = ResultWriter(context.job_store)
@@ -95,10 +96,12 @@
 
     def owns(self, entry: JobEntry) -> bool:
         """Return whether this instance runs a job."""
-        if self.is_stranded():
+        stranded = self.find_stranded(entry.job)
+        if self._run_name in stranded:
             return False
         uptime = self._context.clock.now() - self._started
-        return owns_job(entry, self._run_name, self.live_runs(), uptime)
+        others = set(self.live_runs()) - stranded
+        return owns_job(entry, self._run_name, others, uptime)
 
     async def stop(self) -> None:
         """Cancel all runs and write the results of finished items."""
--- a/gentiantrestle/gateway/batch/stranded_runs.py
+++ b/gentiantrestle/gateway/batch/stranded_runs.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Collection, Mapping
 
+from gentiantrestle.gateway.model import Job
+
 # Jobs change hands at a cost: what their items have written is made again.
 LEAVE_AFTER = 2.0  # seconds without an upstream
 RETURN_AFTER = 5.0  # seconds with one
@@ -18,6 +20,11 @@
         # Since when a run has been in its state, if it is to change; in s.
         self._since: dict[str, float] = {}
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no run is stranded, or about to be."""
+        return not (self._stranded or self._since)
+
     def update(
         self,
         unreached: Mapping[str, Collection[str]],
@@ -57,3 +64,8 @@
 
 def _is_all(unreached: Collection[str], services: Collection[str]) -> bool:
     return bool(services) and set(services) <= set(unreached)
+
+
+def find_nobody(job: Job) -> frozenset[str]:
+    """Return no run; the default until it is known what instances reach."""
+    return frozenset()
--- a/gentiantrestle/gateway/membership/peers.py
+++ b/gentiantrestle/gateway/membership/peers.py
@@ -82,8 +82,6 @@
         self.seeds: frozenset[str] = frozenset()
         self.replace_seeds(seeds)
         self._hosts: dict[str, KnownHost] = {}
-        # Runs that leave their jobs to others, as they reach no upstream.
-        self.stranded: frozenset[str] = frozenset()
 
     def replace_seeds(self, seeds: Iterable[str]) -> None:
         """Replace the hosts at which other instances are looked for."""
@@ -137,11 +135,7 @@
 
     def working_runs(self, now: float) -> tuple[str, ...]:
         """Name the runs of live instances that run jobs."""
-        return tuple(
-            peer.run
-            for peer in self.alive(now)
-            if not peer.leaving and peer.run not in self.stranded
-        )
+        return tuple(peer.run for peer in self.alive(now) if not peer.leaving)
 
     def find_run(self, run: str) -> Peer | None:
         """Return the instance of a run, or None if it is not known."""
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -254,7 +254,7 @@
     def _update_role(self) -> None:
         now = self._clock.now()
         self._watching.update_role(self._peers.alive(now), now)
-        if self._components.owners.update():
+        if self._components.owners.update(now):
             self._runner.wake()
 
     def _apply_jobs(
--- a/tests/gateway/owners_world.py
+++ b/tests/gateway/owners_world.py
@@ -35,6 +35,7 @@
 from tests.utils.virtual_time import virtual_now
 
 ONE = frozenset((ENGINES,))
+OTHER = frozenset(('others',))
 NONE: frozenset[str] = frozenset()
 NAMES = ('one', 'two', 'three')
 CONNECT_TIMEOUT = 0.3  # seconds
@@ -82,7 +83,7 @@
         budget = MemoryBudget(memory_limit)
         budget.read_items = lambda: index.body_bytes
         self.peers = PeerList(name, name, 'a1', ())
-        self.owners = JobOwners(self.run_name, self.peers, self, virtual_now)
+        self.owners = JobOwners(self.run_name, self.peers, self, router)
         self.asks = GrantingAsks()
         context = SimpleNamespace(
             index=index,
@@ -98,12 +99,12 @@
         )
         self.runner = Runner(context, self.run_name)
         self.runner.live_runs = lambda: self.peers.working_runs(virtual_now())
-        self.runner.is_stranded = lambda: self.owners.is_stranded
+        self.runner.find_stranded = self.owners.find_stranded
         self.asks.runner = self.runner
 
     def services(self) -> frozenset[str]:
-        """Return the only service."""
-        return ONE
+        """Return the service of the job, and one that it doesn't need."""
+        return ONE | OTHER
 
     def is_cut_off(self, service: str) -> bool:
         """Return whether other instances reach the service."""
@@ -122,7 +123,7 @@
     """Take some time, or get no connection, without an upstream."""
     instance = context.reach
     instance.runs.append(progress.spec.id)
-    if instance.unreached:
+    if ENGINES in instance.unreached:
         await asyncio.sleep(CONNECT_TIMEOUT)
         return RunOutcome(None, 'not reached')
     await asyncio.sleep(ITEM_TIME)
@@ -171,6 +172,6 @@
                 first = int(receiver.name in self.deaf)
                 for sender in self.instances[first:]:
                     receiver.peers.update(sender.row(sequence))
-                if receiver.owners.update():
+                if receiver.owners.update(virtual_now()):
                     receiver.runner.wake()
             await asyncio.sleep(ROW_INTERVAL)
--- a/tests/gateway/test_job_owners.py
+++ b/tests/gateway/test_job_owners.py
@@ -17,6 +17,7 @@
     NAMES,
     NONE,
     ONE,
+    OTHER,
     SLOTS,
     OwnersFleet,
     run_item,
@@ -58,7 +59,7 @@
     )
     for instance in fleet.instances:
         assert not instance.runner.run_table.ids()
-        assert not instance.owners.is_stranded
+        assert not instance.owners.services_left
     others = sum(len(instance.runs) for instance in fleet.instances[1:])
     assert bool(others) == (cut_for > LEAVE_AFTER)
 
@@ -87,13 +88,17 @@
 
 
 @pytest.mark.usefixtures('faked_items')
-def test_job_is_finished_by_others_while_its_instance_is_cut_off() -> None:
+@pytest.mark.parametrize('unreached', [ONE, ONE | OTHER])
+def test_job_is_finished_by_others_while_its_instance_is_cut_off(
+    unreached: frozenset[str],
+) -> None:
     async def main() -> float:
         fleet = OwnersFleet()
         await fleet.start()
-        fleet.instances[0].unreached = ONE
-        while len(fleet.stored) < ITEMS:
-            await asyncio.sleep(0.1)
+        fleet.instances[0].unreached = unreached
+        async with asyncio.timeout(60):
+            while len(fleet.stored) < ITEMS:
+                await asyncio.sleep(0.1)
         fleet.stop()
         return virtual_now()
 
@@ -101,6 +106,13 @@
     assert run_virtual(main()) < ITEMS / SLOTS * ITEM_TIME + LEAVE_AFTER + 10
 
 
+@pytest.mark.usefixtures('faked_items')
+def test_no_job_moves_where_its_own_service_is_reached() -> None:
+    fleet = run_virtual(_play({0: OTHER}, 10))
+    assert not any(instance.runs for instance in fleet.instances[1:])
+    assert len(fleet.stored) == ITEMS
+
+
 @pytest.mark.usefixtures('faked_items')
 def test_no_job_moves_where_all_are_cut_off() -> None:
     cut = dict.fromkeys(range(len(NAMES)), ONE)
--- a/tests/gateway/test_result_reader.py
+++ b/tests/gateway/test_result_reader.py
@@ -10,7 +10,7 @@
 from gentiantrestle.gateway.batch.job_store import JobStore
 from gentiantrestle.gateway.batch.result_reader import ResultReader
 from gentiantrestle.gateway.membership.peers import PeerList
-from gentiantrestle.gateway.model import ItemResult
+from gentiantrestle.gateway.model import ItemResult, Job
 from tests.gateway.memory import MemoryStore
 from tests.gateway.samples import make_job
 
@@ -26,6 +26,9 @@
     def owns(self, entry: JobEntry) -> bool:
         return True
 
+    def find_stranded(self, job: Job) -> frozenset[str]:
+        return frozenset()
+
 
 def _make_job_store(store: MemoryStore) -> JobStore:
     """Return the job store of an instance whose clock runs on by 1 s a look."""
