Daemon: items missing in the store are logged, not claimed again

What callers would see: a job that never gets on, with nothing in a log. A run of a chunk whose items the store doesn't hold ended by an AttributeError that nobody saw; the chunk was opened and claimed again, about once a second.

--- a/gentiantrestle/daemon/batch/service.py
+++ b/gentiantrestle/daemon/batch/service.py
@@ -50,6 +50,7 @@
 IDLE_CLAIM_PERIOD = 0.25  # seconds
 MAX_RUNNING_CHUNKS = 4
 SLOTLESS_TIMEOUT = 1.0  # seconds
+MISSING = 'its items are missing in the store; reading again'
 
 
 class Batch:
@@ -268,7 +269,9 @@
         while True:
             with suppress(StoreUnavailableError):
                 found = await self._store.get(name)
-                return found.document['items']
+                if found is not None:
+                    return found.document['items']
+                events.emit(events.BATCH_FAILED, chunk=name, error=MISSING)
             await asyncio.sleep(CHECK_PERIOD)
 
     def _has_free_slots(self, job: JobRecord) -> bool:
--- a/tests/processes/test_batch.py
+++ b/tests/processes/test_batch.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 from tests.utils.fleet import Fleet, job_lines
-from tests.utils.http import until
+from tests.utils.http import send, until
 
 ITEMS = 60
 TOKENS = 40  # per item
@@ -315,3 +315,30 @@
     assert error['type'] == 'idempotency_key_reused'
     assert error['message'].startswith('This Idempotency-Key was already used')
     assert 'retry-after' not in other.headers
+
+
+async def test_chunk_whose_items_are_gone_is_logged_and_not_claimed_again(
+    start_fleet,
+) -> None:
+    fleet = await start_fleet(engine_words=SLOW_STEP)
+    await fleet.submit(0, job_lines(ITEMS, TOKENS), 'job')
+    holder = await _wait_for_holder(fleet)
+    root = '/v1/objects'
+    listed = await send(fleet.platform, 'GET', f'{root}?prefix=inputs/')
+    for found in listed.json()['objects']:
+        await send(fleet.platform, 'DELETE', f'{root}/{found["name"]}')
+    await fleet.daemons[holder].end()
+    others = [
+        fleet.daemons[number].log for number in range(3) if number != holder
+    ]
+
+    def count(text: bytes) -> int:
+        return sum(log.read_bytes().count(text) for log in others)
+
+    await until(lambda: count(b'claimed'))
+    # The others may have claimed it side by side with the first holder's end.
+    await asyncio.sleep(OUTAGE)
+    before = count(b'claimed')
+    await asyncio.sleep(OUTAGE)
+    assert count(b'claimed') == before
+    assert count(b'are missing')
