End requests in flight before an instance ends whose child fails for good

Callers saw: answers cut midway, new connections refused, from an instance that ended by itself with status 8 (a process that ends by itself counts as in touch).

Cause: the root supervisor cancelled all children and the process ended at once; what it held depended on a child that knows nothing of it. The daemon as well.

Why it works: the supervisor awaits the planned stop while the other children run on, so requests end as they do after a SIGTERM. A SIGTERM meanwhile joins it.

--- a/gentiantrestle/daemon/tree.py
+++ b/gentiantrestle/daemon/tree.py
@@ -39,6 +39,9 @@
             ),
             components.ctx.now,
         )
+        grace = components.ctx.cfg.grace
+        self._supervisor.before_end = lambda: self.stop(grace)
+        self._stop_task: asyncio.Task[int] | None = None
 
     @classmethod
     def from_config(cls, ctx: Context) -> 'SupervisionTree':
@@ -75,8 +78,13 @@
         """Announce leaving, hand over batch work and finish open requests.
 
         ``grace`` in s bounds each wait for requests in flight; returns how many
-        of them were cut off.
+        of them were cut off. A second call waits for the end of the first one.
         """
+        if self._stop_task is None:
+            self._stop_task = asyncio.create_task(self._stop(grace))
+        return await asyncio.shield(self._stop_task)
+
+    async def _stop(self, grace: float) -> int:
         view = self.components.membership.view
         view.update_local(state=State.LEAVING)
         self._entry.stopping = True
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -81,6 +81,7 @@
             lambda: self._runner.item_states,
         )
         self._servers = self._build_servers()
+        self._stop_task: asyncio.Task[int] | None = None
 
     @property
     def ready(self) -> bool:
@@ -90,7 +91,9 @@
     async def run(self) -> None:
         """Run all children until cancelled."""
         await self._servers.start()
-        await Supervisor(tuple(self._children()), self._clock.now).run()
+        supervisor = Supervisor(tuple(self._children()), self._clock.now)
+        supervisor.before_end = self.stop
+        await supervisor.run()
 
     def update_seeds(self, seeds: Iterable[str]) -> None:
         """Look for other instances at these hosts from now on."""
@@ -100,8 +103,14 @@
         """Drain this instance and return the number of requests cut off.
 
         Announces the stop, hands batch work over, waits for the balancer and
-        then for requests in flight, within the grace time.
+        then for requests in flight, within the grace time. A second call waits
+        for the end of the first one.
         """
+        if self._stop_task is None:
+            self._stop_task = asyncio.create_task(self._stop())
+        return await asyncio.shield(self._stop_task)
+
+    async def _stop(self) -> int:
         started = self._clock.now()
         grace = self._cfg.grace
         self._ending.plan(
--- a/gentiantrestle/supervisor.py
+++ b/gentiantrestle/supervisor.py
@@ -57,12 +57,16 @@
         """Set the children, started in this order, and the clock in s."""
         self._children = children
         self._now = now
+        # Awaited once a child has exceeded the restart limit, while the others
+        # still run.
+        self.before_end: Callable[[], Awaitable[object]] = _end_at_once
 
     async def run(self) -> None:
         """Run all children until they return or this task is cancelled.
 
         Raise an ``ExceptionGroup`` with ``RestartLimitError`` if a child
-        exceeds the restart limit; the other children are then cancelled.
+        exceeds the restart limit; the other children are cancelled after
+        ``before_end``.
         """
         async with asyncio.TaskGroup() as group:
             for child in self._children:
@@ -88,6 +92,11 @@
         delay = policy.next_delay(self._now())
         if delay is None:
             events.emit(events.CHILD_ABANDONED, child=child.name)
+            await self.before_end()
             raise RestartLimitError(child.name) from exc
         events.emit(events.CHILD_RESTARTED, child=child.name, delay=delay)
         await asyncio.sleep(delay)
+
+
+async def _end_at_once() -> None:
+    """Do nothing; the default of children that owe nobody an answer."""
--- a/tests/decisions/test_supervisor.py
+++ b/tests/decisions/test_supervisor.py
@@ -4,6 +4,12 @@
 
 import pytest
 
+from gentiantrestle import supervisor as supervision
+from gentiantrestle.config import Settings
+from gentiantrestle.context import Context
+from gentiantrestle.daemon.entry.service import Entry
+from gentiantrestle.daemon.report.service import Reporter
+from gentiantrestle.daemon.tree import SupervisionTree
 from gentiantrestle.supervisor import (
     FIRST_DELAY,
     Child,
@@ -11,6 +17,7 @@
     RestartPolicy,
     Supervisor,
 )
+from tests.utils.ports import HOST, free_ports
 
 
 def test_restart_delay_doubles_until_the_limit() -> None:
@@ -50,3 +57,63 @@
     with pytest.raises(ExceptionGroup) as caught:
         await supervisor.run()
     assert caught.group_contains(RestartLimitError)
+
+
+async def test_other_children_run_until_what_is_owed_at_the_end_is_done() -> (
+    None
+):
+    owed, done = asyncio.Event(), asyncio.Event()
+
+    async def fail() -> None:
+        raise ValueError('always')
+
+    async def serve() -> None:
+        await owed.wait()
+        done.set()
+        await asyncio.Event().wait()
+
+    async def end() -> None:
+        owed.set()
+        await done.wait()
+
+    times = iter(range(100))
+    children = (Child('bad', fail), Child('good', serve))
+    supervisor = Supervisor(children, lambda: next(times))
+    supervisor.before_end = end
+    with pytest.raises(ExceptionGroup) as caught:
+        await supervisor.run()
+    assert caught.group_contains(RestartLimitError)
+    assert done.is_set()
+
+
+async def test_daemon_whose_child_fails_for_good_ends_its_requests_first(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    graces = []
+
+    async def fail(reporter: Reporter) -> None:
+        raise ValueError('always')
+
+    async def stop(entry: Entry, grace: float) -> int:
+        graces.append(grace)
+        return 0
+
+    monkeypatch.setattr(supervision, 'MAX_RESTARTS', 0)
+    monkeypatch.setattr(Reporter, 'run', fail)
+    monkeypatch.setattr(Entry, 'stop', stop)
+    http, peer, store = free_ports(3)
+    cfg = Settings.from_sources(
+        {
+            'instance': 'i',
+            'zone': 'a1',
+            'region': 'a',
+            'http_port': str(http),
+            'peer_port': str(peer),
+            'store': f'{HOST}:{store}',
+        },
+        {},
+    )
+    tree = SupervisionTree.from_config(Context.from_config(cfg))
+    with pytest.raises(ExceptionGroup):
+        await tree.run()
+    assert graces == [cfg.grace]
