Ask the next coordinator when that of a queued request falls silent

What callers saw: a request that waited in the queue of a slot coordinator that was killed, frozen or cut off was held until its wait was over and refused with 429; for a stream that a caller takes up again that is 1.6 s, and the end of it. Cause: a queued request was asked for again each 0.1 s at the first coordinator only, and nobody noticed that these asks had no answer. The first ask was watched, the repeated ones weren't. Evidence: tests/gateway/test_queue_wait.py. Before, two of three failed with RefusedError "All slots of this service are in use" after the whole wait, where the second coordinator grants a slot, and where no coordinator is left. Fix: a repeated ask is sent like the first one, three times 25 ms apart, then to the second coordinator; if that is silent, too, the instance chooses alone. No more asks are sent while coordinators answer; store calls are the same.

--- a/gentiantrestle/gateway/slots/admission.py
+++ b/gentiantrestle/gateway/slots/admission.py
@@ -5,16 +5,14 @@
 request; what it took is reported to the next one.
 """
 
-import asyncio
 from collections.abc import Callable
-from contextlib import suppress
 
 from gentiantrestle import events
 from gentiantrestle.errors import RefusedError
-from gentiantrestle.gateway.membership.peers import Peer
 from gentiantrestle.gateway.model import Upstream
 from gentiantrestle.gateway.ports import Reply
 from gentiantrestle.gateway.roster import Roster
+from gentiantrestle.gateway.slots.asking import CoordinatorAsks
 from gentiantrestle.gateway.slots.client import SlotClient, SlotLease
 from gentiantrestle.gateway.slots.fallback import choose_alone
 from gentiantrestle.gateway.slots.messages import (
@@ -36,12 +34,6 @@
 from gentiantrestle.gateway.slots.timing import NO_TIMING, AnswerTiming
 from gentiantrestle.gateway.topology import Topology
 
-# A zone's coordinator answers within a few ms, unless it is busy or gone.
-ANSWER_TIMEOUT = 0.025  # seconds
-# How often the first coordinator is asked before the next one is.
-ASKS_PER_COORDINATOR = (3, 2)
-# A queued request is asked for again, in case its grant was lost.
-QUEUED_INTERVAL = 0.1  # seconds
 # Coordinators whose list of upstreams is behind may grant one that is gone.
 MAX_GRANTS = 3
 UNNUMBERED = LeaseKey('', 0)
@@ -63,6 +55,7 @@
         self._topology = topology
         self._roster = roster
         self._client = client
+        self._asks = CoordinatorAsks(topology.zone, client, now)
         self._rand = rand
         self._now = now
         self.waiting = 0
@@ -128,11 +121,11 @@
     async def _negotiate(
         self, slot_request: SlotRequest, pending: PendingAsk
     ) -> SlotLease:
-        if not await self._ask_coordinators(pending):
+        asks = self._asks
+        answered = await asks.ask(pending) and await asks.outwait_queue(pending)
+        if not answered:
             return self._choose_alone(slot_request, pending)
         answer = pending.answer
-        if answer.verdict is Verdict.QUEUED:
-            answer = await self._wait_in_queue(pending)
         upstream = self._roster.find(answer.upstream)
         if answer.verdict is Verdict.GRANTED and upstream is not None:
             return self._client.hold(pending, upstream, answer.host)
@@ -153,39 +146,6 @@
         }
         return answer.host not in hosts
 
-    async def _ask_coordinators(self, pending: PendingAsk) -> bool:
-        """Ask one coordinator after the other; return whether one answered."""
-        targets = self._client.targets(self._topology.zone, self._now())
-        for target, asks in zip(targets, ASKS_PER_COORDINATOR, strict=False):
-            if await self._ask(pending, target, asks):
-                return True
-            self._client.suspect(target, self._now())
-        return False
-
-    async def _ask(self, pending: PendingAsk, target: Peer, asks: int) -> bool:
-        """Ask one coordinator up to ``asks`` times."""
-        for tries in range(asks):
-            self._client.send_ask(pending, target)
-            if await _is_answered(pending, ANSWER_TIMEOUT):
-                if tries:
-                    self._client.note_loss(self._now())
-                return True
-        return False
-
-    async def _wait_in_queue(self, pending: PendingAsk) -> Answer:
-        """Wait for a grant; return the last answer when the wait is over."""
-        until = self._now() + pending.ask.wait
-        while pending.answer.verdict is Verdict.QUEUED:
-            left = until - self._now()
-            if left <= 0:
-                break
-            pending.answered.clear()
-            if not await _is_answered(pending, min(left, QUEUED_INTERVAL)):
-                targets = self._client.targets(self._topology.zone, self._now())
-                for target in targets[:1]:
-                    self._client.send_ask(pending, target)
-        return pending.answer
-
     def _open(self, slot_request: SlotRequest) -> PendingAsk:
         now = self._now()
         limit = wait_limit(slot_request.request, slot_request.route, now)
@@ -265,10 +225,3 @@
             roster=self._roster.revision,
             waited_ms=round((now - slot_request.request.received) * 1000),
         )
-
-
-async def _is_answered(pending: PendingAsk, timeout: float) -> bool:
-    with suppress(TimeoutError):
-        async with asyncio.timeout(timeout):
-            await pending.answered.wait()
-    return pending.answer is not None and pending.answered.is_set()
--- a/gentiantrestle/gateway/slots/batch_asks.py
+++ b/gentiantrestle/gateway/slots/batch_asks.py
@@ -148,7 +148,7 @@
                 ask.tries += int(unanswered)
                 ask.asked_at = now
                 ask.exclude(self._client.health.suspended(now))
-                self._client.send_ask(ask.pending, target)
+                self._client.send_ask(ask.pending, target.host)
 
     def _open_ask(self, slot: WantedSlot) -> _OpenAsk:
         pending = self._client.open(
--- a/gentiantrestle/gateway/slots/client.py
+++ b/gentiantrestle/gateway/slots/client.py
@@ -86,9 +86,9 @@
         self._pending[key.number] = pending
         return pending
 
-    def send_ask(self, pending: PendingAsk, target: Peer) -> None:
-        """Ask a coordinator."""
-        self._send(Outgoing(target.host, ASK, pending.ask))
+    def send_ask(self, pending: PendingAsk, host: str) -> None:
+        """Ask the coordinator at ``host``."""
+        self._send(Outgoing(host, ASK, pending.ask))
 
     def targets(self, zone: str, now: float) -> list[Peer]:
         """Order the coordinators of a zone, those that are silent last."""
@@ -98,11 +98,11 @@
             key=lambda peer: self._suspects.get(peer.instance, 0) > now,
         )
 
-    def suspect(self, peer: Peer, now: float) -> None:
+    def suspect(self, instance: str, now: float) -> None:
         """Note that a coordinator did not answer in time."""
-        if self._suspects.get(peer.instance, 0) <= now:
-            events.emit(events.COORDINATOR_SILENT, instance=peer.instance)
-        self._suspects[peer.instance] = now + SUSPECT_TIME
+        if self._suspects.get(instance, 0) <= now:
+            events.emit(events.COORDINATOR_SILENT, instance=instance)
+        self._suspects[instance] = now + SUSPECT_TIME
 
     def note_loss(self, now: float) -> None:
         """Note that a request or its answer was lost on the way."""
--- /dev/null
+++ b/tests/gateway/test_queue_wait.py
@@ -0,0 +1,119 @@
+"""Requests that wait in a coordinator's queue, at the instance that asks."""
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from gentiantrestle.errors import RefusedError
+from gentiantrestle.gateway.membership.peers import Peer
+from gentiantrestle.gateway.roster import Roster
+from gentiantrestle.gateway.slots.admission import Admission
+from gentiantrestle.gateway.slots.client import SlotClient
+from gentiantrestle.gateway.slots.messages import (
+    ASK,
+    Answer,
+    Outgoing,
+    Verdict,
+)
+from gentiantrestle.gateway.slots.slot_request import SlotRequest
+from gentiantrestle.gateway.topology import Topology
+from tests.gateway.samples import (
+    ENGINES,
+    ZONES,
+    make_request,
+    make_route,
+    make_upstream,
+)
+from tests.utils.virtual_time import run_virtual, virtual_now
+
+VERSION = 'v1'
+Reply = Callable[[Outgoing, int], Verdict | None]
+
+
+class Coordinators:
+    """Two coordinators of each zone, for one client."""
+
+    def __init__(self, reply: Reply, *zones: str) -> None:
+        """Answer by ``reply``, given an ask and how many there were before.
+
+        An upstream is in each of ``zones``.
+        """
+        self.roster = Roster()
+        for zone in zones:
+            upstream = make_upstream(f'u-{zone}', zone=zone, version=VERSION)
+            self.roster.put(upstream)
+        self.asks: list[Outgoing] = []
+        self._reply = reply
+        self._client = SlotClient('run', 'me', self, self._send, virtual_now)
+        self._admission = Admission(
+            Topology('a1', ZONES),
+            self.roster,
+            self._client,
+            lambda: 0,
+            virtual_now,
+        )
+
+    def coordinators(self, zone: str, now: float) -> tuple[Peer, ...]:
+        """Return the coordinators of a zone."""
+        names = (f'{zone}/1', f'{zone}/2')
+        return tuple(
+            Peer(name, 1, 1, name, zone, False, 1, True, 0) for name in names
+        )
+
+    def acquire(self) -> tuple[str, float]:
+        """Take a slot for a stream that goes on; return it and the time."""
+        return run_virtual(self._acquire())
+
+    async def _acquire(self) -> tuple[str, float]:
+        req = make_request('r1', is_retry=True)
+        slot_request = SlotRequest(req, make_route(), ENGINES, version=VERSION)
+        lease = await self._admission.acquire(slot_request)
+        return lease.upstream.id, virtual_now()
+
+    def _send(self, outgoing: Outgoing) -> None:
+        if outgoing.kind != ASK:
+            return
+        verdict = self._reply(outgoing, len(self.asks))
+        self.asks.append(outgoing)
+        if verdict is None:
+            return
+        host = outgoing.host
+        zone = host.partition('/')[0]
+        answer = Answer(
+            outgoing.message.key, verdict, f'u-{zone}', 0.4, host, host
+        )
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self._client.receive, answer)
+
+
+def _queue_and_end(outgoing: Outgoing, before: int) -> Verdict | None:
+    if outgoing.host == 'a1/1':
+        return None if before else Verdict.QUEUED
+    return Verdict.GRANTED
+
+
+def test_queued_request_is_asked_for_elsewhere_when_its_coordinator_ends() -> (
+    None
+):
+    upstream, took = Coordinators(_queue_and_end, 'a1').acquire()
+    assert upstream == 'u-a1'
+    assert took < 0.3
+
+
+def test_queued_request_is_placed_when_no_coordinator_answers_any_more() -> (
+    None
+):
+    desks = Coordinators(
+        lambda outgoing, before: None if before else Verdict.QUEUED, 'a1'
+    )
+    upstream, took = desks.acquire()
+    assert upstream == 'u-a1'
+    assert took < 0.4
+
+
+def test_request_that_is_queued_until_the_end_of_its_wait_is_refused() -> None:
+    desks = Coordinators(lambda outgoing, before: Verdict.QUEUED, 'a1')
+    with pytest.raises(RefusedError):
+        desks.acquire()
+    assert {sent.host for sent in desks.asks} == {'a1/1'}
