Keep no bodies of jobs that ended while they were written or read

Callers saw nothing yet; found by reading.

Cause: bodies are dropped when a job ends, but three paths load them after that: the acceptor of a job that is cancelled before the store's answer is here, the same after a lost answer, and an owner that reads the bodies of a job that ends meanwhile. BodyRoom looks among open jobs only, so nothing ever dropped them. A caller's read of one body, in turn, dropped the bodies that the owner had loaded meanwhile.

The fix works because the entry itself keeps bodies of open jobs only, and a read of one body doesn't use the entry's memory at all. No call of the store more; bodies of a job are now read twice if a caller and the owner read them at the same moment, as before.

--- a/gentiantrestle/gateway/batch/api.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -128,7 +128,8 @@
         entry = await self._find(operation.job, caller)
         if not entry.has_item(operation.item_id):
             raise no_such_item(operation.job, operation.item_id)
-        body = await self._load_body(entry, operation.item_id)
+        with refusing_unavailable():
+            body = await self._job_store.read_body(entry, operation.item_id)
         return Response(OK, BYTES_HEADERS, body)
 
     async def cancel(
@@ -205,16 +206,6 @@
     def _is_there(self, entry: JobEntry | None, caller: JobCaller) -> bool:
         return entry is not None and may_use(caller, entry.job, self._router)
 
-    async def _load_body(self, entry: JobEntry, item_id: str) -> bytes:
-        """Return an item's body; bodies read for this only are dropped."""
-        had_bodies = entry.has_bodies
-        with refusing_unavailable():
-            await self._job_store.load_bodies(entry)
-        body = entry.require_body(item_id)
-        if not had_bodies:
-            entry.drop_bodies()
-        return body
-
     async def _await_results(
         self, entry: JobEntry, operation: ReadResults
     ) -> None:
--- /dev/null
+++ b/gentiantrestle/gateway/batch/body_store.py
@@ -0,0 +1,80 @@
+"""Reads and writes the bodies of batch jobs in the store."""
+
+import asyncio
+from typing import Any
+
+from gentiantrestle import events
+from gentiantrestle.gateway.batch.body_parts import (
+    join_bodies,
+    part_key,
+    split_bodies,
+)
+from gentiantrestle.gateway.batch.records import (
+    MAX_BODY_PARTS,
+    JobTakenError,
+    belongs_to,
+)
+from gentiantrestle.gateway.batch.result_store import decode_part
+from gentiantrestle.gateway.model import ItemSpec, Job
+from gentiantrestle.gateway.ports import ObjectStore
+from gentiantrestle.store.client import (
+    ObjectTooLargeError,
+    StoreUnavailableError,
+)
+
+
+class BodyStore:
+    """The bodies of jobs in the store."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        """Read from and write to ``store``."""
+        self._store = store
+
+    async def write(self, job: Job) -> Job:
+        """Store a job's bodies; return the job, which tells where they are.
+
+        They have no effect without the job. Raises as ``JobStore.accept``.
+        """
+        parts = split_bodies(job, self._store.max_content_size)
+        if len(parts) > MAX_BODY_PARTS:
+            raise ObjectTooLargeError(f'bodies of {len(parts)} objects')
+        created = await asyncio.gather(
+            *(
+                self._store.create(*part_key(job.id, index), part)
+                for index, part in enumerate(parts)
+            )
+        )
+        if job.account is not None:
+            await self._check_owner(job, created)
+        return job._replace(body_parts=len(parts))
+
+    async def read(self, job: Job) -> tuple[ItemSpec, ...]:
+        """Return a job's items with their bodies.
+
+        Raises ``StoreUnavailableError``, also if they can't be decoded.
+        """
+        parts = await asyncio.gather(
+            *(
+                self._store.get(*part_key(job.id, index))
+                for index in range(job.body_parts)
+            )
+        )
+        if None in parts:
+            reason = 'the bodies of the job are missing in the store'
+            events.emit(events.ENTRY_UNREADABLE, name=job.id, error=reason)
+            raise StoreUnavailableError(reason)
+        decoded = [decode_part(part, _as_it_is) for part in parts]
+        return decode_part(parts[0], lambda _: join_bodies(job, decoded))
+
+    async def _check_owner(self, job: Job, created: list[bool]) -> None:
+        """Raise ``JobTakenError`` if bodies are another account's."""
+        for index, is_new in enumerate(created):
+            if is_new:
+                continue
+            stored = await self._store.get(*part_key(job.id, index))
+            if stored is not None and not belongs_to(job, stored.content):
+                raise JobTakenError(job.id)
+
+
+def _as_it_is(content: Any) -> Any:
+    return content
--- a/gentiantrestle/gateway/batch/job_index.py
+++ b/gentiantrestle/gateway/batch/job_index.py
@@ -102,8 +102,10 @@
         return bool(self._specs)
 
     def load_bodies(self, specs: Iterable[ItemSpec]) -> None:
-        """Keep the items with their bodies in memory."""
+        """Keep the items with their bodies in memory, if the job is open."""
         self.drop_bodies()
+        if not self.open:
+            return
         self._specs = {spec.id: spec for spec in specs}
         self._note_bodies(self._body_bytes())
 
@@ -117,10 +119,6 @@
         spec = self._specs.get(item_id)
         return None if spec is None else spec.body
 
-    def require_body(self, item_id: str) -> bytes:
-        """Return the body of an item of the job, whose bodies are here."""
-        return self._specs[item_id].body
-
     @property
     def waiting_tokens(self) -> int:
         """Sum the tokens of items that may still run."""
--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -3,37 +3,26 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterable
-from typing import Any
 
 from gentiantrestle import events
 from gentiantrestle.gateway.batch.access import is_submitted_by
-from gentiantrestle.gateway.batch.body_parts import (
-    join_bodies,
-    part_key,
-    split_bodies,
-)
+from gentiantrestle.gateway.batch.body_store import BodyStore
 from gentiantrestle.gateway.batch.job_index import JobEntry, JobIndex
 from gentiantrestle.gateway.batch.records import (
     CANCELLED,
     DECODE_ERRORS,
     DONE,
     JOB_KIND,
-    MAX_BODY_PARTS,
     JobTakenError,
-    belongs_to,
     job_from_stored,
     job_to_content,
     state_of,
 )
-from gentiantrestle.gateway.batch.result_store import (
-    ResultStore,
-    decode_part,
-)
+from gentiantrestle.gateway.batch.result_store import ResultStore
 from gentiantrestle.gateway.memory.budget import MemoryBudget
 from gentiantrestle.gateway.model import ItemResult, Job
 from gentiantrestle.gateway.ports import ObjectStore, StoredObject
 from gentiantrestle.store.client import (
-    ObjectTooLargeError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
@@ -62,6 +51,7 @@
         retries until it succeeds.
         """
         self._results = ResultStore(result_store or store, store, rng, now)
+        self._bodies = BodyStore(store)
         # Revisions of the objects that were logged as unreadable.
         self._unreadable: dict[str, int] = {}
         self._store = store
@@ -108,18 +98,7 @@
         ``StoreOutcomeUnknownError`` if it may have been, and ``JobTakenError``
         if another account has a job of this id.
         """
-        parts = split_bodies(job, self._store.max_content_size)
-        if len(parts) > MAX_BODY_PARTS:
-            raise ObjectTooLargeError(f'bodies of {len(parts)} objects')
-        content = job_to_content(job._replace(body_parts=len(parts)))
-        created = await asyncio.gather(
-            *(
-                self._store.create(*part_key(job.id, index), part)
-                for index, part in enumerate(parts)
-            )
-        )
-        if job.account is not None:
-            await self._check_bodies(job, created)
+        content = job_to_content(await self._bodies.write(job))
         # The job is accepted once this last object exists; bodies alone have
         # no effect.
         new = await self._store.create(JOB_KIND, job.id, content)
@@ -132,28 +111,23 @@
         return new
 
     async def load_bodies(self, entry: JobEntry) -> None:
-        """Read a job's bodies from the store unless they are in memory.
+        """Read an open job's bodies into memory unless they are there.
 
         Raises ``StoreUnavailableError``.
         """
-        if entry.has_bodies:
-            return
-        parts = await asyncio.gather(
-            *(
-                self._store.get(*part_key(entry.job.id, index))
-                for index in range(entry.job.body_parts)
-            )
-        )
-        if None in parts:
-            reason = 'the bodies of the job are missing in the store'
-            events.emit(
-                events.ENTRY_UNREADABLE, name=entry.job.id, error=reason
-            )
-            raise StoreUnavailableError(reason)
-        decoded = [decode_part(part, _as_it_is) for part in parts]
-        entry.load_bodies(
-            decode_part(parts[0], lambda _: join_bodies(entry.job, decoded))
-        )
+        if not entry.has_bodies:
+            entry.load_bodies(await self._bodies.read(entry.job))
+
+    async def read_body(self, entry: JobEntry, item_id: str) -> bytes:
+        """Return the body of an item; one that is read isn't kept in memory.
+
+        Raises ``StoreUnavailableError``.
+        """
+        body = entry.body(item_id)
+        if body is not None:
+            return body
+        specs = await self._bodies.read(entry.job)
+        return next(spec.body for spec in specs if spec.id == item_id)
 
     async def relist(self) -> None:
         """Read all jobs, without bodies and results, into the index.
@@ -235,15 +209,6 @@
                 events.ENTRY_UNREADABLE, name=stored.name, error=repr(exc)
             )
 
-    async def _check_bodies(self, job: Job, created: list[bool]) -> None:
-        """Raise ``JobTakenError`` if bodies are another account's."""
-        for index, is_new in enumerate(created):
-            if is_new:
-                continue
-            stored = await self._store.get(*part_key(job.id, index))
-            if stored is not None and not belongs_to(job, stored.content):
-                raise JobTakenError(job.id)
-
     async def _adopt(self, job: Job) -> None:
         """Keep the bodies if this process accepted the job before.
 
@@ -291,7 +256,3 @@
         """Update the index; return whether the state is final."""
         entry = self._apply_readable(stored)
         return entry is None or entry.job.done or state_of(stored) == CANCELLED
-
-
-def _as_it_is(content: Any) -> Any:
-    return content
