Add a command that measures promises from logs

'gentiantrestle margins' reads logs of several instances and prints one figure for each promise about accepted work, its bound, and what came nearest.

The logs don't say which instances had a fault of their own, so a figure beyond its bound is a place to look.

--- a/gentiantrestle/cli/core.py
+++ b/gentiantrestle/cli/core.py
@@ -6,7 +6,7 @@
 
 from absl import flags
 
-from gentiantrestle.cli import configuration, jobs
+from gentiantrestle.cli import configuration, jobs, margins
 from gentiantrestle.cli.options import OPTIONS, USAGE, CliOption
 from gentiantrestle.cli.registry import COMMANDS, Session, find_command
 from gentiantrestle.errors import CONFLICT, KEY_REUSED
@@ -14,7 +14,7 @@
 from gentiantrestle.library import Connection, Failure, UnreachableError
 from gentiantrestle.output.printers import JsonPrinter, Printer, TextPrinter
 
-COMMAND_MODULES = (configuration, jobs)
+COMMAND_MODULES = (configuration, jobs, margins)
 CONFLICTS = frozenset((CONFLICT.name, KEY_REUSED.name))
 NOT_RUN = 'not run'
 HELP = 'help'
--- a/gentiantrestle/cli/options.py
+++ b/gentiantrestle/cli/options.py
@@ -39,6 +39,17 @@
         'Time from the acceptance of a job to its deadline, in seconds.',
     ),
     CliOption('max_tokens', 64, 'Longest answer of "complete", in tokens.'),
+    CliOption(
+        'settle',
+        1.0,
+        'Time in which instances learn of a job, for "margins", in seconds.',
+    ),
+    CliOption('grace', 30.0, 'Grace time, for "margins", in seconds.'),
+    CliOption(
+        'apply',
+        2.5,
+        'Time to apply a configuration, for "margins", in seconds.',
+    ),
     CliOption('yes', False, 'Apply without confirmation.'),
 )
 USAGE = """\
--- /dev/null
+++ b/gentiantrestle/margins/__init__.py
@@ -0,0 +1,1 @@
+"""How near the fleet came to the bounds of its promises, from its logs."""
