--- a/gentiantrestle/margins/jobs.py
+++ b/gentiantrestle/margins/jobs.py
@@ -1,7 +1,7 @@
 """Accepted jobs: known everywhere, accepted again, and finished."""
 
-from collections import Counter
-from collections.abc import Iterator, Sequence
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator, Sequence
 from typing import NamedTuple
 
 from gentiantrestle import events
@@ -68,13 +68,17 @@
 def measure_owners(
     records: Sequence[Record], bounds: Bounds
 ) -> Iterator[Margin]:
-    """Measure how late owners learned of their jobs by being asked."""
+    """Measure how late owners learned of their jobs by being asked.
+
+    The time counts from the acceptance or, if later, the owner's start.
+    """
     accepted = _first_times(records, events.JOB_ACCEPTED)
     learned = [
         case
         for case in _with_age(records, accepted)
         if case.rec.is_a(events.JOB_LEARNED)
     ]
+    learned = list(_since_start(learned, records))
     latest = max(learned, default=None, key=lambda case: case.age)
     yield Margin(
         'owners know their jobs',
@@ -178,5 +182,20 @@
             yield Case(rec.at - accepted[job], job, rec)
 
 
+def _since_start(
+    cases: Iterable[Case], records: Sequence[Record]
+) -> Iterator[Case]:
+    """Limit ages to the time since the last start of the case's instance."""
+    starts: dict[str, list[float]] = defaultdict(list)
+    for rec in records:
+        if rec.is_a(events.STARTED):
+            starts[rec.instance].append(rec.at)
+    for case in cases:
+        at = case.rec.at
+        ages = [at - start for start in starts[case.rec.instance]]
+        younger = [age for age in ages if 0 <= age < case.age]
+        yield case._replace(age=min(younger, default=case.age))
+
+
 def _oldest(cases: Sequence[Case]) -> float | None:
     return max((round(case.age, 3) for case in cases), default=None)
--- a/tests/interfaces/test_margins.py
+++ b/tests/interfaces/test_margins.py
@@ -183,6 +183,15 @@
     assert margin.nearest == 'j at b'
 
 
+def test_owner_that_has_just_started_is_not_late() -> None:
+    records = [
+        accepted(),
+        rec(9.0, events.STARTED, 'b'),
+        rec(9.5, events.JOB_LEARNED, 'b', job='j', found=True),
+    ]
+    assert figures(*records)[OWNERS].figure == 0.5
+
+
 def test_refusals_of_an_accepted_job_are_counted_by_job() -> None:
     refused = [
         rec(at, events.JOB_REFUSED, job='j', kind='overloaded')
