Ask for a request again where it is queued

What callers saw: a request that was queued in another zone was refused with 429 by its own zone 0.1 s later, and lost its place. Streams that are taken up again are passed on most, as only zones with their version will do. Cause: the repeated ask went to the own zone's coordinator, which doesn't remember what it passed on and judges the request as a new one. Evidence: test_queue_wait.py, test_request_that_another_zone_has_queued_...; before it failed with RefusedError "All slots of this service are in use". Fix: the ask goes to the coordinator whose answer queued it, marked as passed on so that it stays there; if that one is silent, to the own zone as at first.

--- a/gentiantrestle/gateway/slots/admission.py
+++ b/gentiantrestle/gateway/slots/admission.py
@@ -121,9 +121,7 @@
     async def _negotiate(
         self, slot_request: SlotRequest, pending: PendingAsk
     ) -> SlotLease:
-        asks = self._asks
-        answered = await asks.ask(pending) and await asks.outwait_queue(pending)
-        if not answered:
+        if not await self._ask(pending):
             return self._choose_alone(slot_request, pending)
         answer = pending.answer
         upstream = self._roster.find(answer.upstream)
@@ -135,6 +133,14 @@
             return self._choose_alone(slot_request, pending)
         raise self._refusal(slot_request, answer.wait)
 
+    async def _ask(self, pending: PendingAsk) -> bool:
+        """Have an ask granted or refused; return whether anybody answers."""
+        asks = self._asks
+        until = self._now() + pending.ask.wait
+        if not await asks.ask(pending):
+            return False
+        return await asks.outwait_queue(pending, until)
+
     def _is_elsewhere(self, slot_request: SlotRequest, answer: Answer) -> bool:
         """Return whether a coordinator has none of the usable upstreams."""
         now = self._now()
--- a/gentiantrestle/gateway/slots/asking.py
+++ b/gentiantrestle/gateway/slots/asking.py
@@ -12,6 +12,9 @@
 ANSWER_TIMEOUT = 0.025  # seconds
 # How often the first coordinator is asked before the next one is.
 ASKS_PER_COORDINATOR = (3, 2)
+# One of another region is further away.
+FAR_ANSWER_TIMEOUT = 0.1  # seconds
+ASKS_FAR = 2
 # A queued request is asked for again, in case its grant was lost.
 QUEUED_INTERVAL = 0.1  # seconds
 
@@ -36,13 +39,12 @@
             self._client.suspect(target.instance, self._now())
         return False
 
-    async def outwait_queue(self, pending: PendingAsk) -> bool:
-        """Wait until a queued ask is granted or refused, or its wait is over.
+    async def outwait_queue(self, pending: PendingAsk, until: float) -> bool:
+        """Wait until a queued ask is granted or refused, or ``until``.
 
         Where its coordinator has fallen silent, the next one is asked. Returns
         whether any of them still answers.
         """
-        until = self._now() + pending.ask.wait
         is_live = True
         while is_live and pending.answer.verdict is Verdict.QUEUED:
             if self._now() >= until:
@@ -50,18 +52,43 @@
             is_live = await self._outwait_round(pending, until)
         return is_live
 
+    async def ask_there(self, pending: PendingAsk, host: str) -> bool:
+        """Ask the coordinator at ``host`` to place or queue the ask itself.
+
+        Returns whether it answered.
+        """
+        whole = pending.ask
+        pending.ask = whole._replace(passed_on=True)
+        pending.answered.clear()
+        answered = await self._ask(pending, host, ASKS_FAR, FAR_ANSWER_TIMEOUT)
+        pending.ask = whole
+        return answered
+
     async def _outwait_round(self, pending: PendingAsk, until: float) -> bool:
+        keeper = pending.answer.host
         pending.answered.clear()
         left = until - self._now()
         if await _is_answered(pending, min(left, QUEUED_INTERVAL)):
             return True
-        return self._now() >= until or await self.ask(pending)
+        if self._now() >= until:
+            return True
+        targets = self._client.targets(self._zone, self._now())
+        is_elsewhere = keeper not in {target.host for target in targets}
+        if is_elsewhere and await self.ask_there(pending, keeper):
+            return True
+        return await self.ask(pending)
 
-    async def _ask(self, pending: PendingAsk, host: str, asks: int) -> bool:
+    async def _ask(
+        self,
+        pending: PendingAsk,
+        host: str,
+        asks: int,
+        timeout: float = ANSWER_TIMEOUT,
+    ) -> bool:
         """Ask one coordinator up to ``asks`` times."""
         for tries in range(asks):
             self._client.send_ask(pending, host)
-            if await _is_answered(pending, ANSWER_TIMEOUT):
+            if await _is_answered(pending, timeout):
                 if tries:
                     self._client.note_loss(self._now())
                 return True
--- a/tests/gateway/test_queue_wait.py
+++ b/tests/gateway/test_queue_wait.py
@@ -28,17 +28,15 @@
 from tests.utils.virtual_time import run_virtual, virtual_now
 
 VERSION = 'v1'
-Reply = Callable[[Outgoing, int], Verdict | None]
+# Given an ask and how many there were before; a verdict, and whose it is.
+Reply = Callable[[Outgoing, int], tuple[Verdict, str] | None]
 
 
 class Coordinators:
     """Two coordinators of each zone, for one client."""
 
     def __init__(self, reply: Reply, *zones: str) -> None:
-        """Answer by ``reply``, given an ask and how many there were before.
-
-        An upstream is in each of ``zones``.
-        """
+        """Answer by ``reply``; an upstream is in each of ``zones``."""
         self.roster = Roster()
         for zone in zones:
             upstream = make_upstream(f'u-{zone}', zone=zone, version=VERSION)
@@ -74,11 +72,11 @@
     def _send(self, outgoing: Outgoing) -> None:
         if outgoing.kind != ASK:
             return
-        verdict = self._reply(outgoing, len(self.asks))
+        reply = self._reply(outgoing, len(self.asks))
         self.asks.append(outgoing)
-        if verdict is None:
+        if reply is None:
             return
-        host = outgoing.host
+        verdict, host = reply
         zone = host.partition('/')[0]
         answer = Answer(
             outgoing.message.key, verdict, f'u-{zone}', 0.4, host, host
@@ -87,10 +85,12 @@
         loop.call_soon(self._client.receive, answer)
 
 
-def _queue_and_end(outgoing: Outgoing, before: int) -> Verdict | None:
+def _queue_and_end(
+    outgoing: Outgoing, before: int
+) -> tuple[Verdict, str] | None:
     if outgoing.host == 'a1/1':
-        return None if before else Verdict.QUEUED
-    return Verdict.GRANTED
+        return None if before else (Verdict.QUEUED, 'a1/1')
+    return Verdict.GRANTED, outgoing.host
 
 
 def test_queued_request_is_asked_for_elsewhere_when_its_coordinator_ends() -> (
@@ -105,7 +105,8 @@
     None
 ):
     desks = Coordinators(
-        lambda outgoing, before: None if before else Verdict.QUEUED, 'a1'
+        lambda outgoing, before: None if before else (Verdict.QUEUED, 'a1/1'),
+        'a1',
     )
     upstream, took = desks.acquire()
     assert upstream == 'u-a1'
@@ -113,7 +114,24 @@
 
 
 def test_request_that_is_queued_until_the_end_of_its_wait_is_refused() -> None:
-    desks = Coordinators(lambda outgoing, before: Verdict.QUEUED, 'a1')
+    desks = Coordinators(
+        lambda outgoing, before: (Verdict.QUEUED, outgoing.host), 'a1'
+    )
     with pytest.raises(RefusedError):
         desks.acquire()
     assert {sent.host for sent in desks.asks} == {'a1/1'}
+
+
+def _queue_in_b1(outgoing: Outgoing, before: int) -> tuple[Verdict, str]:
+    if not before:
+        return Verdict.QUEUED, 'b1/1'
+    if outgoing.host == 'b1/1' and before > 2:
+        return Verdict.GRANTED, 'b1/1'
+    verdict = Verdict.QUEUED if outgoing.host == 'b1/1' else Verdict.REFUSED
+    return verdict, outgoing.host
+
+
+def test_request_that_another_zone_has_queued_keeps_its_place_there() -> None:
+    desks = Coordinators(_queue_in_b1, 'a1', 'b1')
+    assert desks.acquire()[0] == 'u-b1'
+    assert [sent.message.passed_on for sent in desks.asks[1:]] == [True] * 3
