Don't accept a job with bodies that an earlier attempt has left

Callers saw nothing yet; found by reading. A job that was accepted (202) could not be run or have its bodies read, or ran with other bytes.

Cause: a submission that found objects under the names of its bodies took them for its own without reading them. Those of an attempt that ended before its job was created may be split at another size (another limit of the store's objects, accounts turned on meanwhile), or come from other items under the same id.

Evidence: test_job_is_not_joined_with_bodies_of_an_earlier_attempt.

The fix works because the job is created only after every part under its name was created by this call or compared equal; parts that differ are written under names that only equal parts share. One read more for each part that exists already; a first submission makes the same calls as before.

--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -268,6 +268,11 @@
     'job {job} was not known here, though another instance takes this one for '
     'its owner; found in the store: {found}',
 )
+BODIES_DIFFER = warning_event(
+    6116,
+    'other bodies are stored under the names of those of job {job}; stored as '
+    'upload {upload}',
+)
 MEMORY_REFUSED = warning_event(
     5120, 'no memory for {size} bytes of {use}: {held} of {limit} bytes held'
 )
--- a/gentiantrestle/gateway/batch/body_parts.py
+++ b/gentiantrestle/gateway/batch/body_parts.py
@@ -5,6 +5,7 @@
 itself.
 """
 
+import hashlib
 import json
 from collections.abc import Iterable
 from typing import Any
@@ -23,19 +24,28 @@
 # Quotes and backslashes of a piece are escaped once more.
 ESCAPED_SHARE = 2
 WRAPPER_SIZE = 64  # bytes around a piece
+UPLOAD_LENGTH = 32  # hex digits
 
 
 class _PieceContent(msgspec.Struct):
     piece: str
 
 
-def part_key(job_id: str, index: int) -> tuple[str, str]:
+def part_key(job_id: str, index: int, upload: str = '') -> tuple[str, str]:
     """Return the kind and name of the object of one part of the bodies."""
+    if upload:
+        return BODY_PART_KIND, f'{job_id}.{upload}.{index}'
     if index:
         return BODY_PART_KIND, f'{job_id}.{index}'
     return BODY_KIND, job_id
 
 
+def upload_name(parts: Iterable[dict[str, Any]]) -> str:
+    """Return the name of an upload, which only equal parts share."""
+    text = json.dumps(list(parts), sort_keys=True)
+    return hashlib.sha256(text.encode()).hexdigest()[:UPLOAD_LENGTH]
+
+
 def split_bodies(job: Job, max_size: int) -> tuple[dict[str, Any], ...]:
     """Encode a job's bodies as contents of at most ``max_size`` bytes.
 
--- a/gentiantrestle/gateway/batch/body_store.py
+++ b/gentiantrestle/gateway/batch/body_store.py
@@ -8,6 +8,7 @@
     join_bodies,
     part_key,
     split_bodies,
+    upload_name,
 )
 from gentiantrestle.gateway.batch.records import (
     MAX_BODY_PARTS,
@@ -33,20 +34,21 @@
     async def write(self, job: Job) -> Job:
         """Store a job's bodies; return the job, which tells where they are.
 
-        They have no effect without the job. Raises as ``JobStore.accept``.
+        They have no effect without the job. An attempt that wasn't accepted may
+        have left other objects under their names: then they get names of their
+        own. Raises as ``JobStore.accept``.
         """
         parts = split_bodies(job, self._store.max_content_size)
         if len(parts) > MAX_BODY_PARTS:
             raise ObjectTooLargeError(f'bodies of {len(parts)} objects')
-        created = await asyncio.gather(
-            *(
-                self._store.create(*part_key(job.id, index), part)
-                for index, part in enumerate(parts)
-            )
-        )
-        if job.account is not None:
-            await self._check_owner(job, created)
-        return job._replace(body_parts=len(parts))
+        named = job._replace(body_parts=len(parts))
+        if await self._put(named, parts):
+            return named
+        named = named._replace(upload=upload_name(parts))
+        events.emit(events.BODIES_DIFFER, job=job.id, upload=named.upload)
+        if await self._put(named, parts):
+            return named
+        raise StoreUnavailableError(f'other bodies of {job.id} are stored')
 
     async def read(self, job: Job) -> tuple[ItemSpec, ...]:
         """Return a job's items with their bodies.
@@ -55,7 +57,7 @@
         """
         parts = await asyncio.gather(
             *(
-                self._store.get(*part_key(job.id, index))
+                self._store.get(*part_key(job.id, index, job.upload))
                 for index in range(job.body_parts)
             )
         )
@@ -66,14 +68,33 @@
         decoded = [decode_part(part, _as_it_is) for part in parts]
         return decode_part(parts[0], lambda _: join_bodies(job, decoded))
 
-    async def _check_owner(self, job: Job, created: list[bool]) -> None:
-        """Raise ``JobTakenError`` if bodies are another account's."""
-        for index, is_new in enumerate(created):
-            if is_new:
-                continue
-            stored = await self._store.get(*part_key(job.id, index))
-            if stored is not None and not belongs_to(job, stored.content):
-                raise JobTakenError(job.id)
+    async def _put(self, job: Job, parts: tuple[dict[str, Any], ...]) -> bool:
+        """Store all parts; return False if another object has a name.
+
+        Raises ``JobTakenError`` if that one is another account's.
+        """
+        created = await asyncio.gather(
+            *(
+                self._store.create(*part_key(job.id, index, job.upload), part)
+                for index, part in enumerate(parts)
+            )
+        )
+        checks = (
+            self._is_stored(job, index, part)
+            for index, part in enumerate(parts)
+            if not created[index]
+        )
+        return all(await asyncio.gather(*checks))
+
+    async def _is_stored(
+        self, job: Job, index: int, part: dict[str, Any]
+    ) -> bool:
+        stored = await self._store.get(*part_key(job.id, index, job.upload))
+        if stored is None:
+            return False
+        if not belongs_to(job, stored.content):
+            raise JobTakenError(job.id)
+        return stored.content == part
 
 
 def _as_it_is(content: Any) -> Any:
--- a/gentiantrestle/gateway/batch/records.py
+++ b/gentiantrestle/gateway/batch/records.py
@@ -50,6 +50,7 @@
     items: list[_ItemContent]  # noqa: WPS110 (as in the store)
     body_parts: Parts = 1
     account: str | None = None
+    upload: str = ''
 
 
 class _BodiesContent(msgspec.Struct):
@@ -86,6 +87,7 @@
         'items': [[spec.id, spec.tokens] for spec in job.items],
         'body_parts': job.body_parts,
         **owner_to_content(job),
+        **({'upload': job.upload} if job.upload else {}),
     }
 
 
@@ -136,6 +138,7 @@
         done=state == DONE,
         body_parts=content.body_parts,
         account=content.account,
+        upload=content.upload,
     )
     return JobRecord(job, stored)
 
--- a/gentiantrestle/gateway/model.py
+++ b/gentiantrestle/gateway/model.py
@@ -164,7 +164,8 @@
     ``acceptor`` names the instance run that accepted it, and ``version`` the
     configuration in force then. ``cancelled`` is set when a caller cancels
     the job, ``done`` when every item has a result. Its bodies are stored in
-    ``body_parts`` objects. ``account`` is that of the request that brought it.
+    ``body_parts`` objects, named after ``upload`` if that isn't empty.
+    ``account`` is that of the request that brought it.
     """
 
     id: str
@@ -178,6 +179,7 @@
     done: bool = False
     body_parts: int = 1
     account: str | None = None
+    upload: str = ''
 
     @property
     def tokens(self) -> int:
--- a/tests/gateway/test_body_parts.py
+++ b/tests/gateway/test_body_parts.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from gentiantrestle.gateway.batch.body_parts import split_bodies
+from gentiantrestle.gateway.batch.body_parts import part_key, split_bodies
 from gentiantrestle.gateway.batch.job_index import JobIndex
 from gentiantrestle.gateway.batch.job_store import JobStore
 from gentiantrestle.gateway.batch.records import (
@@ -78,6 +78,37 @@
         assert entry.body(job.items[0].id) == job.items[0].body
 
 
+@pytest.mark.parametrize(
+    ('size', 'left', 'account'),
+    [
+        (LIMIT * 10, (0,), None),
+        (LIMIT + 1000, (0,), None),
+        (LIMIT + 1000, (1, 2), None),
+        (LIMIT - 1000, (0, 3), None),
+        (LIMIT, (0, 1), 'anna'),
+    ],
+)
+async def test_job_is_not_joined_with_bodies_of_an_earlier_attempt(
+    size: int, left: tuple[int, ...], account: str | None
+) -> None:
+    store = MemoryStore(max_content_size=LIMIT)
+    job = _make_large_job(3000)
+    parts = split_bodies(job, size)
+    store.real_size_limit = LIMIT * 10
+    for index in left:
+        await store.create(*part_key(job.id, index), parts[index])
+    acceptor = JobStore(store, JobIndex(), random.Random(1), lambda: 0)
+    assert await acceptor.accept(job._replace(account=account))
+    assert not await acceptor.accept(job._replace(account=account))
+    other = JobStore(store, JobIndex(), random.Random(1), lambda: 0)
+    entry = await other.find(job.id)
+    assert entry is not None
+    await other.load_bodies(entry)
+    assert [entry.body(spec.id) for spec in job.items] == [
+        spec.body for spec in job.items
+    ]
+
+
 async def test_job_of_too_many_parts_is_not_accepted() -> None:
     store = MemoryStore(max_content_size=LIMIT)
     job_store = JobStore(store, JobIndex(), random.Random(1), lambda: 0)
