Answer a job over its quota before its caller leaves

What callers saw: a submission near a used up quota got no answer in the time that they wait, neither 202 nor 429. By reading; not seen on a deployment.

Cause: results of all open jobs, also of other routes and accounts, were read again one after the other, without a bound, before the quota was looked at.

--- a/gentiantrestle/gateway/batch/api.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -5,7 +5,6 @@
 from typing import NamedTuple
 
 from gentiantrestle import events
-from gentiantrestle.errors import OVERLOADED, refuse
 from gentiantrestle.gateway.batch.access import (
     JobCaller,
     is_submitted_by,
@@ -13,6 +12,7 @@
 )
 from gentiantrestle.gateway.batch.context import BatchContext
 from gentiantrestle.gateway.batch.job_index import JobEntry
+from gentiantrestle.gateway.batch.quota_check import QuotaCheck
 from gentiantrestle.gateway.batch.result_reader import ResultReader
 from gentiantrestle.gateway.batch.runner import Runner
 from gentiantrestle.gateway.batch.store_refusals import (
@@ -38,10 +38,6 @@
 PEER_POLL_INTERVAL = 0.25  # seconds
 # Time between checks for results that this instance stores.
 LOCAL_POLL_INTERVAL = 0.1  # seconds
-# Up to this share of a quota only the jobs known here are counted: those not
-# known yet can't use up the rest.
-QUOTA_LOCAL_SHARE = 0.5
-QUOTA_RETRY_AFTER = 1.0  # seconds, while a quota is used up
 JSON_HEADERS = [(b'content-type', b'application/json')]
 BYTES_HEADERS = [(b'content-type', b'application/octet-stream')]
 UNRESTRICTED = JobCaller()
@@ -83,6 +79,7 @@
         self._job_store = context.job_store
         self._dialect = context.dialect
         self._router = context.router
+        self._quota = QuotaCheck(context, reader)
         self._runner = runner
         self._reader = reader
         self._run_name = run_name
@@ -169,7 +166,7 @@
             submission.config_version,
             account=request.account,
         )
-        await self._check_quota(job, route)
+        await self._quota.check(job, route)
         new = await self._accept(job)
         events.emit(
             events.JOB_ACCEPTED, job=job.id, items=len(job.items), new=new
@@ -225,52 +222,6 @@
         with refusing_unavailable():
             await self._reader.refresh(entry)
 
-    async def _check_quota(self, job: Job, route: Route) -> None:
-        """Refuse a job that exceeds the token quota of its route.
-
-        With accounts, each has this quota for itself.
-
-        Up to ``QUOTA_LOCAL_SHARE`` of the quota, only the jobs known here are
-        counted. Above that, jobs are listed again, and results are read again
-        before a job is refused.
-        """
-        if self._fits(job, route, QUOTA_LOCAL_SHARE):
-            return
-        await self._relist()
-        # Accepted at another instance, it counts already.
-        if job.id in self._index.entries or self._fits_now(job, route):
-            return
-        for entry in self._index.open_entries():
-            await self._refresh(entry)
-        if self._fits_now(job, route):
-            return
-        raise refuse(
-            OVERLOADED,
-            'The token quota of this route is used up',
-            QUOTA_RETRY_AFTER,
-        )
-
-    async def _relist(self) -> None:
-        with refusing_unavailable():
-            await self._job_store.relist()
-
-    def _fits_now(self, job: Job, route: Route) -> bool:
-        """Return whether a job fits the quota that is in force by now."""
-        return self._fits(job, self._router.match_job(job) or route)
-
-    def _fits(self, job: Job, route: Route, share: float = 1.0) -> bool:
-        if not route.max_tokens:
-            return True
-
-        def is_counted(other: Job) -> bool:
-            if job.account is not None and other.account != job.account:
-                return False
-            found = self._router.match_job(other)
-            return found is not None and found.key == route.key
-
-        waiting = self._index.waiting_tokens(is_counted)
-        return waiting + job.tokens <= route.max_tokens * share
-
 
 def _accepted() -> Response:
     return Response(ACCEPTED, JSON_HEADERS, b'{}')
--- a/gentiantrestle/gateway/batch/job_index.py
+++ b/gentiantrestle/gateway/batch/job_index.py
@@ -171,13 +171,5 @@
         if entry is not None:
             entry.cancel()
 
-    def waiting_tokens(self, is_on_route: Callable[[Job], bool]) -> int:
-        """Sum the tokens of unfinished items of the jobs on a route."""
-        return sum(
-            entry.waiting_tokens
-            for entry in self.open_entries()
-            if is_on_route(entry.job)
-        )
-
     def _note_bodies(self, size: int) -> None:
         self.body_bytes += size
