--- a/gentiantrestle/margins/jobs.py
+++ b/gentiantrestle/margins/jobs.py
@@ -125,11 +125,9 @@
     end = records[-1].at
     accepted = _first_times(records, events.JOB_ACCEPTED)
     finished = _first_times(records, events.JOB_FINISHED)
-    active = {
-        rec.field('job'): rec.at for rec in records if rec.is_a(*PROGRESS)
-    }
+    active = {rec.field('job'): rec for rec in records if rec.is_a(*PROGRESS)}
     idle = {
-        job: round(end - active[job], 3)
+        job: round(end - active[job].at, 3)
         for job in accepted
         if job not in finished
     }
@@ -139,7 +137,19 @@
         idle.get(nearest, 0),
         bounds.idle,
         nearest,
-        {'open': len(idle), 'accepted': len(accepted)},
+        {
+            'open': len(idle),
+            'accepted': len(accepted),
+            'runs_ended_lately': sum(
+                rec.is_a(events.ITEM_RUN_ENDED) and rec.at > end - bounds.idle
+                for rec in records
+            ),
+            'idle_since': {
+                job: _describe(active[job])
+                for job, seconds in idle.items()
+                if seconds > bounds.idle
+            },
+        },
     )
     yield _first_placement(records, accepted, finished)
 
@@ -165,6 +175,11 @@
     )
 
 
+def _describe(rec: Record) -> str:
+    instance = rec.instance
+    return f'{rec.code} {rec.at:.1f} {instance}'
+
+
 def _first_times(records: Sequence[Record], kind: Event) -> dict[str, float]:
     times: dict[str, float] = {}
     for rec in records:
--- a/tests/interfaces/test_margins.py
+++ b/tests/interfaces/test_margins.py
@@ -211,6 +211,7 @@
     found = figures(*records)
     assert found[PROGRESS].figure == 7.0
     assert found[PROGRESS].nearest == 'j'
+    assert found[PROGRESS].details['idle_since'] == {'j': '6104 2.0 a'}
     done = rec(8.0, events.JOB_FINISHED, job='j', state='done')
     assert figures(*records, done)[PROGRESS].figure == 0
 
