Ask all zones of its version before a stream is refused

What callers saw: a stream that was taken up again got 429 for the queue of one zone, though another one had more upstreams of its version. Cause: zones tell each other free slots and queues by service only, so a take-up is passed to, or kept by, a zone that can't serve its version in time. Fix: the instance whose stream was refused asks the coordinators of the other zones that have its version, three at most. Other requests are refused as before. Up to three datagrams for a take-up that would be refused; no store calls.

--- a/gentiantrestle/gateway/slots/admission.py
+++ b/gentiantrestle/gateway/slots/admission.py
@@ -5,6 +5,7 @@
 request; what it took is reported to the next one.
 """
 
+from collections import Counter
 from collections.abc import Callable
 
 from gentiantrestle import events
@@ -24,6 +25,7 @@
 )
 from gentiantrestle.gateway.slots.pending import PendingAsk
 from gentiantrestle.gateway.slots.queueing import (
+    goes_on,
     retry_after_seconds,
     wait_limit,
 )
@@ -121,7 +123,7 @@
     async def _negotiate(
         self, slot_request: SlotRequest, pending: PendingAsk
     ) -> SlotLease:
-        if not await self._ask(pending):
+        if not await self._ask(slot_request, pending):
             return self._choose_alone(slot_request, pending)
         answer = pending.answer
         upstream = self._roster.find(answer.upstream)
@@ -133,13 +135,31 @@
             return self._choose_alone(slot_request, pending)
         raise self._refusal(slot_request, answer.wait)
 
-    async def _ask(self, pending: PendingAsk) -> bool:
-        """Have an ask granted or refused; return whether anybody answers."""
+    async def _ask(
+        self, slot_request: SlotRequest, pending: PendingAsk
+    ) -> bool:
+        """Have an ask granted or refused; return whether anybody answers.
+
+        Other zones know little of each other's versions, so a stream that goes
+        on is refused only once those that have its version were asked.
+        """
         asks = self._asks
         until = self._now() + pending.ask.wait
         if not await asks.ask(pending):
             return False
-        return await asks.outwait_queue(pending, until)
+        answered = await asks.outwait_queue(pending, until)
+        if pending.refused and goes_on(pending.ask):
+            zones = self._zones_by_slots(slot_request)
+            await asks.ask_zones(pending, zones, until)
+            answered = await asks.outwait_queue(pending, until)
+        return answered
+
+    def _zones_by_slots(self, slot_request: SlotRequest) -> list[str]:
+        """Return the zones of the usable upstreams, the largest first."""
+        slots: Counter[str] = Counter()
+        for upstream in self._usable(slot_request):
+            slots[upstream.zone] += upstream.slots
+        return [zone for zone, _ in slots.most_common()]
 
     def _is_elsewhere(self, slot_request: SlotRequest, answer: Answer) -> bool:
         """Return whether a coordinator has none of the usable upstreams."""
--- a/gentiantrestle/gateway/slots/asking.py
+++ b/gentiantrestle/gateway/slots/asking.py
@@ -1,7 +1,7 @@
 """Asks the coordinators of a zone for a slot, and waits in their queues."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
 
 from gentiantrestle.gateway.slots.client import SlotClient
@@ -15,6 +15,8 @@
 # One of another region is further away.
 FAR_ANSWER_TIMEOUT = 0.1  # seconds
 ASKS_FAR = 2
+# Zones that a refused request is asked for in, one after the other.
+MAX_ZONES = 3
 # A queued request is asked for again, in case its grant was lost.
 QUEUED_INTERVAL = 0.1  # seconds
 
@@ -64,6 +66,28 @@
         pending.ask = whole
         return answered
 
+    async def ask_zones(
+        self, pending: PendingAsk, zones: Iterable[str], until: float
+    ) -> None:
+        """Ask the coordinators of some zones until one does not refuse.
+
+        The ask has been refused by the coordinator that answered last.
+        """
+        asked = {pending.answer.host}
+        for host in self._first_hosts(zones):
+            now = self._now()
+            if len(asked) > MAX_ZONES or not pending.refused or now >= until:
+                return
+            if host not in asked:
+                asked.add(host)
+                pending.ask = pending.ask._replace(wait=until - now)
+                await self.ask_there(pending, host)
+
+    def _first_hosts(self, zones: Iterable[str]) -> Iterator[str]:
+        for zone in zones:
+            for target in self._client.targets(zone, self._now())[:1]:
+                yield target.host
+
     async def _outwait_round(self, pending: PendingAsk, until: float) -> bool:
         keeper = pending.answer.host
         pending.answered.clear()
--- a/tests/gateway/test_queue_wait.py
+++ b/tests/gateway/test_queue_wait.py
@@ -135,3 +135,30 @@
     desks = Coordinators(_queue_in_b1, 'a1', 'b1')
     assert desks.acquire()[0] == 'u-b1'
     assert [sent.message.passed_on for sent in desks.asks[1:]] == [True] * 3
+
+
+@pytest.mark.parametrize(
+    ('refusing', 'chosen'), [('a1', 'u-b1'), ('b1', 'u-a1')]
+)
+def test_stream_is_not_refused_while_a_zone_of_its_version_would_queue_it(
+    refusing: str, chosen: str
+) -> None:
+    def refuse(outgoing: Outgoing, before: int) -> tuple[Verdict, str]:
+        if not before:
+            return Verdict.REFUSED, f'{refusing}/1'
+        if outgoing.host.startswith(refusing):
+            return Verdict.REFUSED, outgoing.host
+        verdict = Verdict.GRANTED if before > 2 else Verdict.QUEUED
+        return verdict, outgoing.host
+
+    desks = Coordinators(refuse, 'a1', 'b1')
+    assert desks.acquire()[0] == chosen
+
+
+def test_stream_is_refused_once_all_zones_of_its_version_refuse_it() -> None:
+    desks = Coordinators(
+        lambda outgoing, before: (Verdict.REFUSED, outgoing.host), 'a1', 'b1'
+    )
+    with pytest.raises(RefusedError):
+        desks.acquire()
+    assert [sent.host for sent in desks.asks] == ['a1/1', 'b1/1']
