Make a trial of blamed requests again if no upstream has run it

Cause: the guard counted a trial when it was about to be sent; nobody told it whether an upstream took it.

Why it works: a trial counts once its attempt shows that the upstream took it; until then it is due again after 4 s. In the daemon, too. test_blame and the load world of quarantine_arms now tell the guard that their trials were run, as a real attempt does; their bounds are unchanged and hold.

--- a/benchmarks/quarantine_arms.py
+++ b/benchmarks/quarantine_arms.py
@@ -177,10 +177,13 @@
         if self.plan.arm not in {'parts only', 'rule'}:
             return True
         known = self._known_traits(traits)
+        guard = self._guards[instance]
         try:
-            self._guards[instance].check(known, WALL + self._now)
+            tried = guard.check(known, WALL + self._now)
         except QuarantinedError:
             return False
+        if tried is not None:
+            guard.note_run(tried)
         return True
 
     def _known_traits(self, traits: tuple[str, ...]) -> tuple[str, ...]:
--- a/gentiantrestle/daemon/online/attempt.py
+++ b/gentiantrestle/daemon/online/attempt.py
@@ -256,6 +256,8 @@
     def _record_failure(
         self, stage: Stage, kind: ErrorKind, error: object
     ) -> AttemptError:
+        if stage is not Stage.NOT_SENT:
+            self._watch.note_run()
         now = self._ctx.now()
         name = self.upstream.name
         self.upstream.health.record_failure(
--- a/gentiantrestle/gateway/upstream_connection.py
+++ b/gentiantrestle/gateway/upstream_connection.py
@@ -130,7 +130,10 @@
             )
             reply = await self._read_head(req.method)
         except (LinkLostError, h11.ProtocolError) as exc:
+            self._watch.note_run()
             raise ResponseLostError(repr(exc)) from exc
+        if not reply.not_run:
+            self._watch.note_run()
         if not _answers(reply, req):
             raise ResponseLostError('not a genuine response to this request')
         return reply
--- a/gentiantrestle/quarantine/guard.py
+++ b/gentiantrestle/quarantine/guard.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from gentiantrestle import events
 from gentiantrestle.quarantine.blames import Blames
@@ -32,6 +33,16 @@
     """The request has traits that crash upstreams; nothing was sent."""
 
 
+class Trial(NamedTuple):
+    """The last trial of a culprit: its wall-clock time in s.
+
+    ``was_run`` is unknown until the upstream shows that it took the request.
+    """
+
+    at: float
+    was_run: bool = False
+
+
 class RequestGuard:
     """Knows which requests crash upstreams."""
 
@@ -47,7 +58,7 @@
         """
         self.evidence = evidence
         self._is_elected = is_elected
-        self._trials: dict[Traits, float] = {}
+        self._trials: dict[Traits, Trial] = {}
         self._blames = Blames()
         evidence.on_crash = _log_crash
 
@@ -70,14 +81,24 @@
 
     def check(
         self, traits: Iterable[str], wall: float, *, owed: bool = False
-    ) -> None:
+    ) -> Traits | None:
         """Raise ``QuarantinedError`` if a request must not be sent now.
 
-        ``owed`` means that it is an item of an accepted job.
+        ``owed`` means that it is an item of an accepted job. Returns what the
+        request is to try again, if it is a trial; ``note_run`` takes it.
         """
         culprit = self.find_culprit(traits, wall)
-        if culprit is not None and not self._may_try(culprit, wall, owed):
+        if culprit is None:
+            return None
+        if not self._may_try(culprit, wall, owed):
             raise QuarantinedError(describe(culprit))
+        return culprit.traits
+
+    def note_run(self, tried: Traits) -> None:
+        """Note that an upstream took the request that tries a culprit again."""
+        trial = self._trials.get(tried)
+        if trial is not None:
+            self._trials[tried] = trial._replace(was_run=True)
 
     def find_refused(
         self, traits: Iterable[str], wall: float, *, owed: bool = False
@@ -103,26 +124,31 @@
             return False
         current = {known.traits for known in self.evidence.culprits(wall)}
         self._trials = {
-            traits: tried_at
-            for traits, tried_at in self._trials.items()
+            traits: trial
+            for traits, trial in self._trials.items()
             if traits in current
         }
-        self._trials[culprit.traits] = wall
+        self._trials[culprit.traits] = Trial(wall)
         events.emit(events.QUARANTINED_TRIED, traits=sorted(culprit.traits))
         return True
 
     def _is_trial_due(self, culprit: Culprit, wall: float, owed: bool) -> bool:
         """Return whether this instance is to try a request now."""
-        tried_at = self._trials.get(culprit.traits, culprit.last)
-        waited = wall - max(culprit.last, tried_at)
+        trial = self._trials.get(culprit.traits, Trial(culprit.last))
+        waited = wall - max(culprit.last, trial.at)
         if owed:
             return waited >= OWED_INTERVAL
-        if waited < self._trial_interval(culprit):
+        if waited < self._trial_interval(culprit, trial):
             return False
         return self._is_elected(' '.join(sorted(culprit.traits)))
 
-    def _trial_interval(self, culprit: Culprit) -> int:
-        """Return the time in s from the last crash or trial to the next."""
+    def _trial_interval(self, culprit: Culprit, trial: Trial) -> int:
+        """Return the time in s from the last crash or trial to the next.
+
+        A trial that no upstream has run proves nothing and is made again.
+        """
+        if trial.at > culprit.last and not trial.was_run:
+            return EARLY_INTERVAL
         is_untried = culprit.traits not in self._trials
         concerns_many = self._blames.concerns_many(culprit.traits)
         if concerns_many and is_untried and not culprit.is_proved:
--- a/gentiantrestle/quarantine/watch.py
+++ b/gentiantrestle/quarantine/watch.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from gentiantrestle.quarantine.culprits import Traits
 from gentiantrestle.quarantine.guard import RequestGuard
 
 # An upstream that a request crashes ends while it begins the answer. Its first
@@ -43,14 +44,24 @@
         # When an event arrived after ``SOUND_AFTER``.
         self._outlasted_at: float | None = None
         self._sound = False
+        # What this attempt tries again, until the upstream has run it.
+        self._tried: Traits | None = None
 
     def check(self) -> None:
         """Raise ``QuarantinedError`` if the request must not be sent."""
         if self._traits:
-            self._guard.check(self._traits, self._clock.wall(), owed=self._owed)
+            self._tried = self._guard.check(
+                self._traits, self._clock.wall(), owed=self._owed
+            )
+
+    def note_run(self) -> None:
+        """Note that the upstream has run the request, or may have."""
+        if self._tried is not None:
+            self._guard.note_run(self._tried)
 
     def note_event(self) -> None:
         """Note that an event, or the head of a plain answer, has arrived."""
+        self.note_run()
         now = self._clock.now()
         if self._began_at is None:
             self._began_at = now
@@ -80,6 +91,7 @@
 
         All instances must give the run the same name.
         """
+        self.note_run()
         self._guard.evidence.add_crash(
             upstream_run, frozenset(self._traits), self._clock.wall()
         )
--- a/tests/gateway/test_blame.py
+++ b/tests/gateway/test_blame.py
@@ -162,7 +162,7 @@
     refuse_each(guard, MANY)
     assert guard.find_refused((CLASS,), START + EARLY_INTERVAL - 1)
     later = START + EARLY_INTERVAL
-    guard.check((CLASS,), later)
+    guard.note_run(guard.check((CLASS,), later))
     assert guard.find_refused((CLASS,), later + TRIAL_INTERVAL - 1)
     guard.evidence.note_sound((CLASS,), later)
     guard.check((CLASS,), later)
