Give the results that are there when later ones can't be read in time

What callers saw: 503, or no answer in the 1.5 s that they wait beyond what they allow, for a position whose results the instance had just read. By reading; not seen on a deployment.

Cause: an instance reads all results of a job that it doesn't know, object by object, before it answers; one failed read refused the page, and a slow store outlasted the caller. The next try meets another instance that knows as little.

The fix works because an end of the reading, by failure or after 1.3 s beyond the wait, decides only if nothing is there after the position. An empty page still needs a complete read. No calls more.

--- a/gentiantrestle/gateway/batch/api.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -29,7 +29,10 @@
     ReadBody,
     ReadResults,
 )
-from gentiantrestle.store.client import StoreOutcomeUnknownError
+from gentiantrestle.store.client import (
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
 
 ACCEPTED = 202
 OK = 200
@@ -38,6 +41,9 @@
 PEER_POLL_INTERVAL = 0.25  # seconds
 # Time between checks for results that this instance stores.
 LOCAL_POLL_INTERVAL = 0.1  # seconds
+# Callers leave if they get no answer for 1.5 s beyond the wait they allow.
+PATIENCE = 1.3  # seconds
+UNREAD = 'The results at this position could not be read in time'
 JSON_HEADERS = [(b'content-type', b'application/json')]
 BYTES_HEADERS = [(b'content-type', b'application/octet-stream')]
 UNRESTRICTED = JobCaller()
@@ -210,7 +216,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + operation.wait
         while len(entry.results) <= operation.after and not entry.complete:
-            await self._refresh(entry)
+            await self._refresh(entry, operation.after, deadline + PATIENCE)
             if len(entry.results) > operation.after or loop.time() >= deadline:
                 return
             local = self._reader.runs_here(entry)
@@ -218,9 +224,21 @@
                 LOCAL_POLL_INTERVAL if local else PEER_POLL_INTERVAL
             )
 
-    async def _refresh(self, entry: JobEntry) -> None:
-        with refusing_unavailable():
-            await self._reader.refresh(entry)
+    async def _refresh(self, entry: JobEntry, after: int, until: float) -> None:
+        """Read new results until the time ``until`` of the event loop.
+
+        Refused if that fails and none is there after the position.
+        """
+        try:
+            async with asyncio.timeout_at(until):
+                await self._reader.refresh(entry)
+        except (StoreUnavailableError, TimeoutError) as exc:
+            events.emit(
+                events.STORE_CALL_FAILED, name=entry.job.id, error=repr(exc)
+            )
+            if len(entry.results) <= after:
+                with refusing_unavailable():
+                    raise StoreUnavailableError(UNREAD) from exc
 
 
 def _accepted() -> Response:
