Leave jobs to others while the store is not reached

What callers saw: accepted jobs of an instance that had lost its path to the store were listed as unfinished for as long as that lasted, though others reached both the store and the upstreams.

Cause: which instance runs a job was judged by rows, by leaving and by the services reached. Results depend on the store, too.

The calls for jobs tell whether the store is reached. After 2 s of failures only the instance lists "(store)" among what it doesn't reach, in a field that rows have, and JobOwners treats that as a service that each job needs. Jobs move only while another instance watches the store and reaches it, so that a store that is out for all moves none. Probes, one read a second, are sent only by an instance in doubt while others reach the store.

--- a/gentiantrestle/gateway/assembly.py
+++ b/gentiantrestle/gateway/assembly.py
@@ -12,6 +12,7 @@
 from gentiantrestle.gateway.memory.budget import MemoryBudget
 from gentiantrestle.gateway.ports import Adapter
 from gentiantrestle.gateway.reach.service import UpstreamReach
+from gentiantrestle.gateway.reach.store_reach import StoreContact
 from gentiantrestle.gateway.retrying_store import RetryingStore
 from gentiantrestle.gateway.slots.admission import Admission
 from gentiantrestle.gateway.slots.batch_asks import BatchAsks
@@ -39,6 +40,7 @@
     slots: SlotService
     streams: StreamOrigins
     owners: JobOwners
+    store_contact: StoreContact
 
 
 def build_slots(fleet: FleetContext, rng: random.Random) -> SlotService:
@@ -86,9 +88,10 @@
     """
     rng = random.Random(fleet.run_name)
     slots = build_slots(fleet, rng)
-    clock = fleet.clock
     reach = UpstreamReach(
-        fleet.state.roster, clock.now, lambda: fleet.peers.alive(clock.now())
+        fleet.state.roster,
+        fleet.clock.now,
+        lambda: fleet.peers.alive(fleet.clock.now()),
     )
     slots.parts.client.is_path_suspect = lambda: reach.is_suspect
 
@@ -97,22 +100,27 @@
         reach.forget(upstream)
 
     fleet.state.on_start = forget_contacts
+    contact = StoreContact.from_store(
+        adapter.store,
+        fleet.clock.now,
+        lambda: fleet.peers.alive(fleet.clock.now()),
+    )
     index = JobIndex()
     batch_context = BatchContext(
         index,
         JobStore(
-            RetryingStore(adapter.store, clock.now),
+            RetryingStore(contact.store, fleet.clock.now),
             index,
             rng,
-            clock.now,
-            adapter.store,
+            fleet.clock.now,
+            contact.store,
         ),
         fleet.state.router,
         fleet.state.roster,
         slots.parts.client,
         slots.parts.batch_asks,
         adapter.dialect,
-        clock,
+        fleet.clock,
         fleet.build_guard(),
         UpstreamRuns(adapter.dialect),
         reach,
@@ -121,7 +129,9 @@
     batch_context.job_store.budget = batch_context.budget
     batch_context.budget.read_items = lambda: index.body_bytes
     runner = Runner(batch_context, fleet.run_name)
-    owners = JobOwners(fleet.run_name, fleet.peers, reach, fleet.state.router)
+    owners = JobOwners(
+        fleet.run_name, fleet.peers, reach, fleet.state.router, contact.reach
+    )
     runner.find_stranded = owners.find_stranded
     slots.preempt = runner.run_table.preempt
     return WorkComponents(
@@ -131,10 +141,11 @@
             fleet.state.roster,
             slots.parts.client,
             rng.random,
-            clock.now,
+            fleet.clock.now,
         ),
         runner,
         slots,
         StreamOrigins(fleet, slots.parts.directory, adapter),
         owners,
+        contact,
     )
--- a/gentiantrestle/gateway/batch/job_owners.py
+++ b/gentiantrestle/gateway/batch/job_owners.py
@@ -1,4 +1,7 @@
-"""Leaves jobs to other instances while their services are not reached here."""
+"""Leaves jobs to other instances while they can't be finished here.
+
+That takes the services of their routes, and the store for their results.
+"""
 
 from collections.abc import Collection, Mapping
 
@@ -7,6 +10,7 @@
 from gentiantrestle.gateway.membership.peers import PeerList
 from gentiantrestle.gateway.model import Job
 from gentiantrestle.gateway.reach.service import UpstreamReach
+from gentiantrestle.gateway.reach.store_reach import STORE, StoreReach
 from gentiantrestle.gateway.routing import Router
 
 NOBODY: frozenset[str] = frozenset()
@@ -24,15 +28,22 @@
         peers: PeerList,
         reach: UpstreamReach,
         router: Router,
+        store_reach: StoreReach,
     ) -> None:
         """Start with all instances running jobs; this run is ``run_name``."""
         self._run_name = run_name
         self._peers = peers
         self._reach = reach
         self._router = router
+        self._store_reach = store_reach
         self._by_service: dict[str, StrandedRuns] = {}
         self._live = NOBODY
 
+    def read_unreached(self) -> frozenset[str]:
+        """Name the services not reached from here, and ``STORE`` if so."""
+        lost = (STORE,) if self._store_reach.is_lost else ()
+        return self._reach.unreached.union(lost)
+
     @property
     def services_left(self) -> list[str]:
         """Name the services whose jobs here are run by others."""
@@ -45,13 +56,15 @@
     def find_stranded(self, job: Job) -> frozenset[str]:
         """Return the runs that leave a job to others.
 
-        Those that don't reach all services of its route; none if no run does.
+        Those that don't reach all services of its route, or not the store; none
+        if no run reaches them all.
         """
         if not any(known.runs for known in self._by_service.values()):
             return NOBODY
         route = self._router.match_job(job)
         shares = route.shares if route else ()
-        services = self._by_service.keys() & {known.service for known in shares}
+        needed = {STORE}.union(known.service for known in shares)
+        services = self._by_service.keys() & needed
         found = NOBODY.union(
             *(self._by_service[name].runs for name in services)
         )
@@ -59,15 +72,17 @@
 
     def update(self, now: float) -> bool:
         """Look at all rows; return whether jobs change hands."""
+        alive = self._peers.alive(now)
         unreached = {
-            peer.run: peer.cut_off
-            for peer in self._peers.alive(now)
-            if not peer.leaving
+            peer.run: peer.cut_off for peer in alive if not peer.leaving
         }
-        unreached[self._run_name] = self._reach.unreached
+        unreached[self._run_name] = self.read_unreached()
         self._live = frozenset(unreached)
         in_doubt = any(unreached.values())
         services = set(self._reach.services()) if in_doubt else set()
+        # A store that answers nobody is out for all: no job moves.
+        if in_doubt and self._store_reach.answers_some(alive):
+            services.add(STORE)
         left = self.services_left
         changes = [
             self._update_service(service, unreached, services, now)
--- a/gentiantrestle/gateway/membership/peers.py
+++ b/gentiantrestle/gateway/membership/peers.py
@@ -29,7 +29,9 @@
 
     ``received_at`` is when that was sent or arrived at a relay, at the latest,
     on this instance's clock, in s. One that is starting knows of little yet.
-    ``cut_off`` are the services whose upstreams it doesn't reach.
+    ``cut_off`` are the services whose upstreams it doesn't reach, and ``STORE``
+    if it doesn't reach the store. Those that watch the store and reach it set
+    ``store_reached``.
     """
 
     instance: str
--- a/gentiantrestle/gateway/peering.py
+++ b/gentiantrestle/gateway/peering.py
@@ -80,7 +80,7 @@
         self._started = clock.now()
         # Called at short intervals; takes or gives up the watcher's role.
         self.update_role: Callable[[], None] = _nothing
-        # Returns the services whose upstreams this instance doesn't reach.
+        # Returns the services that this instance doesn't reach, or the store.
         self.cut_off: Callable[[], frozenset[str]] = frozenset
         parts.membership.on_notices = self._apply_notices
         parts.membership.on_findings = self._apply_findings
@@ -129,12 +129,12 @@
         self._leaving = True
         self._parts.membership.announce()
 
-    def connect_reach(self, reach: UpstreamReach) -> None:
+    def connect_reach(
+        self,
+        reach: UpstreamReach,
+        read_unreached: Callable[[], frozenset[str]],
+    ) -> None:
         """Let rows and calls tell what is reached from here."""
-
-        def read_unreached() -> frozenset[str]:
-            return reach.unreached
-
         self.cut_off = read_unreached
         self._peer_calls.confirm_reach = reach.confirm
         reach.ask = self._peer_calls.ask_reach
--- a/gentiantrestle/gateway/service.py
+++ b/gentiantrestle/gateway/service.py
@@ -70,9 +70,8 @@
         self._batch_context = self._components.batch_context
         self._runner = self._components.runner
         self._watching = self._build_watching()
-        self._accounts.confirming.is_watching = lambda: (
-            self._watching.is_connected
-        )
+        self._accounts.confirming.is_watching = self._is_watching
+        self._components.store_contact.reach.is_watching = self._is_watching
         self._peering = self._build_peering()
         self.metrics = build_metrics(
             cfg.instance,
@@ -133,6 +132,7 @@
         yield from self._components.streams.children()
         yield from self._peering.children()
         yield from self._batch_context.reach.children()
+        yield from self._components.store_contact.prober.children()
         yield from self._watching.children()
         yield from self._accounts.children()
         yield Child('batch', self._runner.run)
@@ -176,11 +176,13 @@
             self._fleet.identity,
             peers,
             parts,
-            lambda: self._watching.is_connected,
+            self._is_watching,
             self._clock,
         )
         peering.update_role = self._update_role
-        peering.connect_reach(self._batch_context.reach)
+        peering.connect_reach(
+            self._batch_context.reach, self._components.owners.read_unreached
+        )
         peering.connect_streams(self._components.streams)
         return peering
 
@@ -188,6 +190,10 @@
         """Return whether this instance knows enough to serve callers."""
         return self._state.router.has_config and self._peering.is_informed
 
+    def _is_watching(self) -> bool:
+        """Return whether this instance watches the store and reaches it."""
+        return self._watching.is_connected
+
     def _is_behind(self) -> bool:
         """Return whether another instance has a newer configuration."""
         return self._peering.is_behind
--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -104,8 +104,8 @@
   13: required list<string> taken,
   /* Time in ms since the sender of the message heard of this row. */
   14: required i32 age,
-  /* Services none of whose upstreams the instance reaches, though they run;
-   * absent if there are none. */
+  /* Services none of whose upstreams the instance reaches, though they run, and
+   * "(store)" if it doesn't reach the store; absent if there are none. */
   15: optional list<string> cut_off,
 }
 
--- a/tests/gateway/memory.py
+++ b/tests/gateway/memory.py
@@ -12,6 +12,8 @@
     StoreUnavailableError,
 )
 
+CALL_TIMEOUT = 1.5  # seconds until a silent call is given up
+
 
 class MemoryStore:
     """Objects by kind and name under one revision counter."""
@@ -133,3 +135,52 @@
         if self.lose_responses:
             self.lose_responses -= 1
             raise StoreOutcomeUnknownError('lost')
+
+
+class StorePath:
+    """Passes calls on to a store, but while the path is silent."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self._store = store
+        self.max_content_size = store.max_content_size
+        self.silent = False
+        self.calls = 0
+
+    def is_answering(self) -> bool:
+        """Return whether calls are answered, as a watch would show."""
+        return not self.silent
+
+    async def list_page(
+        self, kind: str, after: str, *, stale: bool = False
+    ) -> Page:
+        """List one page."""
+        await self._pass(StoreUnavailableError)
+        return await self._store.list_page(kind, after, stale=stale)
+
+    async def watch(self, kind: str, revision: int, wait: float) -> Page:
+        """Wait for changes."""
+        await self._pass(StoreUnavailableError)
+        return await self._store.watch(kind, revision, wait)
+
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        """Read one object."""
+        await self._pass(StoreUnavailableError)
+        return await self._store.get(kind, name)
+
+    async def create(self, kind: str, name: str, content: Any) -> bool:
+        """Create an object."""
+        await self._pass(StoreOutcomeUnknownError)
+        return await self._store.create(kind, name, content)
+
+    async def put_status(
+        self, kind: str, stored: StoredObject, status: Any
+    ) -> bool:
+        """Replace a status."""
+        await self._pass(StoreOutcomeUnknownError)
+        return await self._store.put_status(kind, stored, status)
+
+    async def _pass(self, error: type[Exception]) -> None:
+        self.calls += 1
+        if self.silent:
+            await asyncio.sleep(CALL_TIMEOUT)
+            raise error('silent')
--- a/tests/gateway/owners_world.py
+++ b/tests/gateway/owners_world.py
@@ -18,12 +18,13 @@
 from gentiantrestle.gateway.membership.peers import Peer, PeerList, run_name
 from gentiantrestle.gateway.memory.budget import MemoryBudget
 from gentiantrestle.gateway.model import ItemResult
+from gentiantrestle.gateway.reach.store_reach import StoreContact
 from gentiantrestle.gateway.roster import Roster
 from gentiantrestle.gateway.routing import Router
 from gentiantrestle.gateway.slots.batch_asks import WantedSlot
 from gentiantrestle.gateway.slots.client import SlotLease
 from gentiantrestle.quarantine.evidence import Evidence
-from tests.gateway.memory import MemoryStore
+from tests.gateway.memory import MemoryStore, StorePath
 from tests.gateway.reach_world import make_peer
 from tests.gateway.samples import (
     ENGINES,
@@ -68,7 +69,7 @@
     """One instance's runner, with its own view of the fleet."""
 
     def __init__(
-        self, name: str, store: MemoryStore, memory_limit: int = 0
+        self, name: str, store: MemoryStore | StorePath, memory_limit: int = 0
     ) -> None:
         self.name = name
         self.run_name = run_name(name, 1)
@@ -79,11 +80,18 @@
         router = Router()
         router.apply(make_table(make_batch_route()))
         index = JobIndex()
-        self.job_store = JobStore(store, index, random.Random(1), virtual_now)
+        self.peers = PeerList(name, name, 'a1', ())
+        self.contact = StoreContact.from_store(
+            store, virtual_now, lambda: self.peers.alive(virtual_now())
+        )
+        self.job_store = JobStore(
+            self.contact.store, index, random.Random(1), virtual_now
+        )
         budget = MemoryBudget(memory_limit)
         budget.read_items = lambda: index.body_bytes
-        self.peers = PeerList(name, name, 'a1', ())
-        self.owners = JobOwners(self.run_name, self.peers, self, router)
+        self.owners = JobOwners(
+            self.run_name, self.peers, self, router, self.contact.reach
+        )
         self.asks = GrantingAsks()
         context = SimpleNamespace(
             index=index,
@@ -112,8 +120,10 @@
 
     def row(self, sequence: int) -> Peer:
         """Return what this instance says about itself."""
-        return make_peer(self.name, *self.unreached)._replace(
-            sequence=sequence, received_at=virtual_now()
+        return make_peer(self.name, *self.owners.read_unreached())._replace(
+            sequence=sequence,
+            received_at=virtual_now(),
+            store_reached=self.contact.reach.is_watching(),
         )
 
 
@@ -136,7 +146,13 @@
 
     def __init__(self) -> None:
         self.store = MemoryStore()
-        self.instances = [OwnersInstance(name, self.store) for name in NAMES]
+        self.paths = [StorePath(self.store) for _ in NAMES]
+        self.instances = [
+            OwnersInstance(name, path)
+            for name, path in zip(NAMES, self.paths, strict=True)
+        ]
+        for instance, path in zip(self.instances, self.paths, strict=True):
+            instance.contact.reach.is_watching = path.is_answering
         # Instances that hear nothing from the first one.
         self.deaf: set[str] = set()
         self._tasks: list[asyncio.Task[None]] = []
@@ -148,6 +164,9 @@
         for instance in self.instances:
             await instance.job_store.find(job.id)
             self._tasks.append(asyncio.create_task(instance.runner.run()))
+            self._tasks.append(
+                asyncio.create_task(instance.contact.prober.run())
+            )
         self._tasks.append(asyncio.create_task(self._send_rows()))
 
     def stop(self) -> None:
