Write the results behind one that the store refuses

What callers saw: once the store had refused one result of a job for good (400, 422), those of its items that finished later were never listed.

Cause: ResultStore.append repeated a result refused alone for ever, unless that was for its size, and the job's writer began no other call before that one had ended.

A result refused alone is set aside and returned; the writer goes on with the others and writes it again after 5 s. Nothing is dropped, and nothing is listed as failed. Chunks grow again after a refusal, so that it leaves no row of small ones. A store that refuses all gets fewer calls than before: one round in 5 s.

--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -204,9 +204,9 @@
 
     async def store_results(
         self, entry: JobEntry, results: tuple[ItemResult, ...]
-    ) -> None:
+    ) -> tuple[ItemResult, ...]:
         """Append results to those in the store, as ``ResultStore``."""
-        await self._results.append(entry, results)
+        return await self._results.append(entry, results)
 
     def _apply_readable(self, stored: StoredObject) -> JobEntry | None:
         """Apply a job's object; return None if the job was deleted."""
--- a/gentiantrestle/gateway/batch/result_store.py
+++ b/gentiantrestle/gateway/batch/result_store.py
@@ -55,14 +55,18 @@
         self._entry = entry
         self._results = results
         self._max_size = max_size
+        self._limit = max_size
+        # Those that the store has refused one by one.
+        self.refused: tuple[ItemResult, ...] = ()
 
     @property
     def results(self) -> tuple[ItemResult, ...]:
-        """Those that the store doesn't hold."""
+        """Those that the store doesn't hold, and hasn't refused."""
         return tuple(
             result
             for result in self._results
             if not self._entry.has_result(result.id)
+            and result not in self.refused
         )
 
     def next_chunk(self) -> tuple[ItemResult, ...]:
@@ -81,7 +85,12 @@
         if isinstance(exc, ObjectTooLargeError) and chunk[0].completed:
             self._fail(chunk[0])
             return True
-        return False
+        self.refused += chunk
+        return True
+
+    def note_written(self) -> None:
+        """Let the next chunk be larger again than one that was refused."""
+        self._max_size = min(self._limit, self._max_size * 2)
 
     def log(self, exc: Exception) -> None:
         job_id = self._entry.job.id
@@ -138,13 +147,14 @@
         self,
         entry: JobEntry,
         results: tuple[ItemResult, ...],
-    ) -> None:
+    ) -> tuple[ItemResult, ...]:
         """Append results to those in the store, retrying until it succeeds.
 
         They are written in as few chunks as the store takes. One that is too
-        large by itself is stored as failed. If another instance has written
-        the next chunk first, that chunk is kept and results of the same items
-        are dropped.
+        large by itself is stored as failed. Returns those that the store
+        refuses for another reason. If another instance has written the next
+        chunk first, that chunk is kept and results of the same items are
+        dropped.
         """
         backoff = Backoff(self._rng)
         unwritten = _Unwritten(
@@ -153,10 +163,12 @@
         while unwritten.results:
             try:
                 await self._write_chunk(entry, unwritten.next_chunk())
+                unwritten.note_written()
             except (StoreUnavailableError, StoreOutcomeUnknownError) as exc:
                 unwritten.log(exc)
                 if not unwritten.adapt(exc):
                     await asyncio.sleep(backoff.next_pause())
+        return unwritten.refused
 
     async def _read_chunks(self, entry: JobEntry) -> None:
         while not entry.complete:
--- a/gentiantrestle/gateway/batch/result_writer.py
+++ b/gentiantrestle/gateway/batch/result_writer.py
@@ -10,6 +10,8 @@
 # Results that come within this time are written in one chunk.
 WRITE_DELAY = 0.4  # seconds
 STOP_TIMEOUT = 2.0  # seconds a planned stop leaves for the last writes
+# Results that the store has refused alone are written again after this.
+REFUSED_PAUSE = 5.0  # seconds
 
 
 class ResultWriter:
@@ -19,6 +21,8 @@
         """Write to ``job_store``."""
         self._job_store = job_store
         self._unwritten: dict[str, list[ItemResult]] = {}
+        # When to write a refused result again, by item.
+        self._refused_until: dict[str, float] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._stopping = False
 
@@ -58,19 +62,37 @@
             await self._job_store.mark_done(job_id)
 
     async def _flush(self, entry: JobEntry) -> None:
-        unwritten = self._unwritten[entry.job.id]
-        while unwritten:
+        job_id = entry.job.id
+        while self._unwritten[job_id]:
             if not self._stopping:
                 await asyncio.sleep(WRITE_DELAY)
-            results = tuple(unwritten)
-            if await self._try_store(entry, results):
-                del unwritten[: len(results)]  # noqa: WPS420 (more may follow)
+            due = self._due_results(self._unwritten[job_id])
+            if due:
+                written = await self._store(entry, due)
+                self._unwritten[job_id] = [
+                    result
+                    for result in self._unwritten[job_id]
+                    if result not in written
+                ]
+            elif self._stopping:
+                return
+
+    def _due_results(
+        self, unwritten: list[ItemResult]
+    ) -> tuple[ItemResult, ...]:
+        now = asyncio.get_running_loop().time()
+        return tuple(
+            result
+            for result in unwritten
+            if self._refused_until.get(result.id, now) <= now
+        )
 
-    async def _try_store(
+    async def _store(
         self, entry: JobEntry, results: tuple[ItemResult, ...]
-    ) -> bool:
+    ) -> set[ItemResult]:
+        """Store results; return those that needn't be written any more."""
         try:
-            await self._job_store.store_results(entry, results)
+            refused = await self._job_store.store_results(entry, results)
         except Exception as exc:  # noqa: BLE001 (logged; written again)
             events.emit(
                 events.BATCH_STEP_FAILED,
@@ -79,5 +101,11 @@
                 error=repr(exc),
             )
             await asyncio.sleep(WRITE_DELAY)
-            return False
-        return True
+            return set()
+        written = set(results).difference(refused)
+        for stored in written:
+            self._refused_until.pop(stored.id, None)
+        again_at = asyncio.get_running_loop().time() + REFUSED_PAUSE
+        for held_up in refused:
+            self._refused_until[held_up.id] = again_at
+        return written
