Tell other instances of each stream before a new version comes

Cause: with one version nobody but the instance itself remembered a stream, as its origin follows from the list of versions. When the list has two, it doesn't, and the instance that could tell has ended. Tests failed on: the take-up got RefusedError "It is not known which upstreams can continue this stream"; nothing was told with one version ([] for two datagrams to four instances); and the first coordinator wrote streams of one version to the store as soon as it was told of them. Fix: each stream is told to four instances of its zone at all times. What needs no record yet isn't written; the coordinator writes it as another version appears. test_streams_are_told_while_the_store_is_out_of_reach said that nothing is told while the store is reached and there is one version: that was the fault. Streams are told in both cases now, and the new tests check how often, to how many, and that the store gets nothing.

--- a/gentiantrestle/gateway/peering.py
+++ b/gentiantrestle/gateway/peering.py
@@ -143,7 +143,6 @@
         """Let calls tell where streams began."""
         self._peer_calls.tell_origins = streams.answer
         streams.peers.ask = self._peer_calls.ask_origins
-        streams.is_store_out = self._is_store_out
 
     def announce_cancelled_job(self, job: str) -> None:
         """List a job as cancelled by its client in the next datagrams."""
@@ -165,13 +164,6 @@
             self.cut_off(),
         )
 
-    def _is_store_out(self) -> bool:
-        """Return whether no instance of the zone reaches the store."""
-        now = self._clock.now()
-        near = self._peers.alive_in(self._identity.zone, now)
-        is_reached = any(peer.store_reached for peer in near)
-        return not (is_reached or self._is_connected())
-
     async def _update_role_on(self) -> None:
         while True:
             self.update_role()
--- a/gentiantrestle/gateway/streams/saving.py
+++ b/gentiantrestle/gateway/streams/saving.py
@@ -1,16 +1,22 @@
 """Keeps in the store what is needed if all instances end at once.
 
 Each zone's first coordinator writes one object with the streams that it was
-told of, and keeps the fleet's list of versions right. Two of them at once write
-nearly the same, under the object's revision.
+told of and whose version can't be told otherwise: those of a service that has
+had several lately, or of a split route. It keeps the fleet's list of versions
+right, too. Two of them at once write nearly the same, under the object's
+revision.
 """
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple
 
 from gentiantrestle import events
 from gentiantrestle.gateway.ports import ObjectStore, StoredObject
-from gentiantrestle.gateway.streams.origins import OriginLog
+from gentiantrestle.gateway.streams.origins import (
+    OriginLog,
+    StreamOrigin,
+)
 from gentiantrestle.gateway.streams.records import (
     DECODE_ERRORS,
     STREAM_KIND,
@@ -37,6 +43,13 @@
 FAILURE_PAUSE = 0.5  # seconds after a failed call
 
 
+class SavedState(NamedTuple):
+    """How many streams were known, and the services whose streams are saved."""
+
+    changes: int = 0
+    services: frozenset[str] = frozenset()
+
+
 class StreamSaver:
     """Writes the streams of a zone and the versions of all services."""
 
@@ -56,10 +69,12 @@
         self._now = now
         self._register = VersionRegister()
         self._written: dict[str, StoredObject] = {}
-        self._saved_changes = 0
+        self._saved = SavedState()
         self._looked_at = float('-inf')
         # Whether this instance is the one that saves for its zone.
         self.is_leading: Callable[[float], bool] = _is_never_leading
+        # Returns the services that share a route with others.
+        self.split_services: Callable[[], frozenset[str]] = frozenset
 
     async def run(self) -> None:
         """Save until cancelled."""
@@ -81,7 +96,7 @@
         Raises ``StoreUnavailableError`` and ``StoreOutcomeUnknownError``.
         """
         is_due = now - self._looked_at >= VERSIONS_INTERVAL
-        if not is_due and self._log.changes == self._saved_changes:
+        if not is_due and self._state(now) == self._saved:
             return
         if not self.is_leading(now):
             self._written.clear()
@@ -105,19 +120,32 @@
             events.emit(events.VERSIONS_LISTED, versions=len(wanted))
 
     async def _save_streams(self, now: float) -> None:
-        changes = self._log.changes
-        if changes == self._saved_changes:
+        state = self._state(now)
+        if state == self._saved:
             return
-        stored = self._written.get(self._zone_name)
-        if stored is None:
-            stored = await self._load(self._zone_name, origins_to_content(()))
-            self._merge(stored, now)
-        newest = newest_origins(
-            self._log.recent(now), self._store.max_content_size
-        )
-        content = origins_to_content(newest)
-        if await self._replace(stored, content):
-            self._saved_changes = changes
+        if self._needed(state, now):
+            stored = self._written.get(self._zone_name)
+            if stored is None:
+                default = origins_to_content(())
+                stored = await self._load(self._zone_name, default)
+                self._merge(stored, now)
+            newest = newest_origins(
+                self._needed(state, now), self._store.max_content_size
+            )
+            if not await self._replace(stored, origins_to_content(newest)):
+                return
+        self._saved = state
+
+    def _state(self, now: float) -> 'SavedState':
+        mixed = self._history.mixed(now)
+        return SavedState(self._log.changes, mixed | self.split_services())
+
+    def _needed(self, state: 'SavedState', now: float) -> list[StreamOrigin]:
+        return [
+            origin
+            for origin in self._log.recent(now)
+            if origin.service in state.services
+        ]
 
     def _merge(self, stored: StoredObject, now: float) -> None:
         """Take over streams that an earlier run, or another one, has saved."""
--- a/gentiantrestle/gateway/streams/service.py
+++ b/gentiantrestle/gateway/streams/service.py
@@ -1,7 +1,7 @@
 """Remembers where streams begin, and finds it out when they are taken up."""
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import suppress
 
 from gentiantrestle.gateway.fleet_context import FleetContext
@@ -45,8 +45,9 @@
 # Another instance may know of an upstream this much earlier.
 LIST_LAG = 0.8  # seconds
 LIST_POLL = 0.05  # seconds between two looks whether it is known here
-# The one that saves, and the one that takes over if it is silent.
-COORDINATORS_TOLD = 2
+# Instances of the zone that know each stream: the one that saves, the one that
+# takes over if it is silent, and others, as most of a zone may end at once.
+INSTANCES_TOLD = 4
 
 
 class StreamOrigins:
@@ -71,6 +72,7 @@
             fleet.identity.zone, adapter.store, self._told, self._history, now
         )
         self._saver.is_leading = self._is_leading
+        self._saver.split_services = self._split_services
         self._reader = StreamReader(adapter.store)
         self.peers = PeerOrigins(fleet.identity.zone, fleet.peers, now)
         self._resolver = OriginResolver(
@@ -81,9 +83,6 @@
         )
         # Tells another instance of streams.
         self.answer = self._resolver.answer
-        # Whether nobody in the zone reaches the store, as far as is known.
-        self.is_store_out: Callable[[], bool] = bool
-        self._was_store_out = False
         self._wake = asyncio.Event()
         fleet.port.on(BEGUN_STREAMS, self._receive)
 
@@ -108,12 +107,8 @@
         self._own.open(
             StreamOrigin(attempt_id, upstream.service, upstream.version)
         )
-        is_hard_to_tell = (
-            self.may_be_mixed(upstream.service) or len(route.shares) > 1
-        )
-        if is_hard_to_tell or self.is_store_out():
-            self._sharer.share(attempt_id, now)
-            self._wake.set()
+        self._sharer.share(attempt_id, now)
+        self._wake.set()
 
     def may_be_mixed(self, service: str) -> bool:
         """Return whether a service may have had several versions lately."""
@@ -155,23 +150,11 @@
             self.note_upstreams()
             now = self._now()
             self._own.expire(now)
-            self._share_before_outage(now)
             self._share(now)
             await asyncio.sleep(SHARE_INTERVAL)
             if not self._sharer.is_busy:
                 await self._wait_for_work()
 
-    def _share_before_outage(self, now: float) -> None:
-        """Tell of all streams as the store gets out of reach.
-
-        Nobody can confirm then at which version they can have begun.
-        """
-        is_out = self.is_store_out()
-        if is_out and not self._was_store_out:
-            known = {origin.service for origin in self._own.recent(now)}
-            self._sharer.share_services(known, now)
-        self._was_store_out = is_out
-
     async def _run_learning(self) -> None:
         """Learn of versions that had gone before this run, or its pause."""
         while True:
@@ -190,7 +173,7 @@
     def _share(self, now: float) -> None:
         zone = self._fleet.identity.zone
         ranked = self._directory.coordinators(zone, now)
-        hosts = [peer.host for peer in ranked[:COORDINATORS_TOLD]]
+        hosts = [peer.host for peer in ranked[:INSTANCES_TOLD]]
         self._sharer.tell(hosts, now)
         for batch in self._sharer.next_batches(now):
             message = ttypes.BegunStreams(
@@ -206,6 +189,15 @@
             )
             self._told.add(origin, now)
 
+    def _split_services(self) -> frozenset[str]:
+        """Return the services that share a resumable route with others."""
+        return frozenset(
+            share.service
+            for route in self._fleet.state.router.table.routes
+            if route.resumable and len(route.shares) > 1
+            for share in route.shares
+        )
+
     def _is_leading(self, now: float) -> bool:
         zone = self._fleet.identity.zone
         first = self._directory.coordinators(zone, now)[:1]
--- a/gentiantrestle/gateway/streams/sharing.py
+++ b/gentiantrestle/gateway/streams/sharing.py
@@ -1,7 +1,7 @@
-"""Tells the zone's coordinators of streams begun here; no I/O.
+"""Tells other instances of the zone of streams begun here; no I/O.
 
-Only streams whose version can't be told later are shared: those of a service
-that has had several versions lately, or of a route split over services.
+Of all streams: a version that is new the next moment leaves it open at which
+one a stream has begun, and its instance may be gone by then.
 """
 
 from collections.abc import Iterable, Iterator
@@ -29,7 +29,7 @@
 
 
 class OriginSharer:
-    """Chooses the streams that the coordinators are told of."""
+    """Chooses the streams that other instances are told of."""
 
     def __init__(self, log: OriginLog) -> None:
         """Share streams of ``log``, those that this instance began."""
--- a/gentiantrestle/gateway/streams/versions.py
+++ b/gentiantrestle/gateway/streams/versions.py
@@ -75,6 +75,14 @@
             return True
         return len(self.recent(now).get(service, NO_VERSIONS)) > 1
 
+    def mixed(self, now: float) -> frozenset[str]:
+        """Return the services that may have had several versions lately."""
+        return frozenset(
+            service
+            for service in self.recent(now)
+            if self.may_be_mixed(service, now)
+        )
+
     def is_complete(self, now: float) -> bool:
         """Return whether this run has looked for the whole ``RETENTION``."""
         return now >= self._complete_from
--- a/tests/gateway/test_stream_touch.py
+++ b/tests/gateway/test_stream_touch.py
@@ -1,6 +1,7 @@
 """Streams taken up at an instance that can't reach the store."""
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 from types import SimpleNamespace
 
@@ -16,6 +17,7 @@
 )
 from gentiantrestle.gateway.streams.origins import RETENTION, StreamOrigin
 from gentiantrestle.gateway.streams.service import LIST_LAG, StreamOrigins
+from gentiantrestle.gateway.streams.sharing import COPIES
 from gentiantrestle.gateway.streams.versions import Versions
 from gentiantrestle.wire.peer import ttypes
 from tests.gateway.memory import MemoryStore
@@ -182,30 +184,60 @@
     assert waited == pytest.approx(min(listed_after, LIST_LAG), abs=0.1)
 
 
-# Nobody could tell of them once their instance has ended.
-@pytest.mark.parametrize('is_out', [True, False])
-def test_streams_are_told_while_the_store_is_out_of_reach(
-    *, is_out: bool
-) -> None:
-    async def tell() -> list[str]:
-        fleet, told = _make_fleet(), []
-        host = Peer('x', 1, 1, '10.0.1.1', ZONE, False, 3, True, virtual_now())
-        fleet.port.send = lambda hosts, kind, message: told.extend(
-            message.attempts
+def test_stream_of_an_ended_instance_goes_on_though_a_new_version_came() -> (
+    None
+):
+    assert run_virtual(_take_up_after_release()) == OLD
+
+
+async def _take_up_after_release() -> str:
+    """Take a stream up that began while its service had one version.
+
+    It is taken up at an instance that was told of it.
+    """
+    store = MemoryStore()
+    await list_upstream(store, OLD)
+    handlers: dict[str, Callable[[object], None]] = {}
+    ended, survivor = _make_fleet(), _make_fleet()
+    ended.port.send = lambda hosts, kind, message: handlers[kind](message)
+    survivor.port.on = handlers.setdefault
+    rows = (
+        ('x', 1, 1, f'10.0.1.{host}', ZONE, False, 3, True) for host in range(9)
+    )
+    ranked = tuple(Peer(*row, virtual_now()) for row in rows)
+    directory = SimpleNamespace(coordinators=lambda zone, now: ranked)
+    first = StreamOrigins(ended, directory, make_adapter(store))
+    second = StreamOrigins(survivor, directory, make_adapter(store))
+    await asyncio.gather(_watch(first), _watch(second))
+    first.begin(make_request('r0'), make_route(), UPSTREAM)
+    await _share_for(first, SHARED_TIME)
+    await list_upstream(store, NEW)
+    survivor.state.roster.put(make_upstream('u2', version=NEW))
+    req = make_request('r1', last_event=7)._replace(
+        resumes='r0', deadline=virtual_now() + LEFT
+    )
+    return (await second.find(req, make_route())).version
+
+
+def test_streams_of_one_version_are_told_to_four_instances() -> None:
+    told: list[tuple[int, list[str]]] = []
+
+    async def tell() -> None:
+        fleet = _make_fleet()
+        fleet.port.send = lambda hosts, kind, message: told.append(
+            (len(hosts), message.attempts)
+        )
+        row = ('x', 1, 1, '10.0.1.1', ZONE, False, 3, True, virtual_now())
+        directory = SimpleNamespace(
+            coordinators=lambda zone, now: (Peer(*row),) * 9
         )
-        directory = SimpleNamespace(coordinators=lambda zone, now: (host,))
         origins = StreamOrigins(fleet, directory, make_adapter(MemoryStore()))
-        origins.peers.ask = Other().answer
         await _watch(origins)
-        for name, out in (('before', False), ('after', is_out)):
-            origins.is_store_out = lambda out=out: out
-            origins.begin(make_request(name), make_route(), UPSTREAM)
-            sharing = asyncio.create_task(_share_for(origins, SHARED_TIME))
-            await sharing
-        return sorted(set(told))
-
-    expected = ['after', 'before'] if is_out else []
-    assert run_virtual(tell()) == expected
+        origins.begin(make_request('r0'), make_route(), UPSTREAM)
+        await _share_for(origins, SHARED_TIME)
+
+    run_virtual(tell())
+    assert told == [(4, ['r0'])] * COPIES
 
 
 def test_silent_instances_hold_no_take_up_for_long() -> None:
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -127,6 +127,37 @@
     assert await after.resolve('first') == ('first', ENGINES, 'v1')
 
 
+async def test_streams_of_one_version_are_saved_once_another_one_comes(
+    store: MemoryStore, clock: Time
+) -> None:
+    before = Instance(store, clock)
+    before.history.adopt({}, clock.now())
+    before.log.add(StreamOrigin('first', ENGINES, 'v1'), clock.now())
+    await before.see(OLD)
+    assert set(store.kinds[STREAM_KIND]) == {VERSIONS_NAME}
+    await before.see(OLD, NEW)
+    after = Instance(store, clock)
+    after.history.note((NEW,), clock.now())
+
+    assert await after.resolve('first') == ('first', ENGINES, 'v1')
+
+
+async def test_streams_of_a_split_route_are_saved_at_one_version(
+    store: MemoryStore, clock: Time
+) -> None:
+    before = Instance(store, clock)
+    before.history.adopt({}, clock.now())
+    before.saver.split_services = lambda: frozenset((ENGINES, 'others'))
+    before.log.add(StreamOrigin('first', ENGINES, 'v1'), clock.now())
+    await before.see(OLD)
+
+    assert await Instance(store, clock).resolve('first', SPLIT) == (
+        'first',
+        ENGINES,
+        'v1',
+    )
+
+
 async def test_unknown_streams_of_a_mixed_service_are_not_joined(
     store: MemoryStore, clock: Time
 ) -> None:
