Compare take-ups of unknown origin with their own version

The margins command put streams whose origin nobody knew into a version of their own, so a window in which 62 of 69 take-ups were refused was split in two. They count with the version of their first placement.

--- a/gentiantrestle/margins/streams.py
+++ b/gentiantrestle/margins/streams.py
@@ -25,7 +25,6 @@
     known: bool
     placed: bool
     outcome: str
-    route: str
 
 
 class Window(NamedTuple):
@@ -60,7 +59,11 @@
 def measure_take_ups(
     records: Sequence[Record], bounds: Bounds
 ) -> Iterator[Margin]:
-    """Compare take-ups with new streams, by window, service and version."""
+    """Compare take-ups with new streams, by window, route and version.
+
+    A take-up of unknown origin counts with the version at which its stream
+    was placed, if the logs tell.
+    """
     windows = list(compare(records))
     compared = [
         window
@@ -89,13 +92,9 @@
     grouped: dict[WindowKey, list[TakeUp]] = defaultdict(list)
     for take_up in _find_take_ups(records):
         grouped[take_up.key].append(take_up)
-    routes = {
-        key[1]: next((entry.route for entry in entries if entry.route), '')
-        for key, entries in grouped.items()
-    }
-    begun = _count_begun(records, frozenset(routes.values()))
+    begun = _count_begun(records, frozenset(key[1] for key in grouped))
     for key, entries in grouped.items():
-        counts = begun[key[0], routes[key[1]]]
+        counts = begun[key[0], key[1]]
         yield Window(
             key,
             len(entries),
@@ -108,19 +107,28 @@
 
 def _find_take_ups(records: Iterable[Record]) -> Iterator[TakeUp]:
     by_request: dict[str, list[Record]] = defaultdict(list)
+    versions: dict[str, str] = {}
     for entry in records:
         by_request[entry.field('request')].append(entry)
+        if entry.is_a(events.REQUEST_PLACED):
+            versions.setdefault(entry.field('request'), entry.field('version'))
     for sequence in by_request.values():
-        starts = [
-            position
-            for position, rec in enumerate(sequence)
-            if rec.is_a(events.STREAM_TAKEN_UP)
-        ]
-        for start, end in pairwise((*starts, len(sequence))):
-            yield _take_up(sequence[start:end])
+        for part in _split(sequence):
+            yield _take_up(part, versions)
+
+
+def _split(sequence: list[Record]) -> Iterator[list[Record]]:
+    """Return the events of each take-up of one request."""
+    starts = [
+        position
+        for position, rec in enumerate(sequence)
+        if rec.is_a(events.STREAM_TAKEN_UP)
+    ]
+    for start, end in pairwise((*starts, len(sequence))):
+        yield sequence[start:end]
 
 
-def _take_up(sequence: Sequence[Record]) -> TakeUp:
+def _take_up(sequence: Sequence[Record], versions: dict[str, str]) -> TakeUp:
     began = sequence[0]
     ended = next(
         (rec for rec in sequence if rec.is_a(events.REQUEST_ENDED)), None
@@ -128,8 +136,8 @@
     return TakeUp(
         (
             began.at // WINDOW * WINDOW,
-            began.field('service'),
-            began.field('version'),
+            ended.field('route') if ended else '',
+            began.field('version') or versions.get(began.field('attempt'), ''),
         ),
         bool(began.fields['known']),
         any(
@@ -138,7 +146,6 @@
             if ended is None or rec.at <= ended.at
         ),
         ended.field('outcome') if ended else 'run ended',
-        ended.field('route') if ended else '',
     )
 
 
