Keep a result that the store refuses for its size and then as a failure

An item whose result was refused twice was neither listed nor unwritten, and a store that refused all results was called without a pause. Cause: what is refused was compared by value, though a result refused for its size is replaced; after a lone refusal the next write followed at once. Evidence: two tests of test_refused_results.py fail on the code before: unwritten was empty, and 100 results made over 150 calls in 30 s. Fix: results are compared by item, and a lone refusal is followed by the pause of other failures, which starts over with each result that is written.

--- a/gentiantrestle/gateway/batch/result_store.py
+++ b/gentiantrestle/gateway/batch/result_store.py
@@ -57,7 +57,8 @@
         self._max_size = max_size
         self._limit = max_size
         # Those that the store has refused one by one.
-        self.refused: tuple[ItemResult, ...] = ()
+        self.refused: list[ItemResult] = []
+        self._refused_ids: set[str] = set()
 
     @property
     def results(self) -> tuple[ItemResult, ...]:
@@ -66,14 +67,14 @@
             result
             for result in self._results
             if not self._entry.has_result(result.id)
-            and result not in self.refused
+            and result.id not in self._refused_ids
         )
 
     def next_chunk(self) -> tuple[ItemResult, ...]:
         return first_chunk(self.results, self._max_size)
 
     def adapt(self, exc: Exception) -> bool:
-        """Return whether the next chunk is another one than was refused."""
+        """Return whether the next chunk may be written at once."""
         if not isinstance(exc, StoreRejectedError):
             return False
         chunk = self.next_chunk()
@@ -85,8 +86,9 @@
         if isinstance(exc, ObjectTooLargeError) and chunk[0].completed:
             self._fail(chunk[0])
             return True
-        self.refused += chunk
-        return True
+        self.refused.extend(chunk)
+        self._refused_ids.add(chunk[0].id)
+        return False
 
     def note_written(self) -> None:
         """Let the next chunk be larger again than one that was refused."""
@@ -164,11 +166,12 @@
             try:
                 await self._write_chunk(entry, unwritten.next_chunk())
                 unwritten.note_written()
+                backoff.reset()
             except (StoreUnavailableError, StoreOutcomeUnknownError) as exc:
                 unwritten.log(exc)
                 if not unwritten.adapt(exc):
                     await asyncio.sleep(backoff.next_pause())
-        return unwritten.refused
+        return tuple(unwritten.refused)
 
     async def _read_chunks(self, entry: JobEntry) -> None:
         while not entry.complete:
--- a/gentiantrestle/gateway/batch/result_writer.py
+++ b/gentiantrestle/gateway/batch/result_writer.py
@@ -72,7 +72,7 @@
                 self._unwritten[job_id] = [
                     result
                     for result in self._unwritten[job_id]
-                    if result not in written
+                    if result.id not in written
                 ]
             elif self._stopping:
                 return
@@ -89,8 +89,8 @@
 
     async def _store(
         self, entry: JobEntry, results: tuple[ItemResult, ...]
-    ) -> set[ItemResult]:
-        """Store results; return those that needn't be written any more."""
+    ) -> set[str]:
+        """Store results; return the items that needn't be written any more."""
         try:
             refused = await self._job_store.store_results(entry, results)
         except Exception as exc:  # noqa: BLE001 (logged; written again)
@@ -102,9 +102,10 @@
             )
             await asyncio.sleep(WRITE_DELAY)
             return set()
-        written = set(results).difference(refused)
-        for stored in written:
-            self._refused_until.pop(stored.id, None)
+        written = {result.id for result in results}
+        written.difference_update(held_up.id for held_up in refused)
+        for item_id in written:
+            self._refused_until.pop(item_id, None)
         again_at = asyncio.get_running_loop().time() + REFUSED_PAUSE
         for held_up in refused:
             self._refused_until[held_up.id] = again_at
--- a/tests/gateway/test_refused_results.py
+++ b/tests/gateway/test_refused_results.py
@@ -10,7 +10,10 @@
 from gentiantrestle.gateway.batch.records import RESULT_KIND
 from gentiantrestle.gateway.batch.result_writer import ResultWriter
 from gentiantrestle.gateway.model import ItemResult
-from gentiantrestle.store.client import StoreRejectedError
+from gentiantrestle.store.client import (
+    ObjectTooLargeError,
+    StoreRejectedError,
+)
 from tests.gateway.memory import MemoryStore
 from tests.gateway.samples import make_job
 from tests.utils.virtual_time import run_virtual, virtual_now
@@ -19,6 +22,10 @@
 LATE = 2  # items that finish after the refusals
 PLAY_TIME = 20.0  # seconds
 MAX_CALLS = 60  # in that time
+OUTPUT = 'large'
+MANY = 100  # items
+REFUSALS_TIME = 30  # seconds
+MAX_CALLS_A_SECOND = 5
 
 
 class _PickyStore(MemoryStore):
@@ -72,3 +79,40 @@
     held_up = frozenset(f'job1-{number}' for number in refused)
     listed = run_virtual(_play(held_up, 5))
     assert sorted(listed) == sorted(names - held_up)
+
+
+class _RefusingStore(MemoryStore):
+    """Refuses each result, one with output for its size."""
+
+    async def create(self, kind: str, name: str, content: object) -> bool:
+        """Create an object, or refuse it."""
+        if kind != RESULT_KIND:
+            return await super().create(kind, name, content)
+        self.calls.append('refused')
+        if OUTPUT in repr(content):
+            raise ObjectTooLargeError('status 413')
+        raise StoreRejectedError('status 422')
+
+
+async def _write_refused(count: int) -> tuple[set[str], int]:
+    store = _RefusingStore()
+    job_store = JobStore(store, JobIndex(), random.Random(1), virtual_now)
+    await job_store.accept(make_job(count=count))
+    writer = ResultWriter(job_store)
+    for number in range(count):
+        result = ItemResult(f'job1-{number}', True, OUTPUT)
+        writer.add(job_store.index.entries['job1'], result)
+    await asyncio.sleep(REFUSALS_TIME)
+    return writer.unwritten_ids(), len(store.calls)
+
+
+def test_result_refused_for_its_size_and_then_as_a_failure_is_not_lost() -> (
+    None
+):
+    unwritten, _ = run_virtual(_write_refused(1))
+    assert unwritten == {'job1-0'}
+
+
+def test_store_that_refuses_all_results_is_not_called_without_a_pause() -> None:
+    _, calls = run_virtual(_write_refused(MANY))
+    assert calls < REFUSALS_TIME * MAX_CALLS_A_SECOND
