Count a trial of blamed requests as run once it was sent

A request that hangs its upstream, or ends it late, was tried each 4 s in place of each 60 s or more: 7 trials in 30 s by a script, each at an upstream that serves others. Cause: a trial counted as run only once its answer began or its connection failed. Evidence: test_trial_that_an_upstream_is_working_on_is_not_made_again; the code before had no way to take a trial back, and sent the next one beside it. Fix: it counts once the request was sent, and is taken back if the upstream says that it has not run it, or nothing was sent. The same in the daemon.

--- a/gentiantrestle/daemon/online/attempt.py
+++ b/gentiantrestle/daemon/online/attempt.py
@@ -121,6 +121,7 @@
             content_type=self._request.content_type,
         )
         self._check_quarantine()
+        self._watch.note_run()
         try:
             async with asyncio.timeout(self._ctx.cfg.answer_timeout):
                 answer = await self.upstream.pool.send(
@@ -220,6 +221,7 @@
         finally:
             self.upstream.pool.release(answer)
         if incarnation is not None:
+            self._watch.note_run(was_run=False)
             return UpstreamLeavingError(incarnation)
         text = body[:MAX_ERROR_BODY].decode(errors='replace')
         return self._record_failure(
@@ -256,8 +258,8 @@
     def _record_failure(
         self, stage: Stage, kind: ErrorKind, error: object
     ) -> AttemptError:
-        if stage is not Stage.NOT_SENT:
-            self._watch.note_run()
+        if stage is Stage.NOT_SENT:
+            self._watch.note_run(was_run=False)
         now = self._ctx.now()
         name = self.upstream.name
         self.upstream.health.record_failure(
--- a/gentiantrestle/gateway/upstream_connection.py
+++ b/gentiantrestle/gateway/upstream_connection.py
@@ -128,12 +128,13 @@
             await self._link.send(
                 head, h11.Data(data=req.body), h11.EndOfMessage()
             )
+            self._watch.note_run()
             reply = await self._read_head(req.method)
         except (LinkLostError, h11.ProtocolError) as exc:
             self._watch.note_run()
             raise ResponseLostError(repr(exc)) from exc
-        if not reply.not_run:
-            self._watch.note_run()
+        if reply.not_run:
+            self._watch.note_run(was_run=False)
         if not _answers(reply, req):
             raise ResponseLostError('not a genuine response to this request')
         return reply
--- a/gentiantrestle/quarantine/guard.py
+++ b/gentiantrestle/quarantine/guard.py
@@ -36,7 +36,8 @@
 class Trial(NamedTuple):
     """The last trial of a culprit: its wall-clock time in s.
 
-    ``was_run`` is unknown until the upstream shows that it took the request.
+    ``was_run`` is set once the request was sent, unless the upstream says that
+    it has not run it.
     """
 
     at: float
@@ -94,11 +95,11 @@
             raise QuarantinedError(describe(culprit))
         return culprit.traits
 
-    def note_run(self, tried: Traits) -> None:
-        """Note that an upstream took the request that tries a culprit again."""
+    def note_run(self, tried: Traits, *, was_run: bool = True) -> None:
+        """Note whether an upstream runs the request that tries a culprit."""
         trial = self._trials.get(tried)
         if trial is not None:
-            self._trials[tried] = trial._replace(was_run=True)
+            self._trials[tried] = trial._replace(was_run=was_run)
 
     def find_refused(
         self, traits: Iterable[str], wall: float, *, owed: bool = False
--- a/gentiantrestle/quarantine/watch.py
+++ b/gentiantrestle/quarantine/watch.py
@@ -54,10 +54,10 @@
                 self._traits, self._clock.wall(), owed=self._owed
             )
 
-    def note_run(self) -> None:
-        """Note that the upstream has run the request, or may have."""
+    def note_run(self, *, was_run: bool = True) -> None:
+        """Note whether the upstream runs the request, or may do so."""
         if self._tried is not None:
-            self._guard.note_run(self._tried)
+            self._guard.note_run(self._tried, was_run=was_run)
 
     def note_event(self) -> None:
         """Note that an event, or the head of a plain answer, has arrived."""
--- a/tests/gateway/test_trial_not_run.py
+++ b/tests/gateway/test_trial_not_run.py
@@ -56,3 +56,19 @@
     clock.time = EARLY_INTERVAL + TRIAL_INTERVAL - 1
     with pytest.raises(QuarantinedError):
         RequestWatch(guard, (CLASS,), clock).check()
+
+
+def test_trial_that_an_upstream_is_working_on_is_not_made_again() -> None:
+    guard = make_guard(elected=True)
+    end_upstreams(guard, MIN_CRASHES)
+    refuse_each(guard, MANY)
+    clock = ManualClock()
+    clock.time = EARLY_INTERVAL
+    watch = RequestWatch(guard, (CLASS,), clock)
+    watch.check()
+    watch.note_run()
+    clock.time = EARLY_INTERVAL + TRIAL_INTERVAL - 1
+    with pytest.raises(QuarantinedError):
+        RequestWatch(guard, (CLASS,), clock).check()
+    watch.note_run(was_run=False)
+    RequestWatch(guard, (CLASS,), clock).check()
