End an instance for its failed child though its stop fails, too

If the stop before the end raised, the process ended by that error and not with status 8. Cause: an error of before_end replaced RestartLimitError. Evidence: test_stop_that_fails_leaves_the_reason_of_the_end_as_it_is fails on the code before (the group held OSError). Fix: the error is logged (1004, child stop), and the end goes on.

--- a/gentiantrestle/supervisor.py
+++ b/gentiantrestle/supervisor.py
@@ -92,11 +92,17 @@
         delay = policy.next_delay(self._now())
         if delay is None:
             events.emit(events.CHILD_ABANDONED, child=child.name)
-            await self.before_end()
+            await self._prepare_end()
             raise RestartLimitError(child.name) from exc
         events.emit(events.CHILD_RESTARTED, child=child.name, delay=delay)
         await asyncio.sleep(delay)
 
+    async def _prepare_end(self) -> None:
+        try:
+            await self.before_end()
+        except Exception as exc:  # noqa: BLE001 (logged; the end follows)
+            events.emit(events.CHILD_FAILED, child='stop', error=repr(exc))
+
 
 async def _end_at_once() -> None:
     """Do nothing; the default of children that owe nobody an answer."""
--- a/tests/decisions/test_supervisor.py
+++ b/tests/decisions/test_supervisor.py
@@ -117,3 +117,19 @@
     with pytest.raises(ExceptionGroup):
         await tree.run()
     assert graces == [cfg.grace]
+
+
+async def test_stop_that_fails_leaves_the_reason_of_the_end_as_it_is() -> None:
+    async def fail() -> None:
+        raise ValueError('always')
+
+    async def fail_to_stop() -> None:
+        raise OSError('no announcement')
+
+    times = iter(range(100))
+    supervisor = Supervisor((Child('bad', fail),), lambda: next(times))
+    supervisor.before_end = fail_to_stop
+    with pytest.raises(ExceptionGroup) as caught:
+        await supervisor.run()
+    assert caught.group_contains(RestartLimitError)
+    assert not caught.group_contains(OSError)
