Log how a caller's connection ended before its request did

The field disconnect now tells: EOF, a reset, or a time-out. No decision depends on it.

test_way_in_which_a_caller_left_is_known reads it over real sockets; before, there was nothing to read (AttributeError).

--- a/gentiantrestle/gateway/exchange.py
+++ b/gentiantrestle/gateway/exchange.py
@@ -84,6 +84,13 @@
         """Whether the caller has left."""
         return self._link.disconnected
 
+    @property
+    def disconnect_reason(self) -> str:
+        """What shows that the caller has left: its EOF, or an error."""
+        if self._link.eof_seen:
+            return 'EOF'
+        return self._link.lost_reason
+
     @property
     def can_reuse(self) -> bool:
         """Whether the connection can serve another request after this one."""
--- a/gentiantrestle/gateway/request_handler.py
+++ b/gentiantrestle/gateway/request_handler.py
@@ -127,7 +127,7 @@
             raise
         finally:
             unanswered = 'left' if exchange.disconnected else 'failed'
-            self._record(req, route, outcome or unanswered, started)
+            self._record(req, route, outcome or unanswered, started, exchange)
 
     async def _run_job_operation(
         self, operation: JobOperation, caller: JobCaller
@@ -238,6 +238,7 @@
         route: Route | None,
         outcome: str,
         started: float,
+        exchange: Exchange | None = None,
     ) -> None:
         seconds = self._clock.now() - started
         name = route.name if route else ''
@@ -249,6 +250,7 @@
             version=self._router.table.version,
             outcome=outcome,
             took_ms=round(seconds * 1000),
+            disconnect=exchange.disconnect_reason if exchange else '',
         )
 
 
--- a/gentiantrestle/http/link.py
+++ b/gentiantrestle/http/link.py
@@ -87,6 +87,8 @@
         # Whether bytes arrived while some of ours were not sent yet.
         self.read_while_writing = False
         self.lost = False
+        # Why the kernel closed the connection; empty if the peer ended it.
+        self.lost_reason = ''
         # The most bytes of a head, a chunk's line or trailers; may change.
         self.head_limit = header_limit
         # Unread bytes above which reading is paused.
@@ -129,6 +131,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake readers and writers: nothing more will arrive."""
         self.lost = True
+        self.lost_reason = repr(exc) if exc else ''
         self._arrived.set()
         self._writable.set()
         self._cancel_task()
--- a/tests/gateway/caller_world.py
+++ b/tests/gateway/caller_world.py
@@ -56,7 +56,11 @@
 def make_exchange(head: h11.Request, admitted: Any = None) -> Any:
     """Return a stand-in for an exchange."""
     return SimpleNamespace(
-        head=head, body=b'late', admitted=admitted, disconnected=False
+        head=head,
+        body=b'late',
+        admitted=admitted,
+        disconnected=False,
+        disconnect_reason='',
     )
 
 
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 import time
 from collections.abc import AsyncIterator
 from contextlib import suppress
@@ -15,6 +16,7 @@
 from gentiantrestle.gateway.model import CallerLimits
 from gentiantrestle.http.link import HeaderPairs, LinkLostError
 from gentiantrestle.models import Address
+from tests.utils.http import until
 from tests.utils.ports import HOST, free_ports
 
 IDLE_TIMEOUT = 0.3  # seconds
@@ -314,3 +316,27 @@
     answer = await _read(sock)
     assert answer.startswith(b'HTTP/1.1 502')
     assert answer.endswith(b'refused') == (method != 'HEAD')
+
+
+@pytest.mark.parametrize(
+    ('reset', 'reason'), [(False, 'EOF'), (True, 'ConnectionResetError')]
+)
+async def test_way_in_which_a_caller_left_is_known(
+    app: App, reset: bool, reason: str
+) -> None:
+    exchanges: list[Exchange] = []
+
+    async def wait(exchange: Exchange) -> None:
+        exchanges.append(exchange)
+        await asyncio.sleep(LATE_TIME)
+
+    app.handle = wait
+    sock = await app.connect()
+    sock.send(REQUEST)
+    await until(lambda: exchanges)
+    if reset:
+        linger = struct.pack('ii', 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    sock.close()
+    await until(lambda: exchanges[0].disconnected)
+    assert exchanges[0].disconnect_reason.startswith(reason)
