Read all jobs in turn before one is refused for its quota

A job that fitted was refused with 429 on each try, or with 503 for one unreadable result of another. Cause: each submission read the oldest open jobs again and had no time for the rest; a read that failed ended the check. Evidence: test_job_that_fits_is_not_refused_for_ever_behind_open_or_odd_ones; both cases failed before, after 5 tries. The clock of the tests' world stood still, so that no job was read twice: it is a parameter now, and runs in these tests. No more reads at a time than before.

--- a/gentiantrestle/gateway/batch/quota_check.py
+++ b/gentiantrestle/gateway/batch/quota_check.py
@@ -1,15 +1,18 @@
 """Refuses jobs that exceed the token quota of their route."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import suppress
+from itertools import count
 
+from gentiantrestle import events
 from gentiantrestle.errors import OVERLOADED, refuse
 from gentiantrestle.gateway.batch.context import BatchContext
 from gentiantrestle.gateway.batch.job_index import JobEntry
 from gentiantrestle.gateway.batch.result_reader import ResultReader
 from gentiantrestle.gateway.batch.store_refusals import refusing_unavailable
 from gentiantrestle.gateway.model import Job, Route
+from gentiantrestle.store.client import StoreUnavailableError
 
 # Up to this share of a quota only the jobs known here are counted: those not
 # known yet can't use up the rest.
@@ -30,6 +33,9 @@
         self._router = context.router
         self._reader = reader
         self._reading = asyncio.Lock()
+        # When open jobs were last read, by order of the reads.
+        self._turns: dict[str, int] = {}
+        self._numbers = count()
 
     async def check(self, job: Job, route: Route) -> None:
         """Refuse a job that exceeds its quota with ``OVERLOADED``.
@@ -57,13 +63,35 @@
             )
 
     async def _read_until_it_fits(self, job: Job, route: Route) -> None:
-        """Read results of the jobs that count, the oldest first."""
+        """Read results of the jobs that count, least recently read first."""
         async with self._reading:
-            waiting = list(self._counted(job, self._route_now(job, route)))
+            waiting = self._by_turn(
+                self._counted(job, self._route_now(job, route))
+            )
             while waiting and not self._fits_now(job, route):
                 first = waiting[:PARALLEL_READS]
                 waiting = waiting[PARALLEL_READS:]
-                await asyncio.gather(*map(self._reader.refresh, first))
+                await asyncio.gather(*map(self._read, first))
+
+    async def _read(self, entry: JobEntry) -> None:
+        """Read results; a job that can't be read counts as it is known."""
+        job_id = entry.job.id
+        self._turns[job_id] = next(self._numbers)
+        try:
+            await self._reader.refresh(entry)
+        except StoreUnavailableError as exc:
+            events.emit(events.STORE_CALL_FAILED, name=job_id, error=repr(exc))
+
+    def _by_turn(self, counted: Iterable[JobEntry]) -> list[JobEntry]:
+        entries = self._index.entries
+        self._turns = {
+            job_id: turn
+            for job_id, turn in self._turns.items()
+            if job_id in entries and entries[job_id].open
+        }
+        return sorted(
+            counted, key=lambda entry: self._turns.get(entry.job.id, -1)
+        )
 
     def _fits_now(self, job: Job, route: Route) -> bool:
         """Return whether a job fits the quota that is in force by now."""
--- a/tests/gateway/test_account_jobs.py
+++ b/tests/gateway/test_account_jobs.py
@@ -1,6 +1,7 @@
 """Batch jobs of client accounts: whose they are, and what each may have."""
 
 import random
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -54,16 +55,17 @@
     """The job calls of an instance, and what it knows of jobs."""
 
     def __init__(
-        self, store: MemoryStore, table: RoutingTable | None = None
+        self,
+        store: MemoryStore,
+        table: RoutingTable | None = None,
+        now: Callable[[], float] = float,
     ) -> None:
         """Share ``store`` with other instances."""
         self.router = Router()
         default = make_table(make_batch_route(max_tokens=LIMIT))
         self.router.apply(table or default._replace(accounts=BOOK))
         self.index = JobIndex()
-        self.job_store = JobStore(
-            store, self.index, random.Random(1), lambda: 0
-        )
+        self.job_store = JobStore(store, self.index, random.Random(1), now)
 
         async def refresh(entry: Any) -> None:
             await self.job_store.refresh(entry)
--- a/tests/gateway/test_quota_reads.py
+++ b/tests/gateway/test_quota_reads.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import random
+from contextlib import suppress
 
 import pytest
 
 from gentiantrestle.errors import OVERLOADED, RefusedError
 from gentiantrestle.gateway.batch.job_index import JobIndex
 from gentiantrestle.gateway.batch.job_store import JobStore
-from gentiantrestle.gateway.batch.records import RESULT_KIND
+from gentiantrestle.gateway.batch.records import RESULT_KIND, chunk_name
 from gentiantrestle.gateway.model import ItemResult
 from gentiantrestle.gateway.ports import StoredObject
 from tests.gateway.memory import MemoryStore
@@ -19,6 +20,7 @@
 JOBS = 200
 JOB_TOKENS = 20
 READ_TIME = 0.25  # seconds, of a slow store
+MAX_TRIES = 5
 LATENCY_TARGET = 1.5  # seconds until a submission is answered
 
 
@@ -34,7 +36,7 @@
 async def _fill_quota(store: MemoryStore) -> Instance:
     """Submit as many jobs as the quota allows."""
     route = make_batch_route(max_tokens=JOBS * JOB_TOKENS)
-    instance = Instance(store, make_table(route))
+    instance = Instance(store, make_table(route), virtual_now)
     for number in range(JOBS):
         await instance.submit(None, f'job{number}')
     return instance
@@ -79,3 +81,28 @@
         return virtual_now() - began
 
     assert run_virtual(main()) < LATENCY_TARGET
+
+
+async def _submit_until_accepted(*, odd_first: bool) -> int:
+    """Return how often a job is submitted; the younger half has finished."""
+    store = _SlowStore()
+    instance = await _fill_quota(store)
+    for number in range(JOBS // 2, JOBS):
+        await _finish_elsewhere(store, f'job{number}')
+    if odd_first:
+        odd = StoredObject(chunk_name('job0', 0), 0, {'odd': 1})
+        store.write(RESULT_KIND, odd)
+    for tries in range(MAX_TRIES):
+        await asyncio.sleep(1)
+        with suppress(RefusedError):
+            await instance.submit(None, 'more')
+            return tries + 1
+    raise TimeoutError
+
+
+@pytest.mark.parametrize('odd_first', [False, True])
+def test_job_that_fits_is_not_refused_for_ever_behind_open_or_odd_ones(
+    odd_first: bool,
+) -> None:
+    tries = run_virtual(_submit_until_accepted(odd_first=odd_first))
+    assert tries <= MAX_TRIES
