Count the time of a read of results from its arrival

A page of a job that the instance didn't know came 0.1 s after its caller had left. Cause: the bound began after the job itself had been read. Evidence: test_read_of_an_unknown_job_is_answered_before_its_caller_leaves, 1.6 s before (bound 1.5). Fix: the time counts from the arrival of the call.

--- a/gentiantrestle/gateway/batch/api.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -111,8 +111,9 @@
 
         Waits up to ``operation.wait`` s if there is none yet.
         """
+        deadline = asyncio.get_running_loop().time() + operation.wait
         entry = await self._find(operation.job, caller)
-        await self._await_results(entry, operation)
+        await self._await_results(entry, operation, deadline)
         page = []
         size = 0
         for result in entry.results[operation.after :]:
@@ -210,11 +211,10 @@
         return entry is not None and may_use(caller, entry.job, self._router)
 
     async def _await_results(
-        self, entry: JobEntry, operation: ReadResults
+        self, entry: JobEntry, operation: ReadResults, deadline: float
     ) -> None:
-        """Wait for a result after the position, up to ``operation.wait`` s."""
+        """Wait for a result after the position, until ``deadline``."""
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + operation.wait
         while len(entry.results) <= operation.after and not entry.complete:
             await self._refresh(entry, operation.after, deadline + PATIENCE)
             if len(entry.results) > operation.after or loop.time() >= deadline:
--- a/tests/gateway/test_partial_results.py
+++ b/tests/gateway/test_partial_results.py
@@ -11,7 +11,11 @@
 from gentiantrestle.gateway.batch.api import JobApi
 from gentiantrestle.gateway.batch.job_index import JobIndex
 from gentiantrestle.gateway.batch.job_store import JobStore
-from gentiantrestle.gateway.batch.records import RESULT_KIND, chunk_name
+from gentiantrestle.gateway.batch.records import (
+    JOB_KIND,
+    RESULT_KIND,
+    chunk_name,
+)
 from gentiantrestle.gateway.model import ItemResult
 from gentiantrestle.gateway.ports import ReadResults, StoredObject
 from gentiantrestle.platform.dialect import PlatformDialect
@@ -32,10 +36,11 @@
         super().__init__()
         self.read_time = read_time
         self.missing = missing
+        self.is_all_slow = False
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Read one object."""
-        if kind == RESULT_KIND:
+        if kind == RESULT_KIND or (kind == JOB_KIND and self.is_all_slow):
             await asyncio.sleep(self.read_time)
         if name == self.missing:
             raise StoreUnavailableError('no answer')
@@ -95,3 +100,11 @@
     with pytest.raises(RefusedError) as caught:
         run_virtual(_read(_Store(0, chunk_name('job1', 3)), 3))
     assert caught.value.refusal.kind.status == UNSURE
+
+
+def test_read_of_an_unknown_job_is_answered_before_its_caller_leaves() -> None:
+    store = _Store(0.3)
+    store.is_all_slow = True
+    count, took = run_virtual(_read(store, 0))
+    assert count
+    assert took < CALLER_TIME
