Take a store that refuses an object for one that is reached

An owner whose store refused results counted as without the store for longer, and left its jobs. Cause: a refusal of an object was no sign of reach. Evidence: test_store_that_refuses_an_object_counts_as_reached fails before. Fix: a refusal, and history that is gone, are answers of the store.

--- a/gentiantrestle/gateway/reach/store_reach.py
+++ b/gentiantrestle/gateway/reach/store_reach.py
@@ -122,6 +122,7 @@
         try:
             found = await call
         except (StoreRejectedError, HistoryGoneError):
+            self._reach.note(reached=True)
             raise
         except (StoreUnavailableError, StoreOutcomeUnknownError):
             self._reach.note(reached=False)
--- a/tests/gateway/test_storeless_owners.py
+++ b/tests/gateway/test_storeless_owners.py
@@ -6,6 +6,9 @@
 import pytest
 
 from gentiantrestle.gateway.batch.item_progress import ItemProgress
+from gentiantrestle.gateway.reach.store_reach import NotingStore, StoreReach
+from gentiantrestle.store.client import StoreRejectedError
+from tests.gateway.memory import MemoryStore
 from tests.gateway.owners_world import (
     ITEM_TIME,
     ITEMS,
@@ -79,3 +82,22 @@
     fleet = run_virtual(_play((), 0))
     assert not fleet.instances[0].owners.services_left
     assert [path.calls for path in fleet.paths[1:]] == [1, 1]
+
+
+class _RefusingStore(MemoryStore):
+    """Refuses each object for what it holds."""
+
+    async def create(self, kind: str, name: str, content: object) -> bool:
+        """Refuse an object."""
+        raise StoreRejectedError('status 422')
+
+
+def test_store_that_refuses_an_object_counts_as_reached() -> None:
+    async def main() -> bool:
+        reach = StoreReach(virtual_now)
+        reach.note(reached=False)
+        with pytest.raises(StoreRejectedError):
+            await NotingStore(_RefusingStore(), reach).create('jobs', 'j', {})
+        return reach.is_in_doubt
+
+    assert not run_virtual(main())
