Log the end of a job that is found complete

Seen: a job of a play had no 6002, and seemed open for 43 s: its last results were written without an answer, and the owner that took it over found them all there. Cause: only the writer of results logged the end of a job. Change: 6002 also where an owner finds a job complete. No decision depends on it. Result: shown by reading; no test reads this line.

--- a/gentiantrestle/gateway/batch/runner.py
+++ b/gentiantrestle/gateway/batch/runner.py
@@ -251,6 +251,7 @@
             self._catching_up.discard(entry.job.id)
         self.wake()
         if entry.complete:
+            events.emit(events.JOB_FINISHED, job=entry.job.id, state='done')
             await self._context.job_store.mark_done(entry.job.id)
 
     def _retrying_later(self, now: float) -> set[str]:
