--- a/gentiantrestle/events.py
+++ b/gentiantrestle/events.py
@@ -270,8 +270,7 @@
 )
 BODIES_DIFFER = warning_event(
     6116,
-    'other bodies are stored under the names of those of job {job}; stored as '
-    'upload {upload}',
+    'bodies of job {job} differ from stored ones; stored as {upload}',
 )
 MEMORY_REFUSED = warning_event(
     5120, 'no memory for {size} bytes of {use}: {held} of {limit} bytes held'
