--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -41,7 +41,7 @@
 
     def __init__(self, listen: Address, target: Address) -> None:
         """Set no fault; the proxy doesn't listen yet."""
-        self._listen = listen
+        self.listen = listen
         self._target = target
         self._conns: set[ProxiedConnection] = set()
         self._server: asyncio.Server | None = None
@@ -50,7 +50,7 @@
 
     async def start(self) -> None:
         """Start listening."""
-        self._server = await asyncio.start_server(self._accept, *self._listen)
+        self._server = await asyncio.start_server(self._accept, *self.listen)
 
     async def stop(self) -> None:
         """Stop listening and reset all open connections."""
