End the first read of a store kind once another instance has told it

At the start each instance reads the configuration from the store, though a neighbour may send it meanwhile; that read went on beside the copy and took its part of a narrow link. Now it ends as soon as the state is known. Before, the test's read was never cancelled (None in place of a time below 1.2 s).

--- a/gentiantrestle/gateway/follower.py
+++ b/gentiantrestle/gateway/follower.py
@@ -26,6 +26,8 @@
 # New lists after a dropped history are spread over this time.
 RELIST_SPREAD = 0.3  # seconds
 NO_REVISION = 0  # not a revision of the store: everything has to be listed
+# Time between checks whether another instance has told what is being read.
+FIRST_READ_CHECK = 0.05  # seconds
 
 
 class WatchGate(asyncio.Event):
@@ -138,7 +140,10 @@
             if not self._gate.is_set() and not self._needs_first_read:
                 self._reset()
                 await self._gate.wait()
-            pause = await self._try_step()
+            if self._gate.is_set():
+                pause = await self._try_step()
+            else:
+                pause = await self._read_first()
             if pause:
                 await asyncio.sleep(pause)
 
@@ -161,6 +166,21 @@
             return self._failure_backoff.next_pause()
         return 0
 
+    async def _read_first(self) -> float:
+        """Read once; give up when another instance has told the same.
+
+        A large list on a narrow link would hold up all else there.
+        """
+        reading = asyncio.create_task(self._try_step())
+        try:
+            while not reading.done():
+                await asyncio.wait({reading}, timeout=FIRST_READ_CHECK)
+                if not self._needs_first_read and not self._gate.is_set():
+                    return 0
+            return reading.result()
+        finally:
+            reading.cancel()
+
     async def _step(self) -> None:
         if self._revision is None:
             self._revision = self._handlers.known_revision()
--- a/tests/gateway/test_follow.py
+++ b/tests/gateway/test_follow.py
@@ -10,9 +10,10 @@
     WatchGate,
     WatchSpec,
 )
-from gentiantrestle.gateway.ports import StoredObject
+from gentiantrestle.gateway.ports import Page, StoredObject
+from gentiantrestle.store.client import StoreUnavailableError
 from tests.gateway.memory import MemoryStore
-from tests.utils.virtual_time import run_virtual
+from tests.utils.virtual_time import run_virtual, virtual_now
 
 KIND = 'kind'
 LONG = 60.0
@@ -35,6 +36,24 @@
         self.revision = revision
 
 
+class _SlowStore(MemoryStore):
+    """Lists so slowly that the call never ends."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cancelled_at: float | None = None
+
+    async def list_page(
+        self, kind: str, after: str, *, stale: bool = False
+    ) -> Page:
+        """Wait until cancelled."""
+        try:
+            await asyncio.sleep(LONG)
+        finally:
+            self.cancelled_at = virtual_now()
+        raise StoreUnavailableError('slow')
+
+
 def _follow(
     *, read_at_start: bool, down: float = 0
 ) -> tuple[list[str], set[str]]:
@@ -77,3 +96,24 @@
 
 def test_store_is_not_called_with_gate_closed() -> None:
     assert _follow(read_at_start=False) == ([], set())
+
+
+def test_first_read_does_not_go_on_after_another_instance_has_told() -> None:
+    async def main() -> float | None:
+        store = _SlowStore()
+        copy = _Copy()
+        follower = Follower(
+            store,
+            WatchSpec(KIND, 0, read_at_start=True),
+            copy.handlers(),
+            random.Random(1),
+            WatchGate(),
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(1)
+        copy.revision = 7
+        await asyncio.sleep(1)
+        task.cancel()
+        return store.cancelled_at
+
+    assert run_virtual(main()) < 1.2
