Look a route up by its prefix, not by a search through all

Batch work of an instance looks up a route for each waiting item in each round of scheduling. Routes of a host are kept by prefix, and looked up once for each length of prefix.

--- a/gentiantrestle/gateway/routing.py
+++ b/gentiantrestle/gateway/routing.py
@@ -1,5 +1,7 @@
 """Finds the route and the service of a request; no I/O."""
 
+from collections.abc import Iterable
+
 import xxhash
 
 from gentiantrestle.gateway.model import (
@@ -13,13 +15,33 @@
 HASH_RANGE = 0x100000000
 
 
+class _HostRoutes:
+    """The routes of one host by path prefix.
+
+    Looked up once for each length of prefix: there may be thousands of routes,
+    and a route is looked up for each waiting item.
+    """
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        """Of routes with the same prefix the first one counts."""
+        self._by_prefix: dict[str, Route] = {}
+        for route in routes:
+            self._by_prefix.setdefault(route.prefix, route)
+        self._lengths = sorted(set(map(len, self._by_prefix)), reverse=True)
+
+    def match(self, path: str) -> Route | None:
+        """Return the route with the longest matching prefix, or None."""
+        found = (self._by_prefix.get(path[:length]) for length in self._lengths)
+        return next(filter(None, found), None)
+
+
 class Router:
     """Finds routes by host and longest path prefix."""
 
     def __init__(self) -> None:
         """Start without any routes."""
         self.table = EMPTY_TABLE
-        self._hosts: dict[str, list[Route]] = {}
+        self._hosts: dict[str, _HostRoutes] = {}
 
     @property
     def has_config(self) -> bool:
@@ -42,19 +64,16 @@
         hosts: dict[str, list[Route]] = {}
         for route in table.routes:
             hosts.setdefault(route.host, []).append(route)
-        for routes in hosts.values():
-            routes.sort(key=_prefix_length, reverse=True)
         self.table = table
-        self._hosts = hosts
+        self._hosts = {
+            host: _HostRoutes(routes) for host, routes in hosts.items()
+        }
         return True
 
     def match(self, host: str, target: str) -> Route | None:
         """Return the route with the longest matching prefix, or None."""
-        path = target.partition('?')[0]
-        for route in self._hosts.get(normalize_host(host), ()):
-            if path.startswith(route.prefix):
-                return route
-        return None
+        routes = self._hosts.get(normalize_host(host))
+        return routes and routes.match(target.partition('?')[0])
 
     def match_job(self, job: Job) -> Route | None:
         """Return the batch route of a job and all of its items, or None."""
@@ -64,10 +83,6 @@
         return route
 
 
-def _prefix_length(route: Route) -> int:
-    return len(route.prefix)
-
-
 def normalize_host(host: str) -> str:
     """Return the value of a Host field in lower case without the port."""
     return host.partition(':')[0].lower()
