Store: a write whose bytes still leave isn't given up or sent again

What callers saw: jobs with large bodies were refused or accepted late over slow links, beside links that were full of the same bodies.

Cause: a write was bounded by the call's fixed time, whatever had been sent; RetryingStore gave its first attempt up after 0.3 s and sent the same body again beside it, the daemon's client up to five times.

Change: while the server's kernel acknowledges more of a request of over 16 KB, the limits of the call and of the attempt around it are put off, as for an answer that arrives. A shorter request is given up as soon as before, and so is one of which nothing is taken. What may have taken effect still raises StoreOutcomeUnknownError.

--- a/gentiantrestle/gateway/retrying_store.py
+++ b/gentiantrestle/gateway/retrying_store.py
@@ -11,6 +11,7 @@
 
 from gentiantrestle import events
 from gentiantrestle.gateway.ports import ObjectStore, Page, StoredObject
+from gentiantrestle.http.progress import transfer_timeout
 from gentiantrestle.store.client import (
     StoreOutcomeUnknownError,
     StoreUnavailableError,
@@ -26,7 +27,10 @@
 def attempt_timeouts(
     started_at: float, now: Callable[[], float]
 ) -> Iterator[float]:
-    """Yield the timeout of each attempt until ``RETRY_BUDGET`` is used up."""
+    """Yield the timeout of each attempt until ``RETRY_BUDGET`` is used up.
+
+    An attempt that makes progress goes on beyond it.
+    """
     timeout = FIRST_TIMEOUT
     left = RETRY_BUDGET
     while left > 0:
@@ -87,7 +91,7 @@
         unknown_outcome: StoreOutcomeUnknownError | None = None
         for timeout in attempt_timeouts(self._now(), self._now):
             try:
-                async with asyncio.timeout(timeout):
+                async with transfer_timeout(timeout, timeout):
                     return await attempt()
             except StoreUnavailableError as exc:
                 if unknown_outcome is None:
--- a/gentiantrestle/http/client.py
+++ b/gentiantrestle/http/client.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from gentiantrestle.http.delivery import is_taken
+from gentiantrestle.http.delivery import delivery_as_progress, is_taken
 from gentiantrestle.http.link import (
     Link,
     LinkLostError,
@@ -109,15 +109,10 @@
         self._request_size = len(req.body)
         if self._link.has_input:
             raise NotSentError(f'{host}: bytes arrived before the request')
-        try:
-            await self._link.send(
-                head, h11.Data(data=req.body), h11.EndOfMessage()
+        with delivery_as_progress(self._link, self._request_size):
+            event = await self._exchange(
+                host, (head, h11.Data(data=req.body), h11.EndOfMessage())
             )
-        except (LinkLostError, h11.ProtocolError) as exc:
-            raise ConnectionLostError(f'{host}: {exc!r}') from exc
-        event = await self._next_event()
-        while not isinstance(event, h11.Response):
-            event = await self._next_event()
         note_progress()
         self._check_head(req.method, event)
         self._needs_body = needs_body(req.method, event.status_code)
@@ -151,6 +146,19 @@
         if self._witness is not None:
             self._witness.close()
 
+    async def _exchange(
+        self, host: str, parts: tuple[h11.Event, ...]
+    ) -> h11.Response:
+        """Send the parts of a request; return the head of its answer."""
+        try:
+            await self._link.send(*parts)
+        except (LinkLostError, h11.ProtocolError) as exc:
+            raise ConnectionLostError(f'{host}: {exc!r}') from exc
+        event = await self._next_event()
+        while not isinstance(event, h11.Response):
+            event = await self._next_event()
+        return event
+
     def _check_head(self, method: str, head: h11.Response) -> None:
         """Raise ``ConnectionLostError`` for what is no answer to the request.
 
--- a/tests/gateway/test_store_transfers.py
+++ b/tests/gateway/test_store_transfers.py
@@ -1,13 +1,16 @@
 """Calls of the platform's store over slow links."""
 
 import asyncio
+import time
 
 import msgspec
 import pytest
 
+from gentiantrestle.gateway.retrying_store import RetryingStore
 from gentiantrestle.http import progress
 from gentiantrestle.platform.object_client import CALL_TIMEOUT, ObjectClient
 from gentiantrestle.store.client import (
+    StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
 from tests.utils.paced_server import Pace, PacedServer, paced_server
@@ -92,6 +95,36 @@
         client.close()
 
 
+async def test_write_that_takes_longer_than_a_call_is_sent_once() -> None:
+    pace = Pace(status=CREATED, read_rate=RATE)
+    async with paced_server(pace) as (server, address):
+        client = ObjectClient(address)
+        assert await client.create(KIND, 'one', BODY)
+        assert len(server.whole) == 1
+        client.close()
+
+
+async def test_retried_write_is_not_sent_again_while_bytes_leave() -> None:
+    pace = Pace(status=CREATED, read_rate=RATE)
+    async with paced_server(pace) as (server, address):
+        client = ObjectClient(address)
+        store = RetryingStore(client, time.monotonic)
+        assert await store.create(KIND, 'one', BODY)
+        assert server.begun == 1
+        client.close()
+
+
+async def test_write_that_is_not_read_on_has_an_unknown_outcome() -> None:
+    pace = Pace(status=CREATED, read_rate=RATE, reads_up_to=READ)
+    async with paced_server(pace) as (server, address):
+        client = ObjectClient(address)
+        with pytest.raises(StoreOutcomeUnknownError):
+            await client.create(KIND, 'one', BODY)
+        silent = asyncio.get_running_loop().time() - server.stopped_at
+        assert CALL_TIMEOUT - 0.5 <= silent < CALL_TIMEOUT + LATE
+        client.close()
+
+
 async def test_cancelled_reads_leave_the_pool_as_it_was() -> None:
     pace = Pace(_page('items'), rate=RATE)
     async with paced_server(pace) as (server, address):
--- a/tests/interfaces/test_store_transfers.py
+++ b/tests/interfaces/test_store_transfers.py
@@ -8,6 +8,7 @@
 from gentiantrestle.models import Address
 from gentiantrestle.store import client as client_module
 from gentiantrestle.store.client import (
+    ABSENT,
     StoreClient,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
@@ -61,6 +62,15 @@
         client.close()
 
 
+async def test_write_that_takes_longer_than_a_call_is_sent_once() -> None:
+    async with paced_server(Pace(read_rate=RATE)) as (server, address):
+        client = _client(address)
+        written = await client.put('conf/one', {'text': TEXT}, ABSENT)
+        assert written.version == 1
+        assert server.begun == 1
+        client.close()
+
+
 async def test_deletion_without_an_answer_has_an_unknown_outcome() -> None:
     async with paced_server(Pace(delay=60)) as (_, address):
         client = _client(address)
