Pool: a long request that is given up is sent no further

What callers saw: links that were full of bodies nobody waited for any more.

Cause: a call that is cancelled or timed out closed its connection, and a transport that is closed first writes what it has buffered: a body of 1 MB was still sent in full beside the next attempt.

Change: the pool resets a connection whose long request (over 16 KB) the server's kernel hasn't taken whole. The server can't have read all of it, so that nothing that may have taken effect is called not run. Shorter requests, and those that were taken, are closed as before.

Evidence: test_write_that_is_given_up_is_sent_no_further cancels a write of 1 MB to a server that reads at 500 KB/s after 0.5 s. Before it failed: "assert not [b'{"metadata"...", the server had the whole body. After it passes, as do tests/interfaces, tests/processes/test_online.py, tests/decisions/ test_endings.py and test_item_run.py.

--- a/gentiantrestle/http/client.py
+++ b/gentiantrestle/http/client.py
@@ -7,7 +7,12 @@
 
 import h11
 
-from gentiantrestle.http.delivery import delivery_as_progress, is_taken
+from gentiantrestle.http.delivery import (
+    LONG_REQUEST,
+    delivery_as_progress,
+    is_taken,
+    undelivered,
+)
 from gentiantrestle.http.link import (
     Link,
     LinkLostError,
@@ -140,6 +145,14 @@
                 self._reset_when_done()
                 return
 
+    def abandon(self) -> None:
+        """Close the connection; send no more of a long request."""
+        is_sending = self._request_size > LONG_REQUEST and not self._link.lost
+        if is_sending and undelivered(self._link):
+            self._link.reset_on_close(enabled=True)
+            self._link.abort()
+        self.close()
+
     def close(self) -> None:
         """Close the connection without waiting."""
         self._link.close()
--- a/gentiantrestle/http/pool.py
+++ b/gentiantrestle/http/pool.py
@@ -44,7 +44,7 @@
         except BaseException:
             self._semaphore.release()
             if conn is not None:
-                conn.close()
+                conn.abandon()
             raise
         self._ends_by_close = conn.ends_by_close
         return response
--- a/tests/gateway/test_store_transfers.py
+++ b/tests/gateway/test_store_transfers.py
@@ -125,6 +125,20 @@
         client.close()
 
 
+async def test_write_that_is_given_up_is_sent_no_further() -> None:
+    pace = Pace(status=CREATED, read_rate=RATE)
+    async with paced_server(pace) as (server, address):
+        client = ObjectClient(address)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.5):
+                await client.create(KIND, 'one', BODY)
+        await asyncio.sleep(3)
+        assert not server.whole
+        assert server.received < len(BODY) / 2
+        assert not server.open
+        client.close()
+
+
 async def test_cancelled_reads_leave_the_pool_as_it_was() -> None:
     pace = Pace(_page('items'), rate=RATE)
     async with paced_server(pace) as (server, address):
