A call to an instance goes on while its answer arrives

What callers saw: instances on narrow links never got a grown configuration, weren't ready, and jobs couldn't be read there.

Cause: a call was given up 1.0 s after it was sent, however much of its answer had come. The next call began at the first byte, so that a link on which a copy takes longer carried nothing but copies thrown away.

Change: the 1.0 s count from the last part of an unfinished answer on the connection; in all a call takes 12 s at most. Answers that arrive whole don't prolong other calls, so a call that nobody answers ends as before. A small answer queued behind a large one waits for it.

--- a/gentiantrestle/daemon/membership/codec.py
+++ b/gentiantrestle/daemon/membership/codec.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import struct
+from collections.abc import AsyncIterator, Callable
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.protocol.TProtocol import TProtocolException
@@ -49,9 +50,14 @@
     return envelope
 
 
-async def read_frame(reader: asyncio.StreamReader) -> ttypes.Envelope:
+async def read_frame(
+    reader: asyncio.StreamReader,
+    on_part: Callable[[], None] | None = None,
+) -> ttypes.Envelope:
     """Read one framed envelope from a stream.
 
+    ``on_part`` is called for each part of a frame that arrives in several.
+
     Raises ``BadFrameError`` for a frame that is too large or invalid, and
     ``asyncio.IncompleteReadError`` at the end of the stream.
     """
@@ -59,7 +65,25 @@
     size = LENGTH.unpack(header)[0]
     if size > MAX_FRAME_BYTES:
         raise BadFrameError(f'oversized frame of {size} bytes')
-    return decode(await reader.readexactly(size))
+    parts = []
+    async for part in _read_parts(reader, size):
+        parts.append(part)
+        if on_part is not None and len(part) < size:
+            on_part()
+    return decode(b''.join(parts))
+
+
+async def _read_parts(
+    reader: asyncio.StreamReader, size: int
+) -> AsyncIterator[bytes]:
+    """Yield the next ``size`` bytes of a stream as they arrive."""
+    left = size
+    while left:
+        part = await reader.read(left)
+        if not part:
+            raise asyncio.IncompleteReadError(b'', left)
+        left -= len(part)
+        yield part
 
 
 def member_to_wire(member: Member) -> ttypes.Member:
--- a/gentiantrestle/daemon/membership/peers.py
+++ b/gentiantrestle/daemon/membership/peers.py
@@ -16,7 +16,9 @@
 from gentiantrestle.models import Address
 from gentiantrestle.wire.peer.ttypes import Envelope
 
-CALL_TIMEOUT = 1.0  # seconds
+CALL_TIMEOUT = 1.0  # seconds without a byte of an answer
+MAX_CALL_TIME = 12.0  # seconds for an answer that keeps arriving
+NEVER = float('-inf')
 MAX_INBOUND_CONNECTIONS = 2000
 MAX_CALLS = 32  # of one connection that are answered at the same time
 
@@ -41,6 +43,7 @@
         self._call_numbers = count(1)
         self._pending: dict[int, asyncio.Future[Envelope]] = {}
         self._answers = 0
+        self._heard_at = NEVER  # when a part of an unfinished answer arrived
         self._read_task = asyncio.create_task(self._read(reader))
 
     @property
@@ -51,17 +54,17 @@
     async def call(self, envelope: Envelope, timeout: float) -> Envelope:
         """Send a call and return its answer.
 
-        Raises ``PeerError`` without an answer in ``timeout`` s, and when the
-        connection is lost. It is closed if no call was answered meanwhile.
+        Raises ``PeerError`` if no part of any answer has arrived for
+        ``timeout`` s, after ``MAX_CALL_TIME``, and when the connection is
+        lost. It is closed if no call was answered meanwhile.
         """
         envelope.call = next(self._call_numbers)
         answers = self._answers
         fut = asyncio.get_running_loop().create_future()
         self._pending[envelope.call] = fut
         try:
-            async with asyncio.timeout(timeout):
-                self._writer.write(encode(envelope))
-                return await fut
+            self._writer.write(encode(envelope))
+            return await self._wait(fut, timeout)
         except (TimeoutError, ConnectionError) as exc:
             if self._answers == answers:
                 self.close()
@@ -74,6 +77,29 @@
         self._read_task.cancel()
         self._writer.close()
 
+    async def _wait(
+        self, fut: asyncio.Future[Envelope], timeout: float
+    ) -> Envelope:
+        """Return an answer; raise ``TimeoutError`` if it stops arriving."""
+        now = asyncio.get_running_loop().time
+        asked_at = now()
+        left = timeout
+        while left > 0:
+            await asyncio.wait({fut}, timeout=left)
+            if fut.done():
+                return fut.result()
+            left = self._time_left(asked_at, timeout, now())
+        raise TimeoutError
+
+    def _time_left(self, asked_at: float, timeout: float, now: float) -> float:
+        """Return for how long to wait on for an answer, in s."""
+        quiet_until = max(asked_at, self._heard_at) + timeout
+        last = asked_at + max(timeout, MAX_CALL_TIME)
+        return min(quiet_until, last) - now
+
+    def _note_part(self) -> None:
+        self._heard_at = asyncio.get_running_loop().time()
+
     def _resolve(self, envelope: Envelope) -> None:
         """Hand an answer to its call; drop it if none is pending."""
         self._answers += 1
@@ -86,7 +112,7 @@
     async def _read(self, reader: asyncio.StreamReader) -> None:
         try:
             while True:
-                self._resolve(await read_frame(reader))
+                self._resolve(await read_frame(reader, self._note_part))
         except (BadFrameError, EOFError, OSError):
             self._writer.close()
         finally:
@@ -111,8 +137,8 @@
     ) -> Envelope:
         """Call a peer; raise ``PeerError`` if no answer comes.
 
-        ``timeout`` in s applies to connecting and to the call separately;
-        those that wait for one connection wait no longer.
+        ``timeout`` in s applies to connecting and to each wait for a part of
+        an answer; those that wait for one connection wait no longer.
         """
         conn = await self._connect(address, timeout)
         return await conn.call(envelope, timeout)
