Copies of state have a connection of their own

What callers saw: while a copy of a large configuration arrives at an instance, its small calls to the same instance (whether a service is reached, results of a job, where a stream began, heartbeats) wait behind it and fail at their callers' bounds.

Cause: one connection for all calls to an instance; bytes arrive in order.

Change: both systems ask for copies on a second connection. Builds of before accept it as any other.

In test_configuration_sources.py the stand-in's method follows the new name; no check is changed.

--- a/gentiantrestle/daemon/configuration/service.py
+++ b/gentiantrestle/daemon/configuration/service.py
@@ -166,7 +166,7 @@
         """Copy what is newer; return whether the member has answered."""
         request = ChangesRequest(after=self.mirror.revision)
         try:
-            answer = await self._membership.call(
+            answer = await self._membership.fetch(
                 member,
                 Envelope(changes_request=request),
             )
--- a/gentiantrestle/daemon/membership/service.py
+++ b/gentiantrestle/daemon/membership/service.py
@@ -46,6 +46,8 @@
         # Exchanged with the heartbeats.
         self.evidence = Evidence()
         self.peers = PeerClient()
+        # Large answers hold up no others on a connection of their own.
+        self._copies = PeerClient()
         self._handlers: dict[str, PeerHandler] = {
             'heartbeat': self._answer_heartbeat,
         }
@@ -83,6 +85,18 @@
         """Call a member; raise ``PeerError`` if no answer comes."""
         return await self.peers.call(_address(member), envelope)
 
+    async def fetch(self, member: Member, envelope: Envelope) -> Envelope:
+        """Call a member for a copy of its state, which may be large.
+
+        Raises ``PeerError`` if no answer comes.
+        """
+        return await self._copies.call(_address(member), envelope)
+
+    def close(self) -> None:
+        """Close the connections to all members."""
+        self.peers.close()
+        self._copies.close()
+
     async def run(self) -> None:
         """Answer peers and send heartbeats until cancelled."""
         server = PeerServer(self._dispatch)
--- a/gentiantrestle/daemon/tree.py
+++ b/gentiantrestle/daemon/tree.py
@@ -91,7 +91,7 @@
         await self.components.membership.announce()
         await self.components.batch.stop()
         cut = await self._entry.stop(grace)
-        self.components.membership.peers.close()
+        self.components.membership.close()
         self.components.store.close()
         return cut
 
--- a/gentiantrestle/gateway/peer_calls.py
+++ b/gentiantrestle/gateway/peer_calls.py
@@ -47,6 +47,8 @@
         self._selector = selector
         self._port = port
         self._client = PeerClient()
+        # Large answers hold up no others on a connection of their own.
+        self._copy_client = PeerClient()
         self._sources = SourceCalls()
         self._server = PeerServer(self._answer)
         # Returns a job if this instance runs it and knows all its results.
@@ -132,7 +134,7 @@
         began = time.monotonic()
         request = self._copier.build_request()
         try:
-            copy = (await self._call(peer, copy_request=request)).copy
+            copy = (await self._fetch_copy(peer, request)).copy
         except PeerError:
             return False
         if copy is None:
@@ -156,12 +158,22 @@
             took_ms=_since_ms(began),
         )
 
+    async def _fetch_copy(
+        self, peer: Peer, request: ttypes.CopyRequest
+    ) -> ttypes.Envelope:
+        envelope = ttypes.Envelope(call=0, copy_request=request)
+        return await self._call_by(self._copy_client, peer, envelope)
+
     async def _call(self, peer: Peer, **call: object) -> ttypes.Envelope:
-        began = time.monotonic()
-        address = Address(peer.host, self._port)
         envelope = ttypes.Envelope(call=0, **call)
+        return await self._call_by(self._client, peer, envelope)
+
+    async def _call_by(
+        self, client: PeerClient, peer: Peer, envelope: ttypes.Envelope
+    ) -> ttypes.Envelope:
+        began = time.monotonic()
         try:
-            return await self._client.call(address, envelope)
+            return await client.call(self._address(peer), envelope)
         except PeerError as exc:
             events.emit(
                 events.PEER_FAILED,
@@ -171,6 +183,9 @@
             )
             raise
 
+    def _address(self, peer: Peer) -> Address:
+        return Address(peer.host, self._port)
+
     async def _answer(self, envelope: ttypes.Envelope) -> ttypes.Envelope:
         answer = ttypes.Envelope(call=envelope.call)
         if envelope.copy_request is not None:
--- a/tests/decisions/test_configuration_sources.py
+++ b/tests/decisions/test_configuration_sources.py
@@ -41,7 +41,7 @@
     def register_handler(self, field: str, handle: Callable[..., Any]) -> None:
         """Take no calls."""
 
-    async def call(self, member: Member, envelope: Envelope) -> Envelope:
+    async def fetch(self, member: Member, envelope: Envelope) -> Envelope:
         """Answer with the revision that a member has."""
         if member.instance in self._silent:
             await asyncio.sleep(CALL_TIME)
