No second copy is asked beside one that is arriving

What callers saw: links full of copies of one configuration, up to four at once at each instance, so that none arrived.

Cause: a source counted as silent 0.3 s after it was asked unless its whole answer was there, and another one was asked beside it.

Change: the 0.3 s count from the last part of the answer that arrived, and nobody is asked while parts arrive, in both systems. A source that sends nothing for 0.3 s is left as before.

--- a/gentiantrestle/daemon/configuration/service.py
+++ b/gentiantrestle/daemon/configuration/service.py
@@ -139,7 +139,12 @@
         member = self._find_newest_peer(self._sources.states(now), now)
         if member is None:
             return False
-        if await self._sources.ask(member.instance, self._catch_up(member)):
+        ended = await self._sources.ask(
+            member.instance,
+            self._catch_up(member),
+            lambda: self._membership.answer_silence(member),
+        )
+        if ended:
             return False
         events.emit(events.SOURCE_SILENT, instance=member.instance)
         return True
--- a/gentiantrestle/daemon/membership/peers.py
+++ b/gentiantrestle/daemon/membership/peers.py
@@ -51,6 +51,11 @@
         """Tell whether the connection is open and being read."""
         return not self._read_task.done() and not self._writer.is_closing()
 
+    @property
+    def silence(self) -> float:
+        """Return for how many s no part of an unfinished answer has come."""
+        return asyncio.get_running_loop().time() - self._heard_at
+
     async def call(self, envelope: Envelope, timeout: float) -> Envelope:
         """Send a call and return its answer.
 
@@ -143,6 +148,11 @@
         conn = await self._connect(address, timeout)
         return await conn.call(envelope, timeout)
 
+    def answer_silence(self, address: Address) -> float:
+        """Return for how many s no part of a peer's answer has arrived."""
+        conn = self._conns.get(address)
+        return conn.silence if conn else float('inf')
+
     def close(self) -> None:
         """Close all connections."""
         for conn in self._conns.values():
--- a/gentiantrestle/daemon/membership/service.py
+++ b/gentiantrestle/daemon/membership/service.py
@@ -92,6 +92,10 @@
         """
         return await self._copies.call(_address(member), envelope)
 
+    def answer_silence(self, member: Member) -> float:
+        """Return for how many s no part of a fetched answer has arrived."""
+        return self._copies.answer_silence(_address(member))
+
     def close(self) -> None:
         """Close the connections to all members."""
         self.peers.close()
--- a/gentiantrestle/daemon/membership/sources.py
+++ b/gentiantrestle/daemon/membership/sources.py
@@ -1,11 +1,11 @@
 """Instances that are asked for newer state, several if some are silent."""
 
 import asyncio
-from collections.abc import Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, NamedTuple, Protocol, TypeVar
 
-# Answers take tens of ms, also between regions.
-PATIENCE = 0.3  # seconds without an answer until another source is asked
+# Answers begin after tens of ms, also between regions.
+PATIENCE = 0.3  # seconds without a part of an answer until another is asked
 # Whoever has failed is asked again at once if nobody else has the state.
 FAILURE_MEMORY = 3.0  # seconds
 MAX_CALLS = 4  # calls in progress at once
@@ -24,31 +24,50 @@
     """Which instances have not answered, as of now.
 
     ``asked`` are those whose answer is awaited, ``failed`` those that have
-    not answered lately.
+    not answered lately. ``receiving``: parts of an answer are arriving.
     """
 
     asked: frozenset[str] = frozenset()
     failed: frozenset[str] = frozenset()
+    receiving: bool = False
 
     def is_silent(self, instance: str) -> bool:
         """Return whether an instance doesn't answer, or didn't lately."""
         return instance in self.asked or instance in self.failed
 
     def usable(self, rows: Iterable[Row]) -> list[Row]:
-        """Return those to ask: none that is asked, else failed ones last."""
-        if len(self.asked) >= MAX_CALLS:
+        """Return those to ask: none that is asked, else failed ones last.
+
+        Nobody is asked while an answer is arriving.
+        """
+        if self.receiving or len(self.asked) >= MAX_CALLS:
             return []
         idle = [row for row in rows if row.instance not in self.asked]
         sound = [row for row in idle if row.instance not in self.failed]
         return sound or idle
 
 
+class SourceCall(NamedTuple):
+    """A call in progress.
+
+    ``silence`` returns for how many s no part of its answer has arrived.
+    """
+
+    task: asyncio.Task[bool]
+    silence: Callable[[], float]
+
+    @property
+    def patience_left(self) -> float:
+        """Return for how many s its source doesn't count as silent yet."""
+        return PATIENCE - self.silence()
+
+
 class SourceCalls:
     """Calls for newer state; one that gets no answer holds up no other."""
 
     def __init__(self) -> None:
         """Start without calls."""
-        self._calls: dict[str, asyncio.Task[bool]] = {}
+        self._calls: dict[str, SourceCall] = {}
         self._failed_at: dict[str, float] = {}
 
     def states(self, now: float) -> SourceStates:
@@ -60,29 +79,47 @@
             for name, failed_at in self._failed_at.items()
             if now - failed_at < FAILURE_MEMORY
         }
-        return SourceStates(frozenset(self._calls), frozenset(self._failed_at))
-
-    async def ask(self, instance: str, call: Coroutine[Any, Any, bool]) -> bool:
+        return SourceStates(
+            frozenset(self._calls),
+            frozenset(self._failed_at),
+            any(call.patience_left > 0 for call in self._calls.values()),
+        )
+
+    async def ask(
+        self,
+        instance: str,
+        call: Coroutine[Any, Any, bool],
+        silence: Callable[[], float],
+    ) -> bool:
         """Run a call that returns whether an instance has answered.
 
-        Returns whether it ended in time; else it goes on.
+        ``silence`` returns for how many s no part of its answer has arrived.
+
+        Returns whether it ended; False if parts stopped arriving, so that it
+        goes on beside others.
         """
         task = asyncio.create_task(call)
-        self._calls[instance] = task
-        ended, _ = await asyncio.wait({task}, timeout=PATIENCE)
-        return bool(ended)
+        source_call = SourceCall(task, silence)
+        self._calls[instance] = source_call
+        left = PATIENCE
+        while left > 0:
+            await asyncio.wait({task}, timeout=left)
+            if task.done():
+                return True
+            left = source_call.patience_left
+        return False
 
     def cancel(self) -> None:
         """Cancel all calls."""
         for call in self._calls.values():
-            call.cancel()
+            call.task.cancel()
         self._calls.clear()
 
     def _note_end(self, instance: str, now: float) -> None:
         """Take the outcome of a call that has ended; raise what it raised."""
-        if not self._calls[instance].done():
+        if not self._calls[instance].task.done():
             return
-        if self._calls.pop(instance).result():
+        if self._calls.pop(instance).task.result():
             self._failed_at.pop(instance, None)
         else:
             self._failed_at[instance] = now
--- a/gentiantrestle/gateway/peer_calls.py
+++ b/gentiantrestle/gateway/peer_calls.py
@@ -124,7 +124,12 @@
         )
         if peer is None:
             return False
-        if await self._sources.ask(peer.instance, self._copy_from(peer)):
+        ended = await self._sources.ask(
+            peer.instance,
+            self._copy_from(peer),
+            lambda: self._copy_client.answer_silence(self._address(peer)),
+        )
+        if ended:
             return False
         events.emit(events.SOURCE_SILENT, instance=peer.instance)
         return True
--- a/tests/decisions/test_configuration_sources.py
+++ b/tests/decisions/test_configuration_sources.py
@@ -32,10 +32,14 @@
 class _Fleet:
     """Members of which some don't answer."""
 
-    def __init__(self, silent: set[str], rows: list[Member]) -> None:
+    def __init__(
+        self, silent: set[str], rows: list[Member], took: float = 0
+    ) -> None:
         self.view = MembershipView(_member('own', 0), 60)
         self.view.merge(rows, 0)
         self._silent = silent
+        self._took = took
+        self.asked: list[str] = []
         self._revisions = {row.instance: row.store_revision for row in rows}
 
     def register_handler(self, field: str, handle: Callable[..., Any]) -> None:
@@ -43,12 +47,18 @@
 
     async def fetch(self, member: Member, envelope: Envelope) -> Envelope:
         """Answer with the revision that a member has."""
+        self.asked.append(member.instance)
         if member.instance in self._silent:
             await asyncio.sleep(CALL_TIME)
             raise PeerError('silent')
+        await asyncio.sleep(self._took)
         revision = self._revisions[member.instance]
         return Envelope(changes=Changes(revision, complete=True, changes=[]))
 
+    def answer_silence(self, member: Member) -> float:
+        """Return for how many s no part of an answer has arrived."""
+        return float('inf') if member.instance in self._silent else 0
+
 
 def _time_copy(silent: set[str], rows: list[Member]) -> float:
     """Return after how many s a daemon has the newest revision."""
@@ -88,6 +98,25 @@
     assert _time_copy({'b', 'c', 'd'}, rows) <= COPY_TIME
 
 
+def test_no_second_member_is_asked_beside_one_whose_answer_arrives() -> None:
+    cfg = Settings.from_sources(REQUIRED_SETTINGS, {})
+    ctx = Context(
+        cfg, Metrics.from_config(cfg), 1, random.Random(1), virtual_now
+    )
+    rows = [_member(name, NEWEST) for name in 'bcde']
+    fleet = _Fleet(set(), rows, took=COPY_TIME)
+
+    async def run() -> int:
+        configuration = Configuration(ctx, None, fleet)
+        following = asyncio.create_task(configuration._follow_peers())
+        await asyncio.sleep(COPY_TIME + 1)
+        following.cancel()
+        return configuration.mirror.revision
+
+    assert run_virtual(run()) == NEWEST
+    assert len(fleet.asked) == 1
+
+
 class _SilentStore:
     """A store that answers everybody but some instances."""
 
--- a/tests/gateway/test_slow_copies.py
+++ b/tests/gateway/test_slow_copies.py
@@ -13,9 +13,12 @@
 from gentiantrestle.gateway.zone_watcher import CopySourceSelector
 from gentiantrestle.wire.peer import ttypes
 from tests.gateway.test_silent_sources import (
+    COPY_TIME,
+    OTHER_ZONE,
     VERSION,
     ZONE,
     Source,
+    _sound,
     _state,
 )
 from tests.utils.http import until
@@ -27,10 +30,11 @@
 class _SlowSource:
     """Sends ``sent`` of the parts of each copy, one each ``STEP``."""
 
-    def __init__(self, sent: int = PARTS) -> None:
-        """Count the copies that are asked for."""
+    def __init__(self, sent: int = PARTS, pause: float = 0) -> None:
+        """Count the copies that are asked for; ``pause`` s in the midst."""
         self.asked = 0
         self._sent = sent
+        self._pause = pause
         self._copier = _state(VERSION)[1]
 
     async def serve(
@@ -59,7 +63,8 @@
         size = -(-len(frame) // PARTS)
         for number in range(self._sent):
             writer.write(frame[number * size : (number + 1) * size])
-            await asyncio.sleep(STEP)
+            paused = self._pause if number == PARTS // 4 else 0
+            await asyncio.sleep(STEP + paused)
             if writer.is_closing():
                 return
 
@@ -123,3 +128,41 @@
         assert await copying.calls.ask_reach(copying.rows[0], 'any')
         assert not copying.has_copied
         await task
+
+
+async def test_no_second_copy_is_asked_beside_one_that_arrives() -> None:
+    sources = Source()
+    slow = [_SlowSource() for _ in range(4)]
+    async with _listening(sources, slow):
+        rows = [
+            sources.row(number, ZONE if number == 0 else OTHER_ZONE)
+            for number in range(len(slow))
+        ]
+        took = await _Copying(sources, rows).time_copy()
+    assert [source.asked for source in slow] == [1, 0, 0, 0]
+    assert took <= PARTS * STEP + COPY_TIME
+
+
+async def test_copy_that_stops_arriving_does_not_delay_a_configuration() -> (
+    None
+):
+    sources = Source()
+    async with (
+        _listening(sources, [_SlowSource(sent=PARTS // 4)]),
+        _sound(sources.address(1)),
+    ):
+        rows = [sources.row(0, ZONE), sources.row(1, OTHER_ZONE)]
+        took = await _Copying(sources, rows).time_copy()
+    assert took <= PARTS // 4 * STEP + COPY_TIME
+
+
+async def test_copy_that_goes_on_again_is_waited_for() -> None:
+    sources = Source()
+    slow = [_SlowSource(pause=4 * STEP), *(_SlowSource() for _ in range(3))]
+    async with _listening(sources, slow):
+        rows = [
+            sources.row(number, ZONE if number == 0 else OTHER_ZONE)
+            for number in range(len(slow))
+        ]
+        await _Copying(sources, rows).time_copy()
+    assert sum(source.asked for source in slow) == 2
