Copies between instances are compressed for those that read that

What callers saw: instances on narrow links that had no configuration for 20 s and more after it had grown to 4,249 routes.

Cause: each copy carried it as plain JSON, to every instance.

Change: an instance says in its CopyRequest that it reads compressed copies. A build of before asks without the field and gets what it got; its answers are read as they were.

--- a/gentiantrestle/wire/peer.thrift
+++ b/gentiantrestle/wire/peer.thrift
@@ -296,6 +296,8 @@
   1: required string name,
   2: required i64 revision,
   3: required binary content,
+  /* Whether the content is compressed (zlib); absent if not. */
+  4: optional bool compressed,
 }
 
 /* Asks for everything newer than the versions that the sender has. */
@@ -303,6 +305,8 @@
   1: required i64 config_version,
   2: required i64 upstreams_revision,
   3: required i64 jobs_revision,
+  /* Whether the sender reads compressed copies; absent in older builds. */
+  4: optional bool compressed,
 }
 
 struct Copy {
@@ -315,6 +319,9 @@
   5: required list<KnownObject> jobs,
   /* Time in ms for which entries that vanish still count as lapsed. */
   6: required i64 lapse_left,
+  /* A compressed (zlib) Copy that holds the upstream entries and the jobs in
+   * place of this one; absent if this one does. */
+  7: optional binary packed,
 }
 
 /* Asks the instance that runs a job for results after a position. */
--- a/gentiantrestle/wire/peer/ttypes.py
+++ b/gentiantrestle/wire/peer/ttypes.py
@@ -3735,6 +3735,7 @@
      - name
      - revision
      - content
+     - compressed
 
     """
 
@@ -3742,13 +3743,15 @@
         'name',
         'revision',
         'content',
+        'compressed',
     )
 
 
-    def __init__(self, name=None, revision=None, content=None,):
+    def __init__(self, name=None, revision=None, content=None, compressed=None,):
         self.name = name
         self.revision = revision
         self.content = content
+        self.compressed = compressed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3774,6 +3777,11 @@
                     self.content = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.compressed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3796,6 +3804,10 @@
             oprot.writeFieldBegin('content', TType.STRING, 3)
             oprot.writeBinary(self.content)
             oprot.writeFieldEnd()
+        if self.compressed is not None:
+            oprot.writeFieldBegin('compressed', TType.BOOL, 4)
+            oprot.writeBool(self.compressed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3833,6 +3845,7 @@
      - config_version
      - upstreams_revision
      - jobs_revision
+     - compressed
 
     """
 
@@ -3840,13 +3853,15 @@
         'config_version',
         'upstreams_revision',
         'jobs_revision',
+        'compressed',
     )
 
 
-    def __init__(self, config_version=None, upstreams_revision=None, jobs_revision=None,):
+    def __init__(self, config_version=None, upstreams_revision=None, jobs_revision=None, compressed=None,):
         self.config_version = config_version
         self.upstreams_revision = upstreams_revision
         self.jobs_revision = jobs_revision
+        self.compressed = compressed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3872,6 +3887,11 @@
                     self.jobs_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.compressed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3894,6 +3914,10 @@
             oprot.writeFieldBegin('jobs_revision', TType.I64, 3)
             oprot.writeI64(self.jobs_revision)
             oprot.writeFieldEnd()
+        if self.compressed is not None:
+            oprot.writeFieldBegin('compressed', TType.BOOL, 4)
+            oprot.writeBool(self.compressed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3934,6 +3958,7 @@
      - upstreams
      - jobs
      - lapse_left
+     - packed
 
     """
 
@@ -3944,16 +3969,18 @@
         'upstreams',
         'jobs',
         'lapse_left',
+        'packed',
     )
 
 
-    def __init__(self, upstreams_revision=None, jobs_revision=None, config=None, upstreams=None, jobs=None, lapse_left=None,):
+    def __init__(self, upstreams_revision=None, jobs_revision=None, config=None, upstreams=None, jobs=None, lapse_left=None, packed=None,):
         self.upstreams_revision = upstreams_revision
         self.jobs_revision = jobs_revision
         self.config = config
         self.upstreams = upstreams
         self.jobs = jobs
         self.lapse_left = lapse_left
+        self.packed = packed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4007,6 +4034,11 @@
                     self.lapse_left = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.packed = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4047,6 +4079,10 @@
             oprot.writeFieldBegin('lapse_left', TType.I64, 6)
             oprot.writeI64(self.lapse_left)
             oprot.writeFieldEnd()
+        if self.packed is not None:
+            oprot.writeFieldBegin('packed', TType.STRING, 7)
+            oprot.writeBinary(self.packed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6567,6 +6603,7 @@
     (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.STRING, 'content', 'BINARY', None, ),  # 3
+    (4, TType.BOOL, 'compressed', None, None, ),  # 4
 )
 all_structs.append(CopyRequest)
 CopyRequest.thrift_spec = (
@@ -6574,6 +6611,7 @@
     (1, TType.I64, 'config_version', None, None, ),  # 1
     (2, TType.I64, 'upstreams_revision', None, None, ),  # 2
     (3, TType.I64, 'jobs_revision', None, None, ),  # 3
+    (4, TType.BOOL, 'compressed', None, None, ),  # 4
 )
 all_structs.append(Copy)
 Copy.thrift_spec = (
@@ -6584,6 +6622,7 @@
     (4, TType.LIST, 'upstreams', (TType.STRUCT, [KnownObject, None], False), None, ),  # 4
     (5, TType.LIST, 'jobs', (TType.STRUCT, [KnownObject, None], False), None, ),  # 5
     (6, TType.I64, 'lapse_left', None, None, ),  # 6
+    (7, TType.STRING, 'packed', 'BINARY', None, ),  # 7
 )
 all_structs.append(ResultsRequest)
 ResultsRequest.thrift_spec = (
