Calls on jobs that get no answer leave a line, and margins counts them

What callers saw: accepted jobs that could not be read (LOST, clause 4). Why could not be told afterwards: a read refused with 503 left no line of its own, nor did a caller that left before an answer.

Cause: JobApi logged 404s only (6110, 6111); a failed store call (2009) names neither the call nor the step.

Change: 6117 for each read of results, read of a body and cancel that is refused with 503 or whose caller leaves, with job, operation, position, step (find, not prepared, owner, chunks, wait, body, cancel), reason, took_ms and results known; 6118 as an instance that has refused reads of a job answers one again. `gentiantrestle margins` counts refused reads by job, step and instance, and measures the longest time a job was unread; no bound is stated for either, so they have none.

--- a/gentiantrestle/cli/margins.py
+++ b/gentiantrestle/cli/margins.py
@@ -9,11 +9,11 @@
 from gentiantrestle import events
 from gentiantrestle.cli.configuration import InputError
 from gentiantrestle.cli.registry import Session, command
-from gentiantrestle.margins import answers, jobs, stops, streams
+from gentiantrestle.margins import answers, jobs, reads, stops, streams
 from gentiantrestle.margins.records import LogReader, Record
 from gentiantrestle.margins.registry import Bounds, Margin, measure
 
-METER_MODULES = (answers, stops, jobs, streams)
+METER_MODULES = (answers, stops, jobs, reads, streams)
 STANDARD_INPUT = '-'
 
 
--- a/gentiantrestle/gateway/batch/api.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -11,6 +11,13 @@
     may_use,
 )
 from gentiantrestle.gateway.batch.context import BatchContext
+from gentiantrestle.gateway.batch.job_calls import (
+    JobCall,
+    JobCallLog,
+    Operation,
+    Step,
+    reach,
+)
 from gentiantrestle.gateway.batch.job_index import JobEntry
 from gentiantrestle.gateway.batch.quota_check import QuotaCheck
 from gentiantrestle.gateway.batch.result_reader import ResultReader
@@ -89,6 +96,7 @@
         self._runner = runner
         self._reader = reader
         self._run_name = run_name
+        self._calls = JobCallLog()
         self.on_cancel: Callable[[str], None] = _ignore
 
     async def submit(
@@ -111,9 +119,11 @@
 
         Waits up to ``operation.wait`` s if there is none yet.
         """
+        call = JobCall(operation.job, Operation.RESULTS, operation.after)
         deadline = asyncio.get_running_loop().time() + operation.wait
-        entry = await self._find(operation.job, caller)
-        await self._await_results(entry, operation, deadline)
+        with self._calls.noting(call):
+            entry = await self._find(call, caller)
+            await self._await_results(entry, operation, deadline)
         page = []
         size = 0
         for result in entry.results[operation.after :]:
@@ -129,11 +139,14 @@
         self, operation: ReadBody, caller: JobCaller = UNRESTRICTED
     ) -> Response:
         """Return the body of an item."""
-        entry = await self._find(operation.job, caller)
-        if not entry.has_item(operation.item_id):
-            raise no_such_item(operation.job, operation.item_id)
-        with refusing_unavailable():
-            body = await self._job_store.read_body(entry, operation.item_id)
+        call = JobCall(operation.job, Operation.BODY, operation.item_id)
+        with self._calls.noting(call):
+            entry = await self._find(call, caller)
+            if not entry.has_item(operation.item_id):
+                raise no_such_item(operation.job, operation.item_id)
+            reach(Step.BODY)
+            with refusing_unavailable():
+                body = await self._job_store.read_body(entry, operation.item_id)
         return Response(OK, BYTES_HEADERS, body)
 
     async def cancel(
@@ -144,10 +157,13 @@
         Refused with ``STORE_UNAVAILABLE`` also if the store did not confirm
         the change, and with ``NOT_FOUND``.
         """
-        if caller != UNRESTRICTED:
-            await self._find(operation.job, caller)
-        with refusing_unavailable(StoreOutcomeUnknownError):
-            known = await self._job_store.cancel(operation.job)
+        call = JobCall(operation.job, Operation.CANCEL)
+        with self._calls.noting(call):
+            if caller != UNRESTRICTED:
+                await self._find(call, caller)
+            reach(Step.CANCEL)
+            with refusing_unavailable(StoreOutcomeUnknownError):
+                known = await self._job_store.cancel(operation.job)
         if not known:
             raise no_such_job(operation.job, indexed=False, stored='none')
         events.emit(events.JOB_FINISHED, job=operation.job, state='ended')
@@ -186,26 +202,31 @@
         with refusing_unaccepted():
             return await self._job_store.accept(job)
 
-    async def _find(self, job_id: str, caller: JobCaller) -> JobEntry:
+    async def _find(self, call: JobCall, caller: JobCaller) -> JobEntry:
         """Return a job that is there for a caller.
 
         One that isn't costs the same read of the store as one that doesn't
         exist.
         """
-        known = self._index.entries.get(job_id)
+        known = self._index.entries.get(call.job)
+        call.entry = known
         if self._is_there(known, caller):
             return known
         with refusing_unavailable():
-            entry = await self._job_store.read(job_id)
+            entry = await self._job_store.read(call.job)
+        call.entry = entry
         if self._is_there(entry, caller):
             return entry
         refusal = no_such_job(
-            job_id,
+            call.job,
             indexed=known is not None,
             stored='none' if entry is None else 'not for this caller',
             jobs_revision=self._index.revision,
         )
-        raise caller.refusal or refusal
+        if caller.refusal is None:
+            raise refusal
+        reach(Step.NOT_PREPARED)
+        raise caller.refusal
 
     def _is_there(self, entry: JobEntry | None, caller: JobCaller) -> bool:
         return entry is not None and may_use(caller, entry.job, self._router)
@@ -220,6 +241,7 @@
             if len(entry.results) > operation.after or loop.time() >= deadline:
                 return
             local = self._reader.runs_here(entry)
+            reach(Step.WAIT)
             await asyncio.sleep(
                 LOCAL_POLL_INTERVAL if local else PEER_POLL_INTERVAL
             )
@@ -229,6 +251,7 @@
 
         Refused if that fails and none is there after the position.
         """
+        reach(Step.CHUNKS)
         try:
             async with asyncio.timeout_at(until):
                 await self._reader.refresh(entry)
--- a/gentiantrestle/gateway/batch/result_reader.py
+++ b/gentiantrestle/gateway/batch/result_reader.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from gentiantrestle import events
+from gentiantrestle.gateway.batch.job_calls import Step, reach
 from gentiantrestle.gateway.batch.job_index import JobEntry
 from gentiantrestle.gateway.batch.job_store import JobStore
 from gentiantrestle.gateway.batch.runner import Runner
@@ -83,8 +84,12 @@
         peer = self._peers.find_run(owner) if owner else None
         if self._runner.owns(entry):
             peer = None
-        if peer is None or not await self.fetch_from_peer(peer, entry):
-            await self._job_store.refresh(entry)
+        if peer is not None:
+            reach(Step.OWNER)
+            if await self.fetch_from_peer(peer, entry):
+                return
+        reach(Step.CHUNKS)
+        await self._job_store.refresh(entry)
 
     async def _learn(self, job_id: str) -> JobEntry | None:
         try:
--- a/tests/interfaces/test_margins.py
+++ b/tests/interfaces/test_margins.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from gentiantrestle import events
+from gentiantrestle import events, job_events
 from gentiantrestle.cli.core import run
 from gentiantrestle.event_kinds import Event
 from gentiantrestle.exit_status import ExitStatus
@@ -22,6 +22,8 @@
 OWNERS = 'owners know their jobs'
 REPEATS = 'a job that was accepted is accepted again'
 PROGRESS = 'open jobs make progress'
+REFUSED_READS = 'reads of jobs that were refused'
+UNREAD = 'longest time in which a job could not be read'
 TAKE_UPS = 'streams taken up go on as new ones begin'
 PROMISES = (
     LOST,
@@ -33,6 +35,8 @@
     OWNERS,
     REPEATS,
     PROGRESS,
+    REFUSED_READS,
+    UNREAD,
     TAKE_UPS,
 )
 
@@ -216,6 +220,44 @@
     assert figures(*records, done)[PROGRESS].figure == 0
 
 
+def refused_read(
+    at: float, instance: str, job: str = 'j', operation: str = 'results'
+) -> Record:
+    return rec(
+        at,
+        job_events.JOB_CALL_UNANSWERED,
+        instance,
+        job=job,
+        operation=operation,
+        step='chunks',
+    )
+
+
+def test_refused_reads_are_counted_by_job_and_timed_until_an_answer() -> None:
+    found = figures(
+        refused_read(1.0, 'a'),
+        refused_read(2.5, 'b'),
+        rec(4.0, job_events.JOB_READ_AGAIN, 'b', job='j'),
+        refused_read(6.0, 'a'),
+        refused_read(1.0, 'a', 'k'),
+        refused_read(1.0, 'a', 'l', 'cancel'),
+    )
+    assert found[REFUSED_READS].figure == 4
+    assert found[REFUSED_READS].nearest == 'j'
+    assert found[REFUSED_READS].details['by_job'] == {'j': 3, 'k': 1}
+    assert found[REFUSED_READS].details['steps'] == {'chunks': 5}
+    assert (found[UNREAD].figure, found[UNREAD].nearest) == (3.0, 'j')
+
+
+def test_refusals_far_apart_are_not_taken_for_one_stretch() -> None:
+    found = figures(
+        refused_read(1.0, 'a'),
+        refused_read(2.0, 'b'),
+        refused_read(60.0, 'a'),
+    )
+    assert found[UNREAD].figure == 1.0
+
+
 def test_take_ups_are_compared_with_new_streams_of_their_window() -> None:
     records = []
     for number in range(12):
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -3,7 +3,7 @@
 import re
 from pathlib import Path
 
-from gentiantrestle import allowance_events, errors, events
+from gentiantrestle import allowance_events, errors, events, job_events
 from gentiantrestle.event_kinds import CATALOGUE, Event
 from gentiantrestle.options import OPTIONS
 
@@ -24,7 +24,7 @@
 def test_catalogue_holds_the_events_of_all_modules() -> None:
     named = {
         event
-        for module in (allowance_events, events)
+        for module in (allowance_events, events, job_events)
         for event in vars(module).values()
         if isinstance(event, Event)
     }
