Each call on a job is answered before its caller leaves

What callers saw: while the store is silent, a read of a job that this instance doesn't know, a read of a body and a cancel got no answer at all: a call of the store is given up after 1.5 s, when the caller leaves.

Cause: only the read of results was bounded by the caller's time, not the search for the job, nor bodies and cancels.

Change: all three are refused with 503 after the caller's time of 1.3 s (and its wait, for results). A cancel that is given up so was "not confirmed" before, too, and may be repeated.

--- a/gentiantrestle/gateway/batch/api.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -23,6 +23,7 @@
 from gentiantrestle.gateway.batch.result_reader import ResultReader
 from gentiantrestle.gateway.batch.runner import Runner
 from gentiantrestle.gateway.batch.store_refusals import (
+    answering_by,
     no_such_item,
     no_such_job,
     noting_refusal,
@@ -122,7 +123,8 @@
         call = JobCall(operation.job, Operation.RESULTS, operation.after)
         deadline = asyncio.get_running_loop().time() + operation.wait
         with self._calls.noting(call):
-            entry = await self._find(call, caller)
+            async with answering_by(deadline + PATIENCE):
+                entry = await self._find(call, caller)
             await self._await_results(entry, operation, deadline)
         page = []
         size = 0
@@ -140,13 +142,11 @@
     ) -> Response:
         """Return the body of an item."""
         call = JobCall(operation.job, Operation.BODY, operation.item_id)
+        until = asyncio.get_running_loop().time() + PATIENCE
         with self._calls.noting(call):
-            entry = await self._find(call, caller)
-            if not entry.has_item(operation.item_id):
-                raise no_such_item(operation.job, operation.item_id)
-            reach(Step.BODY)
-            with refusing_unavailable():
-                body = await self._job_store.read_body(entry, operation.item_id)
+            async with answering_by(until):
+                entry = await self._find(call, caller)
+                body = await self._read_body(entry, operation)
         return Response(OK, BYTES_HEADERS, body)
 
     async def cancel(
@@ -158,12 +158,10 @@
         the change, and with ``NOT_FOUND``.
         """
         call = JobCall(operation.job, Operation.CANCEL)
+        until = asyncio.get_running_loop().time() + PATIENCE
         with self._calls.noting(call):
-            if caller != UNRESTRICTED:
-                await self._find(call, caller)
-            reach(Step.CANCEL)
-            with refusing_unavailable(StoreOutcomeUnknownError):
-                known = await self._job_store.cancel(operation.job)
+            async with answering_by(until):
+                known = await self._cancel(call, caller)
         if not known:
             raise no_such_job(operation.job, indexed=False, stored='none')
         events.emit(events.JOB_FINISHED, job=operation.job, state='ended')
@@ -171,6 +169,21 @@
         self._runner.wake()
         return Response(OK, JSON_HEADERS, b'{}')
 
+    async def _read_body(self, entry: JobEntry, operation: ReadBody) -> bytes:
+        if not entry.has_item(operation.item_id):
+            raise no_such_item(operation.job, operation.item_id)
+        reach(Step.BODY)
+        with refusing_unavailable():
+            return await self._job_store.read_body(entry, operation.item_id)
+
+    async def _cancel(self, call: JobCall, caller: JobCaller) -> bool:
+        """Cancel a job; return whether there is one."""
+        if caller != UNRESTRICTED:
+            await self._find(call, caller)
+        reach(Step.CANCEL)
+        with refusing_unavailable(StoreOutcomeUnknownError):
+            return await self._job_store.cancel(call.job)
+
     async def _submit(
         self, request: Request, route: Route, submission: Submission
     ) -> Response:
--- a/gentiantrestle/gateway/batch/store_refusals.py
+++ b/gentiantrestle/gateway/batch/store_refusals.py
@@ -1,7 +1,8 @@
 """What callers of batch jobs are told of failures of the store."""
 
-from collections.abc import Iterator
-from contextlib import contextmanager
+import asyncio
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 
 from gentiantrestle import events
 from gentiantrestle.errors import (
@@ -25,6 +26,7 @@
     StoreOutcomeUnknownError,
     JobTakenError,
 )
+UNANSWERED = 'The store did not answer in time'
 STORE_RETRY_AFTER = 0.5  # seconds, while the store is unavailable
 
 
@@ -38,6 +40,16 @@
         raise _unavailable(exc) from exc
 
 
+@asynccontextmanager
+async def answering_by(until: float) -> AsyncIterator[None]:
+    """Refuse what the store hasn't answered by a time of the event loop."""
+    try:
+        async with asyncio.timeout_at(until):
+            yield
+    except TimeoutError as exc:
+        raise refuse(STORE_UNAVAILABLE, UNANSWERED, STORE_RETRY_AFTER) from exc
+
+
 @contextmanager
 def refusing_unaccepted() -> Iterator[None]:
     """Refuse a job that the store doesn't have, or may not have."""
