A page of results is at most 1 MB as it is sent

What callers saw: pages of up to several times the 1 MB that the interface allows, which arrive late or not at all on a slow link.

Cause: MAX_PAGE_SIZE counted characters of output, before encoding and without ids.

Change: the encoded size of each result counts, and the names around it.

--- a/gentiantrestle/gateway/batch/api.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -20,6 +20,7 @@
 )
 from gentiantrestle.gateway.batch.job_index import JobEntry
 from gentiantrestle.gateway.batch.quota_check import QuotaCheck
+from gentiantrestle.gateway.batch.result_chunks import first_page
 from gentiantrestle.gateway.batch.result_reader import ResultReader
 from gentiantrestle.gateway.batch.runner import Runner
 from gentiantrestle.gateway.batch.store_refusals import (
@@ -44,7 +45,7 @@
 
 ACCEPTED = 202
 OK = 200
-MAX_PAGE_SIZE = 900000  # characters of output in one response
+MAX_PAGE_SIZE = 900000  # bytes of results in one response, as sent
 # Time between checks for results that another instance may store.
 PEER_POLL_INTERVAL = 0.25  # seconds
 # Time between checks for results that this instance stores.
@@ -126,13 +127,7 @@
             async with answering_by(deadline + PATIENCE):
                 entry = await self._find(call, caller)
             await self._await_results(entry, operation, deadline)
-        page = []
-        size = 0
-        for result in entry.results[operation.after :]:
-            size += len(result.output)
-            if page and size > MAX_PAGE_SIZE:
-                break
-            page.append(result)
+        page = first_page(entry.results, operation.after, MAX_PAGE_SIZE)
         total = len(entry.job.items)
         body = self._dialect.write_results(total, operation.after, page)
         return Response(OK, JSON_HEADERS, body)
