--- a/gentiantrestle/gateway/batch/api.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -11,11 +11,20 @@
     may_use,
 )
 from gentiantrestle.gateway.batch.context import BatchContext
+from gentiantrestle.gateway.batch.job_calls import (
+    JobCall,
+    JobCallLog,
+    Operation,
+    Step,
+    reach,
+)
 from gentiantrestle.gateway.batch.job_index import JobEntry
 from gentiantrestle.gateway.batch.quota_check import QuotaCheck
+from gentiantrestle.gateway.batch.result_chunks import first_page
 from gentiantrestle.gateway.batch.result_reader import ResultReader
 from gentiantrestle.gateway.batch.runner import Runner
 from gentiantrestle.gateway.batch.store_refusals import (
+    answering_by,
     no_such_item,
     no_such_job,
     noting_refusal,
@@ -36,7 +45,7 @@
 
 ACCEPTED = 202
 OK = 200
-MAX_PAGE_SIZE = 900000  # characters of output in one response
+MAX_PAGE_SIZE = 900000  # bytes of results in one response, as sent
 # Time between checks for results that another instance may store.
 PEER_POLL_INTERVAL = 0.25  # seconds
 # Time between checks for results that this instance stores.
@@ -89,6 +98,7 @@
         self._runner = runner
         self._reader = reader
         self._run_name = run_name
+        self._calls = JobCallLog()
         self.on_cancel: Callable[[str], None] = _ignore
 
     async def submit(
@@ -111,16 +121,13 @@
 
         Waits up to ``operation.wait`` s if there is none yet.
         """
+        call = JobCall(operation.job, Operation.RESULTS, operation.after)
         deadline = asyncio.get_running_loop().time() + operation.wait
-        entry = await self._find(operation.job, caller)
-        await self._await_results(entry, operation, deadline)
-        page = []
-        size = 0
-        for result in entry.results[operation.after :]:
-            size += len(result.output)
-            if page and size > MAX_PAGE_SIZE:
-                break
-            page.append(result)
+        with self._calls.noting(call):
+            async with answering_by(deadline + PATIENCE):
+                entry = await self._find(call, caller)
+            await self._await_results(entry, operation, deadline)
+        page = first_page(entry.results, operation.after, MAX_PAGE_SIZE)
         total = len(entry.job.items)
         body = self._dialect.write_results(total, operation.after, page)
         return Response(OK, JSON_HEADERS, body)
@@ -129,11 +136,12 @@
         self, operation: ReadBody, caller: JobCaller = UNRESTRICTED
     ) -> Response:
         """Return the body of an item."""
-        entry = await self._find(operation.job, caller)
-        if not entry.has_item(operation.item_id):
-            raise no_such_item(operation.job, operation.item_id)
-        with refusing_unavailable():
-            body = await self._job_store.read_body(entry, operation.item_id)
+        call = JobCall(operation.job, Operation.BODY, operation.item_id)
+        until = asyncio.get_running_loop().time() + PATIENCE
+        with self._calls.noting(call):
+            async with answering_by(until):
+                entry = await self._find(call, caller)
+                body = await self._read_body(entry, operation)
         return Response(OK, BYTES_HEADERS, body)
 
     async def cancel(
@@ -144,10 +152,11 @@
         Refused with ``STORE_UNAVAILABLE`` also if the store did not confirm
         the change, and with ``NOT_FOUND``.
         """
-        if caller != UNRESTRICTED:
-            await self._find(operation.job, caller)
-        with refusing_unavailable(StoreOutcomeUnknownError):
-            known = await self._job_store.cancel(operation.job)
+        call = JobCall(operation.job, Operation.CANCEL)
+        until = asyncio.get_running_loop().time() + PATIENCE
+        with self._calls.noting(call):
+            async with answering_by(until):
+                known = await self._cancel(call, caller)
         if not known:
             raise no_such_job(operation.job, indexed=False, stored='none')
         events.emit(events.JOB_FINISHED, job=operation.job, state='ended')
@@ -155,6 +164,21 @@
         self._runner.wake()
         return Response(OK, JSON_HEADERS, b'{}')
 
+    async def _read_body(self, entry: JobEntry, operation: ReadBody) -> bytes:
+        if not entry.has_item(operation.item_id):
+            raise no_such_item(operation.job, operation.item_id)
+        reach(Step.BODY)
+        with refusing_unavailable():
+            return await self._job_store.read_body(entry, operation.item_id)
+
+    async def _cancel(self, call: JobCall, caller: JobCaller) -> bool:
+        """Cancel a job; return whether there is one."""
+        if caller != UNRESTRICTED:
+            await self._find(call, caller)
+        reach(Step.CANCEL)
+        with refusing_unavailable(StoreOutcomeUnknownError):
+            return await self._job_store.cancel(call.job)
+
     async def _submit(
         self, request: Request, route: Route, submission: Submission
     ) -> Response:
@@ -186,26 +210,31 @@
         with refusing_unaccepted():
             return await self._job_store.accept(job)
 
-    async def _find(self, job_id: str, caller: JobCaller) -> JobEntry:
+    async def _find(self, call: JobCall, caller: JobCaller) -> JobEntry:
         """Return a job that is there for a caller.
 
         One that isn't costs the same read of the store as one that doesn't
         exist.
         """
-        known = self._index.entries.get(job_id)
+        known = self._index.entries.get(call.job)
+        call.entry = known
         if self._is_there(known, caller):
             return known
         with refusing_unavailable():
-            entry = await self._job_store.read(job_id)
+            entry = await self._job_store.read(call.job)
+        call.entry = entry
         if self._is_there(entry, caller):
             return entry
         refusal = no_such_job(
-            job_id,
+            call.job,
             indexed=known is not None,
             stored='none' if entry is None else 'not for this caller',
             jobs_revision=self._index.revision,
         )
-        raise caller.refusal or refusal
+        if caller.refusal is None:
+            raise refusal
+        reach(Step.NOT_PREPARED)
+        raise caller.refusal
 
     def _is_there(self, entry: JobEntry | None, caller: JobCaller) -> bool:
         return entry is not None and may_use(caller, entry.job, self._router)
@@ -220,6 +249,7 @@
             if len(entry.results) > operation.after or loop.time() >= deadline:
                 return
             local = self._reader.runs_here(entry)
+            reach(Step.WAIT)
             await asyncio.sleep(
                 LOCAL_POLL_INTERVAL if local else PEER_POLL_INTERVAL
             )
@@ -229,6 +259,7 @@
 
         Refused if that fails and none is there after the position.
         """
+        reach(Step.CHUNKS)
         try:
             async with asyncio.timeout_at(until):
                 await self._reader.refresh(entry)
