A try of a job no longer replaces another try's bodies in memory

Callers saw: of two tries of one job id with different bodies, sent to one instance before either was answered, both get 202; the store keeps the bodies of one, but the instance gave the other's bodies, and would run the items with them, until its memory of them was dropped.

Cause: JobStore._adopt kept the bodies of any try whose record already existed, if this run had accepted that record, without a look at which bodies the record names.

Evidence: tests/gateway/test_acceptance_orders.py, on the code before: assert found == [found[0]] * len(found) At index 1 diff: [b'{"events":1}', b'{"events":1}'] != [b'{"events":2}', b'{"events":2}'] steps=[_Step('submit', 0, 0, 1), _Step('submit', 0, 0, 2)] It failed so at both sizes of bodies. It passes with the change.

Why this works: bodies are checked against the store before the record is written, and objects of bodies never change; so two tries that name the same items, number of parts and upload have equal bodies.

The test plays up to six submissions, cancellations and restarts at two instances, over a store that does each write at once, late (in 0.1 to 6 s, in any order), never, without an answer, or refuses it, and refuses reads. It found nothing else: accepted jobs stay with one try's bodies at old and fresh instances, a cancellation stays, what was only refused leaves no record, and is accepted later. Instance.submit in test_account_jobs.py takes the run's name and the events; its defaults are what it did before.

--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -14,6 +14,7 @@
     DONE,
     JOB_KIND,
     JobTakenError,
+    is_same_upload,
     job_from_stored,
     job_to_content,
     state_of,
@@ -98,7 +99,8 @@
         ``StoreOutcomeUnknownError`` if it may have been, and ``JobTakenError``
         if another account has a job of this id.
         """
-        content = job_to_content(await self._bodies.write(job))
+        job = await self._bodies.write(job)
+        content = job_to_content(job)
         # The job is accepted once this last object exists; bodies alone have
         # no effect.
         new = await self._store.create(JOB_KIND, job.id, content)
@@ -210,7 +212,7 @@
             )
 
     async def _adopt(self, job: Job) -> None:
-        """Keep the bodies if this process accepted the job before.
+        """Keep the bodies if this process accepted the same job before.
 
         That happens when the store's response to an earlier write was lost.
         Raises as ``accept`` does if it isn't sure whose job it is.
@@ -226,7 +228,9 @@
             return
         if not is_submitted_by(entry.job, job.account):
             raise JobTakenError(job.id)
-        if entry.job.acceptor == job.acceptor:
+        if entry.job.acceptor == job.acceptor and is_same_upload(
+            entry.job, job
+        ):
             self._keep_bodies(entry, job)
 
     async def _try_mark_done(self, job_id: str) -> bool:
--- a/gentiantrestle/gateway/batch/records.py
+++ b/gentiantrestle/gateway/batch/records.py
@@ -106,6 +106,15 @@
     )
 
 
+def is_same_upload(job: Job, other: Job) -> bool:
+    """Return whether two stored jobs have the same items and bodies."""
+    if (job.body_parts, job.upload) != (other.body_parts, other.upload):
+        return False
+    return [(spec.id, spec.tokens) for spec in job.items] == [
+        (spec.id, spec.tokens) for spec in other.items
+    ]
+
+
 def bodies_to_content(job: Job) -> dict[str, Any]:
     """Encode the paths, headers and bodies of a job's items.
 
--- a/tests/gateway/test_account_jobs.py
+++ b/tests/gateway/test_account_jobs.py
@@ -59,6 +59,7 @@
         store: MemoryStore,
         table: RoutingTable | None = None,
         now: Callable[[], float] = float,
+        run_name: str = 'one/1',
     ) -> None:
         """Share ``store`` with other instances."""
         self.router = Router()
@@ -79,12 +80,14 @@
             ),
             SimpleNamespace(wake=lambda: None),
             SimpleNamespace(refresh=refresh, runs_here=lambda _: True),
-            'one/1',
+            run_name,
         )
 
-    async def submit(self, account: str | None, name: str = 'job1') -> None:
-        """Submit a job of two items."""
-        body = msgspec.json.encode(job_doc(name, 2, 1))
+    async def submit(
+        self, account: str | None, name: str = 'job1', events: int = 1
+    ) -> None:
+        """Submit a job of two items that make ``events`` events each."""
+        body = msgspec.json.encode(job_doc(name, 2, events))
         req = make_request(name, body=body, target='/lists/j', host=HOST)
         await self.api.submit(
             req._replace(account=account),
