Submissions over half of a quota share one listing of all jobs

Callers saw: slow answers or refusals of submissions while the links are full.

Cause: QuotaCheck calls JobStore.relist, and each call read all pages.

Evidence: test_submissions_over_half_the_quota_do_not_list_all_jobs_each, eight submissions at once, on the code before: assert 8 <= 2 (list calls) It passes with the change.

Why this works: at most one listing runs and one waits; whoever asks before the waiting one begins shares it. One that has begun isn't joined: it may have missed a job accepted elsewhere since, which would break the quota; test_job_accepted_elsewhere_after_a_listing_began_is_counted guards that (it passed before, too). For the same reason a listing isn't reused for a while after it. A caller who leaves doesn't end it for the others.

The price: a submission that comes while a listing runs waits for its rest before its own begins.

--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterable
+from functools import partial
 
 from gentiantrestle import events
 from gentiantrestle.gateway.batch.access import is_submitted_by
@@ -20,6 +21,7 @@
     state_of,
 )
 from gentiantrestle.gateway.batch.result_store import ResultStore
+from gentiantrestle.gateway.batch.shared_call import SharedCall
 from gentiantrestle.gateway.memory.budget import MemoryBudget
 from gentiantrestle.gateway.model import ItemResult, Job
 from gentiantrestle.gateway.ports import ObjectStore, StoredObject
@@ -56,6 +58,7 @@
         # Revisions of the objects that were logged as unreadable.
         self._unreadable: dict[str, int] = {}
         self._store = store
+        self._listing = SharedCall(partial(_list_jobs, store, self.apply))
         self._rng = rng
         self.index = index
         self.budget = MemoryBudget()
@@ -134,15 +137,9 @@
     async def relist(self) -> None:
         """Read all jobs, without bodies and results, into the index.
 
-        Raises ``StoreUnavailableError``.
+        Calls that wait share one listing. Raises ``StoreUnavailableError``.
         """
-        page = await self._store.list_page(JOB_KIND, '')
-        found = list(page.entries)
-        while page.more and page.entries:
-            page = await self._store.list_page(JOB_KIND, found[-1].name)
-            found.extend(page.entries)
-        for stored in found:
-            self.apply(stored)
+        await self._listing.run()
 
     async def find(self, job_id: str) -> JobEntry | None:
         """Return a job, reading it from the store if the index lacks it.
@@ -260,3 +257,16 @@
         """Update the index; return whether the state is final."""
         entry = self._apply_readable(stored)
         return entry is None or entry.job.done or state_of(stored) == CANCELLED
+
+
+async def _list_jobs(
+    store: ObjectStore, apply: Callable[[StoredObject], object]
+) -> None:
+    """Read all jobs, then apply each."""
+    page = await store.list_page(JOB_KIND, '')
+    found = list(page.entries)
+    while page.more and page.entries:
+        page = await store.list_page(JOB_KIND, found[-1].name)
+        found.extend(page.entries)
+    for stored in found:
+        apply(stored)
--- a/tests/gateway/test_quota_reads.py
+++ b/tests/gateway/test_quota_reads.py
@@ -11,7 +11,7 @@
 from gentiantrestle.gateway.batch.job_store import JobStore
 from gentiantrestle.gateway.batch.records import RESULT_KIND, chunk_name
 from gentiantrestle.gateway.model import ItemResult
-from gentiantrestle.gateway.ports import StoredObject
+from gentiantrestle.gateway.ports import Page, StoredObject
 from tests.gateway.memory import MemoryStore
 from tests.gateway.samples import make_batch_route, make_table
 from tests.gateway.test_account_jobs import Instance
@@ -106,3 +106,69 @@
 ) -> None:
     tries = run_virtual(_submit_until_accepted(odd_first=odd_first))
     assert tries <= MAX_TRIES
+
+
+class _SlowListStore(MemoryStore):
+    """A store whose lists take a while to arrive."""
+
+    async def list_page(
+        self, kind: str, after: str, *, stale: bool = False
+    ) -> Page:
+        """List everything in one page."""
+        page = await super().list_page(kind, after, stale=stale)
+        await asyncio.sleep(READ_TIME)
+        return page
+
+
+async def _submit_many(store: MemoryStore, count: int) -> None:
+    """Submit jobs at once, with half of the quota used up."""
+    tokens = (2 * count + 1) * JOB_TOKENS
+    table = make_table(make_batch_route(max_tokens=tokens))
+    instance = Instance(store, table, virtual_now)
+    for number in range(count):
+        await instance.submit(None, f'job{number}')
+    store.calls.clear()
+    await asyncio.gather(
+        *(instance.submit(None, f'more{number}') for number in range(count))
+    )
+
+
+def test_submissions_over_half_the_quota_do_not_list_all_jobs_each() -> None:
+    store = _SlowListStore()
+    run_virtual(_submit_many(store, 8))
+    assert store.calls.count('list') <= 2
+
+
+def test_job_accepted_elsewhere_after_a_listing_began_is_counted() -> None:
+    async def main() -> None:
+        store = _SlowListStore()
+        table = make_table(make_batch_route(max_tokens=3 * JOB_TOKENS))
+        here = Instance(store, table, virtual_now)
+        there = Instance(store, table, virtual_now, 'two/1')
+        await here.submit(None, 'job0')
+        await here.submit(None, 'job1')
+        listing = asyncio.create_task(here.job_store.relist())
+        await asyncio.sleep(READ_TIME / 2)
+        await there.submit(None, 'job2')
+        with pytest.raises(RefusedError) as caught:
+            await here.submit(None, 'job3')
+        assert caught.value.refusal.kind is OVERLOADED
+        await listing
+
+    run_virtual(main())
+
+
+def test_listing_goes_on_for_others_when_a_caller_leaves() -> None:
+    async def main() -> None:
+        store = _SlowListStore()
+        table = make_table(make_batch_route())
+        await Instance(store, table, virtual_now).submit(None, 'job0')
+        here = Instance(store, table, virtual_now)
+        gone = asyncio.create_task(here.job_store.relist())
+        stays = asyncio.create_task(here.job_store.relist())
+        await asyncio.sleep(READ_TIME / 2)
+        gone.cancel()
+        await stays
+        assert 'job0' in here.index.entries
+
+    run_virtual(main())
