Bodies of a job that several ask for at once are read once

Callers saw: slow bodies and failed reads while the links are full. Each request for the body of one item read all parts of all bodies of the job, beside others that read the same ones.

Cause: BodyStore.read began a read of its own for each call.

Evidence: test_bodies_that_are_asked_for_at_once_are_read_once, three items and the owner's own read at once, on the code before: assert 4 == 1 (reads of each of the 23 parts) It passes with the change.

Why this works: the objects of bodies never change, so a read that is under way may be joined at any time. It goes on for the others when one caller leaves, and one that failed isn't kept. Requests one after the other still read all parts each time; bodies that were only read aren't kept in memory.

--- a/gentiantrestle/gateway/batch/body_store.py
+++ b/gentiantrestle/gateway/batch/body_store.py
@@ -23,6 +23,8 @@
     StoreUnavailableError,
 )
 
+Reading = asyncio.Task[tuple[ItemSpec, ...]]
+
 
 class BodyStore:
     """The bodies of jobs in the store."""
@@ -30,6 +32,8 @@
     def __init__(self, store: ObjectStore) -> None:
         """Read from and write to ``store``."""
         self._store = store
+        # Reads under way, by the first part's key; bodies never change.
+        self._reads: dict[tuple[str, str], Reading] = {}
 
     async def write(self, job: Job) -> Job:
         """Store a job's bodies; return the job, which tells where they are.
@@ -51,10 +55,18 @@
         raise StoreUnavailableError(f'other bodies of {job.id} are stored')
 
     async def read(self, job: Job) -> tuple[ItemSpec, ...]:
-        """Return a job's items with their bodies.
+        """Return a job's items with their bodies; calls that overlap share it.
 
         Raises ``StoreUnavailableError``, also if they can't be decoded.
         """
+        key = part_key(job.id, 0, job.upload)
+        if key not in self._reads:
+            reading = asyncio.create_task(self._read(job))
+            reading.add_done_callback(lambda _: self._reads.pop(key))
+            self._reads[key] = reading
+        return await asyncio.shield(self._reads[key])
+
+    async def _read(self, job: Job) -> tuple[ItemSpec, ...]:
         parts = await asyncio.gather(
             *(
                 self._store.get(*part_key(job.id, index, job.upload))
--- a/tests/gateway/test_body_parts.py
+++ b/tests/gateway/test_body_parts.py
@@ -1,7 +1,9 @@
 """Jobs whose bodies are larger than one object of the store."""
 
+import asyncio
 import base64
 import random
+from collections import Counter
 
 import pytest
 
@@ -14,7 +16,11 @@
     MAX_BODY_PARTS,
 )
 from gentiantrestle.gateway.model import Job
-from gentiantrestle.store.client import ObjectTooLargeError
+from gentiantrestle.gateway.ports import StoredObject
+from gentiantrestle.store.client import (
+    ObjectTooLargeError,
+    StoreUnavailableError,
+)
 from tests.gateway.fleet import (
     ENTRIES,
     GatewayFleet,
@@ -63,6 +69,67 @@
     assert len(stored) == len(split_bodies(job, LIMIT))
 
 
+class _CountingStore(MemoryStore):
+    """Notes how often each part of bodies is read, and may lack them."""
+
+    def __init__(self) -> None:
+        super().__init__(max_content_size=LIMIT)
+        self.reads: Counter[tuple[str, str]] = Counter()
+        self.is_refusing = False
+
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        """Read one object."""
+        self.reads[kind, name] += kind in {BODY_KIND, BODY_PART_KIND}
+        await asyncio.sleep(0)
+        if self.is_refusing:
+            raise StoreUnavailableError('refused')
+        return await super().get(kind, name)
+
+
+async def _accept_large(store: MemoryStore) -> tuple[Job, JobStore]:
+    """Return an accepted job, and another instance that knows it."""
+    job = _make_large_job(5000)
+    await JobStore(store, JobIndex(), random.Random(1), lambda: 0).accept(job)
+    other = JobStore(store, JobIndex(), random.Random(1), lambda: 0)
+    await other.find(job.id)
+    return job, other
+
+
+async def test_bodies_that_are_asked_for_at_once_are_read_once() -> None:
+    store = _CountingStore()
+    job, other = await _accept_large(store)
+    entry = other.index.entries[job.id]
+    found = await asyncio.gather(
+        *(other.read_body(entry, spec.id) for spec in job.items),
+        other.load_bodies(entry),
+    )
+    assert found[:-1] == [spec.body for spec in job.items]
+    assert max(store.reads.values()) == 1
+
+
+async def test_bodies_are_read_again_after_a_read_that_failed() -> None:
+    store = _CountingStore()
+    job, other = await _accept_large(store)
+    entry = other.index.entries[job.id]
+    store.is_refusing = True
+    with pytest.raises(StoreUnavailableError):
+        await other.read_body(entry, job.items[0].id)
+    store.is_refusing = False
+    assert await other.read_body(entry, job.items[0].id) == job.items[0].body
+
+
+async def test_read_of_bodies_goes_on_for_others_when_a_caller_leaves() -> None:
+    job, other = await _accept_large(_CountingStore())
+    entry = other.index.entries[job.id]
+    gone, stays = (
+        asyncio.create_task(other.read_body(entry, job.items[0].id))
+        for _ in range(2)
+    )
+    await asyncio.sleep(0)
+    gone.cancel()
+    assert await stays == job.items[0].body
+
+
 async def test_job_whose_id_looks_like_a_part_keeps_its_bodies() -> None:
     store = MemoryStore(max_content_size=LIMIT)
     job_store = JobStore(store, JobIndex(), random.Random(1), lambda: 0)
