A body of an item that isn't among the parts is refused as unread

Callers saw: nothing so far; the entry names its items and the interface asks it first. JobStore.read_body raised StopIteration where an item wasn't among the bodies read, which ends as an error without a meaning.

Evidence: test_body_of_an_item_that_the_job_lacks_is_refused, on the code before: RuntimeError: coroutine raised StopIteration It passes with the change: it is StoreUnavailableError, a 503, since it is not sure that the item doesn't exist.

--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -132,7 +132,10 @@
         if body is not None:
             return body
         specs = await self._bodies.read(entry.job)
-        return next(spec.body for spec in specs if spec.id == item_id)
+        found = [spec.body for spec in specs if spec.id == item_id]
+        if not found:
+            raise StoreUnavailableError(f'no item {item_id} in the bodies')
+        return found[0]
 
     async def relist(self) -> None:
         """Read all jobs, without bodies and results, into the index.
--- a/tests/gateway/test_body_parts.py
+++ b/tests/gateway/test_body_parts.py
@@ -130,6 +130,12 @@
     assert await stays == job.items[0].body
 
 
+async def test_body_of_an_item_that_the_job_lacks_is_refused() -> None:
+    job, other = await _accept_large(_CountingStore())
+    with pytest.raises(StoreUnavailableError):
+        await other.read_body(other.index.entries[job.id], 'odd')
+
+
 async def test_job_whose_id_looks_like_a_part_keeps_its_bodies() -> None:
     store = MemoryStore(max_content_size=LIMIT)
     job_store = JobStore(store, JobIndex(), random.Random(1), lambda: 0)
