--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterable
+from functools import partial
 
 from gentiantrestle import events
 from gentiantrestle.gateway.batch.access import is_submitted_by
@@ -14,11 +15,13 @@
     DONE,
     JOB_KIND,
     JobTakenError,
+    is_same_upload,
     job_from_stored,
     job_to_content,
     state_of,
 )
 from gentiantrestle.gateway.batch.result_store import ResultStore
+from gentiantrestle.gateway.batch.shared_call import SharedCall
 from gentiantrestle.gateway.memory.budget import MemoryBudget
 from gentiantrestle.gateway.model import ItemResult, Job
 from gentiantrestle.gateway.ports import ObjectStore, StoredObject
@@ -55,6 +58,7 @@
         # Revisions of the objects that were logged as unreadable.
         self._unreadable: dict[str, int] = {}
         self._store = store
+        self._listing = SharedCall(partial(_list_jobs, store, self.apply))
         self._rng = rng
         self.index = index
         self.budget = MemoryBudget()
@@ -98,7 +102,8 @@
         ``StoreOutcomeUnknownError`` if it may have been, and ``JobTakenError``
         if another account has a job of this id.
         """
-        content = job_to_content(await self._bodies.write(job))
+        job = await self._bodies.write(job)
+        content = job_to_content(job)
         # The job is accepted once this last object exists; bodies alone have
         # no effect.
         new = await self._store.create(JOB_KIND, job.id, content)
@@ -127,20 +132,17 @@
         if body is not None:
             return body
         specs = await self._bodies.read(entry.job)
-        return next(spec.body for spec in specs if spec.id == item_id)
+        found = [spec.body for spec in specs if spec.id == item_id]
+        if not found:
+            raise StoreUnavailableError(f'no item {item_id} in the bodies')
+        return found[0]
 
     async def relist(self) -> None:
         """Read all jobs, without bodies and results, into the index.
 
-        Raises ``StoreUnavailableError``.
+        Calls that wait share one listing. Raises ``StoreUnavailableError``.
         """
-        page = await self._store.list_page(JOB_KIND, '')
-        found = list(page.entries)
-        while page.more and page.entries:
-            page = await self._store.list_page(JOB_KIND, found[-1].name)
-            found.extend(page.entries)
-        for stored in found:
-            self.apply(stored)
+        await self._listing.run()
 
     async def find(self, job_id: str) -> JobEntry | None:
         """Return a job, reading it from the store if the index lacks it.
@@ -210,7 +212,7 @@
             )
 
     async def _adopt(self, job: Job) -> None:
-        """Keep the bodies if this process accepted the job before.
+        """Keep the bodies if this process accepted the same job before.
 
         That happens when the store's response to an earlier write was lost.
         Raises as ``accept`` does if it isn't sure whose job it is.
@@ -226,7 +228,9 @@
             return
         if not is_submitted_by(entry.job, job.account):
             raise JobTakenError(job.id)
-        if entry.job.acceptor == job.acceptor:
+        if entry.job.acceptor == job.acceptor and is_same_upload(
+            entry.job, job
+        ):
             self._keep_bodies(entry, job)
 
     async def _try_mark_done(self, job_id: str) -> bool:
@@ -256,3 +260,16 @@
         """Update the index; return whether the state is final."""
         entry = self._apply_readable(stored)
         return entry is None or entry.job.done or state_of(stored) == CANCELLED
+
+
+async def _list_jobs(
+    store: ObjectStore, apply: Callable[[StoredObject], object]
+) -> None:
+    """Read all jobs, then apply each."""
+    page = await store.list_page(JOB_KIND, '')
+    found = list(page.entries)
+    while page.more and page.entries:
+        page = await store.list_page(JOB_KIND, found[-1].name)
+        found.extend(page.entries)
+    for stored in found:
+        apply(stored)
