Follower: a list goes on with the page whose call failed

What callers saw: after a restart over slow links, instances that didn't know the jobs and streams for long.

Cause: a list of several pages began anew with its first page whenever a call for one of them failed; where calls fail now and then, a long one never ended.

The revision stays that of the first page, so that the watch tells changes and deletions made in between, or that the history is gone, as before; the kind is confirmed as of the first page's call only.

Evidence: a store of five pages, each third call fails. Before, test_list_whose_pages_fail_now_and_then_is_read_to_its_end failed with "assert [] == [{'a', 'b', 'c', 'd', 'e'}]" (no list in 20 s of virtual time), so did test_object_deleted_between_two_pages_is_told_afterwards and test_list_confirms_the_time_of_its_first_page_only ("assert []"). After: seven calls, one list. test_pages_from_before_an_outage_are_read_again passed before, too. Passed after: the gateway's tests of following, settling, odd records, unheard changes and jobs, confirming, watching, silent sources, and of processes with a silent store and trickles.

--- a/gentiantrestle/gateway/follower.py
+++ b/gentiantrestle/gateway/follower.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from gentiantrestle import events
+from gentiantrestle.gateway.paged_list import PagedList
 from gentiantrestle.gateway.ports import (
     HistoryGoneError,
     ObjectStore,
@@ -115,6 +116,7 @@
         """Follow ``spec.kind`` while ``gate`` is set."""
         self._store = store
         self._kind = spec.kind
+        self._list = PagedList(store, spec.kind)
         self._spec = spec
         self._handlers = handlers
         self._rng = rng
@@ -166,7 +168,7 @@
             self._revision = self._handlers.known_revision()
             self._silent.begin(self._revision)
         if self._revision == NO_REVISION:
-            await self._list()
+            await self._read_list()
             return
         await self._watch(self._revision)
 
@@ -196,17 +198,8 @@
         max_wait = self._spec.max_wait
         return min(max_wait, self._handlers.confirm_wait() or max_wait)
 
-    async def _list(self) -> None:
-        found: list[StoredObject] = []
-        asked_at = self.now()
-        page = await self._store.list_page(self._kind, '')
-        found.extend(page.entries)
-        # With the first page's revision, changes made while the other pages
-        # are read are seen again by the watch, and none is missed.
-        revision = page.revision
-        while page.more and page.entries:
-            page = await self._store.list_page(self._kind, found[-1].name)
-            found.extend(page.entries)
+    async def _read_list(self) -> None:
+        found, revision, asked_at = await self._list.read(self.now)
         self._note_connected()
         self._note_told(found, revision)
         self._handlers.replace(found, revision)
@@ -239,6 +232,7 @@
     def _reset(self) -> None:
         """Have the next step start from the revision known by then."""
         self._revision = None
+        self._list.forget()
         self._proof.reset()
         self.connected = False
 
