Store: long reads hold up neither watches nor writes

What callers would see: jobs that aren't accepted and configurations that are late while 32 reads of the platform's store take long.

Cause: all calls shared 32 connections. Since an answer that still arrives isn't given up, reads may hold all of them for 13.5 s; a watch or a write waited for one until it timed out, the write as one of unknown outcome though it had never been sent.

Change: reads, watches and writes have connections of their own, up to 32 each, as the daemon's client has for its watch. Writes never reused one.

Evidence: 32 lists of 2 MB at 500 KB/s each, then a watch, or a write. Before, test_reads_that_take_long_hold_up_no_other_call failed with "StoreUnavailableError: TimeoutError()" [watch] and "StoreOutcomeUnknownError: TimeoutError()" [create]. After it passes, as do the other tests of transfers, those of object sizes, odd entries, and of processes with a silent store and with jobs. The server of the tests now answers a request at the pace that it had when the request was read; the other tests' figures stay.

--- a/gentiantrestle/platform/object_client.py
+++ b/gentiantrestle/platform/object_client.py
@@ -30,7 +30,10 @@
 from gentiantrestle.store.statuses import leaves_unsure
 
 ROOT = '/gentiantrestle/objects'
-POOL_SIZE = 32
+READ = 'read'
+WATCH = 'watch'
+WRITE = 'write'
+POOL_SIZE = 32  # connections for each of these
 # The store answers in 4 ms, and takes some 60 times as long when it is slow.
 CALL_TIMEOUT = 1.5  # seconds without progress
 MAX_LOGGED = 200  # bytes of an unexpected response
@@ -67,7 +70,11 @@
         """
         self._max_object_size = max_object_size
         self.max_content_size = max_object_size - METADATA_RESERVE
-        self._pool = ConnectionPool(address, POOL_SIZE, CALL_TIMEOUT)
+        # Reads may take long: they hold up neither watches nor writes.
+        self._pools = {
+            use: ConnectionPool(address, POOL_SIZE, CALL_TIMEOUT)
+            for use in (READ, WATCH, WRITE)
+        }
         self._decoder = ObjectDecoder()
         self.calls = 0
 
@@ -90,7 +97,7 @@
 
         Raises ``HistoryGoneError`` if the store has dropped that history.
         """
-        query = {'watch': revision, 'wait-ms': int(wait * 1000)}
+        query = {WATCH: revision, 'wait-ms': int(wait * 1000)}
         status, body = await self._call(
             'GET',
             _path(kind),
@@ -152,7 +159,8 @@
 
     def close(self) -> None:
         """Close idle connections."""
-        self._pool.close()
+        for pool in self._pools.values():
+            pool.close()
 
     async def _call(
         self,
@@ -166,10 +174,11 @@
         self.calls += 1
         target = f'{path}?{urlencode(query)}' if query else path
         req = self._build_request(method, target, body)
+        use = _use_of(method, query)
         try:
             async with transfer_timeout(timeout, CALL_TIMEOUT):
-                response, received = await self._pool.fetch(
-                    req, fresh=method != 'GET'
+                response, received = await self._pools[use].fetch(
+                    req, fresh=use == WRITE
                 )
         except NotSentError as exc:
             raise StoreUnavailableError(str(exc)) from exc
@@ -199,6 +208,13 @@
         )
 
 
+def _use_of(method: str, query: dict[str, Any] | None) -> str:
+    """Return what a call is for."""
+    if method != 'GET':
+        return WRITE
+    return WATCH if query and WATCH in query else READ
+
+
 def _lost_call_error(method: str, exc: Exception) -> Exception:
     if method == 'GET':
         return StoreUnavailableError(repr(exc))
--- a/tests/gateway/test_store_transfers.py
+++ b/tests/gateway/test_store_transfers.py
@@ -8,7 +8,11 @@
 
 from gentiantrestle.gateway.retrying_store import RetryingStore
 from gentiantrestle.http import progress
-from gentiantrestle.platform.object_client import CALL_TIMEOUT, ObjectClient
+from gentiantrestle.platform.object_client import (
+    CALL_TIMEOUT,
+    POOL_SIZE,
+    ObjectClient,
+)
 from gentiantrestle.store.client import (
     StoreOutcomeUnknownError,
     StoreUnavailableError,
@@ -153,3 +157,29 @@
         async with asyncio.timeout(CALL_TIMEOUT):
             assert (await client.list_page(KIND, '')).revision == 7
         client.close()
+
+
+async def _call_beside_long_reads(client: ObjectClient, call: str) -> None:
+    if call == 'watch':
+        assert (await client.watch(KIND, 1, 1)).revision == 7
+    else:
+        assert await client.create(KIND, 'one', 'x')
+
+
+@pytest.mark.parametrize('call', ['watch', 'create'])
+async def test_reads_that_take_long_hold_up_no_other_call(call: str) -> None:
+    pace = Pace(_page('items'), rate=RATE)
+    async with paced_server(pace) as (server, address):
+        client = ObjectClient(address)
+        reads = [
+            asyncio.create_task(client.list_page(KIND, ''))
+            for _ in range(POOL_SIZE)
+        ]
+        await asyncio.sleep(0.5)
+        server.pace = Pace(b'{"events": [], "as-of": 7}')
+        await _call_beside_long_reads(client, call)
+        assert not any(read.done() for read in reads)
+        for read in reads:
+            read.cancel()
+        await asyncio.gather(*reads, return_exceptions=True)
+        client.close()
--- a/tests/utils/paced_server.py
+++ b/tests/utils/paced_server.py
@@ -60,16 +60,16 @@
         lines = head.lower().split('\r\n')
         sizes = (line[len(LENGTH) :] for line in lines if LENGTH in line)
         self.whole.append(await self._read(reader, int(next(sizes, '0'))))
-        await asyncio.sleep(self.pace.delay)
-        body = self.pace.answer
+        pace = self.pace
+        await asyncio.sleep(pace.delay)
+        body = pace.answer
         writer.write(
-            f'HTTP/1.1 {self.pace.status}\r\nX-Version: 1\r\n'
+            f'HTTP/1.1 {pace.status}\r\nX-Version: 1\r\n'
             f'Content-Length: {len(body)}\r\n\r\n'.encode()
         )
-        if self.pace.stops_at is None:
-            await self._write(writer, body)
+        await _write(writer, body[: pace.stops_at], pace.rate)
+        if pace.stops_at is None:
             return
-        await self._write(writer, body[: self.pace.stops_at])
         await self._fall_silent()
 
     async def _read(self, reader: asyncio.StreamReader, size: int) -> bytes:
@@ -84,18 +84,21 @@
             await _keep_pace(began, len(body), self.pace.read_rate)
         return body
 
-    async def _write(self, writer: asyncio.StreamWriter, body: bytes) -> None:
-        began = _now()
-        for begin in range(0, len(body), PART):
-            writer.write(body[begin : begin + PART])
-            await writer.drain()
-            await _keep_pace(began, begin + PART, self.pace.rate)
-
     async def _fall_silent(self) -> None:
         self.stopped_at = _now()
         await asyncio.sleep(SILENT)
 
 
+async def _write(
+    writer: asyncio.StreamWriter, body: bytes, rate: float
+) -> None:
+    began = _now()
+    for begin in range(0, len(body), PART):
+        writer.write(body[begin : begin + PART])
+        await writer.drain()
+        await _keep_pace(began, begin + PART, rate)
+
+
 @asynccontextmanager
 async def paced_server(
     pace: Pace,
