An item that ends twice before it is written gets one position

Callers saw: nothing that we know of. A path by which the runner hands two results of one item to the writer was looked for and not found; but where it does, both were stored in one chunk, so that the item stood at two positions at all instances for ever.

Cause: ResultWriter.add appended each result, and ResultStore.append leaves out only what is stored already, not what stands twice among the new ones.

Why this works: a result stays among the unwritten until the store has it; until then the first one of an item is kept, and after that append drops others as before.

--- a/gentiantrestle/gateway/batch/result_writer.py
+++ b/gentiantrestle/gateway/batch/result_writer.py
@@ -27,9 +27,14 @@
         self._stopping = False
 
     def add(self, entry: JobEntry, result: ItemResult) -> None:
-        """Schedule a result to be written, with others that come soon."""
+        """Schedule a result to be written, with others that come soon.
+
+        An item whose result waits already keeps that one.
+        """
         job_id = entry.job.id
-        self._unwritten.setdefault(job_id, []).append(result)
+        waiting = self._unwritten.setdefault(job_id, [])
+        if result.id not in {known.id for known in waiting}:
+            waiting.append(result)
         if job_id not in self._tasks:
             self._tasks[job_id] = asyncio.create_task(self._write_job(entry))
 
--- a/tests/gateway/late_store.py
+++ b/tests/gateway/late_store.py
@@ -45,12 +45,12 @@
         max_content_size: int,
     ) -> None:
         super().__init__(max_content_size)
-        self._turns = turns
+        self.turns = turns
         self._refusals = refusals
 
     def calm(self) -> None:
         """Answer all calls at once from now on."""
-        self._turns = iter(())
+        self.turns = iter(())
         self._refusals = iter(())
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
@@ -73,7 +73,7 @@
         return await self._write(lambda: put_status(kind, stored, status))
 
     async def _write(self, act: Callable[[], Awaitable[bool]]) -> bool:
-        turn = next(self._turns, Turn(Fate.DONE, 0))
+        turn = next(self.turns, Turn(Fate.DONE, 0))
         await asyncio.sleep(CALL_TIME)
         if turn.fate is Fate.REFUSED:
             raise StoreUnavailableError('refused')
--- a/tests/gateway/test_result_writer.py
+++ b/tests/gateway/test_result_writer.py
@@ -89,6 +89,21 @@
     assert run_virtual(main()).results == _results(2)
 
 
+def test_item_that_ends_twice_before_it_is_written_has_one_position() -> None:
+    async def main() -> list[ItemResult]:
+        job_store = _job_store(MemoryStore())
+        await job_store.accept(make_job())
+        entry = job_store.index.entries['job1']
+        writer = ResultWriter(job_store)
+        first, second = _results(2)
+        for result in (first, first._replace(output='y'), second):
+            writer.add(entry, result)
+        await asyncio.sleep(TIME_LIMIT)
+        return entry.results
+
+    assert run_virtual(main()) == _results(2)
+
+
 @pytest.mark.parametrize(
     'error', [StoreUnavailableError('down'), StoreOutcomeUnknownError('lost')]
 )
