Let only the watchers of a zone follow a kind that was empty at the start

Cause: each instance reads the configuration once at its start.

Change: one list that tells that there is nothing ends the first read; the watchers of the zone follow the kind, and the others copy from them.

--- a/gentiantrestle/gateway/follower.py
+++ b/gentiantrestle/gateway/follower.py
@@ -126,6 +126,7 @@
         self._backoff = Backoff(rng)
         self._failure_backoff = Backoff(rng)
         self._revision: int | None = None
+        self._has_listed = False
         self._proof = WatchProof()
         self._silent = SilentRange()
         self.connected = False
@@ -220,6 +221,7 @@
 
     async def _read_list(self) -> None:
         found, revision, asked_at = await self._list.read(self.now)
+        self._has_listed = True
         self._note_connected()
         self._note_told(found, revision)
         self._handlers.replace(found, revision)
@@ -243,9 +245,14 @@
 
     @property
     def _needs_first_read(self) -> bool:
-        """Whether this kind must still be read before anything is served."""
+        """Whether this kind must still be read before anything is served.
+
+        Where the store had nothing, those that watch it tell the others: the
+        same large object sent to each instance would fill links for seconds.
+        """
         return (
             self._spec.read_at_start
+            and not self._has_listed
             and self._handlers.known_revision() == NO_REVISION
         )
 
--- a/tests/gateway/test_follow.py
+++ b/tests/gateway/test_follow.py
@@ -94,6 +94,26 @@
     assert 5 < len(calls) < 20
 
 
+def test_kind_that_was_empty_is_not_watched_by_all_instances() -> None:
+    async def main() -> list[str]:
+        store = MemoryStore()
+        follower = Follower(
+            store,
+            WatchSpec(KIND, 0, read_at_start=True),
+            StoreHandlers(
+                lambda *_: None, lambda *_: None, lambda: None, lambda: 0
+            ),
+            random.Random(1),
+            WatchGate(),
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(LONG)
+        task.cancel()
+        return store.calls
+
+    assert run_virtual(main()) == ['list']
+
+
 def test_store_is_not_called_with_gate_closed() -> None:
     assert _follow(read_at_start=False) == ([], set())
 
