A job that was removed while it was found isn't confirmed

Callers would see: 202 for a job that nobody has, and 404 for each read of it. The store said that the record exists, and the read after it found none, as where an operator removes it in between.

Cause: JobStore._adopt returned as if the job were there.

Evidence: test_job_that_was_removed_meanwhile_is_not_confirmed, on the code before, with and without an account: Failed: DID NOT RAISE RefusedError Both pass with the change.

Why this works: it isn't sure what holds, so the answer is the 502 of an unknown outcome; the next try creates the job.

--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -225,7 +225,7 @@
                 raise StoreOutcomeUnknownError(repr(exc)) from exc
             return
         if entry is None:
-            return
+            raise StoreOutcomeUnknownError('the job was there and is gone')
         if not is_submitted_by(entry.job, job.account):
             raise JobTakenError(job.id)
         if entry.job.acceptor == job.acceptor and is_same_upload(
--- a/tests/gateway/test_account_jobs.py
+++ b/tests/gateway/test_account_jobs.py
@@ -240,6 +240,28 @@
     assert refusal_of(caught) is UPSTREAM_OUTCOME_UNKNOWN
 
 
+class _LosingStore(MemoryStore):
+    """A store from which jobs are removed as soon as they are found."""
+
+    async def create(self, kind: str, name: str, content: Any) -> bool:
+        """Create an object."""
+        created = await super().create(kind, name, content)
+        if kind == JOB_KIND and not created:
+            await self.delete(kind, name)
+        return created
+
+
+@pytest.mark.parametrize('account', [None, 'anna'])
+async def test_job_that_was_removed_meanwhile_is_not_confirmed(
+    account: str | None,
+) -> None:
+    store = _LosingStore()
+    await Instance(store).submit(account)
+    with pytest.raises(RefusedError) as caught:
+        await Instance(store).submit(account)
+    assert refusal_of(caught) is UPSTREAM_OUTCOME_UNKNOWN
+
+
 async def test_waiting_tokens_are_counted_for_each_account() -> None:
     instance = Instance(MemoryStore())
     await instance.submit('anna', 'a1')
