Test: a large job is run after all lost power, on narrow links

What callers see: an accepted job has no result in 18 s after a restart. Its owner writes each 1.8 s

store call for large failed: StoreUnavailableError('TimeoutError()')

and says that its items wait for their bodies (6113, "bodiless").

Cause: an object of bodies may have up to the store's limit (1 MB), and its read is given up after CALL_TIMEOUT (platform/object_client.py), 1.5 s, whatever has arrived, and begins again at byte 0. So a job whose bodies an owner can't read in 1.5 s is never run by one that didn't accept it. It needs no large configuration: this test has five routes and one job of 4 items with 160,000 bytes each, over 512 KB a second.

--- a/tests/gateway/test_process_long_history.py
+++ b/tests/gateway/test_process_long_history.py
@@ -1,12 +1,14 @@
 """All entries lose power at once after a long history, on narrow links."""
 
 import asyncio
+import base64
 import random
 import signal
 from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 
 from tests.gateway.fleet import (
@@ -31,6 +33,8 @@
 FINISH_TIME = 18.0  # seconds from the start of the entries to the last read
 APPLY_TIME = 4.0  # seconds until a change is in force everywhere
 JOB = '/gentiantrestle/lots/{name}?after=0'
+LARGE_ITEMS = 4  # of a large job
+ITEM_SIZE = 160000  # bytes of the body of such an item
 
 
 class History:
@@ -56,7 +60,7 @@
                 await self._fleet.configure(_routes(5000 + step, 0))
         for name, count in self.jobs.items():
             self.results[name] = await until(
-                lambda job=name, least=count: self._read(0, job, least)
+                lambda job=name, least=count: self.read(0, job, least)
             )
 
     async def find_unread(self, timeout: float) -> list[tuple[int, str]]:
@@ -81,12 +85,23 @@
             return sorted(unread)
         return []
 
+    async def read(self, entry: int, name: str, least: int) -> list[Any]:
+        """Return a job's results; none where there are fewer or no answer."""
+        path = JOB.format(name=name)
+        try:
+            reply = await self._fleet.request(entry, 'r', path, method='GET')
+        except UNREACHED:
+            return []
+        assert reply.status in {200, 503}
+        rows = reply.json()['results'] if reply.status == 200 else []
+        return rows if len(rows) >= least else []
+
     async def _read_again(
         self, entry: int, name: str, unread: set[tuple[int, str]]
     ) -> None:
         """Read a job until it is as it was."""
         known = self.results[name]
-        rows = await until(lambda: self._read(entry, name, len(known)))
+        rows = await until(lambda: self.read(entry, name, len(known)))
         assert rows == known
         unread.discard((entry, name))
 
@@ -96,17 +111,6 @@
         reply = await self._fleet.request(entry, name, '/lists/j', job)
         assert reply.status == 202
 
-    async def _read(self, entry: int, name: str, least: int) -> list[Any]:
-        """Return a job's results; none where there are fewer or no answer."""
-        path = JOB.format(name=name)
-        try:
-            reply = await self._fleet.request(entry, 'r', path, method='GET')
-        except UNREACHED:
-            return []
-        assert reply.status in {200, 503}
-        rows = reply.json()['results'] if reply.status == 200 else []
-        return rows if len(rows) >= least else []
-
 
 def _routes(timeout_ms: int, extra: int) -> list[dict[str, Any]]:
     """Return routes of which one has a timeout, and ``extra`` unused ones."""
@@ -126,6 +130,15 @@
     await until(lambda: _lacking(fleet) == [])
 
 
+async def _lose_power(fleet: LinkFleet) -> None:
+    """Kill all entries at once and start them again."""
+    for child in fleet.entries:
+        child.process.send_signal(signal.SIGKILL)
+    for number, child in enumerate(fleet.entries):
+        await child.process.wait()
+        await fleet.start_entry(number)
+
+
 def _lacking(fleet: LinkFleet) -> list[int]:
     """Return the entries that haven't applied the last configuration."""
     return [
@@ -153,11 +166,7 @@
     await history.make()
     await _configure_everywhere(fleet, 5000)
     fleet.bound(LINK_RATE)
-    for child in fleet.entries:
-        child.process.send_signal(signal.SIGKILL)
-    for number, child in enumerate(fleet.entries):
-        await child.process.wait()
-        await fleet.start_entry(number)
+    await _lose_power(fleet)
     assert await history.find_unread(FINISH_TIME) == []
 
 
@@ -170,3 +179,16 @@
         await fleet.configure(_routes(timeout_ms, ROUTES))
         await asyncio.sleep(APPLY_TIME)
         assert _lacking(fleet) == []
+
+
+async def test_large_job_is_run_after_all_lost_power_on_narrow_links(
+    fleet: LinkFleet,
+) -> None:
+    body = {'events': 2, 'pause': 1, 'pad': 'x' * ITEM_SIZE}
+    encoded = base64.b64encode(msgspec.json.encode(body)).decode()
+    job = job_doc('large', LARGE_ITEMS, 2, body=encoded)
+    assert (await fleet.request(0, 'large', '/lists/j', job)).status == 202
+    fleet.bound(LINK_RATE)
+    await _lose_power(fleet)
+    history = History(fleet, random.Random(SEED))
+    await until(lambda: history.read(0, 'large', LARGE_ITEMS), FINISH_TIME)
