Test: a large job is accepted over a narrow link

What callers see: a job of 640,000 bytes of bodies is never accepted over a link that carries 512 KB a second; each try ends after 2.0 s with 502, "outcome_unknown".

LinkFleet bounds now also what an entry sends to the store. The test fails on, 2 of 2 runs, load 38 (TimeoutError of until after 18 s; the entry writes "no answer to write of large; retrying" each time).

--- a/tests/gateway/links.py
+++ b/tests/gateway/links.py
@@ -1,7 +1,8 @@
 """Links of entries that carry so many bytes a second.
 
 All that an entry receives from the store and from other entries comes through
-one link of its own. What it sends, and requests of callers, aren't bounded.
+one link of its own, and what it sends to the store goes through another one.
+What it sends to other entries, and requests of callers, aren't bounded.
 """
 
 import asyncio
@@ -12,7 +13,7 @@
 from gentiantrestle.models import Address
 from tests.gateway.fleet import GatewayFleet
 from tests.gateway.own_links import LINK_BLOCK, LINK_OFFSET
-from tests.soak.proxy import DOWN, ProxiedConnection, Proxy
+from tests.soak.proxy import DOWN, UP, ProxiedConnection, Proxy
 
 OFFSET = 100  # of the hosts of the first entry's proxies
 HOSTS = 20  # of each entry's proxies
@@ -21,12 +22,11 @@
 
 
 class Link:
-    """What an entry receives, one chunk after the other."""
+    """One direction of an entry's link, one chunk after the other."""
 
     def __init__(self) -> None:
         """Carry any number of bytes a second."""
         self.rate = math.inf  # bytes a second
-        self.received = 0  # bytes
         self._free_at = float(0)
 
     async def carry(self, size: int) -> None:
@@ -34,16 +34,17 @@
         now = time.monotonic()
         self._free_at = max(now, self._free_at) + size / self.rate
         await asyncio.sleep(self._free_at - now)
-        self.received += size
 
 
 class LinkProxy(Proxy):
-    """Connections of an entry to one address, through its link."""
+    """Connections of an entry to one address, through its links."""
 
-    def __init__(self, listen: Address, target: Address, link: Link) -> None:
-        """Prepare to listen; nothing listens yet."""
+    def __init__(
+        self, listen: Address, target: Address, links: dict[str, Link]
+    ) -> None:
+        """Prepare to listen; ``links`` are those of directions."""
         super().__init__(listen, target)
-        self._link = link
+        self._links = links
 
     async def pass_on(
         self,
@@ -53,12 +54,13 @@
         conn: ProxiedConnection,
     ) -> None:
         """Write bytes as the link carries them."""
-        if direction != DOWN:
+        link = self._links.get(direction)
+        if link is None:
             await super().pass_on(direction, chunk, writer, conn)
             return
         for start in range(0, len(chunk), CHUNK_SIZE):
             part = chunk[start : start + CHUNK_SIZE]
-            await self._link.carry(len(part))
+            await link.carry(len(part))
             await super().pass_on(direction, part, writer, conn)
 
 
@@ -69,12 +71,12 @@
         """Choose the addresses; nothing is started yet."""
         super().__init__(folder, entries, upstreams)
         self.launcher = 'tests.gateway.own_links'
-        self.links = [Link() for _ in self.hosts]
+        self._links = [{UP: Link(), DOWN: Link()} for _ in self.hosts]
         self._block = self.hosts[0].rpartition('.')[0]
         self._proxies = [
-            LinkProxy(listen, target, self.links[entry])
+            LinkProxy(listen, target, links)
             for entry, _ in enumerate(self.hosts)
-            for listen, target in self._ways(entry)
+            for listen, target, links in self._ways(entry)
         ]
 
     async def start(self) -> None:
@@ -104,18 +106,23 @@
         return Address(self._link_host(number, STORE_HOST), self.store.port)
 
     def bound(self, rate: float) -> None:
-        """Let each link carry ``rate`` bytes a second."""
-        for link in self.links:
-            link.rate = rate
-
-    def _ways(self, entry: int) -> list[tuple[Address, Address]]:
-        """Return where an entry connects, and where that leads."""
+        """Let each link carry ``rate`` bytes a second in each direction."""
+        for links in self._links:
+            for link in links.values():
+                link.rate = rate
+
+    def _ways(
+        self, entry: int
+    ) -> list[tuple[Address, Address, dict[str, Link]]]:
+        """Return where an entry connects, where that leads, and its links."""
+        links = self._links[entry]
         return [
-            (self.store_address(entry), self.store),
+            (self.store_address(entry), self.store, links),
             *(
                 (
                     Address(self._link_host(entry, number + 1), port),
                     Address(host, port),
+                    {DOWN: links[DOWN]},
                 )
                 for number, host in enumerate(self.hosts)
                 for port in (self.peer, self.passing)
--- a/tests/gateway/test_process_long_history.py
+++ b/tests/gateway/test_process_long_history.py
@@ -124,6 +124,14 @@
     ]
 
 
+async def _submit_large_job(fleet: LinkFleet) -> int:
+    """Return the status of the answer."""
+    body = {'events': 2, 'pause': 1, 'pad': 'x' * ITEM_SIZE}
+    encoded = base64.b64encode(msgspec.json.encode(body)).decode()
+    job = job_doc('large', LARGE_ITEMS, 2, body=encoded)
+    return (await fleet.request(0, 'large', '/lists/j', job)).status
+
+
 async def _configure_everywhere(fleet: LinkFleet, timeout_ms: int) -> None:
     """Put a configuration of thousands of routes in force."""
     await fleet.configure(_routes(timeout_ms, ROUTES))
@@ -184,11 +192,19 @@
 async def test_large_job_is_run_after_all_lost_power_on_narrow_links(
     fleet: LinkFleet,
 ) -> None:
-    body = {'events': 2, 'pause': 1, 'pad': 'x' * ITEM_SIZE}
-    encoded = base64.b64encode(msgspec.json.encode(body)).decode()
-    job = job_doc('large', LARGE_ITEMS, 2, body=encoded)
-    assert (await fleet.request(0, 'large', '/lists/j', job)).status == 202
+    assert await _submit_large_job(fleet) == 202
     fleet.bound(LINK_RATE)
     await _lose_power(fleet)
     history = History(fleet, random.Random(SEED))
     await until(lambda: history.read(0, 'large', LARGE_ITEMS), FINISH_TIME)
+
+
+async def test_large_job_is_accepted_over_a_narrow_link(
+    fleet: LinkFleet,
+) -> None:
+    fleet.bound(LINK_RATE)
+
+    async def is_accepted() -> bool:
+        return await _submit_large_job(fleet) == 202
+
+    await until(is_accepted, FINISH_TIME)
