Give a long write time for what waits in buffers on its way

What callers saw: a job of 0.6 MB of bodies wasn't accepted over a link of 512 KB a second in 18 s of tries (502 each).

Cause: counts what the nearest kernel has taken as progress. Where a middle takes all bytes at once and passes them on slowly, a write looked silent after 0.3 s, and was sent again from its first byte.

Change: once all of a request of over 16 KB is taken, its limits are put off by the time that it takes at 256 KB a second, besides the usual one. A request of which less is taken is given up as before.

--- a/gentiantrestle/http/delivery.py
+++ b/gentiantrestle/http/delivery.py
@@ -52,6 +52,7 @@
         self, link: Link, size: int, limits: tuple[TransferLimit, ...]
     ) -> None:
         self._link = link
+        self._size = size
         self._left = size
         self._limits = limits
         self._loop = asyncio.get_running_loop()
@@ -64,11 +65,13 @@
         if self._link.lost:
             return
         left = undelivered(self._link)
+        if not left:
+            put_off(self._limits, self._size)
+            return
         if left < self._left:
             put_off(self._limits)
         self._left = left
-        if left:
-            self._timer = self._loop.call_later(PROGRESS_INTERVAL, self._look)
+        self._timer = self._loop.call_later(PROGRESS_INTERVAL, self._look)
 
 
 async def is_taken(link: Link, size: int) -> bool:
