A failed call tells how many bytes of answers had arrived

Change: the error of a call that timed out or lost its connection while sending names the bytes of unfinished answers that arrived meanwhile.

Evidence: test_failure_tells_how_much_of_an_answer_had_arrived on the code before: "'NoneType' object has no attribute 'group'".

--- a/gentiantrestle/daemon/membership/codec.py
+++ b/gentiantrestle/daemon/membership/codec.py
@@ -52,11 +52,12 @@
 
 async def read_frame(
     reader: asyncio.StreamReader,
-    on_part: Callable[[], None] | None = None,
+    on_part: Callable[[int], None] | None = None,
 ) -> ttypes.Envelope:
     """Read one framed envelope from a stream.
 
-    ``on_part`` is called for each part of a frame that arrives in several.
+    ``on_part`` is called with the size of each part of a frame that arrives
+    in several.
 
     Raises ``BadFrameError`` for a frame that is too large or invalid, and
     ``asyncio.IncompleteReadError`` at the end of the stream.
@@ -69,7 +70,7 @@
     async for part in _read_parts(reader, size):
         parts.append(part)
         if on_part is not None and len(part) < size:
-            on_part()
+            on_part(len(part))
     return decode(b''.join(parts))
 
 
--- a/gentiantrestle/daemon/membership/peers.py
+++ b/gentiantrestle/daemon/membership/peers.py
@@ -43,6 +43,7 @@
         self._call_numbers = count(1)
         self._pending: dict[int, asyncio.Future[Envelope]] = {}
         self._answers = 0
+        self._received = 0  # bytes of answers that arrived in parts
         self._heard_at = NEVER  # when a part of an unfinished answer arrived
         self._read_task = asyncio.create_task(self._read(reader))
 
@@ -64,7 +65,7 @@
         lost. It is closed if no call was answered meanwhile.
         """
         envelope.call = next(self._call_numbers)
-        answers = self._answers
+        answers, received = self._answers, self._received
         fut = asyncio.get_running_loop().create_future()
         self._pending[envelope.call] = fut
         try:
@@ -73,7 +74,8 @@
         except (TimeoutError, ConnectionError) as exc:
             if self._answers == answers:
                 self.close()
-            raise PeerError(repr(exc)) from exc
+            arrived = self._received - received
+            raise PeerError(f'{exc!r} after {arrived} bytes') from exc
         finally:
             self._pending.pop(envelope.call, None)
 
@@ -102,7 +104,8 @@
         last = asked_at + max(timeout, MAX_CALL_TIME)
         return min(quiet_until, last) - now
 
-    def _note_part(self) -> None:
+    def _note_part(self, size: int) -> None:
+        self._received += size
         self._heard_at = asyncio.get_running_loop().time()
 
     def _resolve(self, envelope: Envelope) -> None:
--- a/tests/interfaces/test_slow_transfers.py
+++ b/tests/interfaces/test_slow_transfers.py
@@ -1,6 +1,7 @@
 """Answers of other instances that take long because the link is slow."""
 
 import asyncio
+import re
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 
@@ -147,3 +148,13 @@
     assert peers.CALL_TIMEOUT <= now() - began <= peers.CALL_TIMEOUT + SLACK
     client.close()
     server.close()
+
+
+async def test_failure_tells_how_much_of_an_answer_had_arrived() -> None:
+    client = peers.PeerClient()
+    async with _serving(parts=10, sent=5) as address:
+        with pytest.raises(peers.PeerError) as failure:
+            await client.call(address, _ask(0))
+    arrived = int(re.search(r'after (\d+) bytes', str(failure.value)).group(1))
+    assert SIZE * 0.4 < arrived < SIZE * 0.6
+    client.close()
