A job that the listing finds is confirmed without writing its bodies again

Callers saw: slow or refused repeats of accepted jobs over half of a quota. The check lists all jobs and finds the repeated one; then all its bodies were sent to the store again, found there, read back and compared, before the record was found, too: the whole job twice over a link that is full.

Cause: JobStore.accept didn't look at the index after the listing.

Evidence: test_job_that_a_listing_finds_is_confirmed_without_another_write, on the code before: assert ['list', 'cre...et', 'create'] == ['list'] It passes with the change.

Why this works: the index holds only what the store is known to hold, and a record is written after its bodies; JobApi confirms jobs of the index in the same way. Whose job it is is still checked. A repeat at an instance that has neither heard of the job nor lists it still sends the bodies first.

--- a/gentiantrestle/gateway/batch/job_store.py
+++ b/gentiantrestle/gateway/batch/job_store.py
@@ -102,6 +102,10 @@
         ``StoreOutcomeUnknownError`` if it may have been, and ``JobTakenError``
         if another account has a job of this id.
         """
+        known = self.index.entries.get(job.id)
+        if known is not None:
+            _check_submitter(known, job)
+            return False
         job = await self._bodies.write(job)
         content = job_to_content(job)
         # The job is accepted once this last object exists; bodies alone have
@@ -226,8 +230,7 @@
             return
         if entry is None:
             raise StoreOutcomeUnknownError('the job was there and is gone')
-        if not is_submitted_by(entry.job, job.account):
-            raise JobTakenError(job.id)
+        _check_submitter(entry, job)
         if entry.job.acceptor == job.acceptor and is_same_upload(
             entry.job, job
         ):
@@ -262,6 +265,11 @@
         return entry is None or entry.job.done or state_of(stored) == CANCELLED
 
 
+def _check_submitter(entry: JobEntry, job: Job) -> None:
+    if not is_submitted_by(entry.job, job.account):
+        raise JobTakenError(job.id)
+
+
 async def _list_jobs(
     store: ObjectStore, apply: Callable[[StoredObject], object]
 ) -> None:
--- a/tests/gateway/test_quota_reads.py
+++ b/tests/gateway/test_quota_reads.py
@@ -158,6 +158,21 @@
     run_virtual(main())
 
 
+def test_job_that_a_listing_finds_is_confirmed_without_another_write() -> None:
+    async def main() -> None:
+        store = MemoryStore()
+        table = make_table(make_batch_route(max_tokens=2 * JOB_TOKENS))
+        here = Instance(store, table, virtual_now)
+        there = Instance(store, table, virtual_now, 'two/1')
+        await there.submit(None, 'job0')
+        await here.submit(None, 'job1')
+        store.calls.clear()
+        await here.submit(None, 'job0')
+        assert store.calls == ['list']
+
+    run_virtual(main())
+
+
 def test_listing_goes_on_for_others_when_a_caller_leaves() -> None:
     async def main() -> None:
         store = _SlowListStore()
