Those who wait for a listing fail with the one that goes before

Beside a silent store, a submission waited for the listing under way to time out, and then for its own: two timeouts where it had been one.

Evidence: test_submissions_beside_a_silent_store_do_not_wait_for_two_listings, on the code before: assert 2.75 <= 1.5 (seconds, in virtual time) It passes with the change.

Why this works: a listing that waits for one that fails is refused with it, so nobody waits longer than one timeout. The 503 is true: nothing of the job was written. The price: one listing that is lost refuses those, too, who came while it ran; they are told to try again after half a second.

--- a/gentiantrestle/gateway/batch/shared_call.py
+++ b/gentiantrestle/gateway/batch/shared_call.py
@@ -8,13 +8,13 @@
     """A call whose outcome is shared by all who ask before it begins.
 
     One that has begun may have missed what they want to know: they wait for
-    its end, and for the next one.
+    its end, and for the next one. If it fails, they fail with it.
     """
 
     def __init__(self, call: Callable[[], Awaitable[None]]) -> None:
         """Share runs of ``call``, one at a time."""
         self._call = call
-        self._lock = asyncio.Lock()
+        self._running: asyncio.Task[None] | None = None
         self._next: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
@@ -23,10 +23,14 @@
         The run goes on for the others if this is cancelled.
         """
         if self._next is None:
-            self._next = asyncio.create_task(self._run_next())
+            self._next = asyncio.create_task(self._run_after(self._running))
         await asyncio.shield(self._next)
 
-    async def _run_next(self) -> None:
-        async with self._lock:
+    async def _run_after(self, before: asyncio.Task[None] | None) -> None:
+        try:
+            if before is not None and not before.done():
+                await before
+        finally:
+            self._running = self._next
             self._next = None
-            await self._call()
+        await self._call()
--- a/tests/gateway/test_quota_reads.py
+++ b/tests/gateway/test_quota_reads.py
@@ -12,7 +12,7 @@
 from gentiantrestle.gateway.batch.records import RESULT_KIND, chunk_name
 from gentiantrestle.gateway.model import ItemResult
 from gentiantrestle.gateway.ports import Page, StoredObject
-from tests.gateway.memory import MemoryStore
+from tests.gateway.memory import CALL_TIMEOUT, MemoryStore, StorePath
 from tests.gateway.samples import make_batch_route, make_table
 from tests.gateway.test_account_jobs import Instance
 from tests.utils.virtual_time import run_virtual, virtual_now
@@ -173,6 +173,28 @@
     run_virtual(main())
 
 
+def test_submissions_beside_a_silent_store_do_not_wait_for_two_listings() -> (
+    None
+):
+    async def main() -> list[float]:
+        path = StorePath(MemoryStore())
+        table = make_table(make_batch_route(max_tokens=2 * JOB_TOKENS))
+        instance = Instance(path, table, virtual_now)
+        await instance.submit(None, 'job0')
+        path.silent = True
+
+        async def submit(number: int) -> float:
+            await asyncio.sleep(number * READ_TIME)
+            began = virtual_now()
+            with pytest.raises(RefusedError):
+                await instance.submit(None, f'more{number}')
+            return virtual_now() - began
+
+        return await asyncio.gather(*map(submit, range(8)))
+
+    assert max(run_virtual(main())) <= CALL_TIMEOUT
+
+
 def test_listing_goes_on_for_others_when_a_caller_leaves() -> None:
     async def main() -> None:
         store = _SlowListStore()
