End a read of chunks though others were read ahead of it

An instance would have hung, or read the store without end.

Cause: chunks that were read ahead of one that failed are kept. Where an owner's answer then counts up to such a chunk, nobody was asked for it, and the loop went on with nothing to read.

Evidence: the test of a fast store ended by the time-out of 8 s of the test run on the code before, in the loop; it passes, and so do all others of the file. Now what was read ahead is added first, so that each round asks for a chunk that isn't known.

--- a/gentiantrestle/gateway/batch/chunk_reads.py
+++ b/gentiantrestle/gateway/batch/chunk_reads.py
@@ -124,6 +124,9 @@
 
         Raises ``StoreUnavailableError`` if the first unknown one failed.
         """
+        self._give()
+        if self.entry.complete:
+            return False
         first = self.entry.chunk_count
         numbers = [
             number
--- a/tests/gateway/test_slow_store_reads.py
+++ b/tests/gateway/test_slow_store_reads.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from types import SimpleNamespace
 
 import msgspec
@@ -295,3 +296,32 @@
     reads = run_virtual(main())
     assert len(reads) == len(set(reads))
     assert set(reads) >= {chunk_name('job1', number) for number in range(3)}
+
+
+@pytest.mark.parametrize('read_time', [CALM, 0.06])
+def test_read_ends_though_an_owner_told_of_chunks_before_one_read_ahead(
+    read_time: float,
+) -> None:
+    async def main() -> int:
+        store = _Store()
+        written = await _write(store, 4, 12)
+        instance = _Instance(store)
+        entry = await instance.job_store.find('job1')
+        entry.found_slowly = True
+        store.read_time = 0.06
+        store.missing = chunk_name('job1', 0)
+        for _ in range(3):
+            with suppress(StoreUnavailableError):
+                await instance.job_store.refresh(entry)
+            await asyncio.sleep(PAUSE)
+        rows = [ItemResult(name, True, 'text') for name in written[:3]]
+        entry.add_peer_results(rows, 3)
+        store.missing = ''
+        store.read_time = read_time
+        store.reads.clear()
+        async with asyncio.timeout(CALLER_TIME):
+            await instance.job_store.refresh(entry)
+        assert [row.id for row in entry.results] == written
+        return len(store.reads)
+
+    assert run_virtual(main()) <= 8
