Ask a second source beside one whose answer arrives slowly

A change of the configuration arrived after 5.0 s from a watcher with a link of 30 KB a second though a sound source was there (0.3 s on; both by a script of the review).

Cause: nobody else was asked as long as parts of an answer came.

Change: once an answer has been arriving for 1.2 s, one other source is asked, and no third one while both go on. Links aren't filled with four copies again.

--- a/gentiantrestle/daemon/membership/sources.py
+++ b/gentiantrestle/daemon/membership/sources.py
@@ -6,6 +6,9 @@
 
 # Answers begin after tens of ms, also between regions.
 PATIENCE = 0.3  # seconds without a part of an answer until another is asked
+# An answer that arrives for longer may be of a slow source: another is asked.
+SLOW_ANSWER = 1.2  # seconds
+MAX_ARRIVING = 2  # answers at once
 # Whoever has failed is asked again at once if nobody else has the state.
 FAILURE_MEMORY = 3.0  # seconds
 MAX_CALLS = 4  # calls in progress at once
@@ -24,8 +27,9 @@
     """Which instances have not answered, as of now.
 
     ``asked`` are those whose answer is awaited, ``failed`` those that have
-    not answered lately. ``receiving``: parts of an answer are arriving, and
-    nobody else has answered since it was asked for.
+    not answered lately. ``receiving``: parts of an answer are arriving that
+    was asked for lately, or of ``MAX_ARRIVING`` answers, and nobody else has
+    answered since.
     """
 
     asked: frozenset[str] = frozenset()
@@ -52,11 +56,13 @@
     """A call in progress.
 
     ``silence`` returns for how many s no part of its answer has arrived.
+    ``slow_at`` is when its source counts as slow, a time of the event loop.
     ``overtaken``: another source has answered meanwhile.
     """
 
     task: asyncio.Task[bool]
     silence: Callable[[], float]
+    slow_at: float
     overtaken: bool = False
 
     @property
@@ -90,7 +96,7 @@
         return SourceStates(
             frozenset(self._calls),
             frozenset(self._failed_at),
-            any(call.is_awaited for call in self._calls.values()),
+            self._is_receiving(asyncio.get_running_loop().time()),
         )
 
     async def ask(
@@ -104,13 +110,14 @@
         ``silence`` returns for how many s no part of its answer has arrived.
 
         Returns whether it ended, or an earlier call was answered; False if
-        parts stopped arriving, so that it goes on beside others.
+        parts stopped arriving, or arrive for long, so that it goes on beside
+        others.
         """
         task = asyncio.create_task(call)
-        source_call = SourceCall(task, silence)
+        now = asyncio.get_running_loop().time
+        source_call = SourceCall(task, silence, now() + SLOW_ANSWER)
         self._calls[instance] = source_call
         waiting = {earlier.task for earlier in self._calls.values()}
-        now = asyncio.get_running_loop().time
         until = now() + PATIENCE
         left = PATIENCE
         while left > 0:
@@ -122,6 +129,7 @@
             if task.done() or any(map(_has_answered, ended)):
                 return True
             left = max(until - now(), source_call.patience_left)
+            left = min(left, source_call.slow_at - now())
         return False
 
     def cancel(self) -> None:
@@ -130,6 +138,12 @@
             call.task.cancel()
         self._calls.clear()
 
+    def _is_receiving(self, now: float) -> bool:
+        """Return whether what is arriving is to be waited for alone."""
+        awaited = [call for call in self._calls.values() if call.is_awaited]
+        is_recent = any(now < call.slow_at for call in awaited)
+        return is_recent or len(awaited) >= MAX_ARRIVING
+
     def _note_end(self, instance: str, now: float) -> None:
         """Take the outcome of a call that has ended; raise what it raised."""
         if not self._calls[instance].task.done():
--- a/tests/gateway/test_slow_copies.py
+++ b/tests/gateway/test_slow_copies.py
@@ -10,6 +10,7 @@
 
 from gentiantrestle.daemon.membership.codec import encode, read_frame
 from gentiantrestle.daemon.membership.peers import PeerServer
+from gentiantrestle.daemon.membership.sources import SLOW_ANSWER
 from gentiantrestle.gateway.fleet_state import FleetState
 from gentiantrestle.gateway.membership.peers import Peer, PeerList
 from gentiantrestle.gateway.peer_calls import PeerCalls
@@ -32,6 +33,7 @@
 
 PARTS = 30
 STEP = 0.1  # seconds between two parts of a copy
+BRISK_STEP = 0.03  # seconds
 
 
 class _SlowKind(NamedTuple):
@@ -156,7 +158,7 @@
 
 async def test_no_second_copy_is_asked_beside_one_that_arrives() -> None:
     sources = Source()
-    slow = [_SlowSource() for _ in range(4)]
+    slow = [_SlowSource(_SlowKind(step=BRISK_STEP)) for _ in range(4)]
     async with _listening(sources, slow):
         rows = [
             sources.row(number, ZONE if number == 0 else OTHER_ZONE)
@@ -164,9 +166,33 @@
         ]
         took = await _Copying(sources, rows).time_copy()
     assert [source.asked for source in slow] == [1, 0, 0, 0]
+    assert took <= PARTS * BRISK_STEP + COPY_TIME
+
+
+async def test_no_third_copy_is_asked_beside_two_that_arrive() -> None:
+    sources = Source()
+    slow = [_SlowSource() for _ in range(4)]
+    async with _listening(sources, slow):
+        rows = [
+            sources.row(number, ZONE if number == 0 else OTHER_ZONE)
+            for number in range(len(slow))
+        ]
+        took = await _Copying(sources, rows).time_copy()
+    assert sum(source.asked for source in slow) == 2
     assert took <= PARTS * STEP + COPY_TIME
 
 
+async def test_slow_source_does_not_keep_a_sound_one_from_being_asked() -> None:
+    sources = Source()
+    async with (
+        _listening(sources, [_SlowSource(_SlowKind(step=2 * STEP))]),
+        _sound(sources.address(1)),
+    ):
+        rows = [sources.row(0, ZONE), sources.row(1, OTHER_ZONE)]
+        took = await _Copying(sources, rows).time_copy()
+    assert took <= SLOW_ANSWER + COPY_TIME
+
+
 async def test_copy_that_stops_arriving_does_not_delay_a_configuration() -> (
     None
 ):
