Keep bodies that were read after their callers had left

Cause: a shared read was forgotten at its end, also where nobody had it.

Change: a read that nobody waited for at its end is kept for 5 s; others are forgotten as before, so that memory holds only what was given to nobody.

Evidence: test_bodies_that_come_too_late_are_not_read_again on the code before: assert 3 == 1 (reads of each part).

--- a/gentiantrestle/gateway/batch/body_store.py
+++ b/gentiantrestle/gateway/batch/body_store.py
@@ -1,6 +1,7 @@
 """Reads and writes the bodies of batch jobs in the store."""
 
 import asyncio
+from collections import Counter
 from typing import Any
 
 from gentiantrestle import events
@@ -24,6 +25,8 @@
 )
 
 Reading = asyncio.Task[tuple[ItemSpec, ...]]
+# Bodies that came after their callers had left are kept for the next try.
+KEEP_UNUSED = 5.0  # seconds
 
 
 class BodyStore:
@@ -34,6 +37,7 @@
         self._store = store
         # Reads under way, by the first part's key; bodies never change.
         self._reads: dict[tuple[str, str], Reading] = {}
+        self._waiting: Counter[tuple[str, str]] = Counter()
 
     async def write(self, job: Job) -> Job:
         """Store a job's bodies; return the job, which tells where they are.
@@ -62,9 +66,30 @@
         key = part_key(job.id, 0, job.upload)
         if key not in self._reads:
             reading = asyncio.create_task(self._read(job))
-            reading.add_done_callback(lambda _: self._reads.pop(key))
+            reading.add_done_callback(lambda done: self._end(key, done))
             self._reads[key] = reading
-        return await asyncio.shield(self._reads[key])
+        self._waiting[key] += 1
+        try:
+            return await asyncio.shield(self._reads[key])
+        finally:
+            self._waiting.subtract((key,))
+            if not self._waiting[key]:
+                self._waiting.pop(key)
+
+    def _end(self, key: tuple[str, str], reading: Reading) -> None:
+        """Forget a read; one that nobody has waited for is kept for a time."""
+        is_unused = not self._waiting[key]
+        failure = None if reading.cancelled() else reading.exception()
+        is_sound = failure is None and not reading.cancelled()
+        if is_unused and is_sound:
+            loop = asyncio.get_running_loop()
+            loop.call_later(KEEP_UNUSED, self._reads.pop, key)
+            return
+        self._reads.pop(key)
+        if is_unused and failure is not None:
+            events.emit(
+                events.STORE_CALL_FAILED, name=key[1], error=repr(failure)
+            )
 
     async def _read(self, job: Job) -> tuple[ItemSpec, ...]:
         parts = await asyncio.gather(
--- a/tests/gateway/test_body_parts.py
+++ b/tests/gateway/test_body_parts.py
@@ -130,6 +130,19 @@
     assert await stays == job.items[0].body
 
 
+async def test_bodies_that_come_too_late_are_not_read_again() -> None:
+    store = _CountingStore()
+    job, other = await _accept_large(store)
+    entry = other.index.entries[job.id]
+    for _ in range(2):
+        gone = asyncio.create_task(other.read_body(entry, job.items[0].id))
+        await asyncio.sleep(0)
+        gone.cancel()
+        await asyncio.sleep(0.1)
+    assert await other.read_body(entry, job.items[0].id) == job.items[0].body
+    assert max(store.reads.values()) == 1
+
+
 async def test_body_of_an_item_that_the_job_lacks_is_refused() -> None:
     job, other = await _accept_large(_CountingStore())
     with pytest.raises(StoreUnavailableError):
