Ask for results of jobs on a connection of their own

Cause: results shared the connection of small calls; bytes arrive in order.

Evidence: test_small_calls_are_answered_while_results_arrive on the code before: TimeoutError. What an instance answers still has all rows from a position on.

--- a/gentiantrestle/gateway/peer_calls.py
+++ b/gentiantrestle/gateway/peer_calls.py
@@ -49,6 +49,7 @@
         self._client = PeerClient()
         # Large answers hold up no others on a connection of their own.
         self._copy_client = PeerClient()
+        self._result_client = PeerClient()
         self._sources = SourceCalls()
         self._server = PeerServer(self._answer)
         # Returns a job if this instance runs it and knows all its results.
@@ -80,8 +81,11 @@
         results.
         """
         request = ttypes.ResultsRequest(entry.job.id, len(entry.results))
+        envelope = ttypes.Envelope(call=0, results_request=request)
         try:
-            reply = (await self._call(peer, results_request=request)).results
+            reply = (
+                await self._call_by(self._result_client, peer, envelope)
+            ).results
         except PeerError:
             return False
         if reply is None or not reply.known:
--- a/tests/gateway/test_slow_copies.py
+++ b/tests/gateway/test_slow_copies.py
@@ -11,14 +11,17 @@
 from gentiantrestle.daemon.membership.codec import encode, read_frame
 from gentiantrestle.daemon.membership.peers import PeerServer
 from gentiantrestle.daemon.membership.sources import SLOW_ANSWER
+from gentiantrestle.gateway.batch.job_index import JobEntry
+from gentiantrestle.gateway.batch.records import JobRecord
 from gentiantrestle.gateway.fleet_state import FleetState
 from gentiantrestle.gateway.membership.peers import Peer, PeerList
-from gentiantrestle.gateway.peer_calls import PeerCalls
+from gentiantrestle.gateway.peer_calls import REACH_TIMEOUT, PeerCalls
 from gentiantrestle.gateway.ports import StoredObject
 from gentiantrestle.gateway.state_copier import StateCopier
 from gentiantrestle.gateway.zone_watcher import CopySourceSelector
 from gentiantrestle.models import Address
 from gentiantrestle.wire.peer import ttypes
+from tests.gateway.samples import make_job
 from tests.gateway.test_silent_sources import (
     COPY_TIME,
     OTHER_ZONE,
@@ -34,6 +37,7 @@
 PARTS = 30
 STEP = 0.1  # seconds between two parts of a copy
 BRISK_STEP = 0.03  # seconds
+RESULT_SIZE = 100000  # characters
 
 
 class _SlowKind(NamedTuple):
@@ -63,6 +67,9 @@
         with suppress(EOFError, ConnectionError):
             while True:
                 envelope = await read_frame(reader)
+                if envelope.results_request is not None:
+                    await self._send_results(envelope, writer)
+                    continue
                 if envelope.copy_request is None:
                     reached = ttypes.ReachAnswer(reached=True)
                     writer.write(
@@ -78,7 +85,20 @@
         self, envelope: ttypes.Envelope, writer: asyncio.StreamWriter
     ) -> None:
         copy = self._copier.build_copy(envelope.copy_request)
-        frame = encode(ttypes.Envelope(envelope.call, copy=copy))
+        answer = ttypes.Envelope(envelope.call, copy=copy)
+        await self._send_parts(encode(answer), writer)
+
+    async def _send_results(
+        self, envelope: ttypes.Envelope, writer: asyncio.StreamWriter
+    ) -> None:
+        row = ttypes.ResultRow('job1-0', True, 'x' * RESULT_SIZE)
+        results = ttypes.Results(True, False, [row], 1)
+        answer = ttypes.Envelope(envelope.call, results=results)
+        await self._send_parts(encode(answer), writer)
+
+    async def _send_parts(
+        self, frame: bytes, writer: asyncio.StreamWriter
+    ) -> None:
         size = -(-len(frame) // PARTS)
         for number in range(self._kind.sent):
             writer.write(frame[number * size : (number + 1) * size])
@@ -156,6 +176,21 @@
         await task
 
 
+async def test_small_calls_are_answered_while_results_arrive() -> None:
+    sources = Source()
+    async with _listening(sources, [_SlowSource()]):
+        row = sources.row(0, ZONE)
+        copying = _Copying(sources, [row])
+        job = make_job()
+        entry = JobEntry(JobRecord(job, StoredObject(job.id, 1, {})))
+        task = asyncio.create_task(copying.calls.fetch_results(row, entry))
+        await asyncio.sleep(3 * STEP)
+        async with asyncio.timeout(REACH_TIMEOUT):
+            assert await copying.calls.ask_reach(row, 'any')
+        assert not task.done()
+        assert await task
+
+
 async def test_no_second_copy_is_asked_beside_one_that_arrives() -> None:
     sources = Source()
     slow = [_SlowSource(_SlowKind(step=BRISK_STEP)) for _ in range(4)]
