Refuse a submission whose quota can't be checked in time

Cause: the check had no bound of its own; since a page may take longer than 1.5 s.

Change: it is refused with 503 after 2 s; nothing of it has been stored by then.

Evidence: test_submission_does_not_wait_for_a_listing_until_its_caller_leaves failed without the bound (DID NOT RAISE RefusedError: the job was accepted after 20 s), and passes with it.

--- a/gentiantrestle/gateway/batch/api.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -53,6 +53,8 @@
 LOCAL_POLL_INTERVAL = 0.1  # seconds
 # Callers leave if they get no answer for 1.5 s beyond the wait they allow.
 PATIENCE = 1.3  # seconds
+# Those who submit a job wait longer.
+QUOTA_PATIENCE = 2.0  # seconds; the writes of a job follow
 UNREAD = 'The results at this position could not be read in time'
 JSON_HEADERS = [(b'content-type', b'application/json')]
 BYTES_HEADERS = [(b'content-type', b'application/octet-stream')]
@@ -198,7 +200,9 @@
             submission.config_version,
             account=request.account,
         )
-        await self._quota.check(job, route)
+        until = asyncio.get_running_loop().time() + QUOTA_PATIENCE
+        async with answering_by(until):
+            await self._quota.check(job, route)
         new = await self._accept(job)
         events.emit(
             events.JOB_ACCEPTED, job=job.id, items=len(job.items), new=new
--- a/tests/gateway/test_quota_reads.py
+++ b/tests/gateway/test_quota_reads.py
@@ -6,7 +6,12 @@
 
 import pytest
 
-from gentiantrestle.errors import OVERLOADED, RefusedError
+from gentiantrestle.errors import (
+    OVERLOADED,
+    STORE_UNAVAILABLE,
+    RefusedError,
+)
+from gentiantrestle.gateway.batch.api import QUOTA_PATIENCE
 from gentiantrestle.gateway.batch.job_index import JobIndex
 from gentiantrestle.gateway.batch.job_store import JobStore
 from gentiantrestle.gateway.batch.records import RESULT_KIND, chunk_name
@@ -111,12 +116,14 @@
 class _SlowListStore(MemoryStore):
     """A store whose lists take a while to arrive."""
 
+    list_time = READ_TIME
+
     async def list_page(
         self, kind: str, after: str, *, stale: bool = False
     ) -> Page:
         """List everything in one page."""
         page = await super().list_page(kind, after, stale=stale)
-        await asyncio.sleep(READ_TIME)
+        await asyncio.sleep(self.list_time)
         return page
 
 
@@ -195,6 +202,24 @@
     assert max(run_virtual(main())) <= CALL_TIMEOUT
 
 
+def test_submission_does_not_wait_for_a_listing_until_its_caller_leaves() -> (
+    None
+):
+    async def main() -> float:
+        store = _SlowListStore()
+        table = make_table(make_batch_route(max_tokens=2 * JOB_TOKENS))
+        instance = Instance(store, table, virtual_now)
+        await instance.submit(None, 'job0')
+        store.list_time = 10 * QUOTA_PATIENCE
+        began = virtual_now()
+        with pytest.raises(RefusedError) as caught:
+            await instance.submit(None, 'job1')
+        assert caught.value.refusal.kind is STORE_UNAVAILABLE
+        return virtual_now() - began
+
+    assert run_virtual(main()) <= QUOTA_PATIENCE
+
+
 def test_listing_goes_on_for_others_when_a_caller_leaves() -> None:
     async def main() -> None:
         store = _SlowListStore()
