Give a cancel more time than a reader has

Cause: the bound of a reader of results, which the interface states, was taken for cancels, for which it states none.

Change: 3.8 s.

Evidence: test_cancel_is_not_refused_by_a_store_that_answers_late on the code before: assert 503 == 200.

--- a/gentiantrestle/gateway/batch/api.py
+++ b/gentiantrestle/gateway/batch/api.py
@@ -53,8 +53,9 @@
 LOCAL_POLL_INTERVAL = 0.1  # seconds
 # Callers leave if they get no answer for 1.5 s beyond the wait they allow.
 PATIENCE = 1.3  # seconds
-# Those who submit a job wait longer.
+# Those who submit or cancel a job wait longer.
 QUOTA_PATIENCE = 2.0  # seconds; the writes of a job follow
+CANCEL_PATIENCE = 3.8  # seconds
 UNREAD = 'The results at this position could not be read in time'
 JSON_HEADERS = [(b'content-type', b'application/json')]
 BYTES_HEADERS = [(b'content-type', b'application/octet-stream')]
@@ -156,7 +157,7 @@
         the change, and with ``NOT_FOUND``.
         """
         call = JobCall(operation.job, Operation.CANCEL)
-        until = asyncio.get_running_loop().time() + PATIENCE
+        until = asyncio.get_running_loop().time() + CANCEL_PATIENCE
         with self._calls.noting(call):
             async with answering_by(until):
                 known = await self._cancel(call, caller)
--- a/tests/gateway/test_read_walk.py
+++ b/tests/gateway/test_read_walk.py
@@ -26,6 +26,8 @@
 from tests.utils.virtual_time import run_virtual
 
 MORE_RESULTS = 0.2  # share of steps
+# With the time of a reader, that of those who submit or cancel.
+CANCEL_WAIT = 2.5  # seconds
 
 
 @pytest.mark.parametrize('state', STATES)
@@ -89,7 +91,8 @@
             'body': (api.read_body, ReadBody('none', 'none-0')),
             'cancel': (api.cancel, CancelJob('none')),
         }[operation]
-        return (await call(*args))[0]
+        wait = CANCEL_WAIT if operation == 'cancel' else 0
+        return (await call(*args, wait))[0]
 
     expected = ABSENT if answers in SOUND else UNSURE
     assert run_virtual(main()) == expected
@@ -110,12 +113,28 @@
             'body': (reader.api.read_body, ReadBody('job1', 'job1-8')),
             'cancel': (reader.api.cancel, CancelJob('job1')),
         }[operation]
-        return (await call(*args))[0]
+        wait = CANCEL_WAIT if operation == 'cancel' else 0
+        return (await call(*args, wait))[0]
 
     expected = FOUND if answers in SOUND else UNSURE
     assert run_virtual(main()) == expected
 
 
+def test_cancel_is_not_refused_by_a_store_that_answers_late(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr('tests.gateway.read_world.SLOW', 0.7)
+
+    async def main() -> int:
+        store, _, reader = await make_world('open', Answers.GONE, is_known=True)
+        store.answers = Answers.SLOW
+        return (await call(reader.api.cancel, CancelJob('job1'), CANCEL_WAIT))[
+            0
+        ]
+
+    assert run_virtual(main()) == FOUND
+
+
 async def _disturb(
     rng: random.Random, store: StoreModel, writer: Writer
 ) -> None:
